--- /dev/null
+++ b/include/ragwortyoke-io/log.h
@@ -0,0 +1,23 @@
+#ifndef RAGWORTYOKE_IO_LOG_H
+#define RAGWORTYOKE_IO_LOG_H
+
+/**
+ * @file
+ * Structured logging through GLib, one line for each change of state, to
+ * standard error.
+ */
+
+#include "ragwortyoke/str.h"
+
+/** @param level  error, warning, info or debug.  */
+void rgy_log_init (const char *role, const char *id, const char *level);
+
+/** Log a change of state.  */
+void rgy_log_info (const char *format, ...)
+    __attribute__ ((format (printf, 1, 2)));
+void rgy_log_warning (const char *format, ...)
+    __attribute__ ((format (printf, 1, 2)));
+void rgy_log_error (const char *format, ...)
+    __attribute__ ((format (printf, 1, 2)));
+
+#endif
--- /dev/null
+++ b/include/ragwortyoke-io/settings.h
@@ -0,0 +1,80 @@
+#ifndef RAGWORTYOKE_IO_SETTINGS_H
+#define RAGWORTYOKE_IO_SETTINGS_H
+
+/**
+ * @file
+ * Settings of ragwortyoked from flags and environment variables.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ragwortyoke/address.h"
+#include "ragwortyoke/contract.h"
+#include "ragwortyoke/str.h"
+#include "ragwortyoke/wire.h"
+
+#define RGY_SETTINGS_MAX_SEEDS 16
+
+enum rgy_role
+{
+  RGY_ROLE_BALANCER,
+  RGY_ROLE_AGENT
+};
+extern const char *const rgy_role_string[];
+
+/** Checked settings.  Each has a flag "--NAME" and an environment variable
+    "RAGWORTYOKE_NAME" (upper case, '-' as '_'); the flag wins.  */
+struct rgy_settings
+{
+  enum rgy_role role;
+  bool check_only; /**< --check: print the effective settings and exit.  */
+
+  /* Both roles.  */
+  struct rgy_name id;         /**< --id  */
+  struct rgy_name domain;     /**< --domain  */
+  struct rgy_endpoint listen; /**< --listen: internal UDP.  */
+  struct rgy_endpoint http;   /**< --http  */
+  char *store;                /**< --store: endpoint list.  */
+  struct rgy_endpoint seeds[RGY_SETTINGS_MAX_SEEDS]; /**< --seeds: balancers'
+                                                        --listen.  */
+  size_t seed_count;
+  uint8_t cluster_key[RGY_WIRE_KEY_BYTES]; /**< --cluster-key: 64 hex
+                                              digits.  */
+  char *log_level; /**< --log-level: error, warning, info or debug.  */
+  unsigned drain_timeout_ms; /**< --drain-timeout-ms  */
+
+  /* Balancer.  */
+  struct rgy_endpoint fabric_listen; /**< --fabric-listen  */
+  struct rgy_endpoint fabric;        /**< --fabric: where answers go.  */
+  struct rgy_endpoint sync;          /**< --sync: TCP.  */
+  char *operator_token;              /**< --operator-token  */
+
+  /* Agent.  */
+  struct rgy_endpoint service; /**< --service  */
+  struct rgy_endpoint backend; /**< --backend  */
+  unsigned slots;              /**< --slots, 1 to 1024; default 4.  */
+  unsigned connections;    /**< --connections, 1 to 65536; default 2000.  */
+  unsigned queue;          /**< --queue, 0 to 1024; default 16.  */
+  unsigned deadline_ms;    /**< --deadline-ms, 1 to 60000; default 2000.  */
+  unsigned idle_timeout_s; /**< --idle-timeout-s, 1 to 604800; default
+                              86400.  */
+};
+
+/**
+ * Parse "ragwortyoked ROLE [flags]".
+ *
+ * @return RGY_OK; RGY_ERR_INVALID with @p error naming the setting, its value
+ *         and what is allowed; or RGY_ERR_UNSUPPORTED after help or version
+ *         text was printed (exit with status 0).
+ */
+enum rgy_outcome rgy_settings_parse (int argc, char **argv,
+                                     struct rgy_settings *settings,
+                                     struct rgy_check_error *error);
+void rgy_settings_finish (struct rgy_settings *settings);
+
+/** Effective settings, one "name = value" line each; secrets are shown as
+    "(set)".  Free with g_free().  */
+char *rgy_settings_format (const struct rgy_settings *settings);
+
+#endif
--- /dev/null
+++ b/include/ragwortyoke/address.h
@@ -0,0 +1,53 @@
+#ifndef RAGWORTYOKE_ADDRESS_H
+#define RAGWORTYOKE_ADDRESS_H
+
+/**
+ * @file
+ * IPv4 endpoints and prefixes.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "ragwortyoke/outcome.h"
+#include "ragwortyoke/str.h"
+
+/** Bytes needed for "255.255.255.255:65535" and its terminator.  */
+#define RGY_ENDPOINT_TEXT_BYTES 22
+
+/** IPv4 address and port, both in host byte order.  */
+struct rgy_endpoint
+{
+  uint32_t ip;
+  uint16_t port;
+};
+
+/** IPv4 prefix, host byte order.  */
+struct rgy_prefix
+{
+  uint32_t ip;
+  uint8_t bits; /**< 0 to 32.  */
+};
+
+/** Parse "A.B.C.D:PORT".  @return RGY_OK or RGY_ERR_INVALID.  */
+enum rgy_outcome rgy_endpoint_parse (struct rgy_str text,
+                                     struct rgy_endpoint *endpoint);
+
+/** Parse "A.B.C.D/BITS"; host bits must be zero.
+    @return RGY_OK or RGY_ERR_INVALID.  */
+enum rgy_outcome rgy_prefix_parse (struct rgy_str text,
+                                   struct rgy_prefix *prefix);
+
+/** Format into @p text (RGY_ENDPOINT_TEXT_BYTES bytes); returns @p text.  */
+const char *rgy_endpoint_format (struct rgy_endpoint endpoint, char *text);
+
+bool rgy_endpoint_equal (struct rgy_endpoint a, struct rgy_endpoint b);
+bool rgy_endpoint_is_set (struct rgy_endpoint endpoint);
+bool rgy_prefix_contains (const struct rgy_prefix *prefix, uint32_t ip);
+
+/** IP and port packed into one integer, for maps and messages.  */
+uint64_t rgy_endpoint_pack (struct rgy_endpoint endpoint);
+struct rgy_endpoint rgy_endpoint_unpack (uint64_t packed);
+
+#endif
--- /dev/null
+++ b/include/ragwortyoke/counter.h
@@ -0,0 +1,39 @@
+#ifndef RAGWORTYOKE_COUNTER_H
+#define RAGWORTYOKE_COUNTER_H
+
+/**
+ * @file
+ * Named counters and gauges, printed in the Prometheus text format.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct rgy_counters;
+
+struct rgy_counters *rgy_counters_new (void);
+void rgy_counters_delete (struct rgy_counters *counters);
+
+/**
+ * Register a value, or find one that is registered.
+ *
+ * @param name   Prometheus name without the prefix "ragwortyoke_", a static
+ *               string.
+ * @param label  text such as "reason=\"deadline\"", or NULL; copied.
+ * @param help   one line, a static string.
+ * @return address of the value; stays valid until rgy_counters_delete().
+ */
+uint64_t *rgy_counters_add (struct rgy_counters *counters, const char *name,
+                            const char *label, const char *help);
+uint64_t *rgy_counters_add_gauge (struct rgy_counters *counters,
+                                  const char *name, const char *label,
+                                  const char *help);
+
+/** Value of a counter; 0 when it is not registered.  */
+uint64_t rgy_counters_get (const struct rgy_counters *counters,
+                           const char *name, const char *label);
+
+/** Prometheus text, to be freed with g_free().  */
+char *rgy_counters_format (const struct rgy_counters *counters);
+
+#endif
--- /dev/null
+++ b/include/ragwortyoke/drain.h
@@ -0,0 +1,51 @@
+#ifndef RAGWORTYOKE_DRAIN_H
+#define RAGWORTYOKE_DRAIN_H
+
+/**
+ * @file
+ * Stages of an agent's graceful shutdown.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** Time for the announcement to reach balancers and peers before flows are
+    moved.  */
+#define RGY_DRAIN_ANNOUNCE_US INT64_C (500000)
+
+enum rgy_drain_stage
+{
+  RGY_DRAIN_NONE,       /**< Not draining.  */
+  RGY_DRAIN_ANNOUNCING, /**< No new flows; the announcement spreads.  */
+  RGY_DRAIN_MOVING,     /**< Requests finish, observations move.  */
+  RGY_DRAIN_LINGERING,  /**< Nothing held; late packets are passed on.  */
+  RGY_DRAIN_DONE,       /**< The process may exit.  */
+  RGY_DRAIN_STAGE_COUNT
+};
+extern const char *const rgy_drain_stage_string[];
+
+/** What an agent still holds.  */
+struct rgy_drain_work
+{
+  size_t flows;
+  unsigned running;
+  unsigned queued;
+  size_t transfers;
+};
+
+struct rgy_drain;
+
+/** @param timeout_us  the drain ends after this time in any case.
+    @param linger_us   time in RGY_DRAIN_LINGERING.  */
+struct rgy_drain *rgy_drain_new (int64_t timeout_us, int64_t linger_us);
+void rgy_drain_delete (struct rgy_drain *drain);
+void rgy_drain_start (struct rgy_drain *drain, int64_t now_us);
+/** @return true when the stage changed.  */
+bool rgy_drain_tick (struct rgy_drain *drain,
+                     const struct rgy_drain_work *work, int64_t now_us);
+enum rgy_drain_stage rgy_drain_get_stage (const struct rgy_drain *drain);
+/** True when the drain ended by its timeout with work left.  */
+bool rgy_drain_is_forced (const struct rgy_drain *drain);
+
+#endif
--- /dev/null
+++ b/include/ragwortyoke/handover.h
@@ -0,0 +1,100 @@
+#ifndef RAGWORTYOKE_HANDOVER_H
+#define RAGWORTYOKE_HANDOVER_H
+
+/**
+ * @file
+ * Moving a flow with its observations from one agent to another.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "ragwortyoke/flow.h"
+#include "ragwortyoke/outcome.h"
+#include "ragwortyoke/str.h"
+
+#define RGY_HANDOVER_MAX_OBSERVATIONS 4
+#define RGY_HANDOVER_MAX_RECORDS 8
+#define RGY_HANDOVER_MAX_EPOCHS 4
+#define RGY_HANDOVER_RETRANSMIT_US INT64_C (200000)
+#define RGY_HANDOVER_ATTEMPTS 15
+
+/** One observation: registration and the last sequence sent.  */
+struct rgy_handover_observation
+{
+  struct rgy_bytes registration; /**< The caller's GET datagram.  */
+  uint32_t last_sequence;        /**< 24-bit Observe value; 0 before any.  */
+  bool notified;                 /**< At least one notification was sent.  */
+};
+
+/** One deduplication record.  */
+struct rgy_handover_record
+{
+  uint16_t message_id;
+  struct rgy_bytes token;
+  struct rgy_bytes response; /**< Stored answer; empty: outcome unknown.  */
+  uint32_t age_ms;           /**< Since the request.  */
+};
+
+/** State of a flow that moves.  */
+struct rgy_handover_state
+{
+  struct rgy_flow_key key;
+  struct rgy_name customer;
+  struct rgy_handover_observation observations[RGY_HANDOVER_MAX_OBSERVATIONS];
+  size_t observation_count;
+  struct rgy_handover_record records[RGY_HANDOVER_MAX_RECORDS];
+  size_t record_count;
+  uint64_t echo_epochs[RGY_HANDOVER_MAX_EPOCHS]; /**< Valid Echo epochs.  */
+  size_t echo_epoch_count;
+};
+
+GByteArray *rgy_handover_state_encode (const struct rgy_handover_state *state);
+/** Byte ranges of @p state point into @p bytes.  */
+enum rgy_outcome rgy_handover_state_decode (struct rgy_bytes bytes,
+                                            struct rgy_handover_state *state);
+
+/* Transfers under way at the giving agent.  */
+
+enum rgy_transfer_event_kind
+{
+  RGY_TRANSFER_SEND,    /**< Send the state of @c flow_id to @c target.  */
+  RGY_TRANSFER_GIVEN_UP /**< The target did not answer; choose another.  */
+};
+
+struct rgy_transfer_event
+{
+  enum rgy_transfer_event_kind kind;
+  uint64_t flow_id;
+  uint64_t transfer_id;
+  struct rgy_name target;
+};
+
+struct rgy_transfers;
+
+struct rgy_transfers *rgy_transfers_new (void);
+void rgy_transfers_delete (struct rgy_transfers *transfers);
+/** @return RGY_OK or RGY_ERR_CONFLICT (already moving).  */
+enum rgy_outcome rgy_transfers_begin (struct rgy_transfers *transfers,
+                                      uint64_t flow_id,
+                                      const struct rgy_name *target,
+                                      int64_t now_us);
+/** Next event that is due.  @return false when there is none.  */
+bool rgy_transfers_next (struct rgy_transfers *transfers, int64_t now_us,
+                         struct rgy_transfer_event *event);
+/** Answer of the target.  @return RGY_OK with the flow's ID (the transfer
+    has ended), or RGY_ERR_NOT_FOUND.  */
+enum rgy_outcome rgy_transfers_note_ack (struct rgy_transfers *transfers,
+                                         uint64_t transfer_id,
+                                         const struct rgy_name *target,
+                                         uint64_t *flow_id);
+/** Stop a transfer, for example because its flow closed or its target
+    died.  */
+void rgy_transfers_cancel (struct rgy_transfers *transfers, uint64_t flow_id);
+void rgy_transfers_cancel_target (struct rgy_transfers *transfers,
+                                  const struct rgy_name *target);
+size_t rgy_transfers_get_count (const struct rgy_transfers *transfers);
+
+#endif
--- /dev/null
+++ b/include/ragwortyoke/limit.h
@@ -0,0 +1,79 @@
+#ifndef RAGWORTYOKE_LIMIT_H
+#define RAGWORTYOKE_LIMIT_H
+
+/**
+ * @file
+ * Contract limits over the whole fleet without coordination: a token bucket
+ * with a share of a rate, and a count limit divided by exchanged usage.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "ragwortyoke/str.h"
+
+/** Usage reports older than this count as the mean of the others.  */
+#define RGY_LIMIT_REPORT_MAX_AGE_US INT64_C (5000000)
+
+/* Rate limit: own share of a rate that several instances enforce.  */
+
+struct rgy_rate_limit;
+
+/**
+ * @param rate_per_s  fleet-wide rate; 0 means unlimited.
+ * @param burst_ms    burst allowance as time at the own share.
+ */
+struct rgy_rate_limit *rgy_rate_limit_new (uint64_t rate_per_s,
+                                           unsigned burst_ms);
+void rgy_rate_limit_delete (struct rgy_rate_limit *limit);
+void rgy_rate_limit_set_rate (struct rgy_rate_limit *limit,
+                              uint64_t rate_per_s);
+
+/** Charge @p amount.  @return true when it fits.  Refused amounts count as
+    demand too.  */
+bool rgy_rate_limit_take (struct rgy_rate_limit *limit, uint64_t amount,
+                          int64_t now_us);
+
+/** Smoothed own demand a second, for publication.  */
+uint64_t rgy_rate_limit_get_demand (struct rgy_rate_limit *limit,
+                                    int64_t now_us);
+
+/** Demand that another instance has published.  */
+void rgy_rate_limit_note_demand (struct rgy_rate_limit *limit,
+                                 const struct rgy_name *instance,
+                                 uint64_t demand_per_s, int64_t now_us);
+
+/** Names of the other live instances; reports of others are dropped.  */
+void rgy_rate_limit_set_instances (struct rgy_rate_limit *limit,
+                                   const struct rgy_name *others,
+                                   size_t count);
+
+/** Own share of the rate, a second.  */
+uint64_t rgy_rate_limit_get_share (struct rgy_rate_limit *limit,
+                                   int64_t now_us);
+
+/* Count limit: own part of a total that several agents enforce.  */
+
+struct rgy_count_limit;
+
+/** @param limit  fleet-wide count; 0 means unlimited.  */
+struct rgy_count_limit *rgy_count_limit_new (uint64_t limit);
+void rgy_count_limit_delete (struct rgy_count_limit *limit);
+void rgy_count_limit_set_limit (struct rgy_count_limit *limit, uint64_t value);
+void rgy_count_limit_set_instances (struct rgy_count_limit *limit,
+                                    const struct rgy_name *others,
+                                    size_t count);
+
+/** Usage that another agent has reported; starts a new exchange interval.  */
+void rgy_count_limit_note_usage (struct rgy_count_limit *limit,
+                                 const struct rgy_name *instance,
+                                 uint64_t usage, int64_t now_us);
+
+/** Count one more.  @return false when the own part of the headroom of this
+    interval is used up.  */
+bool rgy_count_limit_take (struct rgy_count_limit *limit, int64_t now_us);
+void rgy_count_limit_release (struct rgy_count_limit *limit);
+uint64_t rgy_count_limit_get_usage (const struct rgy_count_limit *limit);
+
+#endif
--- /dev/null
+++ b/include/ragwortyoke/replica.h
@@ -0,0 +1,109 @@
+#ifndef RAGWORTYOKE_REPLICA_H
+#define RAGWORTYOKE_REPLICA_H
+
+/**
+ * @file
+ * Soft replica of versioned entries, with digests for synchronisation and a
+ * queue of updates for gossip.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "ragwortyoke/outcome.h"
+#include "ragwortyoke/str.h"
+
+#define RGY_SUBDIGEST_COUNT 64
+
+enum rgy_entry_class
+{
+  RGY_ENTRY_CONTRACT,
+  RGY_ENTRY_DOMAIN,
+  RGY_ENTRY_AGENT,
+  RGY_ENTRY_BALANCER,
+  RGY_ENTRY_CLASS_COUNT
+};
+extern const char *const rgy_entry_class_string[];
+
+/** Versions are compared by @c major, then by @c minor.  */
+struct rgy_version
+{
+  uint64_t major;
+  uint64_t minor;
+};
+
+struct rgy_entry
+{
+  enum rgy_entry_class class;
+  struct rgy_name key;
+  struct rgy_version version;
+  bool deleted; /**< Tombstone; @c value is empty.  */
+  struct rgy_bytes value;
+};
+
+/** Negative, zero or positive as for memcmp.  */
+int rgy_version_compare (struct rgy_version a, struct rgy_version b);
+
+struct rgy_replica;
+
+struct rgy_replica *rgy_replica_new (void);
+void rgy_replica_delete (struct rgy_replica *replica);
+
+/** Merge one entry; the value is copied.  A merged entry joins the update
+    queue.  @return RGY_OK when it is newer, RGY_ERR_STALE otherwise.  */
+enum rgy_outcome rgy_replica_merge (struct rgy_replica *replica,
+                                    const struct rgy_entry *entry);
+
+/** @return the entry (possibly a tombstone), or NULL.  */
+const struct rgy_entry *rgy_replica_get (const struct rgy_replica *replica,
+                                         enum rgy_entry_class class,
+                                         const struct rgy_name *key);
+
+/** Forget an entry without a tombstone, for members dead for long.  */
+void rgy_replica_prune (struct rgy_replica *replica,
+                        enum rgy_entry_class class,
+                        const struct rgy_name *key);
+
+size_t rgy_replica_get_count (const struct rgy_replica *replica,
+                              enum rgy_entry_class class);
+
+typedef void (*rgy_entry_fn) (const struct rgy_entry *entry, void *ctx);
+
+/** Call @p fn for every entry of a class, tombstones included, in order of
+    the keys.  */
+void rgy_replica_foreach (const struct rgy_replica *replica,
+                          enum rgy_entry_class class, rgy_entry_fn fn,
+                          void *ctx);
+
+/** Digest of the keys and versions of a class; independent of merge
+    order.  */
+uint64_t rgy_replica_get_digest (const struct rgy_replica *replica,
+                                 enum rgy_entry_class class);
+void rgy_replica_get_subdigests (const struct rgy_replica *replica,
+                                 enum rgy_entry_class class,
+                                 uint64_t subdigests[RGY_SUBDIGEST_COUNT]);
+
+/** Call @p fn for the entries in the sub-digest buckets that differ from
+    @p theirs.  */
+void rgy_replica_foreach_difference (
+    const struct rgy_replica *replica, enum rgy_entry_class class,
+    const uint64_t theirs[RGY_SUBDIGEST_COUNT], rgy_entry_fn fn, void *ctx);
+
+/**
+ * Take updates for one gossip datagram: the least often sent first.
+ *
+ * @param transmissions  an update leaves the queue after this many sends.
+ * @param max_bytes      sum of key and value sizes plus 32 bytes an entry.
+ * @return number of entries stored in @p out.  Entries that can never fit
+ *         are dropped from the queue and reach others by synchronisation.
+ */
+size_t rgy_replica_take_updates (struct rgy_replica *replica,
+                                 unsigned transmissions, size_t max_bytes,
+                                 const struct rgy_entry **out,
+                                 size_t max_entries);
+
+/** Bytes held by the replica, for capacity measurements.  */
+size_t rgy_replica_get_memory (const struct rgy_replica *replica);
+
+#endif
--- /dev/null
+++ b/include/ragwortyoke/request.h
@@ -0,0 +1,197 @@
+#ifndef RAGWORTYOKE_REQUEST_H
+#define RAGWORTYOKE_REQUEST_H
+
+/**
+ * @file
+ * CoAP requests at an agent: codec, classification, Echo, deduplication,
+ * admission, observations and refusals.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "ragwortyoke/action.h"
+#include "ragwortyoke/admission.h"
+#include "ragwortyoke/counter.h"
+#include "ragwortyoke/flow.h"
+#include "ragwortyoke/handover.h"
+#include "ragwortyoke/outcome.h"
+#include "ragwortyoke/str.h"
+
+/* Codec.  */
+
+#define RGY_COAP_TOKEN_MAX_BYTES 8
+#define RGY_COAP_OPTION_OBSERVE 6
+#define RGY_COAP_OPTION_MAX_AGE 14
+#define RGY_COAP_OPTION_ECHO 252
+/** Elective, safe to forward: time left in milliseconds, 1 to 60,000.  */
+#define RGY_COAP_OPTION_DEADLINE_MS 65008
+#define RGY_COAP_DEADLINE_MAX_MS 60000
+#define RGY_COAP_EXCHANGE_LIFETIME_US INT64_C (247000000)
+
+enum rgy_coap_type
+{
+  RGY_COAP_CON,
+  RGY_COAP_NON,
+  RGY_COAP_ACK,
+  RGY_COAP_RST
+};
+
+/** Code as class * 32 + detail, for example 0.02 POST = 2.  */
+#define RGY_COAP_CODE(class, detail) ((uint8_t)(((class) << 5) | (detail)))
+
+/** Parsed message; byte ranges point into the datagram.  */
+struct rgy_coap_view
+{
+  enum rgy_coap_type type;
+  uint8_t code;
+  uint16_t message_id;
+  struct rgy_bytes token;
+  struct rgy_bytes payload;
+  bool has_observe;
+  uint32_t observe;
+  bool has_echo;
+  struct rgy_bytes echo;
+  bool has_deadline;
+  uint32_t deadline_ms;
+};
+
+/** Parse a datagram.  @return RGY_OK or RGY_ERR_INVALID.  */
+enum rgy_outcome rgy_coap_parse (struct rgy_bytes datagram,
+                                 struct rgy_coap_view *view);
+
+enum rgy_message_class
+{
+  RGY_MESSAGE_PING,           /**< Empty confirmable message.  */
+  RGY_MESSAGE_ACK,            /**< Empty acknowledgement.  */
+  RGY_MESSAGE_RESET,          /**< Cancels a request or an observation.  */
+  RGY_MESSAGE_IDEMPOTENT,     /**< GET, PUT, DELETE, FETCH.  */
+  RGY_MESSAGE_OBSERVE,        /**< GET with Observe 0.  */
+  RGY_MESSAGE_OBSERVE_END,    /**< GET with Observe 1.  */
+  RGY_MESSAGE_NON_IDEMPOTENT, /**< POST, PATCH, iPATCH, unknown methods.  */
+  RGY_MESSAGE_RESPONSE        /**< Any answer.  */
+};
+enum rgy_message_class rgy_coap_classify (const struct rgy_coap_view *view);
+
+/* Refusals.  */
+
+enum rgy_refusal_reason
+{
+  RGY_REFUSAL_CONTRACT_LIMIT,
+  RGY_REFUSAL_NO_BACKEND_SERVER,
+  RGY_REFUSAL_COLD_START,
+  RGY_REFUSAL_FAILURE_DOMAIN_OUT,
+  RGY_REFUSAL_DEADLINE,
+  RGY_REFUSAL_DRAINING,
+  RGY_REFUSAL_OVERLOAD,
+  RGY_REFUSAL_REASON_COUNT
+};
+/** "contract-limit", "no-backend-server" and so on.  */
+extern const char *const rgy_refusal_reason_string[];
+
+/** Build 5.03 "not-run: REASON" with Max-Age for a request that has not been
+    delivered.  The answer is piggybacked for CON and NON for NON.
+    @return bytes to be freed with g_byte_array_unref().  */
+GByteArray *rgy_coap_build_not_run (const struct rgy_coap_view *request,
+                                    enum rgy_refusal_reason reason,
+                                    uint32_t max_age_s);
+/** Build 5.04 "outcome-unknown: REASON".  */
+GByteArray *
+rgy_coap_build_outcome_unknown (const struct rgy_coap_view *request,
+                                const char *reason);
+
+/* Engine: all requests of one agent.  */
+
+struct rgy_request_settings
+{
+  uint64_t epoch;       /**< Of the agent.  */
+  uint8_t echo_key[32]; /**< Key of Echo values, the cluster's key.  */
+  unsigned deadline_ms; /**< Default deadline of a request.  */
+  struct rgy_admission_settings admission;
+  bool echo_required; /**< False only for baselines.  */
+  struct rgy_counters *counters;
+};
+
+struct rgy_request_engine;
+
+struct rgy_request_engine *
+rgy_request_engine_new (const struct rgy_request_settings *settings);
+void rgy_request_engine_delete (struct rgy_request_engine *engine);
+
+struct rgy_admission *
+rgy_request_engine_get_admission (struct rgy_request_engine *engine);
+
+/** Out of service: new requests are refused as
+    "not-run: failure-domain-out".  */
+void rgy_request_engine_set_out (struct rgy_request_engine *engine, bool out);
+
+/** Sends a datagram towards the caller of a flow.  */
+typedef void (*rgy_to_caller_fn) (struct rgy_flow *flow,
+                                  struct rgy_bytes datagram, void *ctx);
+
+/** Asks whether the contract allows one more request in flight; and ends
+    it.  */
+struct rgy_request_hooks
+{
+  rgy_to_caller_fn to_caller;
+  bool (*begin_request) (struct rgy_flow *flow, void *ctx);
+  void (*end_request) (struct rgy_flow *flow, void *ctx);
+  void *ctx;
+};
+void rgy_request_engine_set_hooks (struct rgy_request_engine *engine,
+                                   const struct rgy_request_hooks *hooks);
+
+/** Datagram of the caller on an open flow.  Deliveries go to @p actions.  */
+void rgy_request_engine_from_caller (struct rgy_request_engine *engine,
+                                     struct rgy_flow *flow,
+                                     struct rgy_bytes datagram, int64_t now_us,
+                                     struct rgy_actions *actions);
+/** Datagram of the backend server on the flow's socket.  */
+void rgy_request_engine_from_backend (struct rgy_request_engine *engine,
+                                      struct rgy_flow *flow,
+                                      struct rgy_bytes datagram,
+                                      int64_t now_us,
+                                      struct rgy_actions *actions);
+/** The flow's socket was refused by the backend server.  */
+void rgy_request_engine_refused (struct rgy_request_engine *engine,
+                                 struct rgy_flow *flow, int64_t now_us,
+                                 struct rgy_actions *actions);
+/** Deadlines, queue, expiry of deduplication records.  */
+void rgy_request_engine_tick (struct rgy_request_engine *engine,
+                              int64_t now_us, struct rgy_actions *actions);
+
+/** Release the request state of a flow that is about to be closed.  */
+void rgy_request_engine_forget (struct rgy_request_engine *engine,
+                                struct rgy_flow *flow);
+
+/** Requests of the flow that wait or run.  */
+unsigned rgy_request_engine_get_outstanding (const struct rgy_flow *flow);
+/** Observations of the flow.  */
+unsigned rgy_request_engine_get_observations (const struct rgy_flow *flow);
+
+/* Handover.  */
+
+/** Export a flow without outstanding requests.  Byte ranges of @p state stay
+    valid until the flow changes.
+    @return RGY_OK, RGY_ERR_CONFLICT (requests outstanding) or RGY_ERR_FULL
+    (too many observations or records).  */
+enum rgy_outcome rgy_request_engine_export (struct rgy_request_engine *engine,
+                                            struct rgy_flow *flow,
+                                            int64_t now_us,
+                                            struct rgy_handover_state *state);
+/** Take over a flow that has just been opened: registers its observations
+    at the backend server.  */
+enum rgy_outcome
+rgy_request_engine_import (struct rgy_request_engine *engine,
+                           struct rgy_flow *flow,
+                           const struct rgy_handover_state *state,
+                           int64_t now_us, struct rgy_actions *actions);
+/** End the observations of a flow that has moved away at the backend
+    server; the caller is not told.  */
+void rgy_request_engine_deregister (struct rgy_request_engine *engine,
+                                    struct rgy_flow *flow,
+                                    struct rgy_actions *actions);
+
+#endif
