--- a/include/ragwortyoke/action.h
+++ b/include/ragwortyoke/action.h
@@ -18,7 +18,7 @@
   RGY_ACTION_EGRESS,     /**< Send a datagram, already with its PROXY header,
                             to the fabric.  */
   RGY_ACTION_SYNC,       /**< Start a synchronisation with @c to.  */
-  RGY_ACTION_STORE,      /**< Write the own agent record to the store.  */
+  RGY_ACTION_STORE,      /**< Write a key to the key-value service.  */
   RGY_ACTION_LOG,        /**< Log one change of state.  */
   RGY_ACTION_EXIT        /**< Graceful shutdown is complete.  */
 };
@@ -38,7 +38,11 @@
       uint64_t flow_id;
       struct rgy_bytes data; /**< Empty for CLOSE_FLOW.  */
     } flow;                  /**< DELIVER, CLOSE_FLOW.  */
-    struct rgy_bytes record; /**< STORE.  */
+    struct
+    {
+      struct rgy_str key; /**< Without the common prefix.  */
+      struct rgy_bytes value;
+    } store;             /**< STORE.  */
     struct rgy_str text;     /**< LOG.  */
   } u;
 };
@@ -61,7 +65,8 @@
 void rgy_actions_close_flow (struct rgy_actions *actions, uint64_t flow_id);
 void rgy_actions_egress (struct rgy_actions *actions, struct rgy_bytes data);
 void rgy_actions_sync (struct rgy_actions *actions, struct rgy_endpoint peer);
-void rgy_actions_store (struct rgy_actions *actions, struct rgy_bytes record);
+void rgy_actions_store (struct rgy_actions *actions, struct rgy_str key,
+                        struct rgy_bytes value);
 void rgy_actions_log (struct rgy_actions *actions, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
 void rgy_actions_exit (struct rgy_actions *actions);
--- /dev/null
+++ b/include/ragwortyoke/agent.h
@@ -0,0 +1,91 @@
+#ifndef RAGWORTYOKE_AGENT_H
+#define RAGWORTYOKE_AGENT_H
+
+/**
+ * @file
+ * Decision core of the agent beside one backend server: events in, actions
+ * out.
+ */
+
+#include "ragwortyoke/action.h"
+#include "ragwortyoke/blackboard.h"
+#include "ragwortyoke/counter.h"
+#include "ragwortyoke/request.h"
+#include "ragwortyoke/wire.h"
+
+#define RGY_AGENT_MAX_SEEDS 16
+
+/** Flow ID of the socket that carries health probes.  */
+#define RGY_PROBE_FLOW_ID 0
+
+struct rgy_agent_settings
+{
+  struct rgy_name id;
+  struct rgy_name domain;
+  uint64_t epoch; /**< Larger at every start, for example from the clock.  */
+  struct rgy_endpoint endpoint;
+  struct rgy_endpoint service; /**< Service address that it serves.  */
+  uint8_t key[RGY_WIRE_KEY_BYTES];
+  struct rgy_endpoint seeds[RGY_AGENT_MAX_SEEDS];
+  size_t seed_count;
+  uint64_t random_seed;
+  unsigned slots;
+  unsigned connections;
+  unsigned queue_length;
+  unsigned deadline_ms;
+  int64_t idle_timeout_us;
+  int64_t drain_timeout_us;
+  /* Switches for baselines in measurements; all false in the daemon.  */
+  bool without_chain;
+  bool without_cold_start;
+  bool without_echo;
+  bool without_handover;
+};
+
+struct rgy_agent;
+
+struct rgy_agent *rgy_agent_new (const struct rgy_agent_settings *settings,
+                                 struct rgy_counters *counters);
+void rgy_agent_delete (struct rgy_agent *agent);
+
+/* Events.  Actions are appended to the list.  */
+
+/** A datagram from another process of the system.  */
+void rgy_agent_from_instance (struct rgy_agent *agent,
+                              struct rgy_endpoint from,
+                              struct rgy_bytes datagram, int64_t now_us,
+                              struct rgy_actions *actions);
+/** A datagram from the backend server on a flow's socket.  */
+void rgy_agent_from_backend (struct rgy_agent *agent, uint64_t flow_id,
+                             struct rgy_bytes datagram, int64_t now_us,
+                             struct rgy_actions *actions);
+/** The backend server refused a flow's socket.  */
+void rgy_agent_backend_refused (struct rgy_agent *agent, uint64_t flow_id,
+                                int64_t now_us, struct rgy_actions *actions);
+/** Call every 50 ms.  */
+void rgy_agent_tick (struct rgy_agent *agent, int64_t now_us,
+                     struct rgy_actions *actions);
+/** Begin a graceful shutdown.  */
+void rgy_agent_start_drain (struct rgy_agent *agent, int64_t now_us,
+                            struct rgy_actions *actions);
+
+/* Synchronisation with a balancer.  */
+
+/** Request to be sent; valid until the next encode.  */
+struct rgy_bytes rgy_agent_build_sync_request (struct rgy_agent *agent);
+enum rgy_outcome rgy_agent_apply_sync (struct rgy_agent *agent,
+                                       struct rgy_bytes frame, int64_t now_us,
+                                       struct rgy_actions *actions);
+
+/* State.  */
+
+bool rgy_agent_is_ready (const struct rgy_agent *agent);
+const struct rgy_blackboard *
+rgy_agent_get_blackboard (const struct rgy_agent *agent);
+size_t rgy_agent_get_flow_count (const struct rgy_agent *agent);
+const struct rgy_admission *
+rgy_agent_get_admission (const struct rgy_agent *agent);
+/** JSON of GET /v1/status; free with g_free().  */
+char *rgy_agent_format_status (const struct rgy_agent *agent);
+
+#endif
--- /dev/null
+++ b/include/ragwortyoke/blackboard.h
@@ -0,0 +1,102 @@
+#ifndef RAGWORTYOKE_BLACKBOARD_H
+#define RAGWORTYOKE_BLACKBOARD_H
+
+/**
+ * @file
+ * State that the controllers of one process read and write: replica,
+ * contracts, failure domain orders, agents and balancers.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "ragwortyoke/contract.h"
+#include "ragwortyoke/counter.h"
+#include "ragwortyoke/domain.h"
+#include "ragwortyoke/member.h"
+#include "ragwortyoke/replica.h"
+
+/** Agents of one service.  */
+struct rgy_group
+{
+  struct rgy_endpoint service;
+  GPtrArray *agents; /**< Borrowed struct rgy_agent_record.  */
+  uint64_t changes;  /**< Counts the changes of these records.  */
+};
+
+/** Members may be read by everyone; they change only through
+    rgy_blackboard_apply().  */
+struct rgy_blackboard
+{
+  struct rgy_replica *replica;
+  struct rgy_contract_set *contracts;
+  struct rgy_domain_set *domains;
+  GHashTable *agents;    /**< struct rgy_name to struct rgy_agent_record.  */
+  GHashTable *groups;    /**< Packed service endpoint to struct rgy_group.  */
+  GHashTable *balancers; /**< Likewise to struct rgy_balancer_record.  */
+  struct rgy_counters *counters; /**< Borrowed.  */
+  /** Counts the changes of a class, for caches derived from it.  */
+  uint64_t changes[RGY_ENTRY_CLASS_COUNT];
+};
+
+struct rgy_blackboard *rgy_blackboard_new (struct rgy_counters *counters);
+void rgy_blackboard_delete (struct rgy_blackboard *blackboard);
+
+/**
+ * Apply one configuration or membership change.
+ *
+ * @return RGY_OK when it is new and in force, RGY_ERR_STALE when it is not
+ *         newer than what is known, RGY_ERR_INVALID when its value cannot be
+ *         read; an invalid entry changes nothing.
+ */
+enum rgy_outcome rgy_blackboard_apply (struct rgy_blackboard *blackboard,
+                                       const struct rgy_entry *entry);
+
+/** Put one's own record on the blackboard.  */
+void rgy_blackboard_apply_agent (struct rgy_blackboard *blackboard,
+                                 const struct rgy_agent_record *record);
+void rgy_blackboard_apply_balancer (struct rgy_blackboard *blackboard,
+                                    const struct rgy_balancer_record *record);
+
+const struct rgy_agent_record *
+rgy_blackboard_get_agent (const struct rgy_blackboard *blackboard,
+                          const struct rgy_name *id);
+const struct rgy_balancer_record *
+rgy_blackboard_get_balancer (const struct rgy_blackboard *blackboard,
+                             const struct rgy_name *id);
+
+/** Agents of a service; an empty group when none is known.  */
+const struct rgy_group *
+rgy_blackboard_get_group (const struct rgy_blackboard *blackboard,
+                          struct rgy_endpoint service);
+
+/** True when the agent takes part in its service: ready or draining, and its
+    failure domain in service.  */
+bool rgy_blackboard_agent_is_live (const struct rgy_blackboard *blackboard,
+                                   const struct rgy_agent_record *record);
+/** True when the agent may open flows: live and ready.  */
+bool
+rgy_blackboard_agent_is_eligible (const struct rgy_blackboard *blackboard,
+                                  const struct rgy_agent_record *record);
+/** True when traffic may go through the balancer.  */
+bool
+rgy_blackboard_balancer_is_usable (const struct rgy_blackboard *blackboard,
+                                   const struct rgy_balancer_record *record);
+
+/** Digest of contracts and domain orders together.  */
+uint64_t
+rgy_blackboard_get_config_digest (const struct rgy_blackboard *blackboard);
+
+/** Digest of the records of one service's agents.  */
+uint64_t
+rgy_blackboard_get_group_digest (const struct rgy_blackboard *blackboard,
+                                 struct rgy_endpoint service);
+
+/** Seed of the bucket table of a service.  */
+uint64_t rgy_service_seed (struct rgy_endpoint service);
+
+/** True when a contract's service may be served in a failure domain.  */
+bool rgy_service_allows_domain (const struct rgy_contract_service *service,
+                                const struct rgy_name *domain);
+
+#endif
--- a/include/ragwortyoke/limit.h
+++ b/include/ragwortyoke/limit.h
@@ -73,6 +73,8 @@
 /** Count one more.  @return false when the own part of the headroom of this
     interval is used up.  */
 bool rgy_count_limit_take (struct rgy_count_limit *limit, int64_t now_us);
+/** Count one more whatever the limit, for work admitted elsewhere.  */
+void rgy_count_limit_force (struct rgy_count_limit *limit);
 void rgy_count_limit_release (struct rgy_count_limit *limit);
 uint64_t rgy_count_limit_get_usage (const struct rgy_count_limit *limit);
 
--- a/include/ragwortyoke/request.h
+++ b/include/ragwortyoke/request.h
@@ -102,6 +102,15 @@
 rgy_coap_build_outcome_unknown (const struct rgy_coap_view *request,
                                 const char *reason);
 
+/** Build the refusal of a request about which nothing is known here.  It says
+    "not-run" only for a non-idempotent request without Echo, which no agent
+    delivers; an earlier copy of any other request may have been delivered by
+    an agent that is gone.
+    @return bytes as above, or NULL when @p message is not a request.  */
+GByteArray *
+rgy_coap_build_stateless_refusal (const struct rgy_coap_view *message,
+                                  enum rgy_refusal_reason reason);
+
 /* Engine: all requests of one agent.  */
 
 struct rgy_request_settings
--- a/src/libragwortyoke/action.c
+++ b/src/libragwortyoke/action.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <stdarg.h>
+#include <string.h>
 
 /* Payloads are appended to one byte array, which may move when it grows;
    records therefore keep offsets.  */
@@ -11,6 +12,7 @@
   struct rgy_endpoint to;
   uint64_t flow_id;
   size_t offset;
+  size_t key_len; /* Leading part of the data; STORE only.  */
   size_t len;
 };
 
@@ -79,7 +81,11 @@
       action.u.flow.data = data;
       break;
     case RGY_ACTION_STORE:
-      action.u.record = data;
+      action.u.store.key = (struct rgy_str){ .data = (const char *)data.data,
+                                             .len = r->key_len };
+      action.u.store.value
+          = (struct rgy_bytes){ .data = data.data + r->key_len,
+                                .len = data.len - r->key_len };
       break;
     case RGY_ACTION_LOG:
       action.u.text = (struct rgy_str){ .data = (const char *)data.data,
@@ -142,9 +148,16 @@
 }
 
 void
-rgy_actions_store (struct rgy_actions *actions, struct rgy_bytes record)
+rgy_actions_store (struct rgy_actions *actions, struct rgy_str key,
+                   struct rgy_bytes value)
 {
-  append_ (actions, (struct record_){ .kind = RGY_ACTION_STORE }, record);
+  append_ (actions,
+           (struct record_){ .kind = RGY_ACTION_STORE, .key_len = key.len },
+           (struct rgy_bytes){ .data = (const uint8_t *)key.data,
+                               .len = key.len });
+  g_byte_array_append (actions->payload, value.data, (guint)value.len);
+  g_array_index (actions->records, struct record_, actions->records->len - 1)
+      .len += value.len;
 }
 
 void
--- /dev/null
+++ b/src/libragwortyoke/agent_handover.c
@@ -0,0 +1,234 @@
+#include "private/agent_private.h"
+
+/* Handover of flows: a draining agent gives away all of them, a ready one
+   those in buckets that it no longer owns.  */
+
+static bool
+can_take_ (const struct rgy_agent *a, const struct rgy_name *peer)
+{
+  const struct rgy_peer *known = g_hash_table_lookup (a->peers, peer);
+
+  return known == NULL
+         || (known->can_accept && known->refused_until_us <= a->now_us);
+}
+
+/* Best target: the owner of the bucket, else the next in rank.  */
+static const struct rgy_name *
+choose_target_ (const struct rgy_agent *a, unsigned bucket)
+{
+  const struct rgy_bucket_table *table = rgy_steering_get_table (a->steering);
+  const struct rgy_name *name = rgy_bucket_table_get_owner (table, bucket);
+  size_t rank = 0;
+
+  while (name != NULL
+         && (rgy_name_equal (name, &a->settings.id) || !can_take_ (a, name)))
+    name = rgy_bucket_table_get_ranked (table, bucket, rank++);
+  return name;
+}
+
+struct scan_
+{
+  struct rgy_agent *a;
+  size_t room;
+  bool rebalance; /**< Only observations, only to the bucket's owner.  */
+};
+
+static bool
+may_move_ (const struct rgy_agent *a, const struct rgy_flow *flow)
+{
+  return !flow->moving && rgy_agent_serves_requests (a)
+         && rgy_request_engine_get_outstanding (flow) == 0;
+}
+
+static bool
+start_transfer_ (struct rgy_flow *flow, void *ctx)
+{
+  struct scan_ *scan = ctx;
+  struct rgy_agent *a = scan->a;
+  const struct rgy_name *target;
+
+  if (scan->room == 0)
+    return false;
+  if (!may_move_ (a, flow))
+    return true;
+  if (scan->rebalance)
+    {
+      if (rgy_steering_is_owner (a->steering, flow->bucket)
+          || rgy_request_engine_get_observations (flow) == 0)
+        return true;
+      target = rgy_bucket_table_get_owner (
+          rgy_steering_get_table (a->steering), flow->bucket);
+      if (target == NULL || !can_take_ (a, target))
+        return true;
+    }
+  else
+    target = choose_target_ (a, flow->bucket);
+  if (target == NULL)
+    return true;
+  if (rgy_transfers_begin (a->transfers, flow->id, target, a->now_us)
+      == RGY_OK)
+    {
+      flow->moving = true;
+      scan->room--;
+    }
+  return true;
+}
+
+static void
+send_state_ (struct rgy_agent *a, const struct rgy_transfer_event *event,
+             struct rgy_flow *flow)
+{
+  const struct rgy_agent_record *target
+      = rgy_blackboard_get_agent (a->bb, &event->target);
+  struct rgy_handover_state state;
+  struct rgy_message m = { .kind = RGY_MSG_HANDOVER };
+  GByteArray *bytes;
+
+  if (target == NULL
+      || rgy_request_engine_export (a->engine, flow, a->now_us, &state)
+             != RGY_OK)
+    {
+      rgy_transfers_cancel (a->transfers, flow->id);
+      flow->moving = false;
+      return;
+    }
+  bytes = rgy_handover_state_encode (&state);
+  m.u.handover = (struct rgy_handover_message){
+    .from = a->settings.id,
+    .transfer_id = event->transfer_id,
+    .state = { .data = bytes->data, .len = bytes->len }
+  };
+  rgy_agent_send_message (a, target->endpoint, &m);
+  g_byte_array_unref (bytes);
+}
+
+static void
+run_transfers_ (struct rgy_agent *a)
+{
+  struct rgy_transfer_event event;
+  struct rgy_flow *flow;
+
+  while (rgy_transfers_next (a->transfers, a->now_us, &event))
+    {
+      flow = rgy_flow_table_find_id (a->flows, event.flow_id);
+      if (flow == NULL)
+        {
+          rgy_transfers_cancel (a->transfers, event.flow_id);
+          continue;
+        }
+      switch (event.kind)
+        {
+        case RGY_TRANSFER_SEND:
+          send_state_ (a, &event, flow);
+          break;
+        case RGY_TRANSFER_GIVEN_UP:
+          flow->moving = false;
+          break;
+        }
+    }
+}
+
+void
+rgy_agent_handover_tick (struct rgy_agent *a)
+{
+  struct scan_ scan = { .a = a };
+  enum rgy_drain_stage stage = rgy_drain_get_stage (a->drain);
+
+  run_transfers_ (a);
+  if (a->settings.without_handover)
+    return;
+  if (stage == RGY_DRAIN_MOVING)
+    scan.room
+        = RGY_MAX_TRANSFERS - MIN (RGY_MAX_TRANSFERS,
+                                   rgy_transfers_get_count (a->transfers));
+  else if (a->self.state == RGY_MEMBER_READY
+           && a->now_us >= a->next_rebalance_us
+           && rgy_steering_is_settled (a->steering))
+    {
+      a->next_rebalance_us = a->now_us + RGY_US_PER_S;
+      scan.room = RGY_REBALANCE_PER_SECOND;
+      scan.rebalance = true;
+    }
+  if (scan.room > 0)
+    rgy_flow_table_foreach (a->flows, start_transfer_, &scan);
+  run_transfers_ (a);
+}
+
+/* Receiving side.  */
+
+static bool
+accept_ (struct rgy_agent *a, const struct rgy_handover_state *state)
+{
+  struct rgy_customer_usage *usage;
+  struct rgy_flow *flow;
+
+  if (a->self.state != RGY_MEMBER_READY || a->out
+      || !rgy_endpoint_equal (state->key.u.udp.service, a->settings.service))
+    return false;
+  if (rgy_flow_table_find (a->flows, &state->key) != NULL)
+    return true;
+  if (rgy_flow_table_get_count (a->flows) >= a->settings.connections
+      || rgy_flow_table_open (a->flows, &state->key, a->now_us, &flow)
+             != RGY_OK)
+    return false;
+  /* The flow was admitted under its contract by the other agent; it is
+     counted here without asking again.  */
+  usage = rgy_agent_get_usage (a, &state->customer);
+  rgy_count_limit_force (usage->flows);
+  flow->customer = state->customer;
+  ++*a->c.flows_moved_in;
+  if (rgy_request_engine_import (a->engine, flow, state, a->now_us,
+                                 a->actions)
+      != RGY_OK)
+    {
+      rgy_agent_close_flow (a, flow);
+      return false;
+    }
+  return true;
+}
+
+void
+rgy_agent_handle_handover (struct rgy_agent *a, struct rgy_endpoint from,
+                           const struct rgy_handover_message *m)
+{
+  struct rgy_message ack = { .kind = RGY_MSG_HANDOVER_ACK };
+  struct rgy_handover_state state;
+
+  if (rgy_handover_state_decode (m->state, &state) != RGY_OK)
+    {
+      ++*a->c.bad_message;
+      return;
+    }
+  ack.u.handover_ack
+      = (struct rgy_handover_ack_message){ .from = a->settings.id,
+                                           .transfer_id = m->transfer_id,
+                                           .accepted = accept_ (a, &state) };
+  rgy_agent_send_message (a, from, &ack);
+}
+
+void
+rgy_agent_handle_handover_ack (struct rgy_agent *a,
+                               const struct rgy_handover_ack_message *m)
+{
+  struct rgy_flow *flow;
+  struct rgy_peer *peer;
+  uint64_t flow_id;
+
+  if (rgy_transfers_note_ack (a->transfers, m->transfer_id, &m->from, &flow_id)
+      != RGY_OK)
+    return;
+  flow = rgy_flow_table_find_id (a->flows, flow_id);
+  if (flow == NULL)
+    return;
+  flow->moving = false;
+  if (!m->accepted)
+    {
+      peer = g_hash_table_lookup (a->peers, &m->from);
+      if (peer != NULL)
+        peer->refused_until_us = a->now_us + RGY_REBALANCE_PAUSE_US;
+      return;
+    }
+  ++*a->c.flows_moved_out;
+  rgy_request_engine_deregister (a->engine, flow, a->actions);
+  rgy_agent_close_flow (a, flow);
+}
--- /dev/null
+++ b/src/libragwortyoke/agent_packet.c
@@ -0,0 +1,347 @@
+#include "private/agent_private.h"
+
+/* The path of one packet through an agent, in both directions.  */
+
+static bool
+find_any_service_ (const struct rgy_contract *c, struct rgy_endpoint address,
+                   enum rgy_protocol *protocol)
+{
+  size_t i;
+
+  for (i = 0; i < c->service_count; i++)
+    if (rgy_endpoint_equal (c->services[i].address, address))
+      {
+        *protocol = c->services[i].protocol;
+        return true;
+      }
+  return false;
+}
+
+struct protocol_search_
+{
+  struct rgy_endpoint address;
+  enum rgy_protocol protocol;
+};
+
+static void
+search_protocol_ (const struct rgy_contract *contract, void *ctx)
+{
+  struct protocol_search_ *search = ctx;
+
+  find_any_service_ (contract, search->address, &search->protocol);
+}
+
+/* The protocol of the own service follows from the contracts.  */
+bool
+rgy_agent_serves_requests (const struct rgy_agent *a)
+{
+  struct protocol_search_ search
+      = { .address = a->settings.service, .protocol = RGY_PROTOCOL_UDP };
+
+  rgy_contract_set_foreach (a->bb->contracts, search_protocol_, &search);
+  return search.protocol == RGY_PROTOCOL_COAP;
+}
+
+void
+rgy_agent_close_flow (struct rgy_agent *a, struct rgy_flow *flow)
+{
+  struct rgy_customer_usage *usage = rgy_agent_get_usage (a, &flow->customer);
+
+  rgy_transfers_cancel (a->transfers, flow->id);
+  rgy_request_engine_forget (a->engine, flow);
+  rgy_count_limit_release (usage->flows);
+  rgy_actions_close_flow (a->actions, flow->id);
+  rgy_flow_table_close (a->flows, flow);
+}
+
+static void
+deliver_ (struct rgy_agent *a, struct rgy_flow *flow,
+          const struct rgy_data_message *m)
+{
+  flow->last_balancer = m->balancer;
+  flow->last_balancer_us = a->now_us;
+  rgy_flow_table_touch (a->flows, flow, a->now_us);
+  ++*a->c.delivered;
+  if (rgy_agent_serves_requests (a))
+    rgy_request_engine_from_caller (a->engine, flow, m->payload, a->now_us,
+                                    a->actions);
+  else
+    rgy_actions_deliver (a->actions, flow->id, m->payload);
+}
+
+static void
+forward_ (struct rgy_agent *a, struct rgy_data_message *m,
+          const struct rgy_steer_decision *decision)
+{
+  const struct rgy_agent_record *next
+      = rgy_blackboard_get_agent (a->bb, &decision->next);
+  struct rgy_message out = { .kind = RGY_MSG_DATA };
+
+  if (next == NULL || m->trail.count == RGY_MAX_HOPS)
+    {
+      ++*a->c.drop_hop_limit;
+      return;
+    }
+  m->trail.visited[m->trail.count++] = a->settings.id;
+  if (decision->reason == RGY_STEER_REASON_OVERFLOW)
+    m->trail.overflow = true;
+  out.u.data = *m;
+  ++*a->c.forwarded;
+  rgy_actions_send (a->actions, next->endpoint,
+                    rgy_wire_encode (a->wire, &out));
+}
+
+static void
+refuse_ (struct rgy_agent *a, const struct rgy_data_message *m,
+         enum rgy_refusal_reason reason, uint64_t *counter)
+{
+  struct rgy_coap_view view;
+  GByteArray *answer;
+
+  ++*counter;
+  if (!rgy_agent_serves_requests (a)
+      || rgy_coap_parse (m->payload, &view) != RGY_OK)
+    return;
+  answer = rgy_coap_build_stateless_refusal (&view, reason);
+  if (answer == NULL)
+    return;
+  rgy_agent_send_answer (
+      a, m->caller,
+      (struct rgy_bytes){ .data = answer->data, .len = answer->len },
+      m->balancer);
+  g_byte_array_unref (answer);
+}
+
+/* Passes a new flow on; refuses it when no other agent may take it.  */
+static void
+overflow_ (struct rgy_agent *a, struct rgy_data_message *m, unsigned bucket,
+           enum rgy_refusal_reason reason, uint64_t *counter)
+{
+  struct rgy_steer_decision decision;
+
+  rgy_steering_decide_overflow (a->steering, bucket, &m->trail, &decision);
+  if (decision.kind == RGY_STEER_FORWARD)
+    forward_ (a, m, &decision);
+  else
+    refuse_ (a, m, reason, counter);
+}
+
+/* Acknowledgements, resets and responses cannot begin a flow.  */
+static bool
+may_begin_flow_ (const struct rgy_agent *a, struct rgy_bytes payload)
+{
+  struct rgy_coap_view view;
+
+  if (!rgy_agent_serves_requests (a))
+    return true;
+  if (rgy_coap_parse (payload, &view) != RGY_OK)
+    return false;
+  switch (rgy_coap_classify (&view))
+    {
+    case RGY_MESSAGE_IDEMPOTENT:
+    case RGY_MESSAGE_OBSERVE:
+    case RGY_MESSAGE_OBSERVE_END:
+    case RGY_MESSAGE_NON_IDEMPOTENT:
+    case RGY_MESSAGE_PING:
+      return true;
+    case RGY_MESSAGE_ACK:
+    case RGY_MESSAGE_RESET:
+    case RGY_MESSAGE_RESPONSE:
+      break;
+    }
+  return false;
+}
+
+static bool
+is_overloaded_ (const struct rgy_agent *a)
+{
+  const struct rgy_admission *admission
+      = rgy_request_engine_get_admission (a->engine);
+
+  return rgy_agent_serves_requests (a)
+         && rgy_admission_get_running (admission)
+                >= rgy_admission_get_limit (admission)
+         && rgy_admission_get_queued (admission) > 0;
+}
+
+static void
+open_ (struct rgy_agent *a, struct rgy_data_message *m,
+       const struct rgy_flow_key *key, unsigned bucket)
+{
+  const struct rgy_contract *contract;
+  const struct rgy_contract_service *service;
+  struct rgy_customer_usage *usage;
+  struct rgy_flow *flow;
+
+  service = rgy_agent_get_service (a, &contract, m->caller.ip);
+  if (service == NULL)
+    {
+      ++*a->c.drop_unknown_caller;
+      return;
+    }
+  if (!may_begin_flow_ (a, m->payload))
+    {
+      ++*a->c.drop_not_held;
+      return;
+    }
+  if (!rgy_service_allows_domain (service, &a->settings.domain))
+    {
+      overflow_ (a, m, bucket, RGY_REFUSAL_NO_BACKEND_SERVER,
+                 a->c.refused_overload);
+      return;
+    }
+  if (is_overloaded_ (a)
+      || rgy_flow_table_get_count (a->flows) >= a->settings.connections)
+    {
+      overflow_ (a, m, bucket, RGY_REFUSAL_OVERLOAD, a->c.refused_overload);
+      return;
+    }
+  usage = rgy_agent_get_usage (a, &contract->customer);
+  if (!rgy_rate_limit_take (usage->new_flows, 1, a->now_us)
+      || !rgy_count_limit_take (usage->flows, a->now_us))
+    {
+      refuse_ (a, m, RGY_REFUSAL_CONTRACT_LIMIT, a->c.refused_limit);
+      return;
+    }
+  if (rgy_flow_table_open (a->flows, key, a->now_us, &flow) != RGY_OK)
+    {
+      rgy_count_limit_release (usage->flows);
+      refuse_ (a, m, RGY_REFUSAL_OVERLOAD, a->c.refused_overload);
+      return;
+    }
+  flow->customer = contract->customer;
+  ++*a->c.flows_opened;
+  deliver_ (a, flow, m);
+}
+
+static void
+handle_unheld_ (struct rgy_agent *a, struct rgy_data_message *m,
+                const struct rgy_flow_key *key)
+{
+  unsigned bucket = rgy_flow_key_bucket (key);
+  struct rgy_steer_decision decision;
+
+  rgy_steering_decide (a->steering, bucket, &m->trail, &decision);
+  switch (decision.kind)
+    {
+    case RGY_STEER_FORWARD:
+      forward_ (a, m, &decision);
+      break;
+    case RGY_STEER_OPEN:
+      if (a->self.state == RGY_MEMBER_READY)
+        open_ (a, m, key, bucket);
+      else
+        overflow_ (a, m, bucket, RGY_REFUSAL_DRAINING, a->c.refused_draining);
+      break;
+    case RGY_STEER_DROP:
+      if (decision.reason == RGY_STEER_REASON_HOP_LIMIT)
+        ++*a->c.drop_hop_limit;
+      else
+        refuse_ (a, m, RGY_REFUSAL_NO_BACKEND_SERVER, a->c.drop_no_agent);
+      break;
+    }
+}
+
+void
+rgy_agent_handle_data (struct rgy_agent *a, struct rgy_data_message *m)
+{
+  struct rgy_flow_key key = rgy_flow_key_udp (m->caller, m->service);
+  struct rgy_flow *flow;
+
+  ++*a->c.packets_in;
+  if (!rgy_endpoint_equal (m->service, a->settings.service))
+    {
+      ++*a->c.drop_wrong_service;
+      return;
+    }
+  if (a->out)
+    {
+      refuse_ (a, m, RGY_REFUSAL_FAILURE_DOMAIN_OUT, a->c.refused_out);
+      return;
+    }
+  if (m->view
+      != rgy_bucket_table_get_view (rgy_steering_get_table (a->steering)))
+    ++*a->c.view_mismatch;
+  flow = rgy_flow_table_find (a->flows, &key);
+  if (flow != NULL)
+    deliver_ (a, flow, m);
+  else
+    handle_unheld_ (a, m, &key);
+}
+
+void
+rgy_agent_send_answer (struct rgy_agent *a, struct rgy_endpoint caller,
+                       struct rgy_bytes payload, struct rgy_endpoint balancer)
+{
+  struct rgy_message m = { .kind = RGY_MSG_ANSWER };
+
+  if (!rgy_endpoint_is_set (balancer))
+    {
+      ++*a->c.answers_without_balancer;
+      return;
+    }
+  m.u.answer = (struct rgy_answer_message){ .caller = caller,
+                                            .service = a->settings.service,
+                                            .payload = payload };
+  ++*a->c.answers;
+  rgy_actions_send (a->actions, balancer, rgy_wire_encode (a->wire, &m));
+}
+
+static void
+note_health_ (struct rgy_agent *a, enum rgy_health_change change)
+{
+  struct rgy_admission *admission
+      = rgy_request_engine_get_admission (a->engine);
+
+  if (change == RGY_HEALTH_UNCHANGED)
+    return;
+  rgy_admission_set_cold (admission, RGY_COLD_PROBE, a->now_us);
+  rgy_actions_log (a->actions, "backend server: %s",
+                   change == RGY_HEALTH_FAILED ? "unhealthy" : "healthy");
+}
+
+void
+rgy_agent_from_backend (struct rgy_agent *a, uint64_t flow_id,
+                        struct rgy_bytes datagram, int64_t now_us,
+                        struct rgy_actions *actions)
+{
+  struct rgy_flow *flow;
+  struct rgy_coap_view view;
+
+  a->now_us = now_us;
+  a->actions = actions;
+  if (flow_id == RGY_PROBE_FLOW_ID)
+    {
+      if (rgy_coap_parse (datagram, &view) == RGY_OK)
+        note_health_ (a, rgy_health_note_answer (a->health, view.message_id,
+                                                 now_us));
+      return;
+    }
+  flow = rgy_flow_table_find_id (a->flows, flow_id);
+  if (flow == NULL || a->out)
+    return;
+  rgy_flow_table_touch (a->flows, flow, now_us);
+  note_health_ (a, rgy_health_note_work (a->health, now_us));
+  if (rgy_agent_serves_requests (a))
+    rgy_request_engine_from_backend (a->engine, flow, datagram, now_us,
+                                     actions);
+  else
+    rgy_agent_send_answer (a, flow->key.u.udp.caller, datagram,
+                           rgy_agent_choose_balancer (a, flow));
+}
+
+void
+rgy_agent_backend_refused (struct rgy_agent *a, uint64_t flow_id,
+                           int64_t now_us, struct rgy_actions *actions)
+{
+  struct rgy_flow *flow;
+
+  a->now_us = now_us;
+  a->actions = actions;
+  note_health_ (a, rgy_health_note_refused (a->health, now_us));
+  rgy_admission_set_cold (rgy_request_engine_get_admission (a->engine),
+                          RGY_COLD_REFUSED, now_us);
+  flow = rgy_flow_table_find_id (a->flows, flow_id);
+  if (flow != NULL && rgy_agent_serves_requests (a))
+    rgy_request_engine_refused (a->engine, flow, now_us, actions);
+}
--- /dev/null
+++ b/src/libragwortyoke/agent_usage.c
@@ -0,0 +1,121 @@
+#include "private/agent_private.h"
+
+/* Usage of the contracts at this agent and its exchange with the peers.  */
+
+#define NEW_FLOW_BURST_MS 1000
+
+void
+rgy_agent_usage_free (void *data)
+{
+  struct rgy_customer_usage *usage = data;
+
+  rgy_count_limit_delete (usage->flows);
+  rgy_rate_limit_delete (usage->new_flows);
+  rgy_count_limit_delete (usage->requests);
+  g_free (usage);
+}
+
+static const struct rgy_contract_service *
+find_service_ (const struct rgy_agent *a, const struct rgy_name *customer)
+{
+  const struct rgy_contract *contract
+      = rgy_contract_set_get (a->bb->contracts, customer);
+  size_t i;
+
+  if (contract == NULL)
+    return NULL;
+  for (i = 0; i < contract->service_count; i++)
+    if (rgy_endpoint_equal (contract->services[i].address,
+                            a->settings.service))
+      return &contract->services[i];
+  return NULL;
+}
+
+struct rgy_customer_usage *
+rgy_agent_get_usage (struct rgy_agent *a, const struct rgy_name *customer)
+{
+  struct rgy_customer_usage *usage = g_hash_table_lookup (a->usage, customer);
+  const struct rgy_contract_service *service = find_service_ (a, customer);
+  struct rgy_service_limits limits = { 0 };
+
+  if (service != NULL)
+    limits = service->limits;
+  if (usage == NULL)
+    {
+      usage = g_new0 (struct rgy_customer_usage, 1);
+      usage->flows = rgy_count_limit_new (limits.open_flows);
+      usage->new_flows
+          = rgy_rate_limit_new (limits.new_flows_per_second, NEW_FLOW_BURST_MS);
+      usage->requests = rgy_count_limit_new (limits.requests_in_flight);
+      g_hash_table_insert (a->usage, g_memdup2 (customer, sizeof *customer),
+                           usage);
+      a->group_changes = UINT64_MAX;
+    }
+  rgy_count_limit_set_limit (usage->flows, limits.open_flows);
+  rgy_rate_limit_set_rate (usage->new_flows, limits.new_flows_per_second);
+  rgy_count_limit_set_limit (usage->requests, limits.requests_in_flight);
+  return usage;
+}
+
+void
+rgy_agent_note_peer_usage (struct rgy_agent *a,
+                           const struct rgy_peer_state_message *m)
+{
+  size_t i;
+
+  for (i = 0; i < m->usage_count; i++)
+    {
+      const struct rgy_usage *theirs = &m->usage[i];
+      struct rgy_customer_usage *usage
+          = rgy_agent_get_usage (a, &theirs->customer);
+
+      rgy_count_limit_note_usage (usage->flows, &m->from, theirs->open_flows,
+                                  a->now_us);
+      rgy_rate_limit_note_demand (usage->new_flows, &m->from,
+                                  theirs->new_flows_per_s, a->now_us);
+      rgy_count_limit_note_usage (usage->requests, &m->from, theirs->requests,
+                                  a->now_us);
+    }
+}
+
+size_t
+rgy_agent_fill_usage (struct rgy_agent *a, struct rgy_usage *out)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  size_t n = 0;
+
+  g_hash_table_iter_init (&iter, a->usage);
+  while (n < RGY_WIRE_MAX_USAGE && g_hash_table_iter_next (&iter, &key, &value))
+    {
+      struct rgy_customer_usage *usage = value;
+
+      out[n++] = (struct rgy_usage){
+        .customer = *(struct rgy_name *)key,
+        .open_flows = rgy_count_limit_get_usage (usage->flows),
+        .new_flows_per_s
+        = rgy_rate_limit_get_demand (usage->new_flows, a->now_us),
+        .requests = rgy_count_limit_get_usage (usage->requests),
+      };
+    }
+  return n;
+}
+
+void
+rgy_agent_update_usage_instances (struct rgy_agent *a,
+                                  const struct rgy_name *peers, size_t count)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, a->usage);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct rgy_customer_usage *usage = value;
+
+      rgy_count_limit_set_instances (usage->flows, peers, count);
+      rgy_rate_limit_set_instances (usage->new_flows, peers, count);
+      rgy_count_limit_set_instances (usage->requests, peers, count);
+    }
+}
--- /dev/null
+++ b/src/libragwortyoke/balancer_monitor.c
@@ -0,0 +1,432 @@
+#include "private/balancer_private.h"
+
+/* Liveness of the members that this balancer monitors, and the delivery of
+   changes to the agents among them.  */
+
+static void
+count_cut_ (struct rgy_balancer *b, bool cut, const char *what,
+            struct rgy_actions *actions)
+{
+  b->cut = rgy_liveness_is_cut (b->agents_liveness)
+           || rgy_liveness_is_cut (b->balancers_liveness);
+  if (cut)
+    ++*b->c.cuts;
+  rgy_actions_log (actions, "cut protection for %s: %s", what,
+                   cut ? "on" : "off");
+}
+
+static void
+send_probe_ (struct rgy_balancer *b, struct rgy_endpoint to, int64_t now_us,
+             struct rgy_actions *actions)
+{
+  struct rgy_message m = { .kind = RGY_MSG_PROBE };
+
+  m.u.probe = (struct rgy_probe_message){ .from = b->settings.id,
+                                          .nonce = (uint64_t)now_us };
+  rgy_balancer_send_message (b, to, &m, actions);
+}
+
+/* A declaration of death takes the next odd sequence number, so that the
+   member can refute it with the next even one.  */
+static void
+declare_agent_dead_ (struct rgy_balancer *b, const struct rgy_name *id,
+                     struct rgy_actions *actions)
+{
+  const struct rgy_agent_record *known = rgy_blackboard_get_agent (b->bb, id);
+  struct rgy_agent_record record;
+  GByteArray *bytes;
+  struct rgy_entry entry;
+
+  if (known == NULL || known->state == RGY_MEMBER_LEFT
+      || known->state == RGY_MEMBER_DEAD)
+    return;
+  record = *known;
+  record.state = RGY_MEMBER_DEAD;
+  record.sequence |= 1;
+  bytes = rgy_agent_record_encode (&record);
+  entry = (struct rgy_entry){
+    .class = RGY_ENTRY_AGENT,
+    .key = record.id,
+    .version = { .major = record.epoch, .minor = record.sequence },
+    .value = { .data = bytes->data, .len = bytes->len }
+  };
+  rgy_balancer_apply_entry (b, &entry, actions);
+  g_byte_array_unref (bytes);
+  ++*b->c.declared_dead;
+}
+
+static void
+declare_balancer_dead_ (struct rgy_balancer *b, const struct rgy_name *id,
+                        struct rgy_actions *actions)
+{
+  const struct rgy_balancer_record *known
+      = rgy_blackboard_get_balancer (b->bb, id);
+  struct rgy_balancer_record record;
+
+  if (known == NULL || known->state == RGY_MEMBER_LEFT
+      || known->state == RGY_MEMBER_DEAD)
+    return;
+  record = *known;
+  record.state = RGY_MEMBER_DEAD;
+  record.sequence |= 1;
+  rgy_blackboard_apply_balancer (b->bb, &record);
+  b->eager = true;
+  rgy_actions_log (actions, "balancer %s: dead", id->data);
+  ++*b->c.declared_dead;
+}
+
+static void
+run_agent_events_ (struct rgy_balancer *b, int64_t now_us,
+                   struct rgy_actions *actions)
+{
+  struct rgy_liveness_event event;
+  const struct rgy_agent_record *r;
+
+  while (rgy_liveness_next (b->agents_liveness, now_us, &event))
+    switch (event.kind)
+      {
+      case RGY_LIVENESS_PROBE:
+        r = rgy_blackboard_get_agent (b->bb, &event.id);
+        if (r != NULL)
+          send_probe_ (b, r->endpoint, now_us, actions);
+        break;
+      case RGY_LIVENESS_DEAD:
+        declare_agent_dead_ (b, &event.id, actions);
+        if (g_hash_table_remove (b->lagging, &event.id))
+          b->record_changed = true;
+        break;
+      case RGY_LIVENESS_CUT:
+      case RGY_LIVENESS_UNCUT:
+        count_cut_ (b, event.kind == RGY_LIVENESS_CUT, "agents", actions);
+        break;
+      }
+}
+
+static void
+run_balancer_events_ (struct rgy_balancer *b, int64_t now_us,
+                      struct rgy_actions *actions)
+{
+  struct rgy_liveness_event event;
+  const struct rgy_balancer_record *r;
+
+  while (rgy_liveness_next (b->balancers_liveness, now_us, &event))
+    switch (event.kind)
+      {
+      case RGY_LIVENESS_PROBE:
+        r = rgy_blackboard_get_balancer (b->bb, &event.id);
+        if (r != NULL)
+          send_probe_ (b, r->endpoint, now_us, actions);
+        break;
+      case RGY_LIVENESS_DEAD:
+        declare_balancer_dead_ (b, &event.id, actions);
+        break;
+      case RGY_LIVENESS_CUT:
+      case RGY_LIVENESS_UNCUT:
+        count_cut_ (b, event.kind == RGY_LIVENESS_CUT, "balancers", actions);
+        break;
+      }
+}
+
+/* True when this balancer is one of the monitors of SUBJECT among the
+   members NAMES, which end with this balancer.  */
+static bool
+is_monitor_ (const struct rgy_balancer *b, const struct rgy_name *subject,
+             const struct rgy_name *names, size_t count)
+{
+  size_t chosen[RGY_MONITOR_COUNT];
+  size_t n = rgy_member_choose (subject, names, count, RGY_MONITOR_COUNT,
+                                chosen);
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    if (rgy_name_equal (&names[chosen[i]], &b->settings.id))
+      return true;
+  return false;
+}
+
+static void
+watch_agents_ (struct rgy_balancer *b, const struct rgy_name *names,
+               size_t count, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->bb->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_agent_record *r = value;
+      bool wanted = r->state != RGY_MEMBER_LEFT
+                    && r->state != RGY_MEMBER_DEAD
+                    && is_monitor_ (b, &r->id, names, count);
+      bool watched = rgy_liveness_is_watched (b->agents_liveness, &r->id);
+
+      if (wanted && !watched)
+        rgy_liveness_heard (b->agents_liveness, &r->id, now_us);
+      else if (!wanted && watched)
+        {
+          rgy_liveness_remove (b->agents_liveness, &r->id);
+          if (g_hash_table_remove (b->lagging, &r->id))
+            b->record_changed = true;
+        }
+    }
+}
+
+/* NAMES ends with this balancer; each other one is watched when this one is
+   among its monitors.  */
+static void
+watch_balancers_ (struct rgy_balancer *b, struct rgy_name *names, size_t count,
+                  int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  size_t i;
+
+  for (i = 0; i + 1 < count; i++)
+    {
+      struct rgy_name subject = names[i];
+      bool wanted;
+      bool watched = rgy_liveness_is_watched (b->balancers_liveness, &subject);
+
+      names[i] = names[0];
+      names[0] = subject;
+      wanted = is_monitor_ (b, &subject, names + 1, count - 1);
+      names[0] = names[i];
+      names[i] = subject;
+      if (wanted && !watched)
+        rgy_liveness_heard (b->balancers_liveness, &subject, now_us);
+      else if (!wanted && watched)
+        rgy_liveness_remove (b->balancers_liveness, &subject);
+    }
+  g_hash_table_iter_init (&iter, b->bb->balancers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_balancer_record *r = value;
+
+      if (r->state == RGY_MEMBER_LEFT || r->state == RGY_MEMBER_DEAD)
+        rgy_liveness_remove (b->balancers_liveness, &r->id);
+    }
+}
+
+static void
+update_watches_ (struct rgy_balancer *b, int64_t now_us)
+{
+  size_t max;
+  struct rgy_name *names;
+  size_t n;
+
+  if (b->monitored_agent_changes == b->bb->changes[RGY_ENTRY_AGENT]
+      && b->monitored_balancer_changes == b->bb->changes[RGY_ENTRY_BALANCER])
+    return;
+  b->monitored_agent_changes = b->bb->changes[RGY_ENTRY_AGENT];
+  b->monitored_balancer_changes = b->bb->changes[RGY_ENTRY_BALANCER];
+  max = g_hash_table_size (b->bb->balancers);
+  names = g_new (struct rgy_name, max + 1);
+  n = rgy_balancer_list_others (b, names, max);
+  names[n++] = b->settings.id;
+  watch_agents_ (b, names, n, now_us);
+  watch_balancers_ (b, names, n, now_us);
+  g_free (names);
+}
+
+/* Balancers that only gossip at random would be heard too rarely: each
+   monitored one is probed every second.  */
+static void
+probe_balancers_ (struct rgy_balancer *b, int64_t now_us,
+                  struct rgy_actions *actions)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now_us < b->next_probe_us)
+    return;
+  b->next_probe_us = now_us + RGY_PROBE_INTERVAL_US;
+  g_hash_table_iter_init (&iter, b->bb->balancers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_balancer_record *r = value;
+
+      if (rgy_liveness_is_watched (b->balancers_liveness, &r->id))
+        send_probe_ (b, r->endpoint, now_us, actions);
+    }
+}
+
+void
+rgy_balancer_monitor_tick (struct rgy_balancer *b, int64_t now_us,
+                           struct rgy_actions *actions)
+{
+  update_watches_ (b, now_us);
+  probe_balancers_ (b, now_us, actions);
+  run_agent_events_ (b, now_us, actions);
+  run_balancer_events_ (b, now_us, actions);
+}
+
+/* Heartbeats of agents.  */
+
+static size_t
+fill_sample_ (struct rgy_balancer *b, struct rgy_balancer_record *sample)
+{
+  size_t max = g_hash_table_size (b->bb->balancers);
+  const struct rgy_balancer_record **usable
+      = g_new (const struct rgy_balancer_record *, max + 1);
+  GHashTableIter iter;
+  gpointer value;
+  size_t n = 0;
+  size_t count = 0;
+  size_t pick;
+
+  g_hash_table_iter_init (&iter, b->bb->balancers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (rgy_blackboard_balancer_is_usable (b->bb, value))
+      usable[n++] = value;
+  while (n > 0 && count < RGY_WIRE_MAX_SAMPLE)
+    {
+      pick = (size_t)g_rand_int_range (b->random, 0, (gint32)n);
+      sample[count] = *usable[pick];
+      sample[count].demand_count = 0;
+      count++;
+      usable[pick] = usable[--n];
+    }
+  g_free (usable);
+  return count;
+}
+
+static void
+note_digests_ (struct rgy_balancer *b, const struct rgy_heartbeat_message *m)
+{
+  const struct rgy_name *id = &m->record.id;
+  bool lags
+      = m->digests.of[RGY_ENTRY_CONTRACT]
+            != rgy_replica_get_digest (b->bb->replica, RGY_ENTRY_CONTRACT)
+        || m->digests.of[RGY_ENTRY_DOMAIN]
+               != rgy_replica_get_digest (b->bb->replica, RGY_ENTRY_DOMAIN);
+
+  if (lags == g_hash_table_contains (b->lagging, id))
+    return;
+  if (lags)
+    g_hash_table_add (b->lagging, g_memdup2 (id, sizeof *id));
+  else
+    g_hash_table_remove (b->lagging, id);
+  b->record_changed = true;
+}
+
+static void
+apply_heartbeat_record_ (struct rgy_balancer *b,
+                         const struct rgy_agent_record *record,
+                         struct rgy_actions *actions)
+{
+  GByteArray *bytes = rgy_agent_record_encode (record);
+  struct rgy_entry entry
+      = { .class = RGY_ENTRY_AGENT,
+          .key = record->id,
+          .version = { .major = record->epoch, .minor = record->sequence },
+          .value = { .data = bytes->data, .len = bytes->len } };
+
+  rgy_balancer_apply_entry (b, &entry, actions);
+  g_byte_array_unref (bytes);
+}
+
+void
+rgy_balancer_handle_heartbeat (struct rgy_balancer *b,
+                               struct rgy_endpoint from,
+                               const struct rgy_heartbeat_message *m,
+                               int64_t now_us, struct rgy_actions *actions)
+{
+  struct rgy_message *ack = g_new0 (struct rgy_message, 1);
+  const struct rgy_agent_record *known;
+
+  apply_heartbeat_record_ (b, &m->record, actions);
+  if (rgy_liveness_is_watched (b->agents_liveness, &m->record.id))
+    {
+      rgy_liveness_heard (b->agents_liveness, &m->record.id, now_us);
+      note_digests_ (b, m);
+    }
+  known = rgy_blackboard_get_agent (b->bb, &m->record.id);
+  ack->kind = RGY_MSG_HEARTBEAT_ACK;
+  ack->u.heartbeat_ack = (struct rgy_heartbeat_ack_message){
+    .balancer = b->settings.id,
+    .sync = b->settings.sync,
+    .digests.of
+    = { [RGY_ENTRY_CONTRACT]
+        = rgy_replica_get_digest (b->bb->replica, RGY_ENTRY_CONTRACT),
+        [RGY_ENTRY_DOMAIN]
+        = rgy_replica_get_digest (b->bb->replica, RGY_ENTRY_DOMAIN),
+        [RGY_ENTRY_AGENT]
+        = rgy_blackboard_get_group_digest (b->bb, m->record.service) },
+    .agent_epoch = known == NULL ? 0 : known->epoch,
+    .agent_sequence = known == NULL ? 0 : known->sequence,
+  };
+  ack->u.heartbeat_ack.sample_count
+      = fill_sample_ (b, ack->u.heartbeat_ack.sample);
+  rgy_balancer_send_message (b, from, ack, actions);
+  g_free (ack);
+}
+
+/* Delivery of new entries to the monitored agents.  */
+
+static bool
+concerns_ (const struct rgy_balancer *b, const struct rgy_entry *entry,
+           const struct rgy_agent_record *agent)
+{
+  const struct rgy_agent_record *subject;
+
+  if (entry->class != RGY_ENTRY_AGENT)
+    return true;
+  subject = rgy_blackboard_get_agent (b->bb, &entry->key);
+  return subject != NULL
+         && rgy_endpoint_equal (subject->service, agent->service);
+}
+
+static void
+push_to_agent_ (struct rgy_balancer *b, const struct rgy_agent_record *agent,
+                struct rgy_message *m, struct rgy_actions *actions)
+{
+  struct rgy_entries_message *e = &m->u.entries;
+  size_t bytes = 0;
+  guint i;
+
+  e->count = 0;
+  for (i = 0; i < b->fresh->len; i++)
+    {
+      struct rgy_fresh_entry *copy = g_ptr_array_index (b->fresh, i);
+      size_t size = copy->entry.value.len + copy->entry.key.len + 32;
+
+      if (!concerns_ (b, &copy->entry, agent)
+          || size > RGY_WIRE_DATAGRAM_BYTES - 100)
+        continue;
+      if (e->count == RGY_WIRE_MAX_ENTRIES
+          || bytes + size > RGY_WIRE_DATAGRAM_BYTES - 100)
+        {
+          rgy_balancer_send_message (b, agent->endpoint, m, actions);
+          e->count = 0;
+          bytes = 0;
+        }
+      e->entries[e->count++] = &copy->entry;
+      bytes += size;
+    }
+  if (e->count > 0)
+    rgy_balancer_send_message (b, agent->endpoint, m, actions);
+}
+
+void
+rgy_balancer_push_fresh (struct rgy_balancer *b, struct rgy_actions *actions)
+{
+  struct rgy_message *m;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (b->fresh->len == 0)
+    return;
+  m = g_new0 (struct rgy_message, 1);
+  m->kind = RGY_MSG_ENTRIES;
+  m->u.entries.from = b->settings.id;
+  g_hash_table_iter_init (&iter, b->bb->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_agent_record *r = value;
+
+      if (rgy_liveness_is_watched (b->agents_liveness, &r->id))
+        push_to_agent_ (b, r, m, actions);
+    }
+  g_ptr_array_set_size (b->fresh, 0);
+  g_free (m);
+}
--- /dev/null
+++ b/src/libragwortyoke/balancer_status.c
@@ -0,0 +1,151 @@
+#include "private/balancer_private.h"
+
+#include <jansson.h>
+
+/* What operators read of a balancer, as JSON.  */
+
+static char *
+dump_ (json_t *json)
+{
+  char *text = json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS);
+  char *copy = g_strdup (text);
+
+  free (text);
+  json_decref (json);
+  return copy;
+}
+
+static json_t *
+endpoint_json_ (struct rgy_endpoint endpoint)
+{
+  char text[RGY_ENDPOINT_TEXT_BYTES];
+
+  return json_string (rgy_endpoint_format (endpoint, text));
+}
+
+static json_t *
+agents_json_ (const struct rgy_balancer *b)
+{
+  json_t *list = json_array ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->bb->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_agent_record *r = value;
+
+      json_array_append_new (
+          list, json_pack ("{s:s, s:s, s:s, s:o, s:o}", "id", r->id.data,
+                           "state", rgy_member_state_string[r->state],
+                           "domain", r->domain.data, "endpoint",
+                           endpoint_json_ (r->endpoint), "service",
+                           endpoint_json_ (r->service)));
+    }
+  return list;
+}
+
+static json_t *
+balancers_json_ (const struct rgy_balancer *b)
+{
+  json_t *list = json_array ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->bb->balancers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_balancer_record *r = value;
+
+      json_array_append_new (
+          list, json_pack ("{s:s, s:s, s:s, s:o, s:i}", "id", r->id.data,
+                           "state", rgy_member_state_string[r->state],
+                           "domain", r->domain.data, "endpoint",
+                           endpoint_json_ (r->endpoint), "lagging",
+                           (int)r->lagging_count));
+    }
+  return list;
+}
+
+static void
+add_contract_ (const struct rgy_contract *contract, void *ctx)
+{
+  json_array_append_new (
+      ctx, json_pack ("{s:s, s:I, s:i}", "customer", contract->customer.data,
+                      "revision", (json_int_t)contract->revision, "services",
+                      (int)contract->service_count));
+}
+
+static void
+add_domain_ (const struct rgy_domain_order *order, void *ctx)
+{
+  json_array_append_new (ctx, json_pack ("{s:s, s:b, s:I}", "domain",
+                                         order->domain.data, "out",
+                                         order->out, "number",
+                                         (json_int_t)order->number));
+}
+
+char *
+rgy_balancer_format_status (const struct rgy_balancer *b)
+{
+  json_t *contracts = json_array ();
+  json_t *domains = json_array ();
+
+  rgy_contract_set_foreach (b->bb->contracts, add_contract_, contracts);
+  rgy_domain_set_foreach (b->bb->domains, add_domain_, domains);
+  return dump_ (json_pack (
+      "{s:s, s:s, s:s, s:s, s:b, s:b, s:b, s:o, s:o, s:o, s:o}", "id",
+      b->settings.id.data, "role", "balancer", "state",
+      rgy_member_state_string[b->self.state], "domain",
+      b->settings.domain.data, "ready", rgy_balancer_is_ready (b), "reader",
+      rgy_balancer_is_reader (b), "cut_protection", b->cut, "agents",
+      agents_json_ (b), "balancers", balancers_json_ (b), "contracts",
+      contracts, "domains", domains));
+}
+
+static bool
+has_version_ (const struct rgy_balancer *b, const struct rgy_name *key,
+              bool is_domain, uint64_t revision, uint64_t *known)
+{
+  const struct rgy_entry *entry = rgy_replica_get (
+      b->bb->replica, is_domain ? RGY_ENTRY_DOMAIN : RGY_ENTRY_CONTRACT, key);
+
+  *known = entry == NULL ? 0 : entry->version.major;
+  return entry != NULL && entry->version.major >= revision;
+}
+
+/* A change is in force everywhere when all balancers publish this one's
+   digest and none of them has an agent that lags behind.  */
+char *
+rgy_balancer_format_confirm (const struct rgy_balancer *b,
+                             const struct rgy_name *key, bool is_domain,
+                             uint64_t revision)
+{
+  uint64_t digest = rgy_blackboard_get_config_digest (b->bb);
+  json_t *lagging = json_array ();
+  GHashTableIter iter;
+  gpointer value;
+  uint64_t known;
+  bool confirmed = has_version_ (b, key, is_domain, revision, &known);
+  size_t i;
+
+  if (!confirmed)
+    json_array_append_new (lagging, json_string (b->settings.id.data));
+  g_hash_table_iter_init (&iter, b->bb->balancers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_balancer_record *r = value;
+
+      if (r->state == RGY_MEMBER_DEAD || r->state == RGY_MEMBER_LEFT)
+        continue;
+      if (r->config_digest != digest)
+        json_array_append_new (lagging, json_string (r->id.data));
+      for (i = 0; i < RGY_LAGGING_NAMES_MAX && r->lagging[i].len > 0; i++)
+        json_array_append_new (lagging, json_string (r->lagging[i].data));
+      confirmed
+          = confirmed && r->config_digest == digest && r->lagging_count == 0;
+    }
+  return dump_ (json_pack ("{s:b, s:I, s:o}", "confirmed", confirmed,
+                           "revision", (json_int_t)known, "lagging",
+                           lagging));
+}
--- /dev/null
+++ b/src/libragwortyoke/balancer_sync.c
@@ -0,0 +1,130 @@
+#include "private/balancer_private.h"
+
+/* Synchronisation: a peer sends its sub-digests and gets all entries in the
+   buckets that differ.  */
+
+struct rgy_bytes
+rgy_balancer_build_sync_request (struct rgy_balancer *b)
+{
+  struct rgy_message *m = g_new0 (struct rgy_message, 1);
+  struct rgy_bytes bytes;
+  size_t c;
+
+  m->kind = RGY_MSG_SYNC_REQUEST;
+  m->u.sync_request.from = b->settings.id;
+  for (c = 0; c < RGY_ENTRY_CLASS_COUNT; c++)
+    {
+      m->u.sync_request.classes |= 1U << c;
+      rgy_replica_get_subdigests (b->bb->replica, (enum rgy_entry_class)c,
+                                  m->u.sync_request.subdigests[c]);
+    }
+  bytes = rgy_wire_encode (b->wire, m);
+  g_free (m);
+  return bytes;
+}
+
+struct reply_
+{
+  struct rgy_balancer *b;
+  struct rgy_message *message;
+  GPtrArray *frames;
+  const struct rgy_sync_request_message *request;
+};
+
+static void
+flush_ (struct reply_ *reply)
+{
+  struct rgy_bytes bytes = rgy_wire_encode (reply->b->wire, reply->message);
+  GByteArray *frame = g_byte_array_sized_new ((guint)bytes.len);
+
+  g_byte_array_append (frame, bytes.data, (guint)bytes.len);
+  g_ptr_array_add (reply->frames, frame);
+  reply->message->u.entries.count = 0;
+}
+
+static void
+add_entry_ (const struct rgy_entry *entry, void *ctx)
+{
+  struct reply_ *reply = ctx;
+  struct rgy_entries_message *e = &reply->message->u.entries;
+
+  e->entries[e->count++] = entry;
+  if (e->count == RGY_WIRE_MAX_ENTRIES)
+    flush_ (reply);
+}
+
+/* An agent holds only the agents of its service, so that sub-digests of the
+   class cannot be compared: it gets the whole group.  */
+static void
+add_group_ (struct reply_ *reply)
+{
+  const struct rgy_group *group
+      = rgy_blackboard_get_group (reply->b->bb, reply->request->service);
+  guint i;
+
+  for (i = 0; i < group->agents->len; i++)
+    {
+      const struct rgy_agent_record *r = g_ptr_array_index (group->agents, i);
+
+      add_entry_ (rgy_replica_get (reply->b->bb->replica, RGY_ENTRY_AGENT,
+                                   &r->id),
+                  reply);
+    }
+}
+
+void
+rgy_balancer_serve_sync (struct rgy_balancer *b, struct rgy_bytes request,
+                         GPtrArray *frames)
+{
+  struct rgy_message *asked = g_new0 (struct rgy_message, 1);
+  struct reply_ reply = { .b = b, .frames = frames };
+  size_t c;
+
+  if (rgy_wire_decode (b->wire, request, asked) != RGY_OK
+      || asked->kind != RGY_MSG_SYNC_REQUEST)
+    {
+      ++*b->c.bad_message;
+      g_free (asked);
+      return;
+    }
+  reply.request = &asked->u.sync_request;
+  reply.message = g_new0 (struct rgy_message, 1);
+  reply.message->kind = RGY_MSG_SYNC_REPLY;
+  reply.message->u.entries.from = b->settings.id;
+  for (c = 0; c < RGY_ENTRY_CLASS_COUNT; c++)
+    {
+      if ((reply.request->classes & 1U << c) == 0)
+        continue;
+      if (c == RGY_ENTRY_AGENT
+          && rgy_endpoint_is_set (reply.request->service))
+        add_group_ (&reply);
+      else
+        rgy_replica_foreach_difference (
+            b->bb->replica, (enum rgy_entry_class)c,
+            reply.request->subdigests[c], add_entry_, &reply);
+    }
+  flush_ (&reply);
+  g_free (reply.message);
+  g_free (asked);
+}
+
+enum rgy_outcome
+rgy_balancer_apply_sync (struct rgy_balancer *b, struct rgy_bytes frame,
+                         int64_t now_us, struct rgy_actions *actions)
+{
+  struct rgy_message *m = g_new0 (struct rgy_message, 1);
+  enum rgy_outcome rc = rgy_wire_decode (b->wire, frame, m);
+  size_t i;
+
+  (void)now_us;
+  if (rc == RGY_OK && m->kind != RGY_MSG_SYNC_REPLY)
+    rc = RGY_ERR_INVALID;
+  if (rc == RGY_OK)
+    {
+      for (i = 0; i < m->u.entries.count; i++)
+        rgy_balancer_apply_entry (b, m->u.entries.entries[i], actions);
+      b->synced = true;
+    }
+  g_free (m);
+  return rc;
+}
--- /dev/null
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -0,0 +1,171 @@
+#ifndef RAGWORTYOKE_PRIVATE_AGENT_PRIVATE_H
+#define RAGWORTYOKE_PRIVATE_AGENT_PRIVATE_H
+
+/**
+ * @file
+ * State of an agent, shared by its source files.
+ */
+
+#include "ragwortyoke/agent.h"
+#include "ragwortyoke/clock.h"
+#include "ragwortyoke/drain.h"
+#include "ragwortyoke/flow.h"
+#include "ragwortyoke/handover.h"
+#include "ragwortyoke/health.h"
+#include "ragwortyoke/limit.h"
+#include "ragwortyoke/steering.h"
+
+#define RGY_HEARTBEAT_INTERVAL_US INT64_C (1000000)
+#define RGY_PEER_STATE_INTERVAL_US INT64_C (500000)
+/** A balancer is used for answers this long after its acknowledgement.  */
+#define RGY_BALANCER_FRESH_US INT64_C (1500000)
+/** A flow's last balancer is preferred for this long.  */
+#define RGY_FLOW_BALANCER_FRESH_US INT64_C (1000000)
+/** A balancer that is not heard of for this long is forgotten.  */
+#define RGY_BALANCER_FORGET_US INT64_C (60000000)
+/** Wait for the acknowledgements of peers after a change of the group.  */
+#define RGY_SETTLE_TIMEOUT_US INT64_C (1000000)
+#define RGY_SYNC_RETRY_US INT64_C (1000000)
+#define RGY_HEARTBEAT_TARGETS 3
+#define RGY_MAX_TRANSFERS 200
+/** Observations moved to the owner of their bucket a second.  */
+#define RGY_REBALANCE_PER_SECOND 20
+/** A peer that refused a flow is not asked again for this long.  */
+#define RGY_REBALANCE_PAUSE_US INT64_C (5000000)
+#define RGY_LINGER_US INT64_C (1000000)
+
+/** A balancer that this agent knows.  */
+struct rgy_known_balancer
+{
+  struct rgy_balancer_record record;
+  int64_t last_seen_us; /**< In a sample or by an acknowledgement.  */
+  int64_t last_ack_us;
+  unsigned unanswered; /**< Heartbeats since the last acknowledgement.  */
+};
+
+/** Limits and usage of one customer at this agent.  */
+struct rgy_customer_usage
+{
+  struct rgy_count_limit *flows;
+  struct rgy_rate_limit *new_flows;
+  struct rgy_count_limit *requests;
+};
+
+/** What a peer of the same service last said.  */
+struct rgy_peer
+{
+  uint64_t epoch;
+  bool can_accept;
+  int64_t refused_until_us;
+};
+
+struct rgy_agent_counters
+{
+  uint64_t *packets_in;
+  uint64_t *delivered;
+  uint64_t *forwarded;
+  uint64_t *flows_opened;
+  uint64_t *flows_moved_in;
+  uint64_t *flows_moved_out;
+  uint64_t *flows_given_up;
+  uint64_t *flows_expired;
+  uint64_t *answers;
+  uint64_t *answers_without_balancer;
+  uint64_t *drop_wrong_service;
+  uint64_t *drop_unknown_caller;
+  uint64_t *drop_no_agent;
+  uint64_t *drop_hop_limit;
+  uint64_t *drop_not_held;
+  uint64_t *refused_limit;
+  uint64_t *refused_overload;
+  uint64_t *refused_out;
+  uint64_t *refused_draining;
+  uint64_t *view_mismatch;
+  uint64_t *bad_tag;
+  uint64_t *bad_message;
+  uint64_t *control_in;
+  uint64_t *control_bytes_in;
+  uint64_t *control_bytes_out;
+  uint64_t *config_changes;
+  uint64_t *flows;
+  uint64_t *limit;
+  uint64_t *running;
+};
+
+struct rgy_agent
+{
+  struct rgy_agent_settings settings;
+  struct rgy_blackboard *bb;
+  struct rgy_counters *counters;
+  struct rgy_agent_counters c;
+  struct rgy_wire *wire;
+  GRand *random;
+  struct rgy_agent_record self;
+
+  struct rgy_flow_table *flows;
+  struct rgy_steering *steering;
+  struct rgy_request_engine *engine;
+  struct rgy_health *health;
+  struct rgy_drain *drain;
+  struct rgy_transfers *transfers;
+  GHashTable *balancers; /**< Name to struct rgy_known_balancer.  */
+  GHashTable *usage;     /**< Customer to struct rgy_customer_usage.  */
+  GHashTable *peers;     /**< Agent to struct rgy_peer.  */
+
+  /* Of the event that is being handled, for the engine's hooks.  */
+  struct rgy_actions *actions;
+  int64_t now_us;
+
+  uint64_t group_changes;
+  uint64_t domain_changes;
+  uint64_t sent_sequence; /**< Of the last PEER_STATE.  */
+  int64_t settle_deadline_us;
+  int64_t next_heartbeat_us;
+  int64_t next_peer_state_us;
+  int64_t next_sync_us;
+  int64_t next_rebalance_us;
+  int64_t last_digest_match_us;
+  bool synced;
+  bool out; /**< The own failure domain is out of service.  */
+  bool record_changed;
+};
+
+/* agent_control.c */
+void rgy_agent_send_message (struct rgy_agent *a, struct rgy_endpoint to,
+                             const struct rgy_message *message);
+const struct rgy_contract_service *
+rgy_agent_get_service (const struct rgy_agent *a,
+                       const struct rgy_contract **contract,
+                       uint32_t caller_ip);
+/** A balancer through which an answer may go, or an unset endpoint.  */
+struct rgy_endpoint rgy_agent_choose_balancer (struct rgy_agent *a,
+                                               const struct rgy_flow *flow);
+
+/* agent_packet.c */
+void rgy_agent_handle_data (struct rgy_agent *a, struct rgy_data_message *m);
+void rgy_agent_send_answer (struct rgy_agent *a, struct rgy_endpoint caller,
+                            struct rgy_bytes payload,
+                            struct rgy_endpoint balancer);
+bool rgy_agent_serves_requests (const struct rgy_agent *a);
+/** Close a flow and everything that belongs to it.  */
+void rgy_agent_close_flow (struct rgy_agent *a, struct rgy_flow *flow);
+
+/* agent_usage.c */
+struct rgy_customer_usage *
+rgy_agent_get_usage (struct rgy_agent *a, const struct rgy_name *customer);
+void rgy_agent_usage_free (void *usage);
+void rgy_agent_note_peer_usage (struct rgy_agent *a,
+                                const struct rgy_peer_state_message *m);
+size_t rgy_agent_fill_usage (struct rgy_agent *a, struct rgy_usage *usage);
+void rgy_agent_update_usage_instances (struct rgy_agent *a,
+                                       const struct rgy_name *peers,
+                                       size_t count);
+
+/* agent_handover.c */
+void rgy_agent_handover_tick (struct rgy_agent *a);
+void rgy_agent_handle_handover (struct rgy_agent *a, struct rgy_endpoint from,
+                                const struct rgy_handover_message *m);
+void rgy_agent_handle_handover_ack (struct rgy_agent *a,
+                                    const struct rgy_handover_ack_message *m);
+
+#endif
--- /dev/null
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -0,0 +1,133 @@
+#ifndef RAGWORTYOKE_PRIVATE_BALANCER_PRIVATE_H
+#define RAGWORTYOKE_PRIVATE_BALANCER_PRIVATE_H
+
+/**
+ * @file
+ * State of a balancer, shared by its source files.
+ */
+
+#include "ragwortyoke/balancer.h"
+#include "ragwortyoke/limit.h"
+#include "ragwortyoke/steering.h"
+
+#define RGY_GOSSIP_INTERVAL_US INT64_C (200000)
+#define RGY_PROBE_INTERVAL_US INT64_C (1000000)
+#define RGY_RECORD_INTERVAL_US INT64_C (1000000)
+/** Own demand is published at most this often.  */
+#define RGY_DEMAND_INTERVAL_US INT64_C (2000000)
+/** Digests that differ for this long start a synchronisation.  */
+#define RGY_DIGEST_GRACE_US INT64_C (1000000)
+#define RGY_SYNC_INTERVAL_US INT64_C (1000000)
+#define RGY_STORE_INTERVAL_US INT64_C (2000000)
+/** Balancers that monitor one member.  */
+#define RGY_MONITOR_COUNT 3
+/** Balancers of a failure domain that watch the store.  */
+#define RGY_READER_COUNT 2
+#define RGY_BURST_MS 500
+
+/** Bucket table of one service.  */
+struct rgy_service_table
+{
+  struct rgy_endpoint service;
+  struct rgy_bucket_table *table;
+  uint64_t group_changes;  /**< Changes that it was built from.  */
+  uint64_t domain_changes;
+};
+
+/** Entry that is still to be sent to the monitored agents.  */
+struct rgy_fresh_entry
+{
+  struct rgy_entry entry;
+  GBytes *value; /**< Owns the entry's value.  */
+};
+
+struct rgy_balancer_counters
+{
+  uint64_t *packets_in;
+  uint64_t *bytes_in;
+  uint64_t *forwarded;
+  uint64_t *answers;
+  uint64_t *drop_malformed;
+  uint64_t *drop_unknown_service;
+  uint64_t *drop_unknown_caller;
+  uint64_t *drop_limit;
+  uint64_t *drop_no_backend;
+  uint64_t *drop_out;
+  uint64_t *bad_tag;
+  uint64_t *bad_message;
+  uint64_t *control_in;
+  uint64_t *control_bytes_in;
+  uint64_t *control_bytes_out;
+  uint64_t *cuts;
+  uint64_t *declared_dead;
+  uint64_t *config_changes;
+  uint64_t *agents;
+  uint64_t *balancers;
+};
+
+struct rgy_balancer
+{
+  struct rgy_balancer_settings settings;
+  struct rgy_blackboard *bb;
+  struct rgy_counters *counters;
+  struct rgy_balancer_counters c;
+  struct rgy_wire *wire;
+  GRand *random;
+  struct rgy_balancer_record self;
+  GByteArray *packet; /**< Scratch for egress datagrams.  */
+
+  GHashTable *tables; /**< Packed service endpoint to rgy_service_table.  */
+  GHashTable *limits; /**< Customer to rgy_rate_limit.  */
+
+  struct rgy_liveness *agents_liveness;
+  struct rgy_liveness *balancers_liveness;
+  GHashTable *lagging; /**< Set of agent names.  */
+  uint64_t monitored_agent_changes;
+  uint64_t monitored_balancer_changes;
+
+  GPtrArray *fresh; /**< Owned entries to push to monitored agents.  */
+  GHashTable *stored_orders; /**< Domain to the order number in the store. */
+
+  int64_t next_gossip_us;
+  int64_t next_probe_us;
+  int64_t next_record_us;
+  int64_t next_demand_us;
+  int64_t next_sync_us;
+  int64_t next_store_us;
+  int64_t digest_differs_since_us; /**< 0 when digests agree.  */
+  int64_t drain_until_us;          /**< 0 when not draining.  */
+  bool eager;                      /**< Gossip soon: something is new.  */
+  bool record_changed;
+  bool cut;
+  bool synced; /**< Synchronised with a peer or read from the store.  */
+};
+
+/* balancer_control.c */
+void rgy_balancer_send_message (struct rgy_balancer *b,
+                                struct rgy_endpoint to,
+                                const struct rgy_message *message,
+                                struct rgy_actions *actions);
+enum rgy_outcome rgy_balancer_apply_entry (struct rgy_balancer *b,
+                                           const struct rgy_entry *entry,
+                                           struct rgy_actions *actions);
+/** Names of the usable or starting balancers but this one.  */
+size_t rgy_balancer_list_others (const struct rgy_balancer *b,
+                                 struct rgy_name *names, size_t max);
+
+/* balancer_monitor.c */
+void rgy_balancer_monitor_tick (struct rgy_balancer *b, int64_t now_us,
+                                struct rgy_actions *actions);
+void rgy_balancer_handle_heartbeat (struct rgy_balancer *b,
+                                    struct rgy_endpoint from,
+                                    const struct rgy_heartbeat_message *m,
+                                    int64_t now_us,
+                                    struct rgy_actions *actions);
+void rgy_balancer_push_fresh (struct rgy_balancer *b,
+                              struct rgy_actions *actions);
+
+/* balancer_packet.c */
+void rgy_balancer_handle_answer (struct rgy_balancer *b,
+                                 const struct rgy_answer_message *m,
+                                 struct rgy_actions *actions);
+
+#endif
--- /dev/null
+++ b/src/ragwortyoked/daemon.h
@@ -0,0 +1,74 @@
+#ifndef RAGWORTYOKED_DAEMON_H
+#define RAGWORTYOKED_DAEMON_H
+
+/**
+ * @file
+ * What both roles of the daemon share.
+ */
+
+#include <uv.h>
+
+#include "ragwortyoke-io/http.h"
+#include "ragwortyoke-io/settings.h"
+#include "ragwortyoke-io/store_client.h"
+#include "ragwortyoke-io/sync.h"
+#include "ragwortyoke-io/udp.h"
+#include "ragwortyoke/action.h"
+#include "ragwortyoke/clock.h"
+#include "ragwortyoke/counter.h"
+
+#define RGY_TICK_INTERVAL_MS 50
+#define RGY_SYNC_TIMEOUT_MS 2000
+#define RGY_AGENT_LEASE_S 3600
+
+struct rgy_daemon
+{
+  const struct rgy_settings *settings;
+  uv_loop_t loop;
+  uv_timer_t timer;
+  uv_signal_t sigterm;
+  uv_signal_t sigint;
+  struct rgy_clock clock;
+  struct rgy_counters *counters;
+  uint64_t *send_failed;
+  struct rgy_actions *actions;
+  struct rgy_udp *internal;
+  struct rgy_http *http;
+  struct rgy_store_client *store;
+  struct rgy_sync_client *sync_client;
+  bool exiting;
+};
+
+/** Start of a process, in microseconds since 1970: larger at every start.  */
+uint64_t rgy_daemon_make_epoch (void);
+uint64_t rgy_daemon_make_seed (void);
+
+/** Set up loop, clock, counters, signals and timer.  @p on_tick and
+    @p on_signal get the daemon as their handle's data.  */
+void rgy_daemon_init (struct rgy_daemon *daemon,
+                      const struct rgy_settings *settings, uv_timer_cb on_tick,
+                      uv_signal_cb on_signal);
+/** Run until the core asks to exit.  */
+void rgy_daemon_run (struct rgy_daemon *daemon);
+/** Close what rgy_daemon_init() and the roles have opened.  */
+void rgy_daemon_finish (struct rgy_daemon *daemon);
+void rgy_daemon_exit (struct rgy_daemon *daemon);
+
+int64_t rgy_daemon_now_us (struct rgy_daemon *daemon);
+void rgy_daemon_send (struct rgy_daemon *daemon, struct rgy_udp *udp,
+                      struct rgy_endpoint to, struct rgy_bytes data);
+
+/** Answers that both roles give: /metrics and /healthz.
+    @return true when the request was one of them.  */
+bool rgy_daemon_handle_common (struct rgy_daemon *daemon,
+                               const struct rgy_http_request *request,
+                               struct rgy_http_response *response);
+void rgy_daemon_respond_json (struct rgy_http_response *response,
+                              unsigned status, char *json);
+void rgy_daemon_respond_ready (struct rgy_http_response *response, bool ready);
+
+/** Run one role until it ends.  @return exit status.  */
+int rgy_balancer_main (const struct rgy_settings *settings);
+int rgy_agent_main (const struct rgy_settings *settings);
+
+#endif
