--- a/include/ragwortyoke/replica.h
+++ b/include/ragwortyoke/replica.h
@@ -35,26 +35,47 @@
 
 struct rgy_entry
 {
-  enum rgy_entry_class class;
-  struct rgy_name key;
   struct rgy_version version;
-  bool deleted; /**< Tombstone; @c value is empty.  */
   struct rgy_bytes value;
+  enum rgy_entry_class class;
+  bool deleted; /**< Tombstone; @c value is empty.  */
+  struct rgy_name key;
 };
 
 /** Negative, zero or positive as for memcmp.  */
 int rgy_version_compare (struct rgy_version a, struct rgy_version b);
 
+/** Hash of class, key, version and tombstone flag.  The digest of a set of
+    entries is the XOR of their hashes, 0 for an empty set; callers combine
+    these for subsets such as the agents of one service.  */
+uint64_t rgy_entry_get_hash (const struct rgy_entry *entry);
+/** Sub-digest bucket of an entry, below RGY_SUBDIGEST_COUNT; depends on the
+    key only.  */
+unsigned rgy_entry_get_bucket (const struct rgy_entry *entry);
+
 struct rgy_replica;
 
 struct rgy_replica *rgy_replica_new (void);
 void rgy_replica_delete (struct rgy_replica *replica);
 
-/** Merge one entry; the value is copied.  A merged entry joins the update
-    queue.  @return RGY_OK when it is newer, RGY_ERR_STALE otherwise.  */
+/**
+ * Merge one entry; the value is copied.  A merged entry joins the update
+ * queue and replaces an older version of itself there.  At equal versions a
+ * tombstone is newer than a live entry, so that the result does not depend on
+ * the order of merging.  Pointers to entries of the replica stay valid until
+ * the next merge or prune.
+ *
+ * @return RGY_OK when it is newer, RGY_ERR_STALE otherwise, or
+ *         RGY_ERR_INVALID when the class is out of range or the key empty.
+ */
 enum rgy_outcome rgy_replica_merge (struct rgy_replica *replica,
                                     const struct rgy_entry *entry);
 
+/** As rgy_replica_merge(), but the entry does not join the update queue: for
+    the initial pull, whose entries the other replicas already hold.  */
+enum rgy_outcome rgy_replica_merge_unqueued (struct rgy_replica *replica,
+                                             const struct rgy_entry *entry);
+
 /** @return the entry (possibly a tombstone), or NULL.  */
 const struct rgy_entry *rgy_replica_get (const struct rgy_replica *replica,
                                          enum rgy_entry_class class,
@@ -91,9 +112,11 @@
     const uint64_t theirs[RGY_SUBDIGEST_COUNT], rgy_entry_fn fn, void *ctx);
 
 /**
- * Take updates for one gossip datagram: the least often sent first.
+ * Take updates for one gossip datagram: the least often sent first, and the
+ * newest first among those sent equally often.
  *
- * @param transmissions  an update leaves the queue after this many sends.
+ * @param transmissions  an update leaves the queue after this many sends.  0,
+ *                       for a replica without peers, takes and drops nothing.
  * @param max_bytes      sum of key and value sizes plus 32 bytes an entry.
  * @return number of entries stored in @p out.  Entries that can never fit
  *         are dropped from the queue and reach others by synchronisation.
@@ -103,6 +126,9 @@
                                  const struct rgy_entry **out,
                                  size_t max_entries);
 
+/** Entries whose updates are still queued.  */
+size_t rgy_replica_get_update_count (const struct rgy_replica *replica);
+
 /** Bytes held by the replica, for capacity measurements.  */
 size_t rgy_replica_get_memory (const struct rgy_replica *replica);
 
--- /dev/null
+++ b/src/libragwortyoke/include/private/update_queue.h
@@ -0,0 +1,54 @@
+#ifndef RAGWORTYOKE_PRIVATE_UPDATE_QUEUE_H
+#define RAGWORTYOKE_PRIVATE_UPDATE_QUEUE_H
+
+/**
+ * @file
+ * Queue of entries to gossip, ordered by the number of transmissions.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "ragwortyoke/replica.h"
+
+/** Bytes charged for an entry in addition to its key and value: class,
+    version, tombstone flag and MessagePack headers.  */
+#define RGY_UPDATE_OVERHEAD_BYTES 32
+
+/** Updates sent this often or more share the last level.  3*ceil(log2 n) stays
+    below it for 2 million replicas.  */
+#define RGY_UPDATE_LEVEL_COUNT 64
+
+/** Element of the queue, embedded in the owner of the entry.  */
+struct rgy_update
+{
+  const struct rgy_entry *entry;
+  unsigned sends;
+  bool queued;
+  GList link;
+};
+
+struct rgy_update_queue
+{
+  GQueue levels[RGY_UPDATE_LEVEL_COUNT];
+  size_t count;
+};
+
+void rgy_update_queue_init (struct rgy_update_queue *queue);
+
+/** Queue an update with no transmissions; a queued one starts again.  */
+void rgy_update_queue_push (struct rgy_update_queue *queue,
+                            struct rgy_update *update);
+
+/** Remove an update; no effect when it is not queued.  */
+void rgy_update_queue_remove (struct rgy_update_queue *queue,
+                              struct rgy_update *update);
+
+/** See rgy_replica_take_updates().  */
+size_t rgy_update_queue_take (struct rgy_update_queue *queue,
+                              unsigned transmissions, size_t max_bytes,
+                              const struct rgy_entry **out,
+                              size_t max_entries);
+
+#endif
