Add member records, rendezvous choice and liveness

Record bytes are checked for completeness before msgpack-c unpacks them, because it allocates arrays of the claimed size. Decoding enforces that only records of dead members have odd sequence numbers: otherwise one version could have two values.

Members declared dead within the window count towards a cut, so that a network that fails piece by piece is recognised, and silent members are probed repeatedly during a cut, so that those that speak only when asked can return.

--- a/include/ragwortyoke/member.h
+++ b/include/ragwortyoke/member.h
@@ -68,7 +68,18 @@
   size_t demand_count;
 };
 
-/** MessagePack form; free the result with g_byte_array_unref().  */
+/**
+ * MessagePack form; free the result with g_byte_array_unref().
+ *
+ * Decoding ignores further elements that a later version appends, and keeps
+ * the first names and customers of lists that are longer than the arrays.  It
+ * leaves the record unchanged unless it returns RGY_OK.
+ *
+ * @return of the decoders: RGY_OK, RGY_ERR_UNSUPPORTED (unknown state) or
+ *         RGY_ERR_INVALID: malformed bytes, no ID or failure domain, no
+ *         @c endpoint (for agents also no @c service), or a sequence that is
+ *         odd although the state is not RGY_MEMBER_DEAD or the reverse.
+ */
 GByteArray *rgy_agent_record_encode (const struct rgy_agent_record *record);
 enum rgy_outcome rgy_agent_record_decode (struct rgy_bytes bytes,
                                           struct rgy_agent_record *record);
@@ -119,10 +130,20 @@
                           const struct rgy_name *id);
 bool rgy_liveness_is_watched (const struct rgy_liveness *liveness,
                               const struct rgy_name *id);
-/** Next event that is due.  A dead member is no longer watched.
-    @return false when there is none.  */
+/**
+ * Next event that is due; call it until there is none.
+ *
+ * A member is silent when nothing was heard for @c silence_us.  Cut protection
+ * is on while more than @c cut_percent of the members are silent; members
+ * declared dead within @c window_us count as silent members.  During a cut
+ * silent members are probed again every @c silence_us, and after it they get a
+ * fresh probe.  A dead member is no longer watched.
+ *
+ * @return false when there is none.
+ */
 bool rgy_liveness_next (struct rgy_liveness *liveness, int64_t now_us,
                         struct rgy_liveness_event *event);
+/** State of the cut protection after the last rgy_liveness_next().  */
 bool rgy_liveness_is_cut (const struct rgy_liveness *liveness);
 
 /**
--- /dev/null
+++ b/src/test_member/test_member.c
@@ -0,0 +1,904 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+#include <msgpack.h>
+
+#include "ragwortyoke/clock.h"
+#include "ragwortyoke/member.h"
+
+#define SEED_COUNT 20
+
+static struct rgy_name
+numbered_name_ (const char *prefix, unsigned number)
+{
+  char text[32];
+
+  g_snprintf (text, sizeof text, "%s-%u", prefix, number);
+  return rgy_name_from_c (text);
+}
+
+static struct rgy_bytes
+borrow_ (const GByteArray *array)
+{
+  return (struct rgy_bytes){ .data = array->data, .len = array->len };
+}
+
+/* Records.  */
+
+static struct rgy_agent_record
+sample_agent_ (void)
+{
+  return (struct rgy_agent_record){
+    .id = rgy_name_from_c ("agent-poa-a-1"),
+    .epoch = UINT64_MAX,
+    .sequence = 4,
+    .state = RGY_MEMBER_READY,
+    .domain = rgy_name_from_c ("poa-a"),
+    .endpoint = { .ip = 0x7f000001, .port = 7001 },
+    .service = { .ip = 0x0a000001, .port = 5683 },
+  };
+}
+
+static struct rgy_balancer_record
+sample_balancer_ (void)
+{
+  struct rgy_balancer_record record = {
+    .id = rgy_name_from_c ("balancer-1"),
+    .epoch = 3,
+    .sequence = 9,
+    .state = RGY_MEMBER_DEAD,
+    .domain = rgy_name_from_c ("cxs-c"),
+    .endpoint = { .ip = 0x7f000001, .port = 1 },
+    .sync = { .ip = 0xffffffff, .port = 65535 },
+    .config_digest = UINT64_C (0x8000000000000001),
+    .lagging_count = 30,
+    .demand_count = RGY_DEMAND_MAX,
+  };
+  unsigned i;
+
+  for (i = 0; i < RGY_LAGGING_NAMES_MAX; i++)
+    record.lagging[i] = numbered_name_ ("agent", i);
+  for (i = 0; i < RGY_DEMAND_MAX; i++)
+    record.demand[i]
+        = (struct rgy_demand){ .customer = numbered_name_ ("customer", i),
+                               .bytes_per_s = UINT64_MAX - i };
+  return record;
+}
+
+static void
+assert_agent_equal_ (const struct rgy_agent_record *a,
+                     const struct rgy_agent_record *b)
+{
+  assert_true (rgy_name_equal (&a->id, &b->id));
+  assert_true (a->epoch == b->epoch && a->sequence == b->sequence);
+  assert_int_equal (a->state, b->state);
+  assert_true (rgy_name_equal (&a->domain, &b->domain));
+  assert_true (rgy_endpoint_equal (a->endpoint, b->endpoint));
+  assert_true (rgy_endpoint_equal (a->service, b->service));
+}
+
+static void
+assert_balancer_equal_ (const struct rgy_balancer_record *a,
+                        const struct rgy_balancer_record *b)
+{
+  size_t i;
+
+  assert_true (rgy_name_equal (&a->id, &b->id));
+  assert_true (a->epoch == b->epoch && a->sequence == b->sequence);
+  assert_int_equal (a->state, b->state);
+  assert_true (rgy_name_equal (&a->domain, &b->domain));
+  assert_true (rgy_endpoint_equal (a->endpoint, b->endpoint));
+  assert_true (rgy_endpoint_equal (a->sync, b->sync));
+  assert_true (rgy_endpoint_equal (a->http, b->http));
+  assert_true (a->config_digest == b->config_digest);
+  assert_int_equal (a->lagging_count, b->lagging_count);
+  for (i = 0; i < RGY_LAGGING_NAMES_MAX; i++)
+    assert_true (rgy_name_equal (&a->lagging[i], &b->lagging[i]));
+  assert_int_equal (a->demand_count, b->demand_count);
+  for (i = 0; i < a->demand_count; i++)
+    {
+      assert_true (
+          rgy_name_equal (&a->demand[i].customer, &b->demand[i].customer));
+      assert_true (a->demand[i].bytes_per_s == b->demand[i].bytes_per_s);
+    }
+}
+
+/* A field lost or swapped in the codec misdirects traffic.  */
+static void
+records_round_trip_ (void **state)
+{
+  struct rgy_agent_record agent = sample_agent_ ();
+  struct rgy_balancer_record balancer = sample_balancer_ ();
+  struct rgy_balancer_record plain = sample_balancer_ ();
+  struct rgy_agent_record agent_out;
+  struct rgy_balancer_record balancer_out;
+  GByteArray *bytes;
+
+  (void)state;
+  bytes = rgy_agent_record_encode (&agent);
+  assert_int_equal (rgy_agent_record_decode (borrow_ (bytes), &agent_out),
+                    RGY_OK);
+  assert_agent_equal_ (&agent, &agent_out);
+  g_byte_array_unref (bytes);
+  bytes = rgy_balancer_record_encode (&balancer);
+  assert_int_equal (
+      rgy_balancer_record_decode (borrow_ (bytes), &balancer_out), RGY_OK);
+  assert_balancer_equal_ (&balancer, &balancer_out);
+  g_byte_array_unref (bytes);
+  /* Nothing of an earlier record may remain in a reused one.  */
+  plain.lagging_count = 0;
+  memset (plain.lagging, 0, sizeof plain.lagging);
+  plain.demand_count = 0;
+  plain.sync = (struct rgy_endpoint){ 0 };
+  bytes = rgy_balancer_record_encode (&plain);
+  assert_int_equal (
+      rgy_balancer_record_decode (borrow_ (bytes), &balancer_out), RGY_OK);
+  assert_balancer_equal_ (&plain, &balancer_out);
+  g_byte_array_unref (bytes);
+}
+
+/* A truncated record must be rejected without reading past its end, and a
+   rejected one must leave the last good record in place.  */
+static void
+truncated_records_are_rejected_ (void **state)
+{
+  struct rgy_agent_record agent = sample_agent_ ();
+  struct rgy_balancer_record balancer = sample_balancer_ ();
+  struct rgy_agent_record agent_out = agent;
+  struct rgy_balancer_record balancer_out = balancer;
+  GByteArray *bytes;
+  uint8_t *copy;
+  size_t len;
+
+  (void)state;
+  bytes = rgy_agent_record_encode (&agent);
+  for (len = 0; len < bytes->len; len++)
+    {
+      /* An exact copy lets the address sanitizer see every overrun.  */
+      copy = g_memdup2 (bytes->data, len);
+      assert_int_equal (
+          rgy_agent_record_decode (
+              (struct rgy_bytes){ .data = copy, .len = len }, &agent_out),
+          RGY_ERR_INVALID);
+      g_free (copy);
+    }
+  g_byte_array_append (bytes, (const guint8 *)"\xc0", 1);
+  assert_int_equal (rgy_agent_record_decode (borrow_ (bytes), &agent_out),
+                    RGY_ERR_INVALID);
+  assert_agent_equal_ (&agent, &agent_out);
+  g_byte_array_unref (bytes);
+  bytes = rgy_balancer_record_encode (&balancer);
+  for (len = 0; len < bytes->len; len++)
+    {
+      copy = g_memdup2 (bytes->data, len);
+      assert_int_equal (
+          rgy_balancer_record_decode (
+              (struct rgy_bytes){ .data = copy, .len = len }, &balancer_out),
+          RGY_ERR_INVALID);
+      g_free (copy);
+    }
+  assert_balancer_equal_ (&balancer, &balancer_out);
+  g_byte_array_unref (bytes);
+}
+
+/* Random damage must never crash the decoder or yield a record that breaks
+   its own rules.  */
+static void
+damaged_records_are_safe_ (void **state)
+{
+  struct rgy_agent_record agent = sample_agent_ ();
+  struct rgy_balancer_record balancer = sample_balancer_ ();
+  struct rgy_agent_record agent_out;
+  struct rgy_balancer_record balancer_out;
+  GByteArray *good[2];
+  uint8_t *copy;
+  GRand *rand;
+  guint32 seed;
+  unsigned changes;
+  unsigned i;
+  size_t len;
+
+  (void)state;
+  good[0] = rgy_agent_record_encode (&agent);
+  good[1] = rgy_balancer_record_encode (&balancer);
+  for (seed = 1; seed <= 4000; seed++)
+    {
+      rand = g_rand_new_with_seed (seed);
+      len = good[seed % 2]->len;
+      copy = g_memdup2 (good[seed % 2]->data, len);
+      changes = (unsigned)g_rand_int_range (rand, 1, 5);
+      for (i = 0; i < changes; i++)
+        copy[g_rand_int_range (rand, 0, (gint32)len)]
+            = (uint8_t)g_rand_int (rand);
+      if (rgy_agent_record_decode (
+              (struct rgy_bytes){ .data = copy, .len = len }, &agent_out)
+          == RGY_OK)
+        {
+          assert_in_range (agent_out.id.len, 1, RGY_NAME_MAX_BYTES);
+          assert_in_range (agent_out.state, 0, RGY_MEMBER_STATE_COUNT - 1);
+          assert_int_equal (agent_out.state == RGY_MEMBER_DEAD,
+                            agent_out.sequence % 2);
+        }
+      if (rgy_balancer_record_decode (
+              (struct rgy_bytes){ .data = copy, .len = len }, &balancer_out)
+          == RGY_OK)
+        {
+          assert_in_range (balancer_out.id.len, 1, RGY_NAME_MAX_BYTES);
+          assert_in_range (balancer_out.state, 0, RGY_MEMBER_STATE_COUNT - 1);
+          assert_in_range (balancer_out.demand_count, 0, RGY_DEMAND_MAX);
+        }
+      g_free (copy);
+      g_rand_free (rand);
+    }
+  g_byte_array_unref (good[0]);
+  g_byte_array_unref (good[1]);
+}
+
+/* A few bytes that claim a huge array, map or string must not make the
+   decoder allocate it.  */
+static void
+huge_claims_are_rejected_ (void **state)
+{
+  static const struct
+  {
+    const char *bytes;
+    size_t len;
+  } claims[] = {
+    { "\xdd\xff\xff\xff\xff", 5 },
+    { "\xdf\xff\xff\xff\xff", 5 },
+    { "\xdb\xff\xff\xff\xff", 5 },
+    { "\xc6\xff\xff\xff\xff", 5 },
+    { "\xc9\xff\xff\xff\xff\x01", 6 },
+    { "\xdc\xff\xff\x01", 4 },
+    { "\x91\xdd\x0f\xff\xff\xff\x01", 7 },
+    { "\xc1", 1 },
+    { "\xc7\x00", 2 },
+    { "\x9f\xdf\x80\x00\x00\x00", 6 },
+  };
+  struct rgy_agent_record record;
+  uint8_t deep[512];
+  size_t i;
+
+  (void)state;
+  for (i = 0; i < G_N_ELEMENTS (claims); i++)
+    assert_int_equal (
+        rgy_agent_record_decode (
+            (struct rgy_bytes){ .data = (const uint8_t *)claims[i].bytes,
+                                .len = claims[i].len },
+            &record),
+        RGY_ERR_INVALID);
+  memset (deep, 0x91, sizeof deep);
+  deep[sizeof deep - 1] = 0x90;
+  assert_int_equal (
+      rgy_agent_record_decode (
+          (struct rgy_bytes){ .data = deep, .len = sizeof deep }, &record),
+      RGY_ERR_INVALID);
+}
+
+/* Values that no member writes must not enter the blackboard.  */
+static void
+contradictory_records_are_rejected_ (void **state)
+{
+  struct rgy_agent_record record = sample_agent_ ();
+  struct rgy_agent_record out;
+  struct rgy_agent_record bad[6];
+  enum rgy_outcome expected[G_N_ELEMENTS (bad)];
+  GByteArray *bytes;
+  size_t i;
+
+  (void)state;
+  for (i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      bad[i] = record;
+      expected[i] = RGY_ERR_INVALID;
+    }
+  bad[0].state = RGY_MEMBER_STATE_COUNT;
+  expected[0] = RGY_ERR_UNSUPPORTED;
+  bad[1].state = RGY_MEMBER_DEAD; /* With an even sequence.  */
+  bad[2].sequence = 5;            /* Odd, but not dead.  */
+  memset (&bad[3].domain, 0, sizeof bad[3].domain);
+  bad[4].endpoint.port = 0;
+  bad[5].service = (struct rgy_endpoint){ 0 };
+  for (i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      bytes = rgy_agent_record_encode (&bad[i]);
+      assert_int_equal (rgy_agent_record_decode (borrow_ (bytes), &out),
+                        expected[i]);
+      g_byte_array_unref (bytes);
+    }
+}
+
+/* During an upgrade a newer process appends fields; an older one must still
+   read the record.  */
+static void
+trailing_elements_are_ignored_ (void **state)
+{
+  struct rgy_agent_record agent = sample_agent_ ();
+  struct rgy_balancer_record balancer = sample_balancer_ ();
+  struct rgy_agent_record agent_out;
+  struct rgy_balancer_record balancer_out;
+  GByteArray *bytes;
+
+  (void)state;
+  bytes = rgy_agent_record_encode (&agent);
+  assert_int_equal (bytes->data[0] & 0xf0, 0x90);
+  bytes->data[0] += 2;
+  g_byte_array_append (bytes, (const guint8 *)"\xa3new\x93\x01\x02\x03", 8);
+  assert_int_equal (rgy_agent_record_decode (borrow_ (bytes), &agent_out),
+                    RGY_OK);
+  assert_agent_equal_ (&agent, &agent_out);
+  g_byte_array_unref (bytes);
+  bytes = rgy_balancer_record_encode (&balancer);
+  assert_int_equal (bytes->data[0] & 0xf0, 0x90);
+  bytes->data[0] += 1;
+  g_byte_array_append (bytes, (const guint8 *)"\x81\x01\xc3", 3);
+  assert_int_equal (
+      rgy_balancer_record_decode (borrow_ (bytes), &balancer_out), RGY_OK);
+  assert_balancer_equal_ (&balancer, &balancer_out);
+  g_byte_array_unref (bytes);
+}
+
+static int
+append_ (void *data, const char *bytes, size_t len)
+{
+  g_byte_array_append (data, (const guint8 *)bytes, (guint)len);
+  return 0;
+}
+
+static void
+pack_text_ (msgpack_packer *pk, const char *text)
+{
+  msgpack_pack_str (pk, strlen (text));
+  msgpack_pack_str_body (pk, text, strlen (text));
+}
+
+/* Encodes a balancer record with lists of any length.  */
+static GByteArray *
+encode_lists_ (uint32_t lagging_count, unsigned names, unsigned demands)
+{
+  GByteArray *bytes = g_byte_array_new ();
+  msgpack_packer pk;
+  unsigned i;
+
+  msgpack_packer_init (&pk, bytes, append_);
+  msgpack_pack_array (&pk, 12);
+  pack_text_ (&pk, "balancer-1");
+  msgpack_pack_uint64 (&pk, 1);
+  msgpack_pack_uint64 (&pk, 2);
+  msgpack_pack_uint64 (&pk, RGY_MEMBER_READY);
+  pack_text_ (&pk, "cxs-c");
+  msgpack_pack_uint64 (&pk, UINT64_C (0x7f0000010001));
+  msgpack_pack_uint64 (&pk, 0);
+  msgpack_pack_uint64 (&pk, 0);
+  msgpack_pack_uint64 (&pk, 0);
+  msgpack_pack_uint64 (&pk, lagging_count);
+  msgpack_pack_array (&pk, names);
+  for (i = 0; i < names; i++)
+    pack_text_ (&pk, numbered_name_ ("agent", i).data);
+  msgpack_pack_array (&pk, demands);
+  for (i = 0; i < demands; i++)
+    {
+      msgpack_pack_array (&pk, 2);
+      pack_text_ (&pk, numbered_name_ ("customer", i).data);
+      msgpack_pack_uint64 (&pk, i);
+    }
+  return bytes;
+}
+
+/* Lists longer than the record's arrays must not be written past their
+   end.  */
+static void
+long_lists_are_bounded_ (void **state)
+{
+  struct rgy_balancer_record record;
+  struct rgy_name name;
+  GByteArray *bytes;
+
+  (void)state;
+  bytes = encode_lists_ (1000, 100, 100);
+  assert_int_equal (rgy_balancer_record_decode (borrow_ (bytes), &record),
+                    RGY_OK);
+  g_byte_array_unref (bytes);
+  assert_int_equal (record.lagging_count, 1000);
+  name = numbered_name_ ("agent", RGY_LAGGING_NAMES_MAX - 1);
+  assert_true (
+      rgy_name_equal (&record.lagging[RGY_LAGGING_NAMES_MAX - 1], &name));
+  assert_int_equal (record.demand_count, RGY_DEMAND_MAX);
+  /* More names than lagging agents.  */
+  bytes = encode_lists_ (1, 2, 0);
+  assert_int_equal (rgy_balancer_record_decode (borrow_ (bytes), &record),
+                    RGY_ERR_INVALID);
+  g_byte_array_unref (bytes);
+}
+
+/* Rendezvous choice.  */
+
+/* Processes that list the members in another order must choose the same ones,
+   and the loss of one member must move only what it had.  */
+static void
+choice_depends_only_on_the_set_ (void **state)
+{
+  enum
+  {
+    MEMBERS = 20,
+    SUBJECTS = 2000,
+    WANTED = 3
+  };
+  struct rgy_name members[MEMBERS];
+  struct rgy_name reversed[MEMBERS];
+  unsigned load[MEMBERS] = { 0 };
+  size_t chosen[WANTED];
+  size_t other[WANTED];
+  struct rgy_name subject;
+  unsigned i;
+  unsigned k;
+  unsigned n;
+
+  (void)state;
+  for (i = 0; i < MEMBERS; i++)
+    {
+      members[i] = numbered_name_ ("balancer", i);
+      reversed[MEMBERS - 1 - i] = members[i];
+    }
+  for (i = 0; i < SUBJECTS; i++)
+    {
+      subject = numbered_name_ ("agent", i);
+      assert_int_equal (
+          rgy_member_choose (&subject, members, MEMBERS, WANTED, chosen),
+          WANTED);
+      assert_int_equal (
+          rgy_member_choose (&subject, reversed, MEMBERS, WANTED, other),
+          WANTED);
+      for (k = 0; k < WANTED; k++)
+        {
+          load[chosen[k]]++;
+          assert_int_equal (chosen[k], MEMBERS - 1 - other[k]);
+        }
+      assert_true (chosen[0] != chosen[1] && chosen[1] != chosen[2]
+                   && chosen[0] != chosen[2]);
+      /* Without the last member, the others keep their order.  */
+      rgy_member_choose (&subject, members, MEMBERS - 1, WANTED, other);
+      n = 0;
+      for (k = 0; k < WANTED; k++)
+        if (chosen[k] != MEMBERS - 1)
+          assert_int_equal (other[n++], chosen[k]);
+    }
+  for (i = 0; i < MEMBERS; i++)
+    assert_in_range (load[i], SUBJECTS * WANTED / MEMBERS * 7 / 10,
+                     SUBJECTS * WANTED / MEMBERS * 13 / 10);
+}
+
+/* Fewer members than wanted, or none, must not read past the list.  */
+static void
+choice_of_few_members_ (void **state)
+{
+  struct rgy_name members[] = { rgy_name_from_c ("a"), rgy_name_from_c ("b") };
+  struct rgy_name subject = rgy_name_from_c ("agent");
+  size_t chosen[3];
+
+  (void)state;
+  assert_int_equal (rgy_member_choose (&subject, members, 2, 3, chosen), 2);
+  assert_int_equal (chosen[0] + chosen[1], 1);
+  assert_int_equal (rgy_member_choose (&subject, members, 0, 3, chosen), 0);
+  assert_int_equal (rgy_member_choose (&subject, members, 2, 0, chosen), 0);
+}
+
+/* Liveness.  */
+
+#define TICK_US (100 * RGY_US_PER_MS)
+#define FLEET_MAX 30
+
+/* Members that send a heartbeat every second while they are up.  */
+struct fleet_
+{
+  struct rgy_liveness *liveness;
+  struct rgy_name ids[FLEET_MAX];
+  bool up[FLEET_MAX];
+  int64_t phase_us[FLEET_MAX];
+  unsigned count;
+  int64_t now_us;
+  /* Events seen.  */
+  unsigned cuts;
+  unsigned uncuts;
+  unsigned probes[FLEET_MAX];
+  unsigned deaths[FLEET_MAX];
+  int64_t probed_us[FLEET_MAX];
+  int64_t dead_us[FLEET_MAX];
+};
+
+static void
+fleet_init_ (struct fleet_ *f, unsigned count, guint32 seed)
+{
+  GRand *rand = g_rand_new_with_seed (seed);
+  unsigned i;
+
+  memset (f, 0, sizeof *f);
+  f->liveness = rgy_liveness_new (&rgy_liveness_defaults);
+  f->count = count;
+  f->now_us = 1000 * RGY_US_PER_S;
+  for (i = 0; i < count; i++)
+    {
+      f->ids[i] = numbered_name_ ("agent", i);
+      f->up[i] = true;
+      f->phase_us[i] = g_rand_int_range (rand, 0, 10) * TICK_US;
+      rgy_liveness_heard (f->liveness, &f->ids[i], f->now_us);
+    }
+  g_rand_free (rand);
+}
+
+static unsigned
+fleet_index_ (const struct fleet_ *f, const struct rgy_name *id)
+{
+  unsigned i;
+
+  for (i = 0; i < f->count; i++)
+    if (rgy_name_equal (&f->ids[i], id))
+      return i;
+  fail_msg ("event for an unknown member %s", id->data);
+  return 0;
+}
+
+static void
+fleet_drain_events_ (struct fleet_ *f)
+{
+  struct rgy_liveness_event event;
+  unsigned i;
+
+  while (rgy_liveness_next (f->liveness, f->now_us, &event))
+    switch (event.kind)
+      {
+      case RGY_LIVENESS_PROBE:
+        i = fleet_index_ (f, &event.id);
+        f->probes[i]++;
+        f->probed_us[i] = f->now_us;
+        /* A member that is up answers the probe at once.  */
+        if (f->up[i])
+          rgy_liveness_heard (f->liveness, &f->ids[i], f->now_us);
+        break;
+      case RGY_LIVENESS_DEAD:
+        i = fleet_index_ (f, &event.id);
+        f->deaths[i]++;
+        f->dead_us[i] = f->now_us;
+        assert_false (rgy_liveness_is_cut (f->liveness));
+        assert_false (rgy_liveness_is_watched (f->liveness, &event.id));
+        break;
+      case RGY_LIVENESS_CUT:
+        f->cuts++;
+        assert_true (rgy_liveness_is_cut (f->liveness));
+        break;
+      case RGY_LIVENESS_UNCUT:
+        f->uncuts++;
+        assert_false (rgy_liveness_is_cut (f->liveness));
+        break;
+      }
+}
+
+static void
+fleet_run_ (struct fleet_ *f, int64_t duration_us)
+{
+  int64_t end_us = f->now_us + duration_us;
+  unsigned i;
+
+  while (f->now_us < end_us)
+    {
+      f->now_us += TICK_US;
+      for (i = 0; i < f->count; i++)
+        if (f->up[i] && f->now_us % RGY_US_PER_S == f->phase_us[i])
+          rgy_liveness_heard (f->liveness, &f->ids[i], f->now_us);
+      fleet_drain_events_ (f);
+    }
+}
+
+static void
+fleet_set_up_ (struct fleet_ *f, unsigned from, unsigned to, bool up)
+{
+  unsigned i;
+
+  for (i = from; i < to; i++)
+    f->up[i] = up;
+}
+
+static unsigned
+fleet_death_count_ (const struct fleet_ *f)
+{
+  unsigned count = 0;
+  unsigned i;
+
+  for (i = 0; i < f->count; i++)
+    count += f->deaths[i];
+  return count;
+}
+
+/* A dead agent must be noticed within about 3 s, one with heartbeats never
+   be probed, and none be declared dead before its probe had its time.  */
+static void
+silent_member_is_probed_then_dead_ (void **state)
+{
+  struct fleet_ f;
+  int64_t silent_us;
+  unsigned i;
+
+  (void)state;
+  fleet_init_ (&f, 10, 1);
+  fleet_run_ (&f, 60 * RGY_US_PER_S);
+  for (i = 0; i < f.count; i++)
+    assert_int_equal (f.probes[i], 0);
+  f.up[4] = false;
+  silent_us = f.now_us;
+  fleet_run_ (&f, 10 * RGY_US_PER_S);
+  assert_int_equal (f.probes[4], 1);
+  assert_int_equal (f.deaths[4], 1);
+  assert_int_equal (fleet_death_count_ (&f), 1);
+  assert_true (f.dead_us[4] - f.probed_us[4] == RGY_US_PER_S);
+  assert_true (f.dead_us[4] - silent_us <= 3 * RGY_US_PER_S);
+  assert_true (f.dead_us[4] - silent_us >= 2 * RGY_US_PER_S);
+  assert_int_equal (f.cuts, 0);
+  rgy_liveness_delete (f.liveness);
+}
+
+/* A member that lost heartbeats but answers its probe must stay alive.  */
+static void
+answered_probe_prevents_death_ (void **state)
+{
+  struct rgy_liveness *liveness = rgy_liveness_new (&rgy_liveness_defaults);
+  struct rgy_name id = rgy_name_from_c ("agent");
+  struct rgy_liveness_event event;
+  int64_t t = 5 * RGY_US_PER_S;
+
+  (void)state;
+  rgy_liveness_heard (liveness, &id, t);
+  assert_false (rgy_liveness_next (liveness, t + 1999999, &event));
+  assert_true (rgy_liveness_next (liveness, t + 2000000, &event));
+  assert_int_equal (event.kind, RGY_LIVENESS_PROBE);
+  assert_false (rgy_liveness_next (liveness, t + 2999999, &event));
+  rgy_liveness_heard (liveness, &id, t + 2999999);
+  assert_false (rgy_liveness_next (liveness, t + 3000000, &event));
+  /* A late report of an earlier message must not make it silent.  */
+  rgy_liveness_heard (liveness, &id, t);
+  assert_false (rgy_liveness_next (liveness, t + 4999998, &event));
+  assert_true (rgy_liveness_next (liveness, t + 4999999, &event));
+  assert_int_equal (event.kind, RGY_LIVENESS_PROBE);
+  rgy_liveness_delete (liveness);
+}
+
+/* A balancer that was itself paused finds all silences long expired; the
+   members must still get their probe and its time.  */
+static void
+long_pause_gives_probes_first_ (void **state)
+{
+  struct fleet_ f;
+  unsigned i;
+
+  (void)state;
+  /* Three members are below the minimum of the cut protection.  */
+  fleet_init_ (&f, 3, 1);
+  fleet_run_ (&f, 5 * RGY_US_PER_S);
+  f.now_us += 600 * RGY_US_PER_S;
+  fleet_drain_events_ (&f);
+  fleet_run_ (&f, 5 * RGY_US_PER_S);
+  for (i = 0; i < f.count; i++)
+    assert_int_equal (f.probes[i], 1);
+  assert_int_equal (fleet_death_count_ (&f), 0);
+  rgy_liveness_delete (f.liveness);
+}
+
+/* A dead member that comes back must be watched again, and its death must no
+   longer count towards a cut.  */
+static void
+dead_member_comes_back_ (void **state)
+{
+  struct fleet_ f;
+
+  (void)state;
+  fleet_init_ (&f, 8, 2);
+  fleet_set_up_ (&f, 0, 4, false);
+  fleet_run_ (&f, 5 * RGY_US_PER_S);
+  assert_int_equal (fleet_death_count_ (&f), 4);
+  assert_int_equal (f.cuts, 0);
+  assert_false (rgy_liveness_is_watched (f.liveness, &f.ids[0]));
+  fleet_set_up_ (&f, 0, 4, true);
+  fleet_run_ (&f, 2 * RGY_US_PER_S);
+  assert_true (rgy_liveness_is_watched (f.liveness, &f.ids[0]));
+  /* Within the window of the first deaths.  */
+  f.up[7] = false;
+  fleet_run_ (&f, 4 * RGY_US_PER_S);
+  assert_int_equal (f.cuts, 0);
+  assert_int_equal (f.deaths[7], 1);
+  f.up[0] = false;
+  fleet_run_ (&f, 4 * RGY_US_PER_S);
+  assert_int_equal (f.deaths[0], 2);
+  rgy_liveness_delete (f.liveness);
+}
+
+/* A member that left gracefully is not silent.  */
+static void
+removed_member_is_not_watched_ (void **state)
+{
+  struct fleet_ f;
+
+  (void)state;
+  fleet_init_ (&f, 5, 3);
+  f.up[2] = false;
+  rgy_liveness_remove (f.liveness, &f.ids[2]);
+  fleet_run_ (&f, 10 * RGY_US_PER_S);
+  assert_int_equal (f.probes[2], 0);
+  assert_int_equal (fleet_death_count_ (&f), 0);
+  rgy_liveness_delete (f.liveness);
+}
+
+/* A balancer cut off from the network must not declare all agents dead, for
+   as long as the cut lasts, and must recover when it ends.  */
+static void
+cut_declares_nobody_dead_ (void **state)
+{
+  struct fleet_ f;
+  guint32 seed;
+  unsigned lost;
+
+  (void)state;
+  for (seed = 1; seed <= SEED_COUNT; seed++)
+    for (lost = 6; lost <= 10; lost += 2)
+      {
+        fleet_init_ (&f, 10, seed);
+        fleet_run_ (&f, 5 * RGY_US_PER_S);
+        fleet_set_up_ (&f, 0, lost, false);
+        fleet_run_ (&f, 600 * RGY_US_PER_S);
+        assert_int_equal (f.cuts, 1);
+        assert_int_equal (f.uncuts, 0);
+        assert_int_equal (fleet_death_count_ (&f), 0);
+        /* Members that speak only when asked must be able to return.  */
+        assert_true (f.probed_us[0] > f.now_us - 5 * RGY_US_PER_S);
+        fleet_set_up_ (&f, 0, lost, true);
+        fleet_run_ (&f, 20 * RGY_US_PER_S);
+        assert_int_equal (f.cuts, 1);
+        assert_int_equal (f.uncuts, 1);
+        assert_int_equal (fleet_death_count_ (&f), 0);
+        rgy_liveness_delete (f.liveness);
+      }
+}
+
+/* Members still silent when the share falls may only have heard no probe;
+   they must get a fresh one before they are declared dead.  */
+static void
+uncut_probes_before_death_ (void **state)
+{
+  struct fleet_ f;
+  unsigned before[2];
+  unsigned i;
+
+  (void)state;
+  fleet_init_ (&f, 10, 4);
+  fleet_run_ (&f, 5 * RGY_US_PER_S);
+  fleet_set_up_ (&f, 0, 10, false);
+  fleet_run_ (&f, 30 * RGY_US_PER_S);
+  assert_int_equal (f.cuts, 1);
+  for (i = 0; i < 2; i++)
+    before[i] = f.probes[i];
+  for (i = 2; i < 10; i++)
+    {
+      f.up[i] = true;
+      rgy_liveness_heard (f.liveness, &f.ids[i], f.now_us);
+    }
+  /* In the same instant: the end of the cut and two fresh probes.  */
+  fleet_drain_events_ (&f);
+  assert_int_equal (f.uncuts, 1);
+  for (i = 0; i < 2; i++)
+    {
+      assert_int_equal (f.probes[i], before[i] + 1);
+      assert_true (f.probed_us[i] == f.now_us);
+    }
+  assert_int_equal (fleet_death_count_ (&f), 0);
+  /* Member 0 answers the fresh probe, member 1 does not.  */
+  f.up[0] = true;
+  rgy_liveness_heard (f.liveness, &f.ids[0], f.now_us);
+  fleet_run_ (&f, 3 * RGY_US_PER_S);
+  assert_int_equal (f.deaths[0], 0);
+  assert_int_equal (f.deaths[1], 1);
+  assert_true (f.dead_us[1] - f.probed_us[1] == RGY_US_PER_S);
+  assert_int_equal (fleet_death_count_ (&f), 1);
+  rgy_liveness_delete (f.liveness);
+}
+
+/* A network that fails piece by piece within the window is a cut too.  */
+static void
+deaths_within_the_window_count_ (void **state)
+{
+  struct fleet_ f;
+
+  (void)state;
+  fleet_init_ (&f, 10, 5);
+  fleet_run_ (&f, 5 * RGY_US_PER_S);
+  fleet_set_up_ (&f, 0, 3, false);
+  fleet_run_ (&f, 4 * RGY_US_PER_S);
+  assert_int_equal (fleet_death_count_ (&f), 3);
+  fleet_set_up_ (&f, 3, 6, false);
+  fleet_run_ (&f, 4 * RGY_US_PER_S);
+  assert_int_equal (f.cuts, 1);
+  assert_int_equal (fleet_death_count_ (&f), 3);
+  /* After the window 3 of 7 are silent, which is no cut.  */
+  fleet_run_ (&f, 20 * RGY_US_PER_S);
+  assert_int_equal (f.uncuts, 1);
+  assert_int_equal (fleet_death_count_ (&f), 6);
+  rgy_liveness_delete (f.liveness);
+}
+
+/* Deaths far apart must not add up to a cut: otherwise dead agents stay in
+   the tables.  */
+static void
+deaths_outside_the_window_do_not_count_ (void **state)
+{
+  struct fleet_ f;
+  unsigned i;
+
+  (void)state;
+  fleet_init_ (&f, 12, 6);
+  for (i = 0; i < 8; i++)
+    {
+      f.up[i] = false;
+      fleet_run_ (&f, 15 * RGY_US_PER_S);
+      assert_int_equal (fleet_death_count_ (&f), i + 1);
+    }
+  assert_int_equal (f.cuts, 0);
+  rgy_liveness_delete (f.liveness);
+}
+
+/* Exactly half is not more than half, and a group below the minimum has no
+   cut protection.  */
+static void
+cut_limits_are_exact_ (void **state)
+{
+  struct fleet_ f;
+
+  (void)state;
+  fleet_init_ (&f, 4, 7);
+  fleet_set_up_ (&f, 0, 2, false);
+  fleet_run_ (&f, 5 * RGY_US_PER_S);
+  assert_int_equal (f.cuts, 0);
+  assert_int_equal (fleet_death_count_ (&f), 2);
+  rgy_liveness_delete (f.liveness);
+  fleet_init_ (&f, 4, 7);
+  fleet_set_up_ (&f, 0, 3, false);
+  fleet_run_ (&f, 5 * RGY_US_PER_S);
+  assert_int_equal (f.cuts, 1);
+  assert_int_equal (fleet_death_count_ (&f), 0);
+  rgy_liveness_delete (f.liveness);
+  fleet_init_ (&f, 3, 7);
+  fleet_set_up_ (&f, 0, 3, false);
+  fleet_run_ (&f, 5 * RGY_US_PER_S);
+  assert_int_equal (f.cuts, 0);
+  assert_int_equal (fleet_death_count_ (&f), 3);
+  rgy_liveness_delete (f.liveness);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (records_round_trip_),
+    cmocka_unit_test (truncated_records_are_rejected_),
+    cmocka_unit_test (damaged_records_are_safe_),
+    cmocka_unit_test (huge_claims_are_rejected_),
+    cmocka_unit_test (contradictory_records_are_rejected_),
+    cmocka_unit_test (trailing_elements_are_ignored_),
+    cmocka_unit_test (long_lists_are_bounded_),
+    cmocka_unit_test (choice_depends_only_on_the_set_),
+    cmocka_unit_test (choice_of_few_members_),
+    cmocka_unit_test (silent_member_is_probed_then_dead_),
+    cmocka_unit_test (answered_probe_prevents_death_),
+    cmocka_unit_test (long_pause_gives_probes_first_),
+    cmocka_unit_test (dead_member_comes_back_),
+    cmocka_unit_test (removed_member_is_not_watched_),
+    cmocka_unit_test (cut_declares_nobody_dead_),
+    cmocka_unit_test (uncut_probes_before_death_),
+    cmocka_unit_test (deaths_within_the_window_count_),
+    cmocka_unit_test (deaths_outside_the_window_do_not_count_),
+    cmocka_unit_test (cut_limits_are_exact_),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
