--- a/include/ragwortyoke/contract.h
+++ b/include/ragwortyoke/contract.h
@@ -86,8 +86,10 @@
 struct rgy_contract_set *rgy_contract_set_new (void);
 void rgy_contract_set_delete (struct rgy_contract_set *set);
 
-/** Add or replace a contract; takes ownership also on failure.
-    @return RGY_OK or RGY_ERR_STALE (a newer revision is in force).  */
+/** Add or replace a contract; takes ownership also on failure.  Pointers to
+    the replaced contract become invalid.
+    @return RGY_OK or RGY_ERR_STALE (a newer revision is in force, or the
+    customer was removed at this or a newer revision).  */
 enum rgy_outcome rgy_contract_set_put (struct rgy_contract_set *set,
                                        struct rgy_contract *contract);
 
@@ -102,7 +104,8 @@
 size_t rgy_contract_set_get_count (const struct rgy_contract_set *set);
 
 /** Contract and service that cover a packet.  When prefixes of two customers
-    match, the longest wins.
+    match, the longest wins; when both have the same prefix, the customer
+    whose name is lower.
     @return RGY_OK, or RGY_ERR_NOT_FOUND with *service NULL when no contract
     names the address and non-NULL when only the caller is unknown.  */
 enum rgy_outcome
