--- /dev/null
+++ b/src/test_counter/test_counter.c
@@ -0,0 +1,96 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "ragwortyoke/counter.h"
+
+/* A value that moves when others are registered would be written through a
+   stale pointer.  */
+static void
+addresses_stay_valid_ (void **state)
+{
+  struct rgy_counters *counters = rgy_counters_new ();
+  uint64_t *first = rgy_counters_add (counters, "dropped", NULL, "Drops.");
+  char label[32];
+  int i;
+
+  (void)state;
+  *first = 7;
+  for (i = 0; i < 1000; i++)
+    {
+      snprintf (label, sizeof label, "reason=\"r%d\"", i);
+      *rgy_counters_add (counters, "refused", label, "Refusals.")
+          = (uint64_t)i;
+    }
+  ++*first;
+  assert_int_equal (rgy_counters_get (counters, "dropped", NULL), 8);
+  assert_int_equal (rgy_counters_get (counters, "refused", "reason=\"r999\""),
+                    999);
+  rgy_counters_delete (counters);
+}
+
+/* A second registration must not reset or split a value; labels are copied,
+   so the caller may reuse its buffer.  */
+static void
+registration_finds_existing_value_ (void **state)
+{
+  struct rgy_counters *counters = rgy_counters_new ();
+  char label[] = "reason=\"deadline\"";
+  uint64_t *value = rgy_counters_add (counters, "refused", label, "Refusals.");
+
+  (void)state;
+  *value = 3;
+  label[0] = 'x';
+  assert_ptr_equal (rgy_counters_add (counters, "refused",
+                                      "reason=\"deadline\"", "Refusals."),
+                    value);
+  assert_int_equal (
+      rgy_counters_get (counters, "refused", "reason=\"deadline\""), 3);
+  assert_int_equal (rgy_counters_get (counters, "refused", NULL), 0);
+  assert_int_equal (rgy_counters_get (counters, "unknown", NULL), 0);
+  rgy_counters_delete (counters);
+}
+
+/* Scrapers reject a name whose samples are not in one group under one HELP
+   and TYPE line.  */
+static void
+format_groups_samples_of_a_name_ (void **state)
+{
+  struct rgy_counters *counters = rgy_counters_new ();
+  char *text;
+
+  (void)state;
+  *rgy_counters_add (counters, "refused", "reason=\"a\"", "Refusals.") = 1;
+  *rgy_counters_add_gauge (counters, "flows", NULL, "Open flows.")
+      = UINT64_MAX;
+  *rgy_counters_add (counters, "refused", "reason=\"b\"", "Refusals.") = 2;
+  text = rgy_counters_format (counters);
+  assert_string_equal (text, "# HELP ragwortyoke_refused Refusals.\n"
+                             "# TYPE ragwortyoke_refused counter\n"
+                             "ragwortyoke_refused{reason=\"a\"} 1\n"
+                             "ragwortyoke_refused{reason=\"b\"} 2\n"
+                             "# HELP ragwortyoke_flows Open flows.\n"
+                             "# TYPE ragwortyoke_flows gauge\n"
+                             "ragwortyoke_flows 18446744073709551615\n");
+  g_free (text);
+  rgy_counters_delete (counters);
+  rgy_counters_delete (NULL);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (addresses_stay_valid_),
+    cmocka_unit_test (registration_finds_existing_value_),
+    cmocka_unit_test (format_groups_samples_of_a_name_),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
