Add settings of ragwortyoked from flags and environment

One table describes every setting, and flags, checks, messages, defaults and help text come from it. A rejected value is shown with what is allowed, except for secrets, of which only the length is shown. Addresses that other instances are told must not be 0.0.0.0.

--- /dev/null
+++ b/src/libragwortyoke-io/settings.c
@@ -0,0 +1,652 @@
+#include "ragwortyoke-io/settings.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#define PROGRAM "ragwortyoked"
+#define ENV_PREFIX "RAGWORTYOKE_"
+#define SHOWN_VALUE_MAX_BYTES 64
+#define STORE_MAX_ENDPOINTS 16
+#define TOKEN_MIN_BYTES 8
+#define TOKEN_MAX_BYTES 256
+#define DRAIN_TIMEOUT_MAX_MS 3600000
+
+const char *const rgy_role_string[] = {
+  [RGY_ROLE_BALANCER] = "balancer",
+  [RGY_ROLE_AGENT] = "agent",
+};
+#define ROLE_COUNT G_N_ELEMENTS (rgy_role_string)
+
+#define FOR_BALANCER (1U << RGY_ROLE_BALANCER)
+#define FOR_AGENT (1U << RGY_ROLE_AGENT)
+#define FOR_BOTH (FOR_BALANCER | FOR_AGENT)
+
+enum kind_
+{
+  KIND_NAME,
+  KIND_ENDPOINT, /* Sent to others or used as a destination.  */
+  KIND_BIND,     /* Only bound: 0.0.0.0 is allowed.  */
+  KIND_STORE,
+  KIND_SEEDS,
+  KIND_KEY,
+  KIND_TOKEN,
+  KIND_LEVEL,
+  KIND_NUMBER
+};
+
+struct setting_
+{
+  const char *name;
+  unsigned roles; /* Bit mask of FOR_*.  */
+  bool required;
+  enum kind_ kind;
+  size_t offset; /* Of the member of struct rgy_settings.  */
+  unsigned min;  /* KIND_NUMBER only, as the next two.  */
+  unsigned max;
+  unsigned default_of[ROLE_COUNT];
+  const char *argument;
+  const char *help;
+};
+
+#define AT(member) .offset = offsetof (struct rgy_settings, member)
+
+static const struct setting_ table_[] = {
+  { "id", FOR_BOTH, true, KIND_NAME, AT (id), .argument = "NAME",
+    .help = "unique name of this instance" },
+  { "domain", FOR_BOTH, true, KIND_NAME, AT (domain), .argument = "NAME",
+    .help = "failure domain of this instance" },
+  { "listen", FOR_BOTH, true, KIND_ENDPOINT, AT (listen),
+    .argument = "IP:PORT", .help = "UDP address for other instances" },
+  { "http", FOR_BOTH, true, KIND_BIND, AT (http), .argument = "IP:PORT",
+    .help = "TCP address of the HTTP endpoint" },
+  { "store", FOR_BOTH, true, KIND_STORE, AT (store),
+    .argument = "IP:PORT[,...]", .help = "key-value service" },
+  { "seeds", FOR_BOTH, false, KIND_SEEDS, AT (seeds),
+    .argument = "IP:PORT[,...]", .help = "--listen of some balancers" },
+  { "cluster-key", FOR_BOTH, true, KIND_KEY, AT (cluster_key),
+    .argument = "HEX", .help = "key shared by all instances" },
+  { "log-level", FOR_BOTH, false, KIND_LEVEL, AT (log_level),
+    .argument = "LEVEL", .help = "least severe messages to log" },
+  { "drain-timeout-ms", FOR_BOTH, false, KIND_NUMBER, AT (drain_timeout_ms),
+    .min = 0, .max = DRAIN_TIMEOUT_MAX_MS,
+    .default_of = { [RGY_ROLE_BALANCER] = 5000, [RGY_ROLE_AGENT] = 60000 },
+    .argument = "MS", .help = "longest graceful shutdown" },
+
+  { "fabric-listen", FOR_BALANCER, true, KIND_BIND, AT (fabric_listen),
+    .argument = "IP:PORT", .help = "UDP address for datagrams of the fabric" },
+  { "fabric", FOR_BALANCER, true, KIND_ENDPOINT, AT (fabric),
+    .argument = "IP:PORT", .help = "fabric address that responses go to" },
+  { "sync", FOR_BALANCER, true, KIND_ENDPOINT, AT (sync),
+    .argument = "IP:PORT", .help = "TCP address for bulk state transfer" },
+  { "operator-token", FOR_BALANCER, true, KIND_TOKEN, AT (operator_token),
+    .argument = "TEXT", .help = "token that operators' HTTP requests carry" },
+
+  { "service", FOR_AGENT, true, KIND_ENDPOINT, AT (service),
+    .argument = "IP:PORT", .help = "service address of the backend server" },
+  { "backend", FOR_AGENT, true, KIND_ENDPOINT, AT (backend),
+    .argument = "IP:PORT", .help = "UDP address of the backend server" },
+  { "slots", FOR_AGENT, false, KIND_NUMBER, AT (slots), .min = 1, .max = 1024,
+    .default_of = { [RGY_ROLE_AGENT] = 4 }, .argument = "N",
+    .help = "most requests in execution" },
+  { "connections", FOR_AGENT, false, KIND_NUMBER, AT (connections), .min = 1,
+    .max = 65536, .default_of = { [RGY_ROLE_AGENT] = 2000 }, .argument = "N",
+    .help = "most open flows" },
+  { "queue", FOR_AGENT, false, KIND_NUMBER, AT (queue), .min = 0, .max = 1024,
+    .default_of = { [RGY_ROLE_AGENT] = 16 }, .argument = "N",
+    .help = "most requests waiting for a slot" },
+  { "deadline-ms", FOR_AGENT, false, KIND_NUMBER, AT (deadline_ms), .min = 1,
+    .max = 60000, .default_of = { [RGY_ROLE_AGENT] = 2000 }, .argument = "MS",
+    .help = "deadline of requests that carry none" },
+  { "idle-timeout-s", FOR_AGENT, false, KIND_NUMBER, AT (idle_timeout_s),
+    .min = 1, .max = 604800, .default_of = { [RGY_ROLE_AGENT] = 86400 },
+    .argument = "S", .help = "flows idle for longer are forgotten" },
+};
+#define SETTING_COUNT G_N_ELEMENTS (table_)
+
+static const char *const levels_[]
+    = { "error", "warning", "info", "debug", NULL };
+#define DEFAULT_LEVEL "info"
+
+static void *
+member_ (struct rgy_settings *settings, const struct setting_ *s)
+{
+  return (char *)settings + s->offset;
+}
+
+static const void *
+const_member_ (const struct rgy_settings *settings, const struct setting_ *s)
+{
+  return (const char *)settings + s->offset;
+}
+
+static bool
+is_secret_ (const struct setting_ *s)
+{
+  return s->kind == KIND_KEY || s->kind == KIND_TOKEN;
+}
+
+static char *
+env_name_ (const struct setting_ *s)
+{
+  char *upper = g_ascii_strup (s->name, -1);
+  char *name = g_strconcat (ENV_PREFIX, g_strdelimit (upper, "-", '_'), NULL);
+
+  g_free (upper);
+  return name;
+}
+
+/* What a value of the setting may be, for messages and help.  */
+static char *
+allowed_ (const struct setting_ *s)
+{
+  switch (s->kind)
+    {
+    case KIND_NAME:
+      return g_strdup_printf ("1 to %d characters from a-z, A-Z, 0-9, "
+                              "'-', '_' and '.'",
+                              RGY_NAME_MAX_BYTES);
+    case KIND_ENDPOINT:
+      return g_strdup ("A.B.C.D:PORT, not 0.0.0.0, port 1 to 65535");
+    case KIND_BIND:
+      return g_strdup ("A.B.C.D:PORT, port 1 to 65535");
+    case KIND_STORE:
+      return g_strdup_printf ("1 to %d different A.B.C.D:PORT, separated by "
+                              "commas",
+                              STORE_MAX_ENDPOINTS);
+    case KIND_SEEDS:
+      return g_strdup_printf ("1 to %d different A.B.C.D:PORT, separated by "
+                              "commas",
+                              RGY_SETTINGS_MAX_SEEDS);
+    case KIND_KEY:
+      return g_strdup_printf ("%d hexadecimal digits", 2 * RGY_WIRE_KEY_BYTES);
+    case KIND_TOKEN:
+      return g_strdup_printf ("%d to %d printable ASCII characters without "
+                              "spaces",
+                              TOKEN_MIN_BYTES, TOKEN_MAX_BYTES);
+    case KIND_LEVEL:
+      return g_strdup ("error, warning, info or debug");
+    case KIND_NUMBER:
+      return g_strdup_printf ("an integer from %u to %u", s->min, s->max);
+    }
+  g_assert_not_reached ();
+}
+
+/* Parses a list of at most MAX different endpoints.  */
+static enum rgy_outcome
+parse_list_ (const char *text, size_t max, struct rgy_endpoint *endpoints,
+             size_t *count)
+{
+  char **parts = g_strsplit (text, ",", -1);
+  enum rgy_outcome rc = RGY_ERR_INVALID;
+  size_t n = g_strv_length (parts);
+  size_t i;
+  size_t k;
+
+  if (n == 0 || n > max)
+    goto out;
+  for (i = 0; i < n; i++)
+    {
+      if (rgy_endpoint_parse (rgy_str_from_c (parts[i]), &endpoints[i])
+              != RGY_OK
+          || endpoints[i].ip == 0)
+        goto out;
+      for (k = 0; k < i; k++)
+        if (rgy_endpoint_equal (endpoints[k], endpoints[i]))
+          goto out;
+    }
+  *count = n;
+  rc = RGY_OK;
+
+out:
+  g_strfreev (parts);
+  return rc;
+}
+
+static enum rgy_outcome
+parse_key_ (const char *text, uint8_t *key)
+{
+  size_t i;
+
+  if (strlen (text) != (size_t)2 * RGY_WIRE_KEY_BYTES)
+    return RGY_ERR_INVALID;
+  for (i = 0; i < RGY_WIRE_KEY_BYTES; i++)
+    {
+      int high = g_ascii_xdigit_value (text[2 * i]);
+      int low = g_ascii_xdigit_value (text[2 * i + 1]);
+
+      if (high < 0 || low < 0)
+        return RGY_ERR_INVALID;
+      key[i] = (uint8_t)(high << 4 | low);
+    }
+  return RGY_OK;
+}
+
+static enum rgy_outcome
+check_token_ (const char *text)
+{
+  size_t len = strlen (text);
+  size_t i;
+
+  if (len < TOKEN_MIN_BYTES || len > TOKEN_MAX_BYTES)
+    return RGY_ERR_INVALID;
+  for (i = 0; i < len; i++)
+    if (!g_ascii_isgraph (text[i]))
+      return RGY_ERR_INVALID;
+  return RGY_OK;
+}
+
+static enum rgy_outcome
+parse_number_ (const struct setting_ *s, const char *text, unsigned *number)
+{
+  guint64 value = 0;
+
+  if (!g_ascii_string_to_unsigned (text, 10, s->min, s->max, &value, NULL))
+    return RGY_ERR_INVALID;
+  *number = (unsigned)value;
+  return RGY_OK;
+}
+
+static enum rgy_outcome
+parse_value_ (const struct setting_ *s, const char *text,
+              struct rgy_settings *settings)
+{
+  struct rgy_endpoint store[STORE_MAX_ENDPOINTS];
+  enum rgy_outcome rc = RGY_ERR_INVALID;
+  void *member = member_ (settings, s);
+  size_t count = 0;
+
+  switch (s->kind)
+    {
+    case KIND_NAME:
+      return rgy_name_set (member, rgy_str_from_c (text));
+    case KIND_ENDPOINT:
+    case KIND_BIND:
+      rc = rgy_endpoint_parse (rgy_str_from_c (text), member);
+      if (rc == RGY_OK && s->kind == KIND_ENDPOINT
+          && ((struct rgy_endpoint *)member)->ip == 0)
+        rc = RGY_ERR_INVALID;
+      return rc;
+    case KIND_SEEDS:
+      return parse_list_ (text, RGY_SETTINGS_MAX_SEEDS, member,
+                          &settings->seed_count);
+    case KIND_KEY:
+      return parse_key_ (text, member);
+    case KIND_NUMBER:
+      return parse_number_ (s, text, member);
+    case KIND_STORE:
+      rc = parse_list_ (text, STORE_MAX_ENDPOINTS, store, &count);
+      break;
+    case KIND_TOKEN:
+      rc = check_token_ (text);
+      break;
+    case KIND_LEVEL:
+      rc = g_strv_contains (levels_, text) ? RGY_OK : RGY_ERR_INVALID;
+      break;
+    }
+  if (rc == RGY_OK)
+    *(char **)member = g_strdup (text);
+  return rc;
+}
+
+static void set_error_ (struct rgy_check_error *error, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
+static void
+set_error_ (struct rgy_check_error *error, const char *format, ...)
+{
+  va_list ap;
+
+  va_start (ap, format);
+  g_vsnprintf (error->text, sizeof error->text, format, ap);
+  va_end (ap);
+}
+
+/* Value as shown in a message: escaped, shortened, and never a secret.  */
+static char *
+show_value_ (const struct setting_ *s, const char *text)
+{
+  char *escaped;
+  char *shown;
+
+  if (is_secret_ (s))
+    return g_strdup_printf ("(%zu characters)", strlen (text));
+  escaped = g_strescape (text, NULL);
+  if (strlen (escaped) > SHOWN_VALUE_MAX_BYTES)
+    shown = g_strdup_printf ("\"%.*s...\"", SHOWN_VALUE_MAX_BYTES, escaped);
+  else
+    shown = g_strdup_printf ("\"%s\"", escaped);
+  g_free (escaped);
+  return shown;
+}
+
+/* Sets one member from its flag, else from its environment variable, else to
+   its default.  An empty environment variable counts as not set.  */
+static enum rgy_outcome
+apply_ (const struct setting_ *s, const char *flag,
+        struct rgy_settings *settings, struct rgy_check_error *error)
+{
+  char *env = env_name_ (s);
+  char *allowed = allowed_ (s);
+  const char *text = flag != NULL ? flag : g_getenv (env);
+  enum rgy_outcome rc = RGY_OK;
+  char *shown;
+
+  if (flag == NULL && text != NULL && *text == '\0')
+    text = NULL;
+  if (text != NULL)
+    {
+      rc = parse_value_ (s, text, settings);
+      if (rc != RGY_OK)
+        {
+          shown = show_value_ (s, text);
+          set_error_ (error, "%s%s: %s: must be %s", flag != NULL ? "--" : "",
+                      flag != NULL ? s->name : env, shown, allowed);
+          g_free (shown);
+        }
+    }
+  else if (s->required)
+    {
+      set_error_ (error, "--%s (or %s): not set: must be %s", s->name, env,
+                  allowed);
+      rc = RGY_ERR_INVALID;
+    }
+  else if (s->kind == KIND_NUMBER)
+    *(unsigned *)member_ (settings, s) = s->default_of[settings->role];
+  else if (s->kind == KIND_LEVEL)
+    *(char **)member_ (settings, s) = g_strdup (DEFAULT_LEVEL);
+  g_free (env);
+  g_free (allowed);
+  return rc;
+}
+
+/* Two sockets of one process cannot share an address.  */
+static enum rgy_outcome
+check_sockets_ (const struct rgy_settings *settings,
+                struct rgy_check_error *error)
+{
+  char text[RGY_ENDPOINT_TEXT_BYTES];
+
+  if (settings->role != RGY_ROLE_BALANCER)
+    return RGY_OK;
+  if (rgy_endpoint_equal (settings->listen, settings->fabric_listen))
+    {
+      set_error_ (error, "--fabric-listen: \"%s\": must differ from --listen",
+                  rgy_endpoint_format (settings->fabric_listen, text));
+      return RGY_ERR_INVALID;
+    }
+  if (rgy_endpoint_equal (settings->http, settings->sync))
+    {
+      set_error_ (error, "--sync: \"%s\": must differ from --http",
+                  rgy_endpoint_format (settings->sync, text));
+      return RGY_ERR_INVALID;
+    }
+  return RGY_OK;
+}
+
+static char *
+describe_ (const struct setting_ *s, enum rgy_role role)
+{
+  char *env = env_name_ (s);
+  char *allowed = allowed_ (s);
+  GString *text = g_string_new (NULL);
+
+  g_string_append_printf (text, "%s; %s", s->help, allowed);
+  if (s->required)
+    g_string_append (text, "; required");
+  else if (s->kind == KIND_NUMBER)
+    g_string_append_printf (text, "; default %u", s->default_of[role]);
+  else if (s->kind == KIND_LEVEL)
+    g_string_append (text, "; default " DEFAULT_LEVEL);
+  g_string_append_printf (text, " [%s]", env);
+  g_free (env);
+  g_free (allowed);
+  return g_string_free (text, FALSE);
+}
+
+/* Flags of one role, as GLib wants them, and their values.  */
+struct flags_
+{
+  GOptionEntry entries[SETTING_COUNT + 4];
+  char *values[SETTING_COUNT];
+  char *descriptions[SETTING_COUNT];
+  gboolean check;
+  gboolean help;
+  gboolean version;
+};
+
+static void
+flags_init_ (struct flags_ *flags, enum rgy_role role)
+{
+  size_t n = 0;
+  size_t i;
+
+  memset (flags, 0, sizeof *flags);
+  for (i = 0; i < SETTING_COUNT; i++)
+    {
+      if ((table_[i].roles & 1U << role) == 0)
+        continue;
+      flags->descriptions[i] = describe_ (&table_[i], role);
+      flags->entries[n++]
+          = (GOptionEntry){ .long_name = table_[i].name,
+                            .arg = G_OPTION_ARG_STRING,
+                            .arg_data = &flags->values[i],
+                            .description = flags->descriptions[i],
+                            .arg_description = table_[i].argument };
+    }
+  flags->entries[n++]
+      = (GOptionEntry){ .long_name = "check",
+                        .arg_data = &flags->check,
+                        .description
+                        = "print the effective settings and exit" };
+  flags->entries[n++] = (GOptionEntry){ .long_name = "help",
+                                        .short_name = 'h',
+                                        .arg_data = &flags->help,
+                                        .description = "print this text" };
+  flags->entries[n++] = (GOptionEntry){ .long_name = "version",
+                                        .arg_data = &flags->version,
+                                        .description = "print the version" };
+}
+
+static void
+flags_finish_ (struct flags_ *flags)
+{
+  size_t i;
+
+  for (i = 0; i < SETTING_COUNT; i++)
+    {
+      g_free (flags->values[i]);
+      g_free (flags->descriptions[i]);
+    }
+}
+
+static enum rgy_outcome
+apply_flags_ (const struct flags_ *flags, struct rgy_settings *settings,
+              struct rgy_check_error *error)
+{
+  enum rgy_outcome rc = RGY_OK;
+  size_t i;
+
+  settings->check_only = flags->check;
+  for (i = 0; i < SETTING_COUNT && rc == RGY_OK; i++)
+    if ((table_[i].roles & 1U << settings->role) != 0)
+      rc = apply_ (&table_[i], flags->values[i], settings, error);
+  if (rc == RGY_OK)
+    rc = check_sockets_ (settings, error);
+  return rc;
+}
+
+static enum rgy_outcome
+parse_role_flags_ (int argc, char **argv, struct rgy_settings *settings,
+                   struct rgy_check_error *error)
+{
+  const char *role = rgy_role_string[settings->role];
+  char *program = g_strconcat (PROGRAM " ", role, NULL);
+  char *summary = g_strdup_printf (
+      "Each flag can be set by the environment variable in brackets; the flag "
+      "wins.\nPrefer the environment for secrets: flags are visible to other "
+      "users.");
+  GOptionContext *context = g_option_context_new (NULL);
+  char **args = g_new0 (char *, (gsize)argc);
+  struct flags_ flags;
+  enum rgy_outcome rc = RGY_ERR_INVALID;
+  GError *gerror = NULL;
+  char *text;
+  int i;
+
+  flags_init_ (&flags, settings->role);
+  args[0] = program;
+  for (i = 2; i < argc; i++)
+    args[i - 1] = g_strdup (argv[i]);
+  g_option_context_set_help_enabled (context, FALSE);
+  g_option_context_add_main_entries (context, flags.entries, NULL);
+  g_option_context_set_summary (context, summary);
+  g_set_prgname (PROGRAM);
+  if (!g_option_context_parse_strv (context, &args, &gerror))
+    {
+      set_error_ (error, "%s %s: %s", PROGRAM, role, gerror->message);
+      g_error_free (gerror);
+    }
+  else if (flags.help)
+    {
+      text = g_option_context_get_help (context, TRUE, NULL);
+      fputs (text, stdout);
+      g_free (text);
+      rc = RGY_ERR_UNSUPPORTED;
+    }
+  else if (flags.version)
+    {
+      puts (PROGRAM " " RGY_VERSION);
+      rc = RGY_ERR_UNSUPPORTED;
+    }
+  else if (args[1] != NULL)
+    set_error_ (error, "\"%.*s\": unexpected argument: only flags are allowed",
+                SHOWN_VALUE_MAX_BYTES, args[1]);
+  else
+    rc = apply_flags_ (&flags, settings, error);
+
+  g_strfreev (args);
+  g_free (summary);
+  g_option_context_free (context);
+  flags_finish_ (&flags);
+  return rc;
+}
+
+static void
+print_usage_ (void)
+{
+  puts ("Usage: " PROGRAM " balancer|agent [flags]\n"
+        "\n"
+        "  balancer   forward datagrams from the fabric to agents\n"
+        "  agent      hold the flows and requests of one backend server\n"
+        "\n"
+        "\"" PROGRAM " balancer --help\" and \"" PROGRAM
+        " agent --help\" list "
+        "the flags.\n"
+        "\"" PROGRAM " --version\" prints the version.");
+}
+
+enum rgy_outcome
+rgy_settings_parse (int argc, char **argv, struct rgy_settings *settings,
+                    struct rgy_check_error *error)
+{
+  const char *role = argc > 1 ? argv[1] : NULL;
+  enum rgy_outcome rc;
+
+  memset (settings, 0, sizeof *settings);
+  memset (error, 0, sizeof *error);
+  if (role == NULL)
+    {
+      set_error_ (error, "subcommand not set: must be balancer or agent");
+      return RGY_ERR_INVALID;
+    }
+  if (strcmp (role, "--help") == 0 || strcmp (role, "-h") == 0)
+    {
+      print_usage_ ();
+      return RGY_ERR_UNSUPPORTED;
+    }
+  if (strcmp (role, "--version") == 0)
+    {
+      puts (PROGRAM " " RGY_VERSION);
+      return RGY_ERR_UNSUPPORTED;
+    }
+  if (strcmp (role, rgy_role_string[RGY_ROLE_BALANCER]) == 0)
+    settings->role = RGY_ROLE_BALANCER;
+  else if (strcmp (role, rgy_role_string[RGY_ROLE_AGENT]) == 0)
+    settings->role = RGY_ROLE_AGENT;
+  else
+    {
+      set_error_ (error, "subcommand: \"%.*s\": must be balancer or agent",
+                  SHOWN_VALUE_MAX_BYTES, role);
+      return RGY_ERR_INVALID;
+    }
+  rc = parse_role_flags_ (argc, argv, settings, error);
+  if (rc != RGY_OK)
+    rgy_settings_finish (settings);
+  return rc;
+}
+
+void
+rgy_settings_finish (struct rgy_settings *settings)
+{
+  g_free (settings->store);
+  g_free (settings->log_level);
+  g_free (settings->operator_token);
+  memset (settings, 0, sizeof *settings);
+}
+
+static void
+format_value_ (GString *text, const struct setting_ *s,
+               const struct rgy_settings *settings)
+{
+  const void *member = const_member_ (settings, s);
+  char buf[RGY_ENDPOINT_TEXT_BYTES];
+  size_t i;
+
+  switch (s->kind)
+    {
+    case KIND_NAME:
+      g_string_append (text, ((const struct rgy_name *)member)->data);
+      return;
+    case KIND_ENDPOINT:
+    case KIND_BIND:
+      g_string_append (text, rgy_endpoint_format (
+                                 *(const struct rgy_endpoint *)member, buf));
+      return;
+    case KIND_SEEDS:
+      for (i = 0; i < settings->seed_count; i++)
+        g_string_append_printf (text, "%s%s", i > 0 ? "," : "",
+                                rgy_endpoint_format (settings->seeds[i], buf));
+      return;
+    case KIND_KEY:
+    case KIND_TOKEN:
+      g_string_append (text, "(set)");
+      return;
+    case KIND_STORE:
+    case KIND_LEVEL:
+      g_string_append (text, *(char *const *)member);
+      return;
+    case KIND_NUMBER:
+      g_string_append_printf (text, "%u", *(const unsigned *)member);
+      return;
+    }
+}
+
+char *
+rgy_settings_format (const struct rgy_settings *settings)
+{
+  GString *text = g_string_new (NULL);
+  size_t i;
+
+  g_string_append_printf (text, "role = %s\n",
+                          rgy_role_string[settings->role]);
+  for (i = 0; i < SETTING_COUNT; i++)
+    {
+      if ((table_[i].roles & 1U << settings->role) == 0)
+        continue;
+      g_string_append_printf (text, "%s = ", table_[i].name);
+      format_value_ (text, &table_[i], settings);
+      g_string_append_c (text, '\n');
+    }
+  return g_string_free (text, FALSE);
+}
