--- a/include/ragwortyoke-io/http.h
+++ b/include/ragwortyoke-io/http.h
@@ -31,8 +31,8 @@
 struct rgy_http_response
 {
   unsigned status;
-  const char *content_type; /**< Static text.  */
-  char *body;               /**< Freed with g_free() by the server.  */
+  const char *content_type; /**< Static text, or NULL.  */
+  char *body; /**< Freed with g_free() by the server; may be NULL.  */
 };
 
 typedef void (*rgy_http_fn) (const struct rgy_http_request *request,
@@ -40,9 +40,16 @@
 
 struct rgy_http;
 
-/** @return NULL when the endpoint cannot be bound.  */
+/** @param endpoint  port 0 binds a free port.
+    @return NULL when the endpoint cannot be bound.  */
 struct rgy_http *rgy_http_new (uv_loop_t *loop, struct rgy_endpoint endpoint,
                                rgy_http_fn handle, void *ctx);
+
+/** Port that is bound.  */
+uint16_t rgy_http_get_port (const struct rgy_http *http);
+
+/** Close all connections.  The loop must run once more to release the handles.
+    Must not be called from within the handler.  */
 void rgy_http_delete (struct rgy_http *http);
 
 #endif
