--- a/include/ragwortyoke/admission.h
+++ b/include/ragwortyoke/admission.h
@@ -76,8 +76,10 @@
                                                  int64_t now_us);
 
 /** End of a running request.  Unknown IDs give RGY_ERR_NOT_FOUND.
-    RGY_COMPLETION_LOST keeps its slot charged for one more deadline, because
-    the backend server may still execute it.  */
+    RGY_COMPLETION_LOST keeps its slot charged for one more deadline, and at
+    least for the latency at which the limit is cut, because the backend server
+    may still execute it.  Any other completion of a lost request releases its
+    slot at once and has no further effect.  */
 enum rgy_outcome rgy_admission_complete (struct rgy_admission *a, uint64_t id,
                                          enum rgy_completion completion,
                                          int64_t now_us);
@@ -103,9 +105,12 @@
 /** Upper bound from the health module; 0 stops new executions.  */
 void rgy_admission_set_ceiling (struct rgy_admission *a, unsigned ceiling);
 
+/** Lower of the own limit and the ceiling.  */
 unsigned rgy_admission_get_limit (const struct rgy_admission *a);
+/** Charged slots: requests in execution and lost ones.  */
 unsigned rgy_admission_get_running (const struct rgy_admission *a);
 unsigned rgy_admission_get_queued (const struct rgy_admission *a);
+/** True from a cut until the limit has risen to the slots again.  */
 bool rgy_admission_is_cold (const struct rgy_admission *a);
 enum rgy_cold_reason
 rgy_admission_get_cold_reason (const struct rgy_admission *a);
@@ -120,7 +125,8 @@
 void rgy_retry_budget_delete (struct rgy_retry_budget *budget);
 void rgy_retry_budget_note_delivery (struct rgy_retry_budget *budget,
                                      int64_t now_us);
-/** @return true when a retry is allowed; it is then counted.  */
+/** @return true when a retry is allowed; it is then counted, and must not be
+    noted as a delivery too.  */
 bool rgy_retry_budget_take (struct rgy_retry_budget *budget, int64_t now_us);
 
 #endif
