Add the CoAP codec and the refusals

The public header gains a builder, a rewriting copy and an option cursor, which the stand-ins share, and a refusal that answers outcome-unknown to a non-idempotent request with an Echo.

--- a/include/ragwortyoke/request.h
+++ b/include/ragwortyoke/request.h
@@ -49,6 +49,7 @@
   uint8_t code;
   uint16_t message_id;
   struct rgy_bytes token;
+  struct rgy_bytes options; /**< Encoded; see rgy_coap_next_option().  */
   struct rgy_bytes payload;
   bool has_observe;
   uint32_t observe;
@@ -62,6 +63,70 @@
 enum rgy_outcome rgy_coap_parse (struct rgy_bytes datagram,
                                  struct rgy_coap_view *view);
 
+struct rgy_coap_option
+{
+  uint16_t number;
+  struct rgy_bytes value;
+};
+
+/** Position in the options of a message; start with all zero.  */
+struct rgy_coap_cursor
+{
+  size_t offset;
+  uint16_t number;
+};
+
+/** Next option of a parsed message, in ascending order of numbers.
+    @return false at the end.  */
+bool rgy_coap_next_option (const struct rgy_coap_view *view,
+                           struct rgy_coap_cursor *cursor,
+                           struct rgy_coap_option *option);
+
+/** Value of an unsigned integer option; bytes beyond the fourth are
+    ignored.  */
+uint32_t rgy_coap_option_uint (struct rgy_bytes value);
+
+/** Room for an encoded unsigned integer option.  */
+struct rgy_coap_uint
+{
+  uint8_t bytes[4];
+};
+
+/** Option with an unsigned integer value in its shortest form; the value
+    points into @p room.  */
+struct rgy_coap_option rgy_coap_uint_option (uint16_t number, uint32_t value,
+                                             struct rgy_coap_uint *room);
+
+/** Fixed part of a message.  */
+struct rgy_coap_header
+{
+  enum rgy_coap_type type;
+  uint8_t code;
+  uint16_t message_id;
+  struct rgy_bytes token; /**< At most RGY_COAP_TOKEN_MAX_BYTES.  */
+};
+
+/** Build a message.  @p options must be in ascending order of numbers.
+    @return bytes to be freed with g_byte_array_unref().  */
+GByteArray *rgy_coap_build (const struct rgy_coap_header *header,
+                            const struct rgy_coap_option *options,
+                            size_t option_count, struct rgy_bytes payload);
+
+/** Build a message with the options and the payload of @p view, but with
+    another fixed part and some options replaced.
+
+    @param changes  in ascending order of distinct numbers; all options of
+                    that number are replaced, or removed when the value's
+                    @c data is NULL.  */
+GByteArray *rgy_coap_rewrite (const struct rgy_coap_view *view,
+                              const struct rgy_coap_header *header,
+                              const struct rgy_coap_option *changes,
+                              size_t change_count);
+
+/** Build an empty message: a ping, an acknowledgement or a Reset.  */
+GByteArray *rgy_coap_build_empty (enum rgy_coap_type type,
+                                  uint16_t message_id);
+
 enum rgy_message_class
 {
   RGY_MESSAGE_PING,           /**< Empty confirmable message.  */
@@ -101,6 +166,13 @@
 GByteArray *
 rgy_coap_build_outcome_unknown (const struct rgy_coap_view *request,
                                 const char *reason);
+/** Build the refusal of a request that is turned away without a lookup of
+    its flow.  A non-idempotent request with an Echo may have run at the agent
+    that holds the flow, so it gets "outcome-unknown: REASON"; any other gets
+    "not-run: REASON".  */
+GByteArray *rgy_coap_build_refusal (const struct rgy_coap_view *request,
+                                    enum rgy_refusal_reason reason,
+                                    uint32_t max_age_s);
 
 /* Engine: all requests of one agent.  */
 
