--- /dev/null
+++ b/tests/harness/backend.c
@@ -0,0 +1,301 @@
+#include "harness_private.h"
+
+#include <string.h>
+
+#include "ragwortyoke/request.h"
+
+/* Fake of a backend server: slots, cold start, records and a board.  Its
+   payloads start with the service, so that a packet of another service is
+   noticed.  */
+
+#define COLD_LIMIT 1
+#define WARM_AFTER 8
+#define LOOPBACK_DELAY_US 50
+
+struct observer
+{
+  uint8_t token[RGY_COAP_TOKEN_MAX_BYTES];
+  size_t token_len;
+  uint32_t sequence;
+  uint16_t message_id;
+};
+
+void
+backend_init (struct backend *b, unsigned slots, int64_t work_us)
+{
+  *b = (struct backend){ .slots = slots,
+                         .cold_limit = COLD_LIMIT,
+                         .warm_after = WARM_AFTER,
+                         .work_us = work_us,
+                         .cold = true };
+  b->records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  b->observers
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  b->answered = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
+                                       (GDestroyNotify)g_bytes_unref);
+}
+
+void
+backend_finish (struct backend *b)
+{
+  g_hash_table_unref (b->records);
+  g_hash_table_unref (b->observers);
+  g_hash_table_unref (b->answered);
+}
+
+static uint64_t
+socket_key_ (const struct node *node, uint64_t flow_id)
+{
+  return (uint64_t)node->incarnation << 40 | flow_id;
+}
+
+static void
+answer_ (struct harness *h, struct node *node, uint64_t flow_id,
+         GByteArray *datagram)
+{
+  h_push (h,
+          (struct event){ .kind = EVENT_FROM_BACKEND,
+                          .node = node,
+                          .flow_id = flow_id,
+                          .data = g_bytes_new (datagram->data,
+                                               datagram->len) },
+          LOOPBACK_DELAY_US);
+  g_byte_array_unref (datagram);
+}
+
+static struct rgy_bytes
+text_bytes_ (const char *text)
+{
+  return (struct rgy_bytes){ .data = (const uint8_t *)text,
+                             .len = strlen (text) };
+}
+
+static GByteArray *
+build_answer_ (const struct rgy_coap_view *request, uint8_t code,
+               const uint32_t *observe, struct rgy_bytes payload)
+{
+  struct rgy_coap_header header
+      = { .type = request->type == RGY_COAP_CON ? RGY_COAP_ACK : RGY_COAP_NON,
+          .code = code,
+          .message_id = request->message_id,
+          .token = request->token };
+  struct rgy_coap_uint room;
+  struct rgy_coap_option option;
+
+  if (observe != NULL)
+    option = rgy_coap_uint_option (RGY_COAP_OPTION_OBSERVE, *observe, &room);
+  return rgy_coap_build (&header, &option, observe != NULL, payload);
+}
+
+static unsigned
+get_limit_ (const struct backend *b)
+{
+  return b->cold ? b->cold_limit : b->slots;
+}
+
+static void
+begin_work_ (struct harness *h, struct node *node, uint64_t flow_id,
+             struct rgy_bytes datagram)
+{
+  struct backend *b = &node->backend;
+
+  b->running++;
+  b->highest_running = MAX (b->highest_running, b->running);
+  if (b->running > get_limit_ (b))
+    {
+      b->violations++;
+      h_trace (h, "%s: overload, %u running", node->id.data, b->running);
+    }
+  h_push (h,
+          (struct event){ .kind = EVENT_WORK_DONE,
+                          .node = node,
+                          .flow_id = socket_key_ (node, flow_id),
+                          .data = h_bytes (datagram) },
+          h_jitter (h, b->work_us));
+}
+
+static uint64_t
+message_key_ (const struct node *node, uint64_t flow_id, uint16_t id)
+{
+  return socket_key_ (node, flow_id) << 16 | id;
+}
+
+static bool
+is_for_service_ (const struct node *node, struct rgy_bytes payload)
+{
+  char text[RGY_ENDPOINT_TEXT_BYTES];
+  size_t len;
+
+  rgy_endpoint_format (node->agent_settings.service, text);
+  len = strlen (text);
+  return payload.len > len && memcmp (payload.data, text, len) == 0;
+}
+
+void
+backend_receive (struct harness *h, struct node *node, uint64_t flow_id,
+                 struct rgy_bytes datagram)
+{
+  struct backend *b = &node->backend;
+  struct rgy_coap_view view;
+  uint64_t key;
+  uint64_t socket = socket_key_ (node, flow_id);
+  GBytes *known;
+
+  if (b->silent || rgy_coap_parse (datagram, &view) != RGY_OK)
+    return;
+  switch (rgy_coap_classify (&view))
+    {
+    case RGY_MESSAGE_PING:
+      answer_ (h, node, flow_id,
+               rgy_coap_build_empty (RGY_COAP_RST, view.message_id));
+      return;
+    case RGY_MESSAGE_RESET:
+      g_hash_table_remove (b->observers, &socket);
+      return;
+    case RGY_MESSAGE_ACK:
+    case RGY_MESSAGE_RESPONSE:
+      return;
+    case RGY_MESSAGE_OBSERVE_END:
+      g_hash_table_remove (b->observers, &socket);
+      answer_ (h, node, flow_id,
+               build_answer_ (&view, RGY_COAP_CODE (2, 5), NULL,
+                              text_bytes_ ("end")));
+      return;
+    case RGY_MESSAGE_IDEMPOTENT:
+    case RGY_MESSAGE_OBSERVE:
+    case RGY_MESSAGE_NON_IDEMPOTENT:
+      break;
+    }
+  if (!is_for_service_ (node, view.payload))
+    b->wrong_service++;
+  key = message_key_ (node, flow_id, view.message_id);
+  known = g_hash_table_lookup (b->answered, &key);
+  if (known != NULL)
+    {
+      if (g_bytes_get_size (known) > 0)
+        h_push (h,
+                (struct event){ .kind = EVENT_FROM_BACKEND,
+                                .node = node,
+                                .flow_id = flow_id,
+                                .data = g_bytes_ref (known) },
+                LOOPBACK_DELAY_US);
+      return;
+    }
+  g_hash_table_insert (b->answered, g_memdup2 (&key, sizeof key),
+                       g_bytes_new (NULL, 0));
+  if (b->shedding)
+    {
+      answer_ (h, node, flow_id,
+               build_answer_ (&view, RGY_COAP_CODE (5, 3), NULL,
+                              text_bytes_ ("busy")));
+      return;
+    }
+  begin_work_ (h, node, flow_id, datagram);
+}
+
+static void
+count_record_ (struct harness *h, struct node *node, struct rgy_bytes payload)
+{
+  struct backend *b = &node->backend;
+  char *id = g_strndup ((const char *)payload.data, payload.len);
+  unsigned n = GPOINTER_TO_UINT (g_hash_table_lookup (b->records, id));
+
+  b->executions++;
+  if (n > 0 || h_count_executions (h, id) > 0)
+    h_trace (h, "%s: record %s executed again", node->id.data, id);
+  g_hash_table_replace (b->records, id, GUINT_TO_POINTER (n + 1));
+}
+
+static uint32_t
+register_ (struct node *node, uint64_t socket,
+           const struct rgy_coap_view *view)
+{
+  struct observer *o = g_new0 (struct observer, 1);
+
+  memcpy (o->token, view->token.data, view->token.len);
+  o->token_len = view->token.len;
+  o->sequence = 1;
+  o->message_id = 1;
+  g_hash_table_replace (node->backend.observers,
+                        g_memdup2 (&socket, sizeof socket), o);
+  return o->sequence;
+}
+
+void
+backend_work_done (struct harness *h, struct node *node, uint64_t socket,
+                   struct rgy_bytes request)
+{
+  struct backend *b = &node->backend;
+  uint64_t flow_id = socket & ((UINT64_C (1) << 40) - 1);
+  bool current = socket >> 40 == node->incarnation;
+  struct rgy_coap_view view;
+  GByteArray *answer;
+  char board[32];
+  uint32_t observe = 0;
+  uint64_t key;
+
+  if (b->running > 0)
+    b->running--;
+  if (++b->completed >= b->warm_after)
+    b->cold = false;
+  g_assert (rgy_coap_parse (request, &view) == RGY_OK);
+  switch (rgy_coap_classify (&view))
+    {
+    case RGY_MESSAGE_NON_IDEMPOTENT:
+      count_record_ (h, node, view.payload);
+      answer = build_answer_ (&view, RGY_COAP_CODE (2, 4), NULL, view.payload);
+      break;
+    case RGY_MESSAGE_OBSERVE:
+      if (current)
+        observe = register_ (node, socket, &view);
+      g_snprintf (board, sizeof board, "%" G_GUINT64_FORMAT, b->version);
+      answer = build_answer_ (&view, RGY_COAP_CODE (2, 5), &observe,
+                              text_bytes_ (board));
+      break;
+    default:
+      answer = build_answer_ (&view, RGY_COAP_CODE (2, 5), NULL, view.payload);
+      break;
+    }
+  key = message_key_ (node, flow_id, view.message_id);
+  g_hash_table_replace (b->answered, g_memdup2 (&key, sizeof key),
+                        g_bytes_new (answer->data, answer->len));
+  if (current && !b->silent)
+    answer_ (h, node, flow_id, answer);
+  else
+    g_byte_array_unref (answer);
+}
+
+void
+backend_bump (struct harness *h, struct node *node)
+{
+  struct backend *b = &node->backend;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  char board[32];
+
+  b->version++;
+  if (b->silent)
+    return;
+  g_snprintf (board, sizeof board, "%" G_GUINT64_FORMAT, b->version);
+  g_hash_table_iter_init (&iter, b->observers);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      struct observer *o = value;
+      uint64_t socket = *(uint64_t *)key;
+      struct rgy_coap_header header
+          = { .type = RGY_COAP_NON,
+              .code = RGY_COAP_CODE (2, 5),
+              .message_id = o->message_id++,
+              .token = { .data = o->token, .len = o->token_len } };
+      struct rgy_coap_uint room;
+      struct rgy_coap_option option;
+
+      o->sequence = (o->sequence + 1) & 0xffffff;
+      option = rgy_coap_uint_option (RGY_COAP_OPTION_OBSERVE, o->sequence,
+                                     &room);
+      if (socket >> 40 == node->incarnation)
+        answer_ (h, node, socket & ((UINT64_C (1) << 40) - 1),
+                 rgy_coap_build (&header, &option, 1, text_bytes_ (board)));
+    }
+}
