--- a/include/ragwortyoke/steering.h
+++ b/include/ragwortyoke/steering.h
@@ -45,7 +45,8 @@
  * on the set of names and the seed, not on their order.
  *
  * @param members  names of the eligible agents, without duplicates.
- * @param count    at most RGY_GROUP_MAX; 0 gives a table without owners.
+ * @param count    0 gives a table without owners; past RGY_GROUP_MAX the
+ *                 first ones in name order are used.
  * @param seed     the same on every process for one service.
  */
 void rgy_bucket_table_build (struct rgy_bucket_table *table,
@@ -81,7 +82,9 @@
   RGY_STEER_REASON_OWNER,     /**< This agent owns the bucket.  */
   RGY_STEER_REASON_MAY_HOLD,  /**< @c next may hold the flow.  */
   RGY_STEER_REASON_UNSETTLED, /**< All live peers are asked after a change.  */
-  RGY_STEER_REASON_NOT_OWNER, /**< @c next owns the bucket.  */
+  RGY_STEER_REASON_NOT_OWNER, /**< @c next owns the bucket.  For OPEN and
+                                 DROP: the owner has already passed the
+                                 packet on.  */
   RGY_STEER_REASON_OVERFLOW,  /**< The owner could not take the flow.  */
   RGY_STEER_REASON_HOP_LIMIT, /**< Visited RGY_MAX_HOPS agents.  */
   RGY_STEER_REASON_NO_AGENT,  /**< No agent is eligible.  */
@@ -95,7 +98,10 @@
 {
   enum rgy_steer_kind kind;
   enum rgy_steer_reason reason;
-  struct rgy_name next; /**< Valid for RGY_STEER_FORWARD.  */
+  struct rgy_name next;    /**< Valid for RGY_STEER_FORWARD.  */
+  bool ask;                /**< This agent becomes the origin of the trail.  */
+  bool search;             /**< All live peers are to be visited.  */
+  uint64_t claim_sequence; /**< Own sequence if this agent is the owner.  */
 };
 
 /** What a packet carries about the agents that it has passed.  */
@@ -105,8 +111,23 @@
   size_t count;
   bool overflow; /**< The owner passed the flow on: the receiver may open it
                     although it is not the owner.  */
+  size_t origin; /**< 1 + index in @c visited of the agent to which the
+                    packet returns when nobody is left to ask; 0: none.  */
+  uint64_t origin_sequence; /**< Sequence of the origin if it considers
+                               itself the owner, else 0.  */
+  bool search; /**< Ask all live peers, not only those that may hold the
+                  flow.  */
 };
 
+/**
+ * Update the trail of a packet that is forwarded after @p decision.
+ *
+ * @param self  agent that forwards the packet.
+ */
+void rgy_steer_trail_extend (struct rgy_steer_trail *trail,
+                             const struct rgy_name *self,
+                             const struct rgy_steer_decision *decision);
+
 struct rgy_steering;
 
 /**
@@ -137,6 +158,15 @@
                              size_t eligible_count,
                              const struct rgy_name *peers, size_t peer_count);
 
+/**
+ * Record the buckets in which flows are held.
+ *
+ * @return true when the own bitmap changed: the sequence has advanced and a
+ *         PEER_STATE should be sent at once.
+ */
+bool rgy_steering_set_held (struct rgy_steering *steering,
+                            const struct rgy_bucket_set *held);
+
 /** Sequence number for the next PEER_STATE; advances when the own bitmap or
     the group changes.  */
 uint64_t rgy_steering_get_sequence (const struct rgy_steering *steering);
@@ -148,16 +178,29 @@
 
 /** Record a PEER_STATE.
     @return RGY_OK, RGY_ERR_STALE (older epoch or sequence) or
-    RGY_ERR_NOT_FOUND (not a live peer; it is remembered all the same).  */
+    RGY_ERR_NOT_FOUND (not a live peer; it is remembered all the same).
+    RGY_ERR_NOT_FOUND must not be acknowledged: the peer would count as
+    settled here while its bits are not followed.  */
 enum rgy_outcome rgy_steering_note_state (struct rgy_steering *steering,
                                           const struct rgy_name *peer,
                                           uint64_t epoch, uint64_t sequence,
                                           const struct rgy_bucket_set *held);
 
-/** Record that @p peer has acknowledged our sequence @p sequence.  */
+/** Record that @p peer has acknowledged our sequence @p sequence of the
+    current epoch.  */
 void rgy_steering_note_ack (struct rgy_steering *steering,
                             const struct rgy_name *peer, uint64_t sequence);
 
+/**
+ * As rgy_steering_note_ack(), for an acknowledgement that names the peer's
+ * own sequence when it was sent.  The peer counts as settled only once its
+ * state of @p peer_sequence has arrived; otherwise a delayed state could hide
+ * a flow that the peer opened before it acknowledged.
+ */
+void rgy_steering_note_answer (struct rgy_steering *steering,
+                               const struct rgy_name *peer, uint64_t sequence,
+                               uint64_t peer_sequence);
+
 /** True once every live peer has sent its state and acknowledged ours.  */
 bool rgy_steering_is_settled (const struct rgy_steering *steering);
 
@@ -165,9 +208,18 @@
     change, so that a silent peer cannot block new flows.  */
 void rgy_steering_force_settled (struct rgy_steering *steering);
 
-/** Decide on a packet whose flow is not held here.  @p trail does not yet
-    name this agent.  */
-void rgy_steering_decide (const struct rgy_steering *steering, unsigned bucket,
+/**
+ * Decide on a packet whose flow is not held here.
+ *
+ * The packet goes to the live peers that may hold the flow, then to the owner
+ * of the bucket.  The owner of an unsettled bucket asks all live peers first;
+ * a settled owner that such a packet reaches opens the flow itself, because
+ * it may not yet know of the other owner.
+ *
+ * @param trail  agents passed so far; names this agent only when the packet
+ *               has returned to it as the origin.
+ */
+void rgy_steering_decide (struct rgy_steering *steering, unsigned bucket,
                           const struct rgy_steer_trail *trail,
                           struct rgy_steer_decision *decision);
 
