--- a/include/ragwortyoke/handover.h
+++ b/include/ragwortyoke/handover.h
@@ -51,8 +51,13 @@
   size_t echo_epoch_count;
 };
 
+/** Encode a state; its counts must be within the limits above.  The caller
+    frees the result with g_byte_array_unref().  */
 GByteArray *rgy_handover_state_encode (const struct rgy_handover_state *state);
-/** Byte ranges of @p state point into @p bytes.  */
+
+/** Decode a state.  Byte ranges of @p state point into @p bytes.
+    @return RGY_OK, RGY_ERR_UNSUPPORTED (unknown kind of flow key) or
+    RGY_ERR_INVALID; @p state is unchanged unless RGY_OK.  */
 enum rgy_outcome rgy_handover_state_decode (struct rgy_bytes bytes,
                                             struct rgy_handover_state *state);
 
@@ -61,7 +66,8 @@
 enum rgy_transfer_event_kind
 {
   RGY_TRANSFER_SEND,    /**< Send the state of @c flow_id to @c target.  */
-  RGY_TRANSFER_GIVEN_UP /**< The target did not answer; choose another.  */
+  RGY_TRANSFER_GIVEN_UP /**< The target did not answer or died; the transfer
+                           has ended.  */
 };
 
 struct rgy_transfer_event
@@ -70,6 +76,10 @@
   uint64_t flow_id;
   uint64_t transfer_id;
   struct rgy_name target;
+  bool target_died; /**< For GIVEN_UP: choose another target.  Otherwise the
+                       target may hold the flow although its answers were
+                       lost, and is to be tried again while it lives; it
+                       accepts a flow that it already holds.  */
 };
 
 struct rgy_transfers;
@@ -90,11 +100,37 @@
                                          uint64_t transfer_id,
                                          const struct rgy_name *target,
                                          uint64_t *flow_id);
-/** Stop a transfer, for example because its flow closed or its target
-    died.  */
+/** Stop the transfer of a flow, for example because the flow closed.  */
 void rgy_transfers_cancel (struct rgy_transfers *transfers, uint64_t flow_id);
+/** Give up all transfers to a target that died: each gives
+    RGY_TRANSFER_GIVEN_UP at the next rgy_transfers_next().  */
 void rgy_transfers_cancel_target (struct rgy_transfers *transfers,
                                   const struct rgy_name *target);
 size_t rgy_transfers_get_count (const struct rgy_transfers *transfers);
 
+/* Answers given at the receiving agent.  */
+
+/** Time for which an answer is remembered.  It covers all retransmissions
+    (RGY_HANDOVER_ATTEMPTS * RGY_HANDOVER_RETRANSMIT_US) and their delay.  */
+#define RGY_HANDOVER_RECEIPT_US INT64_C (10000000)
+
+/** Answers to recent transfers.  A retransmitted HANDOVER gets the same
+    answer again: a flow refused at first must not be accepted later, when the
+    giving agent has already kept it, and a flow that has closed since must not
+    be opened again.  */
+struct rgy_receipts;
+
+struct rgy_receipts *rgy_receipts_new (void);
+void rgy_receipts_delete (struct rgy_receipts *receipts);
+void rgy_receipts_note (struct rgy_receipts *receipts,
+                        const struct rgy_name *from, uint64_t transfer_id,
+                        const struct rgy_flow_key *key, bool accepted,
+                        int64_t now_us);
+/** @return RGY_OK with the earlier answer, or RGY_ERR_NOT_FOUND.  */
+enum rgy_outcome rgy_receipts_find (struct rgy_receipts *receipts,
+                                    const struct rgy_name *from,
+                                    uint64_t transfer_id,
+                                    const struct rgy_flow_key *key,
+                                    int64_t now_us, bool *accepted);
+
 #endif
