--- a/include/ragwortyoke/drain.h
+++ b/include/ragwortyoke/drain.h
@@ -40,8 +40,10 @@
     @param linger_us   time in RGY_DRAIN_LINGERING.  */
 struct rgy_drain *rgy_drain_new (int64_t timeout_us, int64_t linger_us);
 void rgy_drain_delete (struct rgy_drain *drain);
+/** Start the drain.  A drain under way is not restarted.  */
 void rgy_drain_start (struct rgy_drain *drain, int64_t now_us);
-/** @return true when the stage changed.  */
+/** Advance by at most one stage.  Work that appears while lingering leads
+    back to RGY_DRAIN_MOVING.  @return true when the stage changed.  */
 bool rgy_drain_tick (struct rgy_drain *drain,
                      const struct rgy_drain_work *work, int64_t now_us);
 enum rgy_drain_stage rgy_drain_get_stage (const struct rgy_drain *drain);
