--- a/include/ragwortyoke/limit.h
+++ b/include/ragwortyoke/limit.h
@@ -35,11 +35,15 @@
 bool rgy_rate_limit_take (struct rgy_rate_limit *limit, uint64_t amount,
                           int64_t now_us);
 
-/** Smoothed own demand a second, for publication.  */
+/** Smoothed own demand a second, for publication.  The own share follows the
+    value returned last, so it is to be called for every report, and only for
+    a report that is sent.  */
 uint64_t rgy_rate_limit_get_demand (struct rgy_rate_limit *limit,
                                     int64_t now_us);
 
-/** Demand that another instance has published.  */
+/** Demand that another instance has published.  An instance that publishes
+    nothing for this limit must be noted with 0 when its report arrives;
+    otherwise it counts as the mean after RGY_LIMIT_REPORT_MAX_AGE_US.  */
 void rgy_rate_limit_note_demand (struct rgy_rate_limit *limit,
                                  const struct rgy_name *instance,
                                  uint64_t demand_per_s, int64_t now_us);
@@ -53,7 +57,20 @@
 uint64_t rgy_rate_limit_get_share (struct rgy_rate_limit *limit,
                                    int64_t now_us);
 
-/* Count limit: own part of a total that several agents enforce.  */
+/* Count limit: own part of a total that several agents enforce.
+
+   Every agent has a reservation that its usage stays within, and publishes a
+   claim, the reservation that it wants.  A lower claim takes effect at once. A
+   higher one takes effect RGY_COUNT_LIMIT_SETTLE_US after its first
+   publication, when it fits beside the last claims of all other agents and
+   these are not older than RGY_COUNT_LIMIT_FRESH_US.  By then each of two
+   agents that raise at the same time has seen the other's claim, so the
+   reservations never sum to more than the limit, provided a report takes
+   less than the difference of the two times to arrive.  */
+
+/** Covers a lost report at one report every 500 ms.  */
+#define RGY_COUNT_LIMIT_FRESH_US INT64_C (1200000)
+#define RGY_COUNT_LIMIT_SETTLE_US INT64_C (1500000)
 
 struct rgy_count_limit;
 
@@ -61,17 +78,25 @@
 struct rgy_count_limit *rgy_count_limit_new (uint64_t limit);
 void rgy_count_limit_delete (struct rgy_count_limit *limit);
 void rgy_count_limit_set_limit (struct rgy_count_limit *limit, uint64_t value);
+
+/** Names of the other live agents; until it is called there are none and the
+    whole limit may be used.  The claim of an agent that is no longer
+    named stays charged for RGY_LIMIT_REPORT_MAX_AGE_US.  */
 void rgy_count_limit_set_instances (struct rgy_count_limit *limit,
                                     const struct rgy_name *others,
                                     size_t count);
 
-/** Usage that another agent has reported; starts a new exchange interval.  */
-void rgy_count_limit_note_usage (struct rgy_count_limit *limit,
+/** Claim to publish to the other agents, at least the usage.  To be called
+    for every report, and only for a report that is sent.  */
+uint64_t rgy_count_limit_get_claim (struct rgy_count_limit *limit,
+                                    int64_t now_us);
+
+/** Claim that another agent has published.  */
+void rgy_count_limit_note_claim (struct rgy_count_limit *limit,
                                  const struct rgy_name *instance,
-                                 uint64_t usage, int64_t now_us);
+                                 uint64_t claim, int64_t now_us);
 
-/** Count one more.  @return false when the own part of the headroom of this
-    interval is used up.  */
+/** Count one more.  @return false when the own reservation is used up.  */
 bool rgy_count_limit_take (struct rgy_count_limit *limit, int64_t now_us);
 void rgy_count_limit_release (struct rgy_count_limit *limit);
 uint64_t rgy_count_limit_get_usage (const struct rgy_count_limit *limit);
--- /dev/null
+++ b/src/test_limit/test_rate.c
@@ -0,0 +1,382 @@
+#include "tests.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "ragwortyoke/clock.h"
+#include "ragwortyoke/limit.h"
+
+#define MS RGY_US_PER_MS
+#define START_US (1000 * RGY_US_PER_S)
+#define RATE UINT64_C (100000)
+#define BURST_MS 200
+#define MAX_FLEET 24
+#define STEP_MS 10
+#define STEPS_PER_S (1000 / STEP_MS)
+#define WINDOW_S 10
+#define WINDOW_STEPS (WINDOW_S * STEPS_PER_S)
+#define SETTLE_S 15
+#define PACKET 100
+/* Reports travel by gossip: one a second, up to 2 s on the way.  */
+#define REPORT_STEPS STEPS_PER_S
+#define MAX_DELAY_STEPS (2 * STEPS_PER_S)
+/* Time until the others know of a start or a death.  */
+#define MEMBERSHIP_STEPS (3 * STEPS_PER_S)
+
+/* Fleet of instances that enforce one rate over a virtual clock.  */
+struct fleet_
+{
+  GRand *rand;
+  int64_t now_us;
+  unsigned step;
+  unsigned size;
+  struct rgy_rate_limit *limits[MAX_FLEET]; /* NULL: not running.  */
+  bool known[MAX_FLEET];                    /* To the others.  */
+  unsigned changed_step[MAX_FLEET];
+  double offered_per_s[MAX_FLEET];
+  double backlog[MAX_FLEET];
+  uint64_t in_flight[MAX_FLEET]; /* Report on its way.  */
+  unsigned arrives_step[MAX_FLEET];
+  uint64_t passed[MAX_FLEET]; /* Total since the start.  */
+  uint64_t window[WINDOW_STEPS];
+  uint64_t window_sum;
+  uint64_t max_window_sum;
+};
+
+static struct rgy_name
+name_ (unsigned i)
+{
+  char text[16];
+
+  snprintf (text, sizeof text, "b%u", i);
+  return rgy_name_from_c (text);
+}
+
+static void
+fleet_tell_members_ (struct fleet_ *f)
+{
+  struct rgy_name others[MAX_FLEET];
+  unsigned i;
+  unsigned k;
+
+  for (i = 0; i < f->size; i++)
+    {
+      size_t count = 0;
+
+      for (k = 0; k < f->size; k++)
+        if (k != i && f->known[k])
+          others[count++] = name_ (k);
+      if (f->limits[i] != NULL)
+        rgy_rate_limit_set_instances (f->limits[i], others, count);
+    }
+}
+
+static void
+fleet_start_ (struct fleet_ *f, unsigned i)
+{
+  f->limits[i] = rgy_rate_limit_new (RATE, BURST_MS);
+  f->changed_step[i] = f->step;
+  f->arrives_step[i] = 0;
+  fleet_tell_members_ (f);
+}
+
+static void
+fleet_kill_ (struct fleet_ *f, unsigned i)
+{
+  rgy_rate_limit_delete (f->limits[i]);
+  f->limits[i] = NULL;
+  f->changed_step[i] = f->step;
+  f->arrives_step[i] = 0;
+}
+
+static struct fleet_ *
+fleet_new_ (unsigned size, guint32 seed)
+{
+  struct fleet_ *f = g_new0 (struct fleet_, 1);
+  unsigned i;
+
+  f->rand = g_rand_new_with_seed (seed);
+  f->now_us = START_US;
+  f->size = size;
+  for (i = 0; i < size; i++)
+    {
+      f->limits[i] = rgy_rate_limit_new (RATE, BURST_MS);
+      f->known[i] = true;
+    }
+  fleet_tell_members_ (f);
+  return f;
+}
+
+static void
+fleet_delete_ (struct fleet_ *f)
+{
+  unsigned i;
+
+  for (i = 0; i < f->size; i++)
+    rgy_rate_limit_delete (f->limits[i]);
+  g_rand_free (f->rand);
+  g_free (f);
+}
+
+static void
+fleet_exchange_ (struct fleet_ *f, unsigned i)
+{
+  struct rgy_name name = name_ (i);
+  unsigned k;
+
+  if (f->arrives_step[i] == f->step && f->arrives_step[i] != 0)
+    for (k = 0; k < f->size; k++)
+      if (k != i && f->limits[k] != NULL)
+        rgy_rate_limit_note_demand (f->limits[k], &name, f->in_flight[i],
+                                    f->now_us);
+  if (f->limits[i] != NULL && f->step % REPORT_STEPS == i % REPORT_STEPS
+      && f->arrives_step[i] <= f->step)
+    {
+      f->in_flight[i] = rgy_rate_limit_get_demand (f->limits[i], f->now_us);
+      f->arrives_step[i]
+          = f->step + (unsigned)g_rand_int_range (f->rand, 1, MAX_DELAY_STEPS);
+    }
+}
+
+static void
+fleet_step_ (struct fleet_ *f)
+{
+  uint64_t *slot = &f->window[f->step % WINDOW_STEPS];
+  bool members_changed = false;
+  unsigned i;
+
+  f->window_sum -= *slot;
+  *slot = 0;
+  for (i = 0; i < f->size; i++)
+    {
+      if (f->known[i] != (f->limits[i] != NULL)
+          && f->step - f->changed_step[i] >= MEMBERSHIP_STEPS)
+        {
+          f->known[i] = !f->known[i];
+          members_changed = true;
+        }
+      fleet_exchange_ (f, i);
+      if (f->limits[i] == NULL)
+        continue;
+      f->backlog[i] += f->offered_per_s[i] * STEP_MS / 1000
+                       * g_rand_double_range (f->rand, 0, 2);
+      for (; f->backlog[i] >= PACKET; f->backlog[i] -= PACKET)
+        if (rgy_rate_limit_take (f->limits[i], PACKET, f->now_us))
+          {
+            *slot += PACKET;
+            f->passed[i] += PACKET;
+          }
+    }
+  f->window_sum += *slot;
+  f->max_window_sum = MAX (f->max_window_sum, f->window_sum);
+  if (members_changed)
+    fleet_tell_members_ (f);
+  f->step++;
+  f->now_us += STEP_MS * MS;
+}
+
+static void
+fleet_run_ (struct fleet_ *f, unsigned seconds)
+{
+  unsigned i;
+
+  for (i = 0; i < seconds * STEPS_PER_S; i++)
+    fleet_step_ (f);
+}
+
+/* Settles and then checks every window of 10 s of the next 30 s.  While it
+   settles the bound is wider: a rise of the demand everywhere at once is known
+   to the others only when the reports arrive.  */
+static void
+fleet_check_steady_ (struct fleet_ *f, unsigned min_percent)
+{
+  const uint64_t whole = RATE * WINDOW_S;
+
+  f->max_window_sum = 0;
+  fleet_run_ (f, SETTLE_S + WINDOW_S);
+  assert_true (f->max_window_sum * 100 <= whole * 140);
+  f->max_window_sum = 0;
+  fleet_run_ (f, 3 * WINDOW_S);
+  if (f->max_window_sum * 100 > whole * 110)
+    fail_msg ("%u instances: %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT,
+              f->size, f->max_window_sum, whole);
+  assert_true (f->window_sum * 100 >= whole * min_percent);
+}
+
+static const unsigned fleet_sizes_[] = { 3, 20 };
+
+/* The sum over the fleet must stay within the limit when the fabric sprays
+   unevenly, and most of the limit must be usable.  */
+static void
+uneven_spray_keeps_the_rate_ (void **state)
+{
+  guint32 seed;
+  size_t s;
+  unsigned i;
+
+  (void)state;
+  for (s = 0; s < G_N_ELEMENTS (fleet_sizes_); s++)
+    for (seed = 1; seed <= 5; seed++)
+      {
+        struct fleet_ *f = fleet_new_ (fleet_sizes_[s], seed);
+
+        for (i = 0; i < f->size; i++)
+          f->offered_per_s[i]
+              = 3.0 * RATE / f->size * g_rand_double_range (f->rand, 0, 2);
+        fleet_check_steady_ (f, 80);
+        fleet_delete_ (f);
+      }
+}
+
+/* When all traffic goes to one instance, it must reach at least 80% of the
+   limit instead of its even share.  */
+static void
+one_busy_instance_reaches_most_of_the_rate_ (void **state)
+{
+  size_t s;
+
+  (void)state;
+  for (s = 0; s < G_N_ELEMENTS (fleet_sizes_); s++)
+    {
+      struct fleet_ *f = fleet_new_ (fleet_sizes_[s], 7);
+
+      f->offered_per_s[1] = 2.0 * RATE;
+      fleet_check_steady_ (f, 80);
+      fleet_delete_ (f);
+    }
+}
+
+/* Deaths and starts must not leave shares that sum to more than the limit,
+   nor shares of dead instances that nobody uses.  */
+static void
+churn_settles_within_the_rate_ (void **state)
+{
+  guint32 seed;
+  size_t s;
+  unsigned i;
+  unsigned k;
+
+  (void)state;
+  for (s = 0; s < G_N_ELEMENTS (fleet_sizes_); s++)
+    for (seed = 11; seed <= 13; seed++)
+      {
+        struct fleet_ *f = fleet_new_ (fleet_sizes_[s], seed);
+
+        for (i = 0; i < f->size; i++)
+          f->offered_per_s[i]
+              = 3.0 * RATE / f->size * g_rand_double_range (f->rand, 0.5, 1.5);
+        fleet_check_steady_ (f, 80);
+        for (k = 0; k < 4; k++)
+          {
+            i = (unsigned)g_rand_int_range (f->rand, 0, (gint32)f->size);
+            fleet_kill_ (f, i);
+            fleet_run_ (f, (unsigned)g_rand_int_range (f->rand, 1, 8));
+            if (k % 2 == 0)
+              fleet_check_steady_ (f, 80);
+            fleet_start_ (f, i);
+            fleet_check_steady_ (f, 80);
+          }
+        fleet_delete_ (f);
+      }
+}
+
+/* An instance that starts to get traffic while others use the whole limit must
+   not be starved: some at once, its part soon.  */
+static void
+new_traffic_is_not_starved_ (void **state)
+{
+  size_t s;
+  unsigned i;
+
+  (void)state;
+  for (s = 0; s < G_N_ELEMENTS (fleet_sizes_); s++)
+    {
+      struct fleet_ *f = fleet_new_ (fleet_sizes_[s], 21);
+      uint64_t before;
+
+      for (i = 1; i < f->size; i++)
+        f->offered_per_s[i] = 3.0 * RATE / f->size;
+      fleet_run_ (f, 30);
+      f->offered_per_s[0] = 3.0 * RATE / f->size;
+      fleet_run_ (f, 1);
+      assert_true (f->passed[0] * f->size * 100 >= RATE * 5);
+      fleet_run_ (f, SETTLE_S);
+      before = f->passed[0];
+      fleet_run_ (f, WINDOW_S);
+      assert_true ((f->passed[0] - before) * f->size * 100
+                   >= RATE * WINDOW_S * 80);
+      fleet_delete_ (f);
+    }
+}
+
+/* Instances that have fallen silent count as the mean, so their part is
+   neither lost nor given away twice; unknown names are not counted.  */
+static void
+old_and_unknown_reports_are_replaced_ (void **state)
+{
+  struct rgy_rate_limit *limit = rgy_rate_limit_new (900, 100);
+  struct rgy_name others[] = { name_ (1), name_ (2) };
+  struct rgy_name stranger = name_ (3);
+  int64_t t = START_US;
+  uint64_t share;
+
+  (void)state;
+  assert_int_equal (rgy_rate_limit_get_share (limit, t), 900);
+  rgy_rate_limit_set_instances (limit, others, 2);
+  assert_int_equal (rgy_rate_limit_get_share (limit, t), 300);
+  rgy_rate_limit_note_demand (limit, &stranger, 1000000, t);
+  rgy_rate_limit_note_demand (limit, &others[0], 0, t);
+  rgy_rate_limit_note_demand (limit, &others[1], 0, t);
+  rgy_rate_limit_take (limit, 100, t);
+  t += RGY_US_PER_S;
+  share = rgy_rate_limit_get_share (limit, t);
+  assert_in_range (share, 840, 850); /* 900 * (1 + 1/30) / 1.1  */
+  t += 5 * RGY_US_PER_S;
+  assert_int_equal (rgy_rate_limit_get_share (limit, t), 300);
+  rgy_rate_limit_set_rate (limit, 300);
+  assert_int_equal (rgy_rate_limit_get_share (limit, t), 100);
+  rgy_rate_limit_delete (limit);
+}
+
+/* A packet larger than the burst must not be refused for ever, and its excess
+   must be paid back.  */
+static void
+amount_above_the_burst_passes_and_is_paid_back_ (void **state)
+{
+  struct rgy_rate_limit *limit = rgy_rate_limit_new (1000, 100);
+  int64_t t = START_US;
+  unsigned passed = 0;
+  unsigned i;
+
+  (void)state;
+  for (i = 0; i < 100000; i++, t += MS)
+    passed += rgy_rate_limit_take (limit, 1200, t);
+  assert_in_range (passed, 83, 85);
+  rgy_rate_limit_delete (limit);
+
+  limit = rgy_rate_limit_new (0, 100);
+  assert_true (rgy_rate_limit_take (limit, UINT32_MAX, t));
+  assert_true (rgy_rate_limit_take (limit, UINT32_MAX, t));
+  rgy_rate_limit_delete (limit);
+}
+
+int
+run_rate_tests (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (uneven_spray_keeps_the_rate_),
+    cmocka_unit_test (one_busy_instance_reaches_most_of_the_rate_),
+    cmocka_unit_test (churn_settles_within_the_rate_),
+    cmocka_unit_test (new_traffic_is_not_starved_),
+    cmocka_unit_test (old_and_unknown_reports_are_replaced_),
+    cmocka_unit_test (amount_above_the_burst_passes_and_is_paid_back_),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/test_limit/tests.h
@@ -0,0 +1,8 @@
+#ifndef TESTS_H
+#define TESTS_H
+
+/** Each returns the number of failed tests.  */
+int run_rate_tests (void);
+int run_count_tests (void);
+
+#endif
