--- a/include/ragwortyoke/health.h
+++ b/include/ragwortyoke/health.h
@@ -32,14 +32,15 @@
                                    unsigned slots);
 void rgy_health_delete (struct rgy_health *health);
 
-/** @return true when a probe is due; @p sequence identifies it.  */
+/** One probe is pending at a time; call rgy_health_tick() first.
+    @return true when a probe is due; @p sequence identifies it.  */
 bool rgy_health_probe_due (struct rgy_health *health, int64_t now_us,
                            uint16_t *sequence);
 /** Answer to a probe.  Late and unknown sequences are ignored.  */
 enum rgy_health_change rgy_health_note_answer (struct rgy_health *health,
                                                uint16_t sequence,
                                                int64_t now_us);
-/** The socket was refused.  */
+/** The socket was refused: unhealthy at once, since nothing listens.  */
 enum rgy_health_change rgy_health_note_refused (struct rgy_health *health,
                                                 int64_t now_us);
 /** Any answer to real work counts as a success.  */
