Add the asynchronous client of the key-value service

A reader fetches the watched keys in one transaction and then watches them. A small range tells a silent watch from an idle one. Answers of another cluster, of an older revision or with an older version of a key are refused, so that the last good configuration stays in effect.

--- a/include/ragwortyoke-io/store_client.h
+++ b/include/ragwortyoke-io/store_client.h
@@ -45,16 +45,38 @@
   void *ctx;
 };
 
+/** Times of a client.  */
+struct rgy_store_intervals
+{
+  unsigned retry_min_ms; /**< First retry; 1 s.  */
+  unsigned retry_max_ms; /**< Longest retry; 30 s.  */
+  unsigned probe_ms;     /**< A watch without an event for this long is
+                            checked with a small range; 5 s.  */
+  unsigned behind_ms;    /**< Time in which a watch must deliver what the
+                            check has seen; 1 s.  */
+  unsigned call_ms;      /**< Time-out of a call; 3 s.  A check and its
+                            time-out stay below 10 s.  */
+  unsigned coalesce_ms;  /**< Pause after a watch answer, plus up to half of
+                            it as jitter; 200 ms.  */
+};
+extern const struct rgy_store_intervals rgy_store_intervals_default;
+
 struct rgy_store_client;
 
 /**
  * @param endpoints  comma-separated "A.B.C.D:PORT" list; tried in turn.
  * @param seed       seed of the retry jitter.
+ * @return NULL when an endpoint is malformed.
  */
 struct rgy_store_client *
 rgy_store_client_new (uv_loop_t *loop, const char *endpoints, uint64_t seed,
                       const struct rgy_store_callbacks *callbacks);
-/** Stops all transfers; the client is freed once its handles are closed.  */
+/** Replace the times, before the first call; for tests.  */
+void
+rgy_store_client_set_intervals (struct rgy_store_client *client,
+                                const struct rgy_store_intervals *intervals);
+/** Stops all transfers without their callbacks; the client is freed once its
+ * handles are closed.  */
 void rgy_store_client_delete (struct rgy_store_client *client);
 
 /** Read the prefix "/ragwortyoke/" and then watch it, or stop watching.
@@ -64,7 +86,8 @@
 void rgy_store_client_set_watching (struct rgy_store_client *client,
                                     bool watching);
 
-/** Read the prefix once without watching it.  */
+/** Read the prefix once without watching it; retried until it succeeds or
+    rgy_store_client_set_watching() is called.  */
 void rgy_store_client_read (struct rgy_store_client *client);
 
 /** Keep a key with a lease: written now, retried until it succeeds, the
@@ -77,7 +100,10 @@
 void rgy_store_client_release (struct rgy_store_client *client);
 
 /** One compare-and-swap.  @p expected is the modification revision that the
-    key must have, 0 for a key that must not exist.  */
+    key must have, 0 for a key that must not exist.  The outcome is RGY_OK,
+    RGY_ERR_CONFLICT, RGY_ERR_STALE (the store is refused), or
+    RGY_ERR_TIMEOUT or RGY_ERR_UNAVAILABLE, after which the write may have
+    taken effect.  */
 typedef void (*rgy_store_cas_fn) (enum rgy_outcome outcome, void *ctx);
 void rgy_store_client_cas (struct rgy_store_client *client, struct rgy_str key,
                            struct rgy_bytes value, uint64_t expected,
--- /dev/null
+++ b/src/libragwortyoke-io/store_entry.c
@@ -0,0 +1,106 @@
+#include <string.h>
+
+#include "ragwortyoke-io/store_client.h"
+#include "ragwortyoke/domain.h"
+#include "ragwortyoke/member.h"
+
+static const char *const class_prefix_[] = {
+  [RGY_ENTRY_CONTRACT] = RGY_STORE_PREFIX "contracts/",
+  [RGY_ENTRY_DOMAIN] = RGY_STORE_PREFIX "domains/",
+  [RGY_ENTRY_AGENT] = RGY_STORE_PREFIX "agents/",
+};
+
+/* Sets the class and the name of a key.  */
+static enum rgy_outcome
+parse_key_ (struct rgy_str key, struct rgy_entry *entry)
+{
+  struct rgy_str name;
+  size_t len;
+  int class;
+
+  for (class = RGY_ENTRY_CONTRACT; class <= RGY_ENTRY_AGENT; class ++)
+    {
+      len = strlen (class_prefix_[class]);
+      if (key.len < len || memcmp (key.data, class_prefix_[class], len) != 0)
+        continue;
+      entry->class = (enum rgy_entry_class) class;
+      name = (struct rgy_str){ .data = key.data + len, .len = key.len - len };
+      return rgy_name_set (&entry->key, name);
+    }
+  return RGY_ERR_NOT_FOUND;
+}
+
+static enum rgy_outcome
+set_domain_version_ (struct rgy_entry *entry)
+{
+  struct rgy_domain_order order;
+  struct rgy_check_error error;
+  struct rgy_str json
+      = { .data = (const char *)entry->value.data, .len = entry->value.len };
+
+  if (rgy_domain_order_parse (json, &order, &error) != RGY_OK
+      || !rgy_name_equal (&order.domain, &entry->key))
+    return RGY_ERR_INVALID;
+  entry->version
+      = (struct rgy_version){ .major = order.number, .minor = order.id };
+  return RGY_OK;
+}
+
+static enum rgy_outcome
+set_agent_version_ (struct rgy_entry *entry)
+{
+  struct rgy_agent_record record;
+
+  if (rgy_agent_record_decode (entry->value, &record) != RGY_OK
+      || !rgy_name_equal (&record.id, &entry->key))
+    return RGY_ERR_INVALID;
+  entry->version = (struct rgy_version){ .major = record.epoch,
+                                         .minor = record.sequence };
+  return RGY_OK;
+}
+
+static enum rgy_outcome
+check_contract_ (const struct rgy_entry *entry)
+{
+  struct rgy_check_error error;
+  struct rgy_contract *contract;
+  enum rgy_outcome rc;
+
+  contract = rgy_contract_parse (
+      (struct rgy_str){ .data = (const char *)entry->value.data,
+                        .len = entry->value.len },
+      &error);
+  if (contract == NULL)
+    return RGY_ERR_INVALID;
+  rc = rgy_name_equal (&contract->customer, &entry->key) ? RGY_OK
+                                                         : RGY_ERR_INVALID;
+  rgy_contract_delete (contract);
+  return rc;
+}
+
+enum rgy_outcome
+rgy_store_event_to_entry (const struct rgy_store_event *event,
+                          struct rgy_entry *entry)
+{
+  enum rgy_outcome rc;
+
+  *entry
+      = (struct rgy_entry){ .deleted = event->deleted, .value = event->value };
+  rc = parse_key_ (event->key, entry);
+  if (rc != RGY_OK)
+    return rc;
+  switch (entry->class)
+    {
+    case RGY_ENTRY_CONTRACT:
+      entry->version = (struct rgy_version){ .major = event->mod_revision };
+      return event->deleted ? RGY_OK : check_contract_ (entry);
+    case RGY_ENTRY_DOMAIN:
+      return event->deleted ? RGY_ERR_NOT_FOUND : set_domain_version_ (entry);
+    case RGY_ENTRY_AGENT:
+      return event->deleted ? RGY_ERR_NOT_FOUND : set_agent_version_ (entry);
+    case RGY_ENTRY_BALANCER:
+    case RGY_ENTRY_CLASS_COUNT:
+      break;
+    }
+  return RGY_ERR_NOT_FOUND;
+}
--- a/tests/standins/kv/kv_server.c
+++ b/tests/standins/kv/kv_server.c
@@ -47,8 +47,8 @@
 /* Fault switches.  */
 
 /* Applies the switches of a request.  @return NULL or what is wrong.  */
-static const char *
-set_faults_ (struct kv_server *server, const json_t *body)
+const char *
+kv_server_set_faults (struct kv_server *server, const json_t *body)
 {
   struct faults_ faults = server->faults;
   struct request_ *request;
@@ -163,15 +163,27 @@
     }
 }
 
+static void
+update_watches_ (struct kv_server *server)
+{
+  struct request_ *request;
+  unsigned i;
+
+  for (i = 0; i < server->requests->len; i++)
+    {
+      request = g_ptr_array_index (server->requests, i);
+      if (request->watch != NULL && !request->watch->ended)
+        kv_watch_update (request->watch, &server->store);
+    }
+}
+
 /* Runs the call of a complete request.  */
 static void
 run_call_ (struct request_ *request, const json_t *body)
 {
   struct kv_server *server = request->server;
-  struct request_ *other;
   unsigned status = MHD_HTTP_OK;
   json_t *answer = NULL;
-  unsigned i;
 
   server->calls[request->call]++;
   if (request->call == KV_CALL_WATCH)
@@ -201,12 +213,7 @@
   if (server->faults.delay_ms > 0)
     request->due_us = g_get_monotonic_time ()
                       + server->faults.delay_ms * (G_USEC_PER_SEC / 1000);
-  for (i = 0; i < server->requests->len; i++)
-    {
-      other = g_ptr_array_index (server->requests, i);
-      if (other->watch != NULL && !other->watch->ended)
-        kv_watch_update (other->watch, &server->store);
-    }
+  update_watches_ (server);
 }
 
 static void
@@ -233,7 +240,7 @@
                      NULL);
   if (strcmp (url, "/standin/faults") == 0)
     {
-      wrong = set_faults_ (server, body);
+      wrong = kv_server_set_faults (server, body);
       if (wrong == NULL)
         set_response_ (request, MHD_HTTP_OK, json_object ());
       else
@@ -470,3 +477,21 @@
     update_request_ (server, g_ptr_array_index (server->requests, i), now_us);
   MHD_run (server->daemon);
 }
+
+json_t *
+kv_server_call (struct kv_server *server, enum kv_call call,
+                const json_t *request)
+{
+  unsigned status;
+  json_t *answer = kv_api_call (&server->store, call, request,
+                                g_get_monotonic_time (), &status);
+
+  update_watches_ (server);
+  return answer;
+}
+
+uint64_t
+kv_server_get_calls (const struct kv_server *server, enum kv_call call)
+{
+  return server->calls[call];
+}
--- a/tests/standins/kv/kv_server.h
+++ b/tests/standins/kv/kv_server.h
@@ -8,6 +8,7 @@
  * kv_server_run() when it is readable or after the time-out.
  */
 
+#include "kv_api.h"
 #include "ragwortyoke/address.h"
 
 struct kv_server;
@@ -23,4 +24,17 @@
 int kv_server_get_timeout_ms (struct kv_server *server);
 void kv_server_run (struct kv_server *server);
 
+/* For tests that run the stand-in in their own process.  */
+
+/** Run a call other than a watch without HTTP; not counted and not subject to
+    faults.  @return the answer.  */
+json_t *kv_server_call (struct kv_server *server, enum kv_call call,
+                        const json_t *request);
+/** @return NULL, or what is wrong with the switches.  */
+const char *kv_server_set_faults (struct kv_server *server,
+                                  const json_t *body);
+/** Calls of a kind that came over HTTP.  */
+uint64_t kv_server_get_calls (const struct kv_server *server,
+                              enum kv_call call);
+
 #endif
