Follow the steering trail and the claims of the count limit in the agent

The trail now carries its origin, the acknowledgement of a peer state the acknowledging agent's own sequence. Usage of a contract is prepared when the contract arrives, since reservations take seconds to grow.

--- a/include/ragwortyoke/wire.h
+++ b/include/ragwortyoke/wire.h
@@ -134,6 +134,7 @@
   struct rgy_name from;
   uint64_t epoch; /**< Of the acknowledged state.  */
   uint64_t sequence;
+  uint64_t own_sequence; /**< Of the acknowledging agent.  */
 };
 
 struct rgy_handover_message
--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -421,6 +421,8 @@
     return;
   if (entry->class == RGY_ENTRY_CONTRACT || entry->class == RGY_ENTRY_DOMAIN)
     ++*a->c.config_changes;
+  if (entry->class == RGY_ENTRY_CONTRACT)
+    rgy_agent_prepare_usage (a);
   if (entry->class == RGY_ENTRY_DOMAIN)
     follow_domain_order_ (a);
   if (entry->class == RGY_ENTRY_AGENT
@@ -482,14 +484,11 @@
 /* Peers of the same service.  */
 
 static void
-send_peer_state_ (struct rgy_agent *a, struct rgy_endpoint to)
+fill_peer_state_ (struct rgy_agent *a, struct rgy_peer_state_message *p)
 {
   const struct rgy_admission *admission
       = rgy_request_engine_get_admission (a->engine);
-  struct rgy_message *m = g_new0 (struct rgy_message, 1);
-  struct rgy_peer_state_message *p = &m->u.peer_state;
 
-  m->kind = RGY_MSG_PEER_STATE;
   p->from = a->settings.id;
   p->epoch = a->self.epoch;
   p->sequence = rgy_steering_get_sequence (a->steering);
@@ -500,30 +499,26 @@
         && rgy_admission_get_queued (admission) == 0
         && rgy_flow_table_get_count (a->flows) < a->settings.connections;
   p->usage_count = rgy_agent_fill_usage (a, p->usage);
-  rgy_agent_send_message (a, to, m);
-  g_free (m);
 }
 
 static void
 peer_state_tick_ (struct rgy_agent *a)
 {
-  const struct rgy_group *group
-      = rgy_blackboard_get_group (a->bb, a->settings.service);
   uint64_t sequence = rgy_steering_get_sequence (a->steering);
-  guint i;
+  struct rgy_message *m;
+  size_t i;
 
   if (a->now_us < a->next_peer_state_us && sequence == a->sent_sequence)
     return;
   a->next_peer_state_us = a->now_us + RGY_PEER_STATE_INTERVAL_US;
   a->sent_sequence = sequence;
-  for (i = 0; i < group->agents->len; i++)
-    {
-      const struct rgy_agent_record *r = g_ptr_array_index (group->agents, i);
-
-      if (rgy_blackboard_agent_is_live (a->bb, r)
-          && !rgy_name_equal (&r->id, &a->settings.id))
-        send_peer_state_ (a, r->endpoint);
-    }
+  m = g_new0 (struct rgy_message, 1);
+  m->kind = RGY_MSG_PEER_STATE;
+  fill_peer_state_ (a, &m->u.peer_state);
+  for (i = 0; i < a->peer_count; i++)
+    rgy_agent_send_message (
+        a, rgy_blackboard_get_agent (a->bb, &a->peer_names[i])->endpoint, m);
+  g_free (m);
 }
 
 static void
@@ -542,12 +537,16 @@
   peer->epoch = m->epoch;
   peer->can_accept = m->can_accept;
   rgy_agent_note_peer_usage (a, m);
-  rgy_steering_note_state (a->steering, &m->from, m->epoch, m->sequence,
-                           &m->may_hold);
-  ack.u.peer_state_ack
-      = (struct rgy_peer_state_ack_message){ .from = a->settings.id,
-                                             .epoch = m->epoch,
-                                             .sequence = m->sequence };
+  if (rgy_steering_note_state (a->steering, &m->from, m->epoch, m->sequence,
+                               &m->may_hold)
+      == RGY_ERR_NOT_FOUND)
+    return;
+  ack.u.peer_state_ack = (struct rgy_peer_state_ack_message){
+    .from = a->settings.id,
+    .epoch = m->epoch,
+    .sequence = m->sequence,
+    .own_sequence = rgy_steering_get_sequence (a->steering)
+  };
   rgy_agent_send_message (a, from, &ack);
 }
 
@@ -559,9 +558,7 @@
   const struct rgy_group *group
       = rgy_blackboard_get_group (a->bb, a->settings.service);
   struct rgy_name eligible[RGY_GROUP_MAX];
-  struct rgy_name peers[RGY_GROUP_MAX];
   size_t eligible_count = 0;
-  size_t peer_count = 0;
   guint i;
 
   if (a->group_changes == group->changes
@@ -569,7 +566,8 @@
     return;
   a->group_changes = group->changes;
   a->domain_changes = a->bb->changes[RGY_ENTRY_DOMAIN];
-  for (i = 0; i < group->agents->len && eligible_count < RGY_GROUP_MAX; i++)
+  a->peer_count = 0;
+  for (i = 0; i < group->agents->len && i < RGY_GROUP_MAX; i++)
     {
       const struct rgy_agent_record *r = g_ptr_array_index (group->agents, i);
 
@@ -577,17 +575,26 @@
         eligible[eligible_count++] = r->id;
       if (rgy_blackboard_agent_is_live (a->bb, r)
           && !rgy_name_equal (&r->id, &a->settings.id))
-        peers[peer_count++] = r->id;
+        a->peer_names[a->peer_count++] = r->id;
       else
         rgy_transfers_cancel_target (a->transfers, &r->id);
     }
-  if (rgy_steering_set_group (a->steering, eligible, eligible_count, peers,
-                              peer_count))
+  if (rgy_steering_set_group (a->steering, eligible, eligible_count,
+                              a->peer_names, a->peer_count))
     {
       a->settle_deadline_us = a->now_us + RGY_SETTLE_TIMEOUT_US;
       a->next_peer_state_us = 0;
     }
-  rgy_agent_update_usage_instances (a, peers, peer_count);
+  rgy_agent_update_usage_instances (a);
+}
+
+/* Peers follow the bitmap, so it is sent as soon as it changes.  */
+static void
+publish_held_ (struct rgy_agent *a)
+{
+  if (rgy_steering_set_held (a->steering,
+                             rgy_flow_table_get_held (a->flows)))
+    peer_state_tick_ (a);
 }
 
 static void
@@ -633,8 +640,9 @@
       break;
     case RGY_MSG_PEER_STATE_ACK:
       if (m->u.peer_state_ack.epoch == a->self.epoch)
-        rgy_steering_note_ack (a->steering, &m->u.peer_state_ack.from,
-                               m->u.peer_state_ack.sequence);
+        rgy_steering_note_answer (a->steering, &m->u.peer_state_ack.from,
+                                  m->u.peer_state_ack.sequence,
+                                  m->u.peer_state_ack.own_sequence);
       break;
     case RGY_MSG_HANDOVER:
       rgy_agent_handle_handover (a, from, &m->u.handover);
@@ -677,6 +685,7 @@
         }
       update_group_ (a);
       dispatch_ (a, from, m);
+      publish_held_ (a);
     }
   else
     ++*(rc == RGY_ERR_AUTH ? a->c.bad_tag : a->c.bad_message);
@@ -781,6 +790,7 @@
   rgy_request_engine_tick (a->engine, now_us, actions);
   expire_flows_ (a);
   rgy_agent_handover_tick (a);
+  publish_held_ (a);
   drain_tick_ (a);
   if (now_us >= a->next_heartbeat_us)
     {
--- a/src/libragwortyoke/agent_packet.c
+++ b/src/libragwortyoke/agent_packet.c
@@ -77,14 +77,12 @@
       = rgy_blackboard_get_agent (a->bb, &decision->next);
   struct rgy_message out = { .kind = RGY_MSG_DATA };
 
-  if (next == NULL || m->trail.count == RGY_MAX_HOPS)
+  if (next == NULL)
     {
-      ++*a->c.drop_hop_limit;
+      ++*a->c.drop_no_agent;
       return;
     }
-  m->trail.visited[m->trail.count++] = a->settings.id;
-  if (decision->reason == RGY_STEER_REASON_OVERFLOW)
-    m->trail.overflow = true;
+  rgy_steer_trail_extend (&m->trail, &a->settings.id, decision);
   out.u.data = *m;
   ++*a->c.forwarded;
   rgy_actions_send (a->actions, next->endpoint,
--- a/src/libragwortyoke/agent_usage.c
+++ b/src/libragwortyoke/agent_usage.c
@@ -31,6 +31,16 @@
   return NULL;
 }
 
+static void
+set_instances_ (struct rgy_agent *a, struct rgy_customer_usage *usage)
+{
+  rgy_count_limit_set_instances (usage->flows, a->peer_names, a->peer_count);
+  rgy_rate_limit_set_instances (usage->new_flows, a->peer_names,
+                                a->peer_count);
+  rgy_count_limit_set_instances (usage->requests, a->peer_names,
+                                 a->peer_count);
+}
+
 struct rgy_customer_usage *
 rgy_agent_get_usage (struct rgy_agent *a, const struct rgy_name *customer)
 {
@@ -49,7 +59,7 @@
       usage->requests = rgy_count_limit_new (limits.requests_in_flight);
       g_hash_table_insert (a->usage, g_memdup2 (customer, sizeof *customer),
                            usage);
-      a->group_changes = UINT64_MAX;
+      set_instances_ (a, usage);
     }
   rgy_count_limit_set_limit (usage->flows, limits.open_flows);
   rgy_rate_limit_set_rate (usage->new_flows, limits.new_flows_per_second);
@@ -69,11 +79,11 @@
       struct rgy_customer_usage *usage
           = rgy_agent_get_usage (a, &theirs->customer);
 
-      rgy_count_limit_note_usage (usage->flows, &m->from, theirs->open_flows,
+      rgy_count_limit_note_claim (usage->flows, &m->from, theirs->open_flows,
                                   a->now_us);
       rgy_rate_limit_note_demand (usage->new_flows, &m->from,
                                   theirs->new_flows_per_s, a->now_us);
-      rgy_count_limit_note_usage (usage->requests, &m->from, theirs->requests,
+      rgy_count_limit_note_claim (usage->requests, &m->from, theirs->requests,
                                   a->now_us);
     }
 }
@@ -93,29 +103,39 @@
 
       out[n++] = (struct rgy_usage){
         .customer = *(struct rgy_name *)key,
-        .open_flows = rgy_count_limit_get_usage (usage->flows),
+        .open_flows = rgy_count_limit_get_claim (usage->flows, a->now_us),
         .new_flows_per_s
         = rgy_rate_limit_get_demand (usage->new_flows, a->now_us),
-        .requests = rgy_count_limit_get_usage (usage->requests),
+        .requests = rgy_count_limit_get_claim (usage->requests, a->now_us),
       };
     }
   return n;
 }
 
 void
-rgy_agent_update_usage_instances (struct rgy_agent *a,
-                                  const struct rgy_name *peers, size_t count)
+rgy_agent_update_usage_instances (struct rgy_agent *a)
 {
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, a->usage);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct rgy_customer_usage *usage = value;
+    set_instances_ (a, value);
+}
 
-      rgy_count_limit_set_instances (usage->flows, peers, count);
-      rgy_rate_limit_set_instances (usage->new_flows, peers, count);
-      rgy_count_limit_set_instances (usage->requests, peers, count);
-    }
+static void
+prepare_ (const struct rgy_contract *contract, void *ctx)
+{
+  struct rgy_agent *a = ctx;
+
+  if (find_service_ (a, &contract->customer) != NULL)
+    rgy_agent_get_usage (a, &contract->customer);
+}
+
+/* Reservations take seconds to grow, so they begin with the contract and not
+   with its first flow.  */
+void
+rgy_agent_prepare_usage (struct rgy_agent *a)
+{
+  rgy_contract_set_foreach (a->bb->contracts, prepare_, a);
 }
--- a/src/libragwortyoke/count_limit.c
+++ b/src/libragwortyoke/count_limit.c
@@ -431,6 +431,13 @@
   return true;
 }
 
+void
+rgy_count_limit_force (struct rgy_count_limit *limit)
+{
+  limit->usage++;
+  limit->peak = MAX (limit->peak, limit->usage);
+}
+
 void
 rgy_count_limit_release (struct rgy_count_limit *limit)
 {
--- a/src/libragwortyoke/include/private/agent_private.h
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -112,6 +112,9 @@
   GHashTable *usage;     /**< Customer to struct rgy_customer_usage.  */
   GHashTable *peers;     /**< Agent to struct rgy_peer.  */
 
+  struct rgy_name peer_names[RGY_GROUP_MAX]; /**< Other live agents.  */
+  size_t peer_count;
+
   /* Of the event that is being handled, for the engine's hooks.  */
   struct rgy_actions *actions;
   int64_t now_us;
@@ -157,9 +160,8 @@
 void rgy_agent_note_peer_usage (struct rgy_agent *a,
                                 const struct rgy_peer_state_message *m);
 size_t rgy_agent_fill_usage (struct rgy_agent *a, struct rgy_usage *usage);
-void rgy_agent_update_usage_instances (struct rgy_agent *a,
-                                       const struct rgy_name *peers,
-                                       size_t count);
+void rgy_agent_update_usage_instances (struct rgy_agent *a);
+void rgy_agent_prepare_usage (struct rgy_agent *a);
 
 /* agent_handover.c */
 void rgy_agent_handover_tick (struct rgy_agent *a);
--- a/src/libragwortyoke/wire_decode.c
+++ b/src/libragwortyoke/wire_decode.c
@@ -78,6 +78,9 @@
   m->view = rgy_read_u64 (r);
   m->balancer = rgy_read_endpoint (r);
   m->trail.overflow = rgy_read_bool (r);
+  m->trail.search = rgy_read_bool (r);
+  m->trail.origin = (size_t)rgy_read_max (r, RGY_MAX_HOPS);
+  m->trail.origin_sequence = rgy_read_u64 (r);
   list = rgy_read_array (r);
   if (list.failed || list.count > RGY_MAX_HOPS)
     {
@@ -85,6 +88,8 @@
       return;
     }
   m->trail.count = list.count;
+  if (m->trail.origin > m->trail.count)
+    r->failed = true;
   for (i = 0; i < m->trail.count; i++)
     rgy_read_name (&list, &m->trail.visited[i]);
   r->failed |= list.failed;
@@ -215,6 +220,7 @@
       rgy_read_name (r, &message->u.peer_state_ack.from);
       message->u.peer_state_ack.epoch = rgy_read_u64 (r);
       message->u.peer_state_ack.sequence = rgy_read_u64 (r);
+      message->u.peer_state_ack.own_sequence = rgy_read_u64 (r);
       return RGY_OK;
     case RGY_MSG_HANDOVER:
       rgy_read_name (r, &message->u.handover.from);
--- a/src/libragwortyoke/wire_encode.c
+++ b/src/libragwortyoke/wire_encode.c
@@ -53,6 +53,9 @@
   msgpack_pack_uint64 (pk, m->view);
   rgy_pack_endpoint (pk, m->balancer);
   rgy_pack_bool (pk, m->trail.overflow);
+  rgy_pack_bool (pk, m->trail.search);
+  msgpack_pack_uint64 (pk, m->trail.origin);
+  msgpack_pack_uint64 (pk, m->trail.origin_sequence);
   msgpack_pack_array (pk, m->trail.count);
   for (i = 0; i < m->trail.count; i++)
     rgy_pack_name (pk, &m->trail.visited[i]);
@@ -133,9 +136,10 @@
   switch (kind)
     {
     case RGY_MSG_DATA:
-      return 10;
-    case RGY_MSG_ANSWER:
+      return 13;
     case RGY_MSG_PEER_STATE_ACK:
+      return 5;
+    case RGY_MSG_ANSWER:
     case RGY_MSG_HANDOVER:
     case RGY_MSG_HANDOVER_ACK:
       return 4;
@@ -200,6 +204,7 @@
       rgy_pack_name (pk, &message->u.peer_state_ack.from);
       msgpack_pack_uint64 (pk, message->u.peer_state_ack.epoch);
       msgpack_pack_uint64 (pk, message->u.peer_state_ack.sequence);
+      msgpack_pack_uint64 (pk, message->u.peer_state_ack.own_sequence);
       break;
     case RGY_MSG_HANDOVER:
       rgy_pack_name (pk, &message->u.handover.from);
