--- a/src/test_limit/test_count.c
+++ b/src/test_limit/test_count.c
@@ -408,6 +408,27 @@
   rgy_count_limit_delete (limit);
 }
 
+/* An agent declared dead may be alive behind a broken link and still hold its
+   count, so its claim must stay charged for 5 s and then be free again.  */
+static void
+dead_agent_stays_charged_for_a_while_ (void **state)
+{
+  struct rgy_count_limit *limit = rgy_count_limit_new (100);
+  struct rgy_name other = name_ (1);
+  int64_t t = START_US;
+
+  (void)state;
+  rgy_count_limit_set_instances (limit, &other, 1);
+  rgy_count_limit_note_claim (limit, &other, 90, t);
+  rgy_count_limit_set_instances (limit, NULL, 0);
+  assert_int_equal (rgy_count_limit_get_claim (limit, t), 10);
+  t += RGY_LIMIT_REPORT_MAX_AGE_US - 1;
+  assert_int_equal (rgy_count_limit_get_claim (limit, t), 10);
+  t += 250 * MS;
+  assert_int_equal (rgy_count_limit_get_claim (limit, t), 100);
+  rgy_count_limit_delete (limit);
+}
+
 /* A lone agent has the whole count; a lower limit takes effect without an
    exchange and loses nothing that is in use.  */
 static void
@@ -448,6 +469,7 @@
     cmocka_unit_test (moving_demand_and_lost_reports_keep_the_count_),
     cmocka_unit_test (churn_keeps_the_count_),
     cmocka_unit_test (pause_gives_up_unused_reservation_),
+    cmocka_unit_test (dead_agent_stays_charged_for_a_while_),
     cmocka_unit_test (lone_agent_and_changed_limits_),
   };
 
