--- a/src/libragwortyoke/agent_handover.c
+++ b/src/libragwortyoke/agent_handover.c
@@ -122,7 +122,13 @@
           send_state_ (a, &event, flow);
           break;
         case RGY_TRANSFER_GIVEN_UP:
-          flow->moving = false;
+          /* A live target may hold the flow although its answers were lost;
+             it accepts what it already holds.  */
+          flow->moving
+              = !event.target_died
+                && rgy_transfers_begin (a->transfers, flow->id, &event.target,
+                                        a->now_us)
+                       == RGY_OK;
           break;
         }
     }
--- a/src/libragwortyoke/agent_usage.c
+++ b/src/libragwortyoke/agent_usage.c
@@ -67,6 +67,37 @@
   return usage;
 }
 
+static const struct rgy_usage *
+find_usage_ (const struct rgy_peer_state_message *m,
+             const struct rgy_name *customer)
+{
+  size_t i;
+
+  for (i = 0; i < m->usage_count; i++)
+    if (rgy_name_equal (&m->usage[i].customer, customer))
+      return &m->usage[i];
+  return NULL;
+}
+
+/* A peer that has no traffic of a customer leaves it out of a report that is
+   not full; its demand is then 0.  */
+static void
+note_missing_ (struct rgy_agent *a, const struct rgy_peer_state_message *m)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  if (m->usage_count == RGY_WIRE_MAX_USAGE)
+    return;
+  g_hash_table_iter_init (&iter, a->usage);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (find_usage_ (m, key) == NULL)
+      rgy_rate_limit_note_demand (
+          ((struct rgy_customer_usage *)value)->new_flows, &m->from, 0,
+          a->now_us);
+}
+
 void
 rgy_agent_note_peer_usage (struct rgy_agent *a,
                            const struct rgy_peer_state_message *m)
@@ -86,6 +117,7 @@
       rgy_count_limit_note_claim (usage->requests, &m->from, theirs->requests,
                                   a->now_us);
     }
+  note_missing_ (a, m);
 }
 
 size_t
--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -577,8 +577,12 @@
 
           for (d = 0; d < r->demand_count; d++)
             if (rgy_name_equal (&r->demand[d].customer, key))
-              rgy_rate_limit_note_demand (value, &r->id,
-                                          r->demand[d].bytes_per_s, now_us);
+              break;
+          if (d < r->demand_count)
+            rgy_rate_limit_note_demand (value, &r->id,
+                                        r->demand[d].bytes_per_s, now_us);
+          else if (r->demand_count < RGY_DEMAND_MAX)
+            rgy_rate_limit_note_demand (value, &r->id, 0, now_us);
         }
     }
   g_free (names);
