--- a/include/ragwortyoke/request.h
+++ b/include/ragwortyoke/request.h
@@ -247,14 +247,29 @@
 
 /** Export a flow without outstanding requests.  Byte ranges of @p state stay
     valid until the flow changes.
-    @return RGY_OK, RGY_ERR_CONFLICT (requests outstanding) or RGY_ERR_FULL
-    (too many observations or records).  */
+
+    From the first export on, the receiving agent may accept the flow's Echo
+    values.  Set @c flow->moving in the same event: while it is set, requests
+    of the flow are dropped, and callers retransmit them to the new holder.
+    When it is cleared and the flow is still here, the Echo values minted so
+    far are no longer valid, unless rgy_request_engine_keep() was called.
+
+    When more deduplication records are alive than the state has room for, it
+    carries no Echo epochs: the receiver answers outcome-unknown to requests
+    with an older Echo.
+    @return RGY_OK or RGY_ERR_CONFLICT (requests outstanding).  */
 enum rgy_outcome rgy_request_engine_export (struct rgy_request_engine *engine,
                                             struct rgy_flow *flow,
                                             int64_t now_us,
                                             struct rgy_handover_state *state);
+/** The only target of an export has refused it and holds nothing of the flow:
+    the Echo values minted so far stay valid.  Has no effect after a second
+    export, because an earlier one may have been accepted.  */
+void rgy_request_engine_keep (struct rgy_request_engine *engine,
+                              struct rgy_flow *flow);
 /** Take over a flow that has just been opened: registers its observations
-    at the backend server.  */
+    at the backend server.
+    @return RGY_OK or RGY_ERR_INVALID (malformed state; nothing is taken).  */
 enum rgy_outcome
 rgy_request_engine_import (struct rgy_request_engine *engine,
                            struct rgy_flow *flow,
--- /dev/null
+++ b/src/libragwortyoke/echo.c
@@ -0,0 +1,114 @@
+#include "private/request_private.h"
+
+#include <string.h>
+
+#include <sodium.h>
+
+#define FLOW_KEY_BYTES 13
+
+static void
+put_be_ (uint8_t *out, uint64_t value, size_t len)
+{
+  size_t i;
+
+  for (i = 0; i < len; i++)
+    out[i] = (uint8_t)(value >> (8 * (len - 1 - i)));
+}
+
+static uint64_t
+get_be_ (const uint8_t *in, size_t len)
+{
+  uint64_t value = 0;
+  size_t i;
+
+  for (i = 0; i < len; i++)
+    value = value << 8 | in[i];
+  return value;
+}
+
+static void
+put_flow_key_ (uint8_t *out, const struct rgy_flow_key *key)
+{
+  out[0] = (uint8_t)key->kind;
+  switch (key->kind)
+    {
+    case RGY_FLOW_KEY_UDP:
+      put_be_ (out + 1, key->u.udp.caller.ip, 4);
+      put_be_ (out + 5, key->u.udp.caller.port, 2);
+      put_be_ (out + 7, key->u.udp.service.ip, 4);
+      put_be_ (out + 11, key->u.udp.service.port, 2);
+      break;
+    }
+}
+
+static void
+mac_ (const struct rgy_session *session, uint64_t epoch, uint8_t *mac)
+{
+  uint8_t input[RGY_ECHO_EPOCH_BYTES + FLOW_KEY_BYTES] = { 0 };
+  const struct rgy_request_settings *settings = &session->engine->settings;
+  int rc;
+
+  put_be_ (input, epoch, RGY_ECHO_EPOCH_BYTES);
+  put_flow_key_ (input + RGY_ECHO_EPOCH_BYTES, &session->flow->key);
+  rc = crypto_generichash (mac, RGY_ECHO_MAC_BYTES, input, sizeof input,
+                           settings->echo_key, sizeof settings->echo_key);
+  g_assert (rc == 0);
+}
+
+/* The epoch of an Echo is not the agent's epoch itself: it also changes for
+   new sessions of a bucket after a flow of the bucket has moved away or was
+   closed with deduplication records.  Otherwise a flow that comes back would
+   have its old Echo values accepted without the records of what has run.  */
+uint64_t
+rgy_echo_epoch (const struct rgy_request_engine *engine, unsigned bucket)
+{
+  uint64_t input[3];
+
+  g_assert (bucket < RGY_BUCKET_COUNT);
+  input[0] = engine->settings.epoch;
+  input[1] = bucket;
+  input[2] = engine->generations[bucket];
+  return rgy_hash_bytes ((struct rgy_bytes){ .data = (const uint8_t *)input,
+                                             .len = sizeof input },
+                         0);
+}
+
+void
+rgy_echo_renew (struct rgy_session *session)
+{
+  struct rgy_request_engine *engine = session->engine;
+  unsigned bucket = session->flow->bucket;
+
+  engine->generations[bucket]++;
+  session->epochs[0] = rgy_echo_epoch (engine, bucket);
+  session->epoch_count = 1;
+  session->exports = 0;
+}
+
+void
+rgy_echo_mint (const struct rgy_session *session, uint8_t *echo)
+{
+  put_be_ (echo, session->epochs[0], RGY_ECHO_EPOCH_BYTES);
+  mac_ (session, session->epochs[0], echo + RGY_ECHO_EPOCH_BYTES);
+}
+
+bool
+rgy_echo_is_valid (const struct rgy_session *session, struct rgy_bytes echo)
+{
+  uint8_t mac[RGY_ECHO_MAC_BYTES];
+  uint64_t epoch;
+  size_t i;
+
+  if (echo.len != RGY_ECHO_BYTES)
+    return false;
+  epoch = get_be_ (echo.data, RGY_ECHO_EPOCH_BYTES);
+  for (i = 0; i < session->epoch_count; i++)
+    if (session->epochs[i] == epoch)
+      {
+        mac_ (session, epoch, mac);
+        return sodium_memcmp (mac, echo.data + RGY_ECHO_EPOCH_BYTES,
+                              sizeof mac)
+               == 0;
+      }
+  return false;
+}
--- /dev/null
+++ b/src/libragwortyoke/observation.c
@@ -0,0 +1,450 @@
+#include "private/request_private.h"
+
+#include <string.h>
+
+#include "ragwortyoke/clock.h"
+
+#define CODE_GET 1
+#define CLASS_SUCCESS 2
+/* Observe values are 24 bits; one is newer when it is ahead by less than half
+   of the space (RFC 7641 section 3.4).  */
+#define SEQUENCE_MASK 0xffffff
+#define SEQUENCE_HALF (1 << 23)
+/* RFC 7252: ACK_TIMEOUT and MAX_RETRANSMIT.  */
+#define ACK_TIMEOUT_US (2 * RGY_US_PER_S)
+#define MAX_RETRANSMIT 4
+/* Pause before a registration that the backend server refused is tried
+   again.  */
+#define REFUSED_RETRY_US RGY_US_PER_S
+
+static struct rgy_bytes
+bytes_of_ (const GByteArray *array)
+{
+  return (struct rgy_bytes){ .data = array->data, .len = array->len };
+}
+
+static bool
+bytes_equal_ (struct rgy_bytes a, struct rgy_bytes b)
+{
+  return a.len == b.len && (a.len == 0 || memcmp (a.data, b.data, a.len) == 0);
+}
+
+static bool
+is_newer_ (uint32_t sequence, uint32_t than)
+{
+  uint32_t ahead = (sequence - than) & SEQUENCE_MASK;
+
+  return ahead > 0 && ahead < SEQUENCE_HALF;
+}
+
+/* The set of a session.  */
+
+struct rgy_observation *
+rgy_observation_find (const struct rgy_session *session,
+                      struct rgy_bytes caller_token)
+{
+  size_t i;
+
+  for (i = 0; i < session->observation_count; i++)
+    if (bytes_equal_ (session->observations[i]->view.token, caller_token))
+      return session->observations[i];
+  return NULL;
+}
+
+struct rgy_observation *
+rgy_observation_find_backend (const struct rgy_session *session,
+                              struct rgy_bytes token)
+{
+  size_t i;
+
+  for (i = 0; i < session->observation_count; i++)
+    if (bytes_equal_ (
+            (struct rgy_bytes){ .data = session->observations[i]->token,
+                                .len = RGY_BACKEND_TOKEN_BYTES },
+            token))
+      return session->observations[i];
+  return NULL;
+}
+
+static void
+set_registration_ (struct rgy_observation *o, struct rgy_bytes registration)
+{
+  enum rgy_outcome rc;
+
+  if (o->registration != NULL)
+    g_byte_array_unref (o->registration);
+  o->registration = g_byte_array_sized_new ((guint)registration.len);
+  g_byte_array_append (o->registration, registration.data,
+                       (guint)registration.len);
+  rc = rgy_coap_parse (bytes_of_ (o->registration), &o->view);
+  g_assert (rc == RGY_OK);
+}
+
+struct rgy_observation *
+rgy_observation_put (struct rgy_session *session,
+                     struct rgy_bytes registration)
+{
+  struct rgy_observation *o;
+  struct rgy_coap_view view;
+
+  if (rgy_coap_parse (registration, &view) != RGY_OK)
+    return NULL;
+  o = rgy_observation_find (session, view.token);
+  if (o == NULL)
+    {
+      if (session->observation_count == RGY_HANDOVER_MAX_OBSERVATIONS)
+        return NULL;
+      o = g_new0 (struct rgy_observation, 1);
+      rgy_session_new_token (session, o->token);
+      session->observations[session->observation_count++] = o;
+    }
+  set_registration_ (o, registration);
+  return o;
+}
+
+void
+rgy_observation_cancel_request (struct rgy_observation *observation,
+                                int64_t now_us, struct rgy_actions *actions)
+{
+  bool wanted = observation->wanted;
+
+  /* The cancellation forgets an observation that nobody wants.  */
+  observation->wanted = true;
+  rgy_request_cancel (observation->request, now_us, actions);
+  observation->wanted = wanted;
+}
+
+static void
+drop_confirmable_ (struct rgy_observation *o)
+{
+  if (o->confirmable != NULL)
+    g_byte_array_unref (o->confirmable);
+  o->confirmable = NULL;
+}
+
+void
+rgy_observation_remove (struct rgy_session *session,
+                        struct rgy_observation *observation)
+{
+  size_t i = 0;
+
+  while (session->observations[i] != observation)
+    i++;
+  session->observations[i]
+      = session->observations[--session->observation_count];
+  if (observation->request != NULL)
+    observation->request->observation = NULL;
+  drop_confirmable_ (observation);
+  g_byte_array_unref (observation->registration);
+  g_free (observation);
+}
+
+/* Sequences.  */
+
+uint32_t
+rgy_observation_shift_first (struct rgy_observation *observation,
+                             uint32_t sequence)
+{
+  uint32_t shifted = (sequence + observation->offset) & SEQUENCE_MASK;
+
+  if (observation->notified
+      && !is_newer_ (shifted, observation->last_sequence))
+    {
+      shifted = (observation->last_sequence + 1) & SEQUENCE_MASK;
+      observation->offset = (shifted - sequence) & SEQUENCE_MASK;
+    }
+  observation->notified = true;
+  observation->last_sequence = shifted;
+  return shifted;
+}
+
+/* Builds a message of the observation for the caller.  */
+static GByteArray *
+build_ (const struct rgy_observation *o, const struct rgy_coap_view *view,
+        enum rgy_coap_type type, uint16_t id, bool has_sequence,
+        uint32_t sequence)
+{
+  struct rgy_coap_header header = {
+    .type = type, .code = view->code, .message_id = id, .token = o->view.token
+  };
+  struct rgy_coap_option change = { .number = RGY_COAP_OPTION_OBSERVE };
+  struct rgy_coap_uint room;
+
+  if (has_sequence)
+    change = rgy_coap_uint_option (RGY_COAP_OPTION_OBSERVE, sequence, &room);
+  return rgy_coap_rewrite (view, &header, &change, 1);
+}
+
+/* Notifications of the backend server.  */
+
+static struct rgy_notification_ids *
+find_recent_ (struct rgy_observation *o, uint16_t id, bool of_caller)
+{
+  size_t count = MIN (o->recent_count, RGY_RECENT_NOTIFICATIONS);
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    if ((of_caller ? o->recent[i].caller_id : o->recent[i].backend_id) == id)
+      return &o->recent[i];
+  return NULL;
+}
+
+static void
+forward_ (struct rgy_session *session, const struct rgy_observation *o,
+          const struct rgy_coap_view *view,
+          const struct rgy_notification_ids *ids)
+{
+  GByteArray *out
+      = build_ (o, view, view->type, ids->caller_id, true, ids->sequence);
+
+  rgy_session_send (session, out);
+  g_byte_array_unref (out);
+}
+
+/* The backend server has ended the observation.  */
+static void
+end_by_backend_ (struct rgy_session *session, struct rgy_observation *o,
+                 const struct rgy_coap_view *view, struct rgy_actions *actions)
+{
+  GByteArray *out
+      = build_ (o, view, RGY_COAP_NON, session->caller_id++, false, 0);
+
+  if (view->type == RGY_COAP_CON)
+    rgy_session_deliver_empty (session, RGY_COAP_ACK, view->message_id,
+                               actions);
+  rgy_session_send (session, out);
+  g_byte_array_unref (out);
+  if (o->request == NULL)
+    rgy_observation_remove (session, o);
+  else
+    o->registered = false;
+}
+
+void
+rgy_observation_notify (struct rgy_session *session,
+                        struct rgy_observation *observation,
+                        const struct rgy_coap_view *view,
+                        struct rgy_actions *actions)
+{
+  struct rgy_observation *o = observation;
+  struct rgy_request_counters *c = &session->engine->c;
+  struct rgy_notification_ids *ids = find_recent_ (o, view->message_id, false);
+  uint32_t sequence = (view->observe + o->offset) & SEQUENCE_MASK;
+
+  if (view->code >> 5 != CLASS_SUCCESS || !view->has_observe)
+    {
+      end_by_backend_ (session, o, view, actions);
+      return;
+    }
+  if (ids != NULL && ids->sequence == sequence)
+    {
+      forward_ (session, o, view, ids);
+      return;
+    }
+  if (o->notified && !is_newer_ (sequence, o->last_sequence))
+    {
+      ++*c->notifications_stale;
+      if (view->type == RGY_COAP_CON)
+        rgy_session_deliver_empty (session, RGY_COAP_ACK, view->message_id,
+                                   actions);
+      return;
+    }
+  ++*c->notifications;
+  o->notified = true;
+  o->last_sequence = sequence;
+  ids = &o->recent[o->recent_count++ % RGY_RECENT_NOTIFICATIONS];
+  *ids = (struct rgy_notification_ids){ .backend_id = view->message_id,
+                                        .caller_id = session->caller_id++,
+                                        .sequence = sequence };
+  forward_ (session, o, view, ids);
+}
+
+/* Registrations by the engine.  */
+
+/* The state that the new registration gives is sent confirmably: a lost one
+   would leave the caller with an old state until the next change.  */
+static void
+send_confirmable_ (struct rgy_session *session, struct rgy_observation *o,
+                   const struct rgy_coap_view *answer, uint32_t sequence,
+                   int64_t now_us)
+{
+  drop_confirmable_ (o);
+  o->confirmable_id = session->caller_id++;
+  o->confirmable
+      = build_ (o, answer, RGY_COAP_CON, o->confirmable_id, true, sequence);
+  o->confirmable_attempts = 1;
+  o->confirmable_due_us = now_us + ACK_TIMEOUT_US;
+  rgy_session_send (session, o->confirmable);
+  rgy_session_attend (session);
+}
+
+void
+rgy_observation_registered (struct rgy_session *session,
+                            struct rgy_observation *observation,
+                            const struct rgy_coap_view *answer, int64_t now_us)
+{
+  struct rgy_observation *o = observation;
+
+  if (answer->code >> 5 == CLASS_SUCCESS && answer->has_observe)
+    {
+      o->registered = true;
+      o->wanted = false;
+      ++*session->engine->c.notifications;
+      send_confirmable_ (session, o, answer,
+                         rgy_observation_shift_first (o, answer->observe),
+                         now_us);
+      return;
+    }
+  if (answer->code >> 5 == 5)
+    {
+      rgy_observation_retry (session, o, REFUSED_RETRY_US, now_us);
+      return;
+    }
+  {
+    GByteArray *out
+        = build_ (o, answer, RGY_COAP_NON, session->caller_id++, false, 0);
+
+    rgy_session_send (session, out);
+    g_byte_array_unref (out);
+  }
+  rgy_observation_remove (session, o);
+}
+
+void
+rgy_observation_retry (struct rgy_session *session,
+                       struct rgy_observation *observation, int64_t delay_us,
+                       int64_t now_us)
+{
+  observation->registered = false;
+  observation->wanted = true;
+  observation->register_us = now_us + delay_us;
+  rgy_session_attend (session);
+}
+
+/* The caller's side.  */
+
+bool
+rgy_observation_note_ack (struct rgy_session *session, uint16_t message_id,
+                          struct rgy_actions *actions)
+{
+  size_t i;
+
+  for (i = 0; i < session->observation_count; i++)
+    {
+      struct rgy_observation *o = session->observations[i];
+      const struct rgy_notification_ids *ids;
+
+      if (o->confirmable != NULL && o->confirmable_id == message_id)
+        {
+          drop_confirmable_ (o);
+          return true;
+        }
+      ids = find_recent_ (o, message_id, true);
+      if (ids != NULL)
+        {
+          rgy_session_deliver_empty (session, RGY_COAP_ACK, ids->backend_id,
+                                     actions);
+          return true;
+        }
+    }
+  return false;
+}
+
+bool
+rgy_observation_note_reset (struct rgy_session *session, uint16_t message_id,
+                            int64_t now_us, struct rgy_actions *actions)
+{
+  size_t i;
+
+  for (i = 0; i < session->observation_count; i++)
+    {
+      struct rgy_observation *o = session->observations[i];
+
+      if ((o->confirmable == NULL || o->confirmable_id != message_id)
+          && find_recent_ (o, message_id, true) == NULL)
+        continue;
+      if (o->request != NULL)
+        rgy_observation_cancel_request (o, now_us, actions);
+      if (o->registered)
+        rgy_observation_deregister (session, o, actions);
+      rgy_observation_remove (session, o);
+      return true;
+    }
+  return false;
+}
+
+/* A Reset to the last notification ends an observation without work for the
+   backend server; a GET with Observe 1 would take a slot.  */
+void
+rgy_observation_deregister (struct rgy_session *session,
+                            const struct rgy_observation *observation,
+                            struct rgy_actions *actions)
+{
+  const struct rgy_observation *o = observation;
+  struct rgy_coap_header header
+      = { .type = RGY_COAP_NON,
+          .code = CODE_GET,
+          .token = { .data = o->token, .len = sizeof o->token } };
+  struct rgy_coap_uint room;
+  struct rgy_coap_option changes[]
+      = { rgy_coap_uint_option (RGY_COAP_OPTION_OBSERVE, 1, &room),
+          { .number = RGY_COAP_OPTION_ECHO } };
+  GByteArray *out;
+
+  if (o->recent_count > 0)
+    {
+      rgy_session_deliver_empty (
+          session, RGY_COAP_RST,
+          o->recent[(o->recent_count - 1) % RGY_RECENT_NOTIFICATIONS]
+              .backend_id,
+          actions);
+      return;
+    }
+  header.message_id = session->backend_id++;
+  out = rgy_coap_rewrite (&o->view, &header, changes, G_N_ELEMENTS (changes));
+  rgy_session_deliver (session, out, actions);
+  g_byte_array_unref (out);
+}
+
+/* Timers.  */
+
+/* @return false when the caller has not acknowledged at all.  */
+static bool
+retransmit_ (struct rgy_session *session, struct rgy_observation *o,
+             int64_t now_us)
+{
+  if (o->confirmable == NULL || o->confirmable_due_us > now_us)
+    return true;
+  if (o->confirmable_attempts > MAX_RETRANSMIT)
+    return false;
+  rgy_session_send (session, o->confirmable);
+  o->confirmable_due_us = now_us + (ACK_TIMEOUT_US << o->confirmable_attempts);
+  o->confirmable_attempts++;
+  return true;
+}
+
+bool
+rgy_observation_tick (struct rgy_session *session, int64_t now_us,
+                      struct rgy_actions *actions)
+{
+  bool has_timers = false;
+  size_t i;
+
+  for (i = session->observation_count; i > 0; i--)
+    {
+      struct rgy_observation *o = session->observations[i - 1];
+
+      if (!retransmit_ (session, o, now_us))
+        {
+          if (o->registered)
+            rgy_observation_deregister (session, o, actions);
+          rgy_observation_remove (session, o);
+          continue;
+        }
+      if (o->wanted && o->request == NULL && !session->flow->moving
+          && o->register_us <= now_us)
+        rgy_request_begin_own (session, o, now_us, actions);
+      has_timers = has_timers || o->wanted || o->confirmable != NULL;
+    }
+  return has_timers;
+}
--- /dev/null
+++ b/src/libragwortyoke/request_engine.c
@@ -0,0 +1,522 @@
+#include "private/request_private.h"
+
+#include <string.h>
+
+#include "ragwortyoke/clock.h"
+
+#define CODE_UNAUTHORIZED RGY_COAP_CODE (4, 1)
+/* Retries per hundred deliveries.  */
+#define RETRY_PERCENT 10
+/* Pause before observations are registered again after the backend server
+   refused the flow's socket; it is probably starting.  */
+#define REFUSED_RETRY_US (500 * RGY_US_PER_MS)
+
+/* Life.  */
+
+static void
+add_counters_ (struct rgy_request_counters *c, struct rgy_counters *counters)
+{
+  int i;
+
+  c->delivered = rgy_counters_add (counters, "requests_delivered_total", NULL,
+                                   "Requests sent to the backend server.");
+  c->retries = rgy_counters_add (counters, "request_retries_total", NULL,
+                                 "Idempotent requests sent again.");
+  c->answered = rgy_counters_add (counters, "requests_answered_total", NULL,
+                                  "Answers of the backend server.");
+  c->outcome_unknown
+      = rgy_counters_add (counters, "requests_outcome_unknown_total", NULL,
+                          "Requests answered as outcome-unknown.");
+  c->echo_challenges = rgy_counters_add (
+      counters, "echo_challenges_total", NULL,
+      "Non-idempotent requests without Echo, answered with a fresh one.");
+  c->echo_rejected = rgy_counters_add (
+      counters, "echo_rejected_total", NULL,
+      "Requests with an Echo of another agent or an earlier epoch.");
+  c->absorbed = rgy_counters_add (counters, "requests_absorbed_total", NULL,
+                                  "Duplicates of outstanding requests.");
+  c->replayed = rgy_counters_add (counters, "requests_replayed_total", NULL,
+                                  "Duplicates given a stored answer.");
+  c->late = rgy_counters_add (counters, "answers_late_total", NULL,
+                              "Answers after the deadline, dropped.");
+  c->unmatched = rgy_counters_add (counters, "answers_unmatched_total", NULL,
+                                   "Messages that belong to no request.");
+  c->malformed = rgy_counters_add (counters, "requests_malformed_total", NULL,
+                                   "Datagrams that are not valid CoAP.");
+  c->moving_dropped
+      = rgy_counters_add (counters, "requests_moving_dropped_total", NULL,
+                          "Requests dropped while their flow was moving.");
+  c->records_full
+      = rgy_counters_add (counters, "requests_records_full_total", NULL,
+                          "Requests dropped for lack of a deduplication "
+                          "record.");
+  c->cancelled = rgy_counters_add (counters, "requests_cancelled_total", NULL,
+                                   "Requests cancelled by the caller.");
+  c->notifications = rgy_counters_add (counters, "notifications_total", NULL,
+                                       "Notifications sent to callers.");
+  c->notifications_stale
+      = rgy_counters_add (counters, "notifications_stale_total", NULL,
+                          "Notifications dropped as older than the last.");
+  for (i = 0; i < RGY_REFUSAL_REASON_COUNT; i++)
+    {
+      char *label
+          = g_strdup_printf ("reason=\"%s\"", rgy_refusal_reason_string[i]);
+
+      c->refused[i]
+          = rgy_counters_add (counters, "requests_not_run_total", label,
+                              "Requests refused before delivery.");
+      g_free (label);
+    }
+}
+
+struct rgy_request_engine *
+rgy_request_engine_new (const struct rgy_request_settings *settings)
+{
+  struct rgy_request_engine *engine = g_new0 (struct rgy_request_engine, 1);
+
+  engine->settings = *settings;
+  if (engine->settings.deadline_ms == 0)
+    engine->settings.deadline_ms = RGY_ADMISSION_DEFAULT_DEADLINE_MS;
+  if (engine->settings.counters == NULL)
+    engine->settings.counters = engine->own_counters = rgy_counters_new ();
+  add_counters_ (&engine->c, engine->settings.counters);
+  engine->admission = rgy_admission_new (&settings->admission);
+  engine->budget = rgy_retry_budget_new (RETRY_PERCENT);
+  engine->requests = g_hash_table_new (g_int64_hash, g_int64_equal);
+  g_queue_init (&engine->records);
+  g_queue_init (&engine->attention);
+  return engine;
+}
+
+void
+rgy_request_engine_delete (struct rgy_request_engine *engine)
+{
+  if (engine == NULL)
+    return;
+  g_hash_table_unref (engine->requests);
+  rgy_retry_budget_delete (engine->budget);
+  rgy_admission_delete (engine->admission);
+  rgy_counters_delete (engine->own_counters);
+  g_free (engine);
+}
+
+struct rgy_admission *
+rgy_request_engine_get_admission (struct rgy_request_engine *engine)
+{
+  return engine->admission;
+}
+
+void
+rgy_request_engine_set_out (struct rgy_request_engine *engine, bool out)
+{
+  engine->out = out;
+}
+
+void
+rgy_request_engine_set_hooks (struct rgy_request_engine *engine,
+                              const struct rgy_request_hooks *hooks)
+{
+  engine->hooks = *hooks;
+}
+
+/* From the caller.  */
+
+static struct rgy_request *
+find_by_key_ (const struct rgy_session *session,
+              const struct rgy_dedup_key *key)
+{
+  GList *link;
+
+  for (link = session->requests.head; link != NULL; link = link->next)
+    {
+      struct rgy_request *r = link->data;
+
+      if (rgy_dedup_key_equal (&r->key, key))
+        return r;
+    }
+  return NULL;
+}
+
+static void
+replay_ (struct rgy_session *session, const struct rgy_coap_view *view,
+         const struct rgy_dedup_record *record)
+{
+  GByteArray *out;
+
+  ++*session->engine->c.replayed;
+  if (record->response != NULL)
+    {
+      rgy_session_send (session, record->response);
+      return;
+    }
+  out = rgy_coap_build_outcome_unknown (view, "handover");
+  rgy_session_send (session, out);
+  g_byte_array_unref (out);
+}
+
+/* Sends @p answer with a fresh Echo added; takes ownership.  */
+static void
+send_with_echo_ (struct rgy_session *session, GByteArray *answer)
+{
+  uint8_t echo[RGY_ECHO_BYTES];
+  struct rgy_coap_option change
+      = { .number = RGY_COAP_OPTION_ECHO,
+          .value = { .data = echo, .len = sizeof echo } };
+  struct rgy_coap_header header;
+  struct rgy_coap_view view;
+  GByteArray *out;
+  enum rgy_outcome rc;
+
+  rc = rgy_coap_parse (
+      (struct rgy_bytes){ .data = answer->data, .len = answer->len }, &view);
+  g_assert (rc == RGY_OK);
+  header = (struct rgy_coap_header){ .type = view.type,
+                                     .code = view.code,
+                                     .message_id = view.message_id,
+                                     .token = view.token };
+  if (view.type == RGY_COAP_NON)
+    header.message_id = session->caller_id++;
+  rgy_echo_mint (session, echo);
+  out = rgy_coap_rewrite (&view, &header, &change, 1);
+  rgy_session_send (session, out);
+  g_byte_array_unref (out);
+  g_byte_array_unref (answer);
+}
+
+static void
+challenge_ (struct rgy_session *session, const struct rgy_coap_view *view)
+{
+  struct rgy_coap_header header
+      = { .type = view->type == RGY_COAP_CON ? RGY_COAP_ACK : RGY_COAP_NON,
+          .code = CODE_UNAUTHORIZED,
+          .message_id = view->message_id,
+          .token = view->token };
+
+  ++*session->engine->c.echo_challenges;
+  send_with_echo_ (session,
+                   rgy_coap_build (&header, NULL, 0, (struct rgy_bytes){ 0 }));
+}
+
+/* The request may have run at another agent, or here in an earlier epoch.
+   The answer carries a fresh Echo for the caller's next requests.  */
+static void
+reject_echo_ (struct rgy_session *session, const struct rgy_coap_view *view)
+{
+  ++*session->engine->c.echo_rejected;
+  ++*session->engine->c.outcome_unknown;
+  send_with_echo_ (session, rgy_coap_build_outcome_unknown (view, "echo"));
+}
+
+/* Decides by Echo whether a non-idempotent request may run.
+   @return true when it may.  */
+static bool
+check_echo_ (struct rgy_session *session, const struct rgy_coap_view *view,
+             int64_t now_us)
+{
+  if (!session->engine->settings.echo_required)
+    return true;
+  if (!view->has_echo)
+    {
+      if (session->engine->out)
+        rgy_request_refuse (session, view, RGY_REFUSAL_FAILURE_DOMAIN_OUT,
+                            now_us);
+      else
+        challenge_ (session, view);
+      return false;
+    }
+  if (rgy_echo_is_valid (session, view->echo))
+    return true;
+  reject_echo_ (session, view);
+  return false;
+}
+
+static void
+handle_request_ (struct rgy_session *session, struct rgy_bytes datagram,
+                 const struct rgy_coap_view *view,
+                 enum rgy_message_class class, int64_t now_us,
+                 struct rgy_actions *actions)
+{
+  struct rgy_request_engine *engine = session->engine;
+  struct rgy_dedup_key key = rgy_dedup_key_of (view);
+  struct rgy_request *request = find_by_key_ (session, &key);
+  const struct rgy_dedup_record *record;
+
+  if (request != NULL)
+    {
+      rgy_request_absorb (request, now_us, actions);
+      return;
+    }
+  record = rgy_dedup_find (session, &key);
+  if (record != NULL)
+    {
+      replay_ (session, view, record);
+      return;
+    }
+  if (session->flow->moving)
+    {
+      ++*engine->c.moving_dropped;
+      return;
+    }
+  /* An export without a known result: the target may have run requests under
+     the Echo values minted so far.  */
+  if (session->exports > 0)
+    rgy_echo_renew (session);
+  if (class == RGY_MESSAGE_NON_IDEMPOTENT
+      && !check_echo_ (session, view, now_us))
+    return;
+  if (engine->out)
+    {
+      rgy_request_refuse (session, view, RGY_REFUSAL_FAILURE_DOMAIN_OUT,
+                          now_us);
+      return;
+    }
+  rgy_request_begin (session, datagram, view, now_us, actions);
+}
+
+static void
+handle_reset_ (struct rgy_session *session, uint16_t message_id,
+               int64_t now_us, struct rgy_actions *actions)
+{
+  GList *link;
+
+  if (rgy_observation_note_reset (session, message_id, now_us, actions))
+    return;
+  for (link = session->requests.head; link != NULL; link = link->next)
+    {
+      struct rgy_request *r = link->data;
+
+      if (r->own || r->view.message_id != message_id)
+        continue;
+      rgy_request_cancel (r, now_us, actions);
+      return;
+    }
+  ++*session->engine->c.unmatched;
+}
+
+void
+rgy_request_engine_from_caller (struct rgy_request_engine *engine,
+                                struct rgy_flow *flow,
+                                struct rgy_bytes datagram, int64_t now_us,
+                                struct rgy_actions *actions)
+{
+  struct rgy_session *session;
+  struct rgy_coap_view view;
+  enum rgy_message_class class;
+
+  engine->now_us = now_us;
+  if (rgy_coap_parse (datagram, &view) != RGY_OK)
+    {
+      ++*engine->c.malformed;
+      return;
+    }
+  session = rgy_session_get (engine, flow);
+  class = rgy_coap_classify (&view);
+  switch (class)
+    {
+    case RGY_MESSAGE_PING:
+      rgy_session_send_empty (session, RGY_COAP_RST, view.message_id);
+      break;
+    case RGY_MESSAGE_ACK:
+      if (!rgy_observation_note_ack (session, view.message_id, actions))
+        ++*engine->c.unmatched;
+      break;
+    case RGY_MESSAGE_RESET:
+      handle_reset_ (session, view.message_id, now_us, actions);
+      break;
+    case RGY_MESSAGE_RESPONSE:
+      ++*engine->c.unmatched;
+      break;
+    case RGY_MESSAGE_IDEMPOTENT:
+    case RGY_MESSAGE_OBSERVE:
+    case RGY_MESSAGE_OBSERVE_END:
+    case RGY_MESSAGE_NON_IDEMPOTENT:
+      handle_request_ (session, datagram, &view, class, now_us, actions);
+      break;
+    }
+  rgy_request_pump (engine, now_us, actions);
+}
+
+/* From the backend server.  */
+
+static struct rgy_request *
+find_by_token_ (const GQueue *requests, struct rgy_bytes token)
+{
+  GList *link;
+
+  if (token.len != RGY_BACKEND_TOKEN_BYTES)
+    return NULL;
+  for (link = requests->head; link != NULL; link = link->next)
+    {
+      struct rgy_request *r = link->data;
+
+      if (r->state != RGY_REQUEST_WAITING
+          && memcmp (r->token, token.data, token.len) == 0)
+        return r;
+    }
+  return NULL;
+}
+
+static struct rgy_request *
+find_by_message_id_ (const struct rgy_session *session, uint16_t message_id)
+{
+  GList *link;
+
+  for (link = session->requests.head; link != NULL; link = link->next)
+    {
+      struct rgy_request *r = link->data;
+
+      if (r->state == RGY_REQUEST_RUNNING && r->message_id == message_id)
+        return r;
+    }
+  return NULL;
+}
+
+/* A registration shares its token with the notifications of the observation
+   it refreshes, and the end of an observation with its last ones.  */
+static bool
+is_answer_to_ (const struct rgy_request *r, const struct rgy_coap_view *view)
+{
+  if (view->type == RGY_COAP_ACK)
+    return view->message_id == r->message_id;
+  if (!view->has_observe)
+    return true;
+  if (r->class != RGY_MESSAGE_OBSERVE)
+    return false;
+  return r->acknowledged || r->observation == NULL
+         || !r->observation->registered;
+}
+
+static void
+handle_response_ (struct rgy_session *session,
+                  const struct rgy_coap_view *view, int64_t now_us,
+                  struct rgy_actions *actions)
+{
+  struct rgy_request *request
+      = find_by_token_ (&session->requests, view->token);
+  struct rgy_observation *o;
+
+  if (request != NULL && is_answer_to_ (request, view))
+    {
+      if (view->type == RGY_COAP_CON)
+        rgy_session_deliver_empty (session, RGY_COAP_ACK, view->message_id,
+                                   actions);
+      rgy_request_answered (request, view, now_us);
+      return;
+    }
+  o = rgy_observation_find_backend (session, view->token);
+  if (o != NULL && o->registered && view->type != RGY_COAP_ACK)
+    {
+      rgy_observation_notify (session, o, view, actions);
+      return;
+    }
+  /* Rejects a message that belongs to nothing; this also ends an observation
+     that is no longer wanted.  */
+  if (view->type == RGY_COAP_CON
+      || (view->type == RGY_COAP_NON && view->has_observe))
+    rgy_session_deliver_empty (session, RGY_COAP_RST, view->message_id,
+                               actions);
+  request = find_by_token_ (&session->lost, view->token);
+  if (request != NULL)
+    rgy_request_note_late (request, view, now_us);
+  else
+    ++*session->engine->c.unmatched;
+}
+
+void
+rgy_request_engine_from_backend (struct rgy_request_engine *engine,
+                                 struct rgy_flow *flow,
+                                 struct rgy_bytes datagram, int64_t now_us,
+                                 struct rgy_actions *actions)
+{
+  struct rgy_session *session = flow->session;
+  struct rgy_request *request;
+  struct rgy_coap_view view;
+
+  engine->now_us = now_us;
+  if (rgy_coap_parse (datagram, &view) != RGY_OK)
+    {
+      ++*engine->c.malformed;
+      return;
+    }
+  if (session == NULL)
+    {
+      ++*engine->c.unmatched;
+      return;
+    }
+  switch (rgy_coap_classify (&view))
+    {
+    case RGY_MESSAGE_PING:
+      rgy_session_deliver_empty (session, RGY_COAP_RST, view.message_id,
+                                 actions);
+      break;
+    case RGY_MESSAGE_ACK:
+      request = find_by_message_id_ (session, view.message_id);
+      if (request != NULL)
+        request->acknowledged = true;
+      break;
+    case RGY_MESSAGE_RESET:
+      request = find_by_message_id_ (session, view.message_id);
+      if (request != NULL)
+        rgy_request_failed (request, now_us);
+      break;
+    case RGY_MESSAGE_RESPONSE:
+      handle_response_ (session, &view, now_us, actions);
+      break;
+    case RGY_MESSAGE_IDEMPOTENT:
+    case RGY_MESSAGE_OBSERVE:
+    case RGY_MESSAGE_OBSERVE_END:
+    case RGY_MESSAGE_NON_IDEMPOTENT:
+      ++*engine->c.unmatched;
+      break;
+    }
+  rgy_request_pump (engine, now_us, actions);
+}
+
+void
+rgy_request_engine_refused (struct rgy_request_engine *engine,
+                            struct rgy_flow *flow, int64_t now_us,
+                            struct rgy_actions *actions)
+{
+  struct rgy_session *session = flow->session;
+  GList *link;
+  GList *next;
+  size_t i;
+
+  engine->now_us = now_us;
+  if (session == NULL)
+    return;
+  for (link = session->requests.head; link != NULL; link = next)
+    {
+      struct rgy_request *r = link->data;
+
+      next = link->next;
+      if (r->state == RGY_REQUEST_RUNNING)
+        rgy_request_failed (r, now_us);
+    }
+  for (i = 0; i < session->observation_count; i++)
+    if (session->observations[i]->registered)
+      rgy_observation_retry (session, session->observations[i],
+                             REFUSED_RETRY_US, now_us);
+  rgy_request_pump (engine, now_us, actions);
+}
+
+void
+rgy_request_engine_tick (struct rgy_request_engine *engine, int64_t now_us,
+                         struct rgy_actions *actions)
+{
+  guint count = engine->attention.length;
+
+  engine->now_us = now_us;
+  rgy_request_expire (engine, now_us);
+  rgy_dedup_expire (engine, now_us);
+  while (count-- > 0)
+    {
+      struct rgy_session *session = engine->attention.head->data;
+
+      g_queue_unlink (&engine->attention, &session->attention_link);
+      session->needs_attention = false;
+      if (rgy_observation_tick (session, now_us, actions))
+        rgy_session_attend (session);
+    }
+  rgy_request_pump (engine, now_us, actions);
+}
--- /dev/null
+++ b/src/libragwortyoke/request_move.c
@@ -0,0 +1,216 @@
+#include "private/request_private.h"
+
+#include "ragwortyoke/clock.h"
+
+/* Export and import of flows.  */
+
+/* Observe values that the giving agent may still send until the transfer is
+   acknowledged; the receiving agent starts after them.  */
+#define SEQUENCE_GAP 1024
+#define SEQUENCE_MASK 0xffffff
+/* Longer stored answers do not move: a duplicate of the request then gets
+   outcome-unknown.  */
+#define RESPONSE_MAX_BYTES 1200
+
+static struct rgy_bytes
+bytes_of_ (const GByteArray *array)
+{
+  return (struct rgy_bytes){ .data = array->data, .len = array->len };
+}
+
+static void
+export_observations_ (const struct rgy_session *s,
+                      struct rgy_handover_state *state)
+{
+  size_t i;
+
+  for (i = 0; i < s->observation_count; i++)
+    {
+      const struct rgy_observation *o = s->observations[i];
+
+      state->observations[i] = (struct rgy_handover_observation){
+        .registration = bytes_of_ (o->registration),
+        .last_sequence
+        = o->notified ? (o->last_sequence + SEQUENCE_GAP) & SEQUENCE_MASK : 0,
+        .notified = o->notified
+      };
+    }
+  state->observation_count = s->observation_count;
+}
+
+/* Adds the newest records first.
+   @return false when one did not fit.  */
+static bool
+export_records_ (const struct rgy_session *s, bool safe, int64_t now_us,
+                 struct rgy_handover_state *state)
+{
+  GList *link;
+
+  for (link = s->record_order.tail; link != NULL; link = link->prev)
+    {
+      const struct rgy_dedup_record *r = link->data;
+      struct rgy_handover_record *out;
+
+      if (r->safe != safe || r->expires_us <= now_us)
+        continue;
+      if (state->record_count == RGY_HANDOVER_MAX_RECORDS)
+        return false;
+      out = &state->records[state->record_count++];
+      out->message_id = r->key.message_id;
+      out->token = (struct rgy_bytes){ .data = (const uint8_t *)&r->key.token,
+                                       .len = r->key.token_len };
+      out->response = (struct rgy_bytes){ 0 };
+      if (r->response != NULL && r->response->len <= RESPONSE_MAX_BYTES)
+        out->response = bytes_of_ (r->response);
+      out->age_ms = (uint32_t)((now_us - r->finished_us) / RGY_US_PER_MS);
+    }
+  return true;
+}
+
+enum rgy_outcome
+rgy_request_engine_export (struct rgy_request_engine *engine,
+                           struct rgy_flow *flow, int64_t now_us,
+                           struct rgy_handover_state *state)
+{
+  struct rgy_session *s = rgy_session_get (engine, flow);
+  size_t i;
+
+  if (s->requests.length > 0)
+    return RGY_ERR_CONFLICT;
+  *state = (struct rgy_handover_state){ .key = flow->key,
+                                        .customer = flow->customer };
+  export_observations_ (s, state);
+  if (export_records_ (s, false, now_us, state))
+    {
+      for (i = 0; i < s->epoch_count; i++)
+        state->echo_epochs[i] = s->epochs[i];
+      state->echo_epoch_count = s->epoch_count;
+    }
+  (void)export_records_ (s, true, now_us, state);
+  s->exports++;
+  return RGY_OK;
+}
+
+void
+rgy_request_engine_keep (struct rgy_request_engine *engine,
+                         struct rgy_flow *flow)
+{
+  struct rgy_session *s = flow->session;
+
+  (void)engine;
+  if (s != NULL && s->exports == 1)
+    s->exports = 0;
+}
+
+static bool
+is_valid_ (const struct rgy_handover_state *state)
+{
+  struct rgy_coap_view view;
+  size_t i;
+
+  if (state->observation_count > RGY_HANDOVER_MAX_OBSERVATIONS
+      || state->record_count > RGY_HANDOVER_MAX_RECORDS
+      || state->echo_epoch_count > RGY_HANDOVER_MAX_EPOCHS)
+    return false;
+  for (i = 0; i < state->observation_count; i++)
+    if (rgy_coap_parse (state->observations[i].registration, &view) != RGY_OK
+        || rgy_coap_classify (&view) != RGY_MESSAGE_OBSERVE)
+      return false;
+  for (i = 0; i < state->record_count; i++)
+    if (state->records[i].token.len > RGY_COAP_TOKEN_MAX_BYTES
+        || (state->records[i].response.len > 0
+            && rgy_coap_parse (state->records[i].response, &view) != RGY_OK))
+      return false;
+  return true;
+}
+
+static void
+import_record_ (struct rgy_session *s, const struct rgy_handover_record *in,
+                int64_t now_us)
+{
+  struct rgy_coap_view view
+      = { .message_id = in->message_id, .token = in->token };
+  struct rgy_dedup_key key = rgy_dedup_key_of (&view);
+  GByteArray *response = NULL;
+
+  if (rgy_dedup_find (s, &key) != NULL)
+    return;
+  if (in->response.len > 0)
+    {
+      response = g_byte_array_new ();
+      g_byte_array_append (response, in->response.data,
+                           (guint)in->response.len);
+    }
+  rgy_dedup_store (s, &key, response, false,
+                   now_us - in->age_ms * RGY_US_PER_MS);
+}
+
+static void
+import_epochs_ (struct rgy_session *s, const struct rgy_handover_state *state)
+{
+  size_t i;
+  size_t k;
+
+  for (i = 0; i < state->echo_epoch_count; i++)
+    {
+      for (k = 0; k < s->epoch_count; k++)
+        if (s->epochs[k] == state->echo_epochs[i])
+          break;
+      if (k == s->epoch_count && s->epoch_count < RGY_HANDOVER_MAX_EPOCHS)
+        s->epochs[s->epoch_count++] = state->echo_epochs[i];
+    }
+}
+
+enum rgy_outcome
+rgy_request_engine_import (struct rgy_request_engine *engine,
+                           struct rgy_flow *flow,
+                           const struct rgy_handover_state *state,
+                           int64_t now_us, struct rgy_actions *actions)
+{
+  struct rgy_session *s;
+  size_t i;
+
+  engine->now_us = now_us;
+  if (!is_valid_ (state))
+    return RGY_ERR_INVALID;
+  s = rgy_session_get (engine, flow);
+  import_epochs_ (s, state);
+  for (i = state->record_count; i > 0; i--)
+    import_record_ (s, &state->records[i - 1], now_us);
+  for (i = 0; i < state->observation_count; i++)
+    {
+      const struct rgy_handover_observation *in = &state->observations[i];
+      struct rgy_observation *o = rgy_observation_put (s, in->registration);
+
+      if (o == NULL)
+        continue;
+      if (in->notified && !o->notified)
+        {
+          o->notified = true;
+          o->last_sequence = in->last_sequence & SEQUENCE_MASK;
+        }
+      if (o->registered || o->request != NULL)
+        continue;
+      rgy_observation_retry (s, o, 0, now_us);
+      rgy_request_begin_own (s, o, now_us, actions);
+    }
+  return RGY_OK;
+}
+
+void
+rgy_request_engine_deregister (struct rgy_request_engine *engine,
+                               struct rgy_flow *flow,
+                               struct rgy_actions *actions)
+{
+  struct rgy_session *s = flow->session;
+
+  (void)engine;
+  if (s == NULL)
+    return;
+  while (s->observation_count > 0)
+    {
+      if (s->observations[0]->registered)
+        rgy_observation_deregister (s, s->observations[0], actions);
+      rgy_observation_remove (s, s->observations[0]);
+    }
+}
--- /dev/null
+++ b/src/libragwortyoke/request_run.c
@@ -0,0 +1,625 @@
+#include "private/request_private.h"
+
+#include <string.h>
+
+#include "ragwortyoke/clock.h"
+
+/* Requests from the caller to the backend server and the answers back.  */
+
+#define CODE_SERVICE_UNAVAILABLE RGY_COAP_CODE (5, 3)
+#define CLASS_SERVER_ERROR 5
+#define METHOD_GET 1
+#define METHOD_FETCH 5
+
+/* Max-Age of refusals.  A cold backend server and a missing one need longer
+   than a full queue; a failure domain that is out needs another agent, which
+   the balancers choose within seconds.  */
+#define MAX_AGE_SHORT_S 1
+#define MAX_AGE_COLD_S 2
+#define MAX_AGE_OUT_S 5
+
+/* A duplicate from the caller causes a retry only after this time, so that a
+   datagram doubled by the network does not.  */
+#define RETRY_MIN_US (200 * RGY_US_PER_MS)
+/* Lost requests of a flow whose late answer is still recognised.  */
+#define LOST_MAX 16
+
+/* Safe requests change nothing.  Their answers are not stored, so that a
+   block-wise transfer costs no memory; a duplicate may run again, and its
+   refusal speaks of that attempt only.  */
+static bool
+is_safe_ (const struct rgy_coap_view *view)
+{
+  return view->code == METHOD_GET || view->code == METHOD_FETCH;
+}
+
+static uint32_t
+max_age_s_ (enum rgy_refusal_reason reason)
+{
+  switch (reason)
+    {
+    case RGY_REFUSAL_COLD_START:
+    case RGY_REFUSAL_NO_BACKEND_SERVER:
+      return MAX_AGE_COLD_S;
+    case RGY_REFUSAL_FAILURE_DOMAIN_OUT:
+    case RGY_REFUSAL_DRAINING:
+      return MAX_AGE_OUT_S;
+    case RGY_REFUSAL_CONTRACT_LIMIT:
+    case RGY_REFUSAL_DEADLINE:
+    case RGY_REFUSAL_OVERLOAD:
+    case RGY_REFUSAL_REASON_COUNT:
+      break;
+    }
+  return MAX_AGE_SHORT_S;
+}
+
+/* A NON answer needs a message ID that does not collide with those of
+   notifications.  */
+static void
+renumber_ (struct rgy_session *session, GByteArray *answer)
+{
+  struct rgy_coap_view view;
+  uint16_t id;
+
+  if (rgy_coap_parse (
+          (struct rgy_bytes){ .data = answer->data, .len = answer->len },
+          &view)
+          != RGY_OK
+      || view.type != RGY_COAP_NON)
+    return;
+  id = session->caller_id++;
+  answer->data[2] = (uint8_t)(id >> 8);
+  answer->data[3] = (uint8_t)id;
+}
+
+/* Refusals.  */
+
+/* The refusal is stored like an answer: a retransmission that arrives after
+   it must not run.  */
+void
+rgy_request_refuse (struct rgy_session *session,
+                    const struct rgy_coap_view *view,
+                    enum rgy_refusal_reason reason, int64_t now_us)
+{
+  struct rgy_request_engine *engine = session->engine;
+  struct rgy_dedup_key key = rgy_dedup_key_of (view);
+  GByteArray *out;
+
+  if (!rgy_dedup_make_room (session))
+    {
+      ++*engine->c.records_full;
+      return;
+    }
+  out = rgy_coap_build_not_run (view, reason, max_age_s_ (reason));
+  renumber_ (session, out);
+  ++*engine->c.refused[reason];
+  rgy_session_send (session, out);
+  rgy_dedup_store (session, &key, out, is_safe_ (view), now_us);
+}
+
+static enum rgy_refusal_reason
+full_reason_ (const struct rgy_request_engine *engine)
+{
+  if (rgy_admission_get_limit (engine->admission) == 0)
+    return RGY_REFUSAL_NO_BACKEND_SERVER;
+  return rgy_admission_is_cold (engine->admission) ? RGY_REFUSAL_COLD_START
+                                                   : RGY_REFUSAL_OVERLOAD;
+}
+
+/* Life of a request.  */
+
+static struct rgy_request *
+request_new_ (struct rgy_session *session, struct rgy_bytes datagram,
+              int64_t deadline_us)
+{
+  struct rgy_request_engine *engine = session->engine;
+  struct rgy_request *r = g_new0 (struct rgy_request, 1);
+  enum rgy_outcome rc;
+
+  r->id = ++engine->next_id;
+  r->session = session;
+  r->datagram = g_byte_array_sized_new ((guint)datagram.len);
+  g_byte_array_append (r->datagram, datagram.data, (guint)datagram.len);
+  rc = rgy_coap_parse (
+      (struct rgy_bytes){ .data = r->datagram->data, .len = r->datagram->len },
+      &r->view);
+  g_assert (rc == RGY_OK);
+  r->class = rgy_coap_classify (&r->view);
+  r->key = rgy_dedup_key_of (&r->view);
+  r->deadline_us = deadline_us;
+  r->message_id = session->backend_id++;
+  r->link.data = r;
+  g_hash_table_insert (engine->requests, &r->id, r);
+  g_queue_push_tail_link (&session->requests, &r->link);
+  return r;
+}
+
+static void
+request_free_ (struct rgy_request *r)
+{
+  struct rgy_session *session = r->session;
+
+  g_queue_unlink (r->state == RGY_REQUEST_LOST ? &session->lost
+                                               : &session->requests,
+                  &r->link);
+  if (r->observation != NULL && r->observation->request == r)
+    r->observation->request = NULL;
+  g_hash_table_remove (session->engine->requests, &r->id);
+  g_byte_array_unref (r->datagram);
+  g_free (r);
+}
+
+/* The request is no longer in flight for the contract.  */
+static void
+end_for_contract_ (struct rgy_request *r)
+{
+  const struct rgy_request_hooks *hooks = &r->session->engine->hooks;
+
+  if (!r->own && r->state != RGY_REQUEST_LOST && hooks->end_request != NULL)
+    hooks->end_request (r->session->flow, hooks->ctx);
+}
+
+/* An observation whose first registration has failed is forgotten.  */
+static void
+give_up_registration_ (struct rgy_request *r)
+{
+  struct rgy_observation *o = r->observation;
+
+  if (o == NULL || o->request != r)
+    return;
+  o->request = NULL;
+  r->observation = NULL;
+  if (!o->registered && !o->wanted)
+    rgy_observation_remove (r->session, o);
+}
+
+/* Sends the final answer of a request to the caller and remembers it.  Takes
+   ownership of @p answer.  */
+static void
+finish_ (struct rgy_request *r, GByteArray *answer, int64_t now_us)
+{
+  struct rgy_session *session = r->session;
+
+  end_for_contract_ (r);
+  rgy_session_send (session, answer);
+  if (!is_safe_ (&r->view))
+    rgy_dedup_store (session, &r->key, answer, false, now_us);
+  else
+    g_byte_array_unref (answer);
+}
+
+static void
+finish_unknown_ (struct rgy_request *r, const char *reason, int64_t now_us)
+{
+  GByteArray *answer = rgy_coap_build_outcome_unknown (&r->view, reason);
+
+  ++*r->session->engine->c.outcome_unknown;
+  renumber_ (r->session, answer);
+  finish_ (r, answer, now_us);
+}
+
+/* Delivery.  */
+
+static void
+deliver_ (struct rgy_request *r, int64_t now_us, struct rgy_actions *actions)
+{
+  struct rgy_session *session = r->session;
+  struct rgy_coap_header header
+      = { .type = r->view.type,
+          .code = r->view.code,
+          .message_id = r->message_id,
+          .token = { .data = r->token, .len = sizeof r->token } };
+  int64_t left_ms = (r->deadline_us - now_us) / RGY_US_PER_MS;
+  struct rgy_coap_uint room;
+  struct rgy_coap_option changes[]
+      = { { .number = RGY_COAP_OPTION_ECHO },
+          rgy_coap_uint_option (
+              RGY_COAP_OPTION_DEADLINE_MS,
+              (uint32_t)CLAMP (left_ms, 1, RGY_COAP_DEADLINE_MAX_MS), &room) };
+  GByteArray *out
+      = rgy_coap_rewrite (&r->view, &header, changes, G_N_ELEMENTS (changes));
+
+  r->state = RGY_REQUEST_RUNNING;
+  r->delivered_us = now_us;
+  ++*session->engine->c.delivered;
+  rgy_session_deliver (session, out, actions);
+  g_byte_array_unref (out);
+}
+
+static void
+start_ (struct rgy_request *r, int64_t now_us, struct rgy_actions *actions)
+{
+  rgy_retry_budget_note_delivery (r->session->engine->budget, now_us);
+  deliver_ (r, now_us, actions);
+}
+
+/* Submits to admission.
+   @return false when it was refused; the request is then released.  */
+static bool
+submit_ (struct rgy_request *r, int64_t now_us, struct rgy_actions *actions)
+{
+  switch (rgy_admission_submit (r->session->engine->admission, r->id,
+                                r->deadline_us, now_us))
+    {
+    case RGY_ADMISSION_RUN:
+      start_ (r, now_us, actions);
+      return true;
+    case RGY_ADMISSION_QUEUED:
+      return true;
+    case RGY_ADMISSION_REFUSED:
+    case RGY_ADMISSION_DEADLINE:
+    case RGY_ADMISSION_DUPLICATE:
+      break;
+    }
+  return false;
+}
+
+/* Finds or makes the observation of a registration, and the token for the
+   backend server.
+   @return false when the flow has too many observations.  */
+static bool
+bind_observation_ (struct rgy_request *r, int64_t now_us,
+                   struct rgy_actions *actions)
+{
+  struct rgy_session *session = r->session;
+  struct rgy_observation *o;
+
+  switch (r->class)
+    {
+    case RGY_MESSAGE_OBSERVE:
+      o = rgy_observation_put (session,
+                               (struct rgy_bytes){ .data = r->datagram->data,
+                                                   .len = r->datagram->len });
+      if (o == NULL)
+        return false;
+      if (o->request != NULL)
+        rgy_observation_cancel_request (o, now_us, actions);
+      o->request = r;
+      r->observation = o;
+      memcpy (r->token, o->token, sizeof r->token);
+      return true;
+    case RGY_MESSAGE_OBSERVE_END:
+      o = rgy_observation_find (session, r->view.token);
+      if (o == NULL)
+        break;
+      memcpy (r->token, o->token, sizeof r->token);
+      return true;
+    case RGY_MESSAGE_PING:
+    case RGY_MESSAGE_ACK:
+    case RGY_MESSAGE_RESET:
+    case RGY_MESSAGE_IDEMPOTENT:
+    case RGY_MESSAGE_NON_IDEMPOTENT:
+    case RGY_MESSAGE_RESPONSE:
+      break;
+    }
+  rgy_session_new_token (session, r->token);
+  return true;
+}
+
+/* Forgets an observation whose end is on its way to the backend server.  */
+static void
+end_observation_ (struct rgy_session *session, struct rgy_observation *o,
+                  int64_t now_us, struct rgy_actions *actions)
+{
+  if (o->request != NULL)
+    rgy_observation_cancel_request (o, now_us, actions);
+  rgy_observation_remove (session, o);
+}
+
+void
+rgy_request_begin (struct rgy_session *session, struct rgy_bytes datagram,
+                   const struct rgy_coap_view *view, int64_t now_us,
+                   struct rgy_actions *actions)
+{
+  struct rgy_request_engine *engine = session->engine;
+  const struct rgy_request_hooks *hooks = &engine->hooks;
+  int64_t deadline_ms
+      = view->has_deadline ? view->deadline_ms : engine->settings.deadline_ms;
+  enum rgy_refusal_reason reason = RGY_REFUSAL_OVERLOAD;
+  struct rgy_observation *ended = NULL;
+  struct rgy_request *r;
+
+  if (!rgy_dedup_make_room (session))
+    {
+      ++*engine->c.records_full;
+      return;
+    }
+  if (hooks->begin_request != NULL
+      && !hooks->begin_request (session->flow, hooks->ctx))
+    {
+      rgy_request_refuse (session, view, RGY_REFUSAL_CONTRACT_LIMIT, now_us);
+      return;
+    }
+  r = request_new_ (session, datagram, now_us + deadline_ms * RGY_US_PER_MS);
+  if (bind_observation_ (r, now_us, actions))
+    {
+      if (r->class == RGY_MESSAGE_OBSERVE_END)
+        ended = rgy_observation_find (session, view->token);
+      if (submit_ (r, now_us, actions))
+        {
+          if (ended != NULL)
+            end_observation_ (session, ended, now_us, actions);
+          return;
+        }
+      reason = full_reason_ (engine);
+    }
+  end_for_contract_ (r);
+  give_up_registration_ (r);
+  rgy_request_refuse (session, view, reason, now_us);
+  request_free_ (r);
+}
+
+void
+rgy_request_begin_own (struct rgy_session *session,
+                       struct rgy_observation *observation, int64_t now_us,
+                       struct rgy_actions *actions)
+{
+  struct rgy_request_engine *engine = session->engine;
+  struct rgy_request *r = request_new_ (
+      session,
+      (struct rgy_bytes){ .data = observation->registration->data,
+                          .len = observation->registration->len },
+      now_us + engine->settings.deadline_ms * RGY_US_PER_MS);
+
+  r->own = true;
+  r->observation = observation;
+  observation->request = r;
+  memcpy (r->token, observation->token, sizeof r->token);
+  /* A duplicate of the caller's own registration is not this request.  */
+  memset (&r->key, 0, sizeof r->key);
+  r->key.token_len = UINT8_MAX;
+  if (submit_ (r, now_us, actions))
+    return;
+  request_free_ (r);
+  rgy_observation_retry (session, observation, RETRY_MIN_US, now_us);
+}
+
+void
+rgy_request_absorb (struct rgy_request *request, int64_t now_us,
+                    struct rgy_actions *actions)
+{
+  struct rgy_request_engine *engine = request->session->engine;
+
+  ++*engine->c.absorbed;
+  if (request->class == RGY_MESSAGE_NON_IDEMPOTENT
+      || request->state != RGY_REQUEST_RUNNING || request->acknowledged
+      || now_us - request->delivered_us < RETRY_MIN_US
+      || !rgy_retry_budget_take (engine->budget, now_us))
+    return;
+  ++*engine->c.retries;
+  deliver_ (request, now_us, actions);
+}
+
+/* The end of a request.  */
+
+void
+rgy_request_cancel (struct rgy_request *request, int64_t now_us,
+                    struct rgy_actions *actions)
+{
+  struct rgy_session *session = request->session;
+  struct rgy_request_engine *engine = session->engine;
+
+  ++*engine->c.cancelled;
+  if (request->state == RGY_REQUEST_WAITING)
+    (void)rgy_admission_cancel (engine->admission, request->id);
+  else
+    {
+      rgy_session_deliver_empty (session, RGY_COAP_RST, request->message_id,
+                                 actions);
+      (void)rgy_admission_complete (engine->admission, request->id,
+                                    RGY_COMPLETION_CANCELLED, now_us);
+    }
+  end_for_contract_ (request);
+  /* The caller expects no answer; duplicates of the request must not run.  */
+  if (!is_safe_ (&request->view))
+    rgy_dedup_store (
+        session, &request->key,
+        rgy_coap_build_outcome_unknown (&request->view, "cancelled"), false,
+        now_us);
+  give_up_registration_ (request);
+  request_free_ (request);
+}
+
+static enum rgy_completion
+completion_of_ (const struct rgy_coap_view *answer)
+{
+  if (answer->code == CODE_SERVICE_UNAVAILABLE)
+    return RGY_COMPLETION_SHED;
+  return answer->code >> 5 == CLASS_SERVER_ERROR ? RGY_COMPLETION_FAILED
+                                                 : RGY_COMPLETION_OK;
+}
+
+/* Takes the registration's answer into the observation.
+   @return true when the answer to the caller carries @p sequence.  */
+static bool
+note_registration_ (struct rgy_request *r, const struct rgy_coap_view *answer,
+                    uint32_t *sequence)
+{
+  struct rgy_observation *o = r->observation;
+
+  if (o == NULL || o->request != r)
+    return false;
+  o->request = NULL;
+  r->observation = NULL;
+  if (answer->code >> 5 != 2 || !answer->has_observe)
+    {
+      rgy_observation_remove (r->session, o);
+      return false;
+    }
+  o->registered = true;
+  o->wanted = false;
+  *sequence = rgy_observation_shift_first (o, answer->observe);
+  return true;
+}
+
+void
+rgy_request_answered (struct rgy_request *request,
+                      const struct rgy_coap_view *answer, int64_t now_us)
+{
+  struct rgy_session *session = request->session;
+  struct rgy_request_engine *engine = session->engine;
+  struct rgy_coap_header header = { .type = RGY_COAP_ACK,
+                                    .code = answer->code,
+                                    .message_id = request->view.message_id,
+                                    .token = request->view.token };
+  struct rgy_coap_option change = { .number = RGY_COAP_OPTION_OBSERVE };
+  struct rgy_coap_uint room;
+  uint32_t sequence;
+
+  (void)rgy_admission_complete (engine->admission, request->id,
+                                completion_of_ (answer), now_us);
+  ++*engine->c.answered;
+  if (request->own)
+    {
+      struct rgy_observation *o = request->observation;
+
+      request_free_ (request);
+      if (o != NULL)
+        rgy_observation_registered (session, o, answer, now_us);
+      return;
+    }
+  if (note_registration_ (request, answer, &sequence))
+    change = rgy_coap_uint_option (RGY_COAP_OPTION_OBSERVE, sequence, &room);
+  if (request->view.type == RGY_COAP_NON)
+    {
+      header.type = RGY_COAP_NON;
+      header.message_id = session->caller_id++;
+    }
+  finish_ (request, rgy_coap_rewrite (answer, &header, &change, 1), now_us);
+  request_free_ (request);
+}
+
+void
+rgy_request_failed (struct rgy_request *request, int64_t now_us)
+{
+  struct rgy_session *session = request->session;
+  struct rgy_observation *o = request->observation;
+
+  (void)rgy_admission_complete (session->engine->admission, request->id,
+                                RGY_COMPLETION_FAILED, now_us);
+  if (request->own)
+    {
+      request_free_ (request);
+      if (o != NULL)
+        rgy_observation_retry (session, o, RGY_US_PER_S, now_us);
+      return;
+    }
+  finish_unknown_ (request,
+                   rgy_refusal_reason_string[RGY_REFUSAL_NO_BACKEND_SERVER],
+                   now_us);
+  give_up_registration_ (request);
+  request_free_ (request);
+}
+
+void
+rgy_request_note_late (struct rgy_request *request,
+                       const struct rgy_coap_view *answer, int64_t now_us)
+{
+  struct rgy_request_engine *engine = request->session->engine;
+
+  ++*engine->c.late;
+  (void)rgy_admission_complete (engine->admission, request->id,
+                                completion_of_ (answer), now_us);
+  request_free_ (request);
+}
+
+void
+rgy_request_drop (struct rgy_request *request)
+{
+  struct rgy_request_engine *engine = request->session->engine;
+
+  switch (request->state)
+    {
+    case RGY_REQUEST_WAITING:
+      (void)rgy_admission_cancel (engine->admission, request->id);
+      break;
+    case RGY_REQUEST_RUNNING:
+      (void)rgy_admission_complete (engine->admission, request->id,
+                                    RGY_COMPLETION_LOST, engine->now_us);
+      break;
+    case RGY_REQUEST_LOST:
+      break;
+    }
+  end_for_contract_ (request);
+  request_free_ (request);
+}
+
+static void
+expire_waiting_ (struct rgy_request *r, int64_t now_us)
+{
+  struct rgy_session *session = r->session;
+  struct rgy_observation *o = r->observation;
+
+  if (r->own)
+    {
+      request_free_ (r);
+      if (o != NULL)
+        rgy_observation_retry (session, o, RETRY_MIN_US, now_us);
+      return;
+    }
+  end_for_contract_ (r);
+  rgy_request_refuse (session, &r->view, RGY_REFUSAL_DEADLINE, now_us);
+  give_up_registration_ (r);
+  request_free_ (r);
+}
+
+static void
+lose_ (struct rgy_request *r, int64_t now_us)
+{
+  struct rgy_session *session = r->session;
+  struct rgy_observation *o = r->observation;
+
+  if (!r->own)
+    finish_unknown_ (r, rgy_refusal_reason_string[RGY_REFUSAL_DEADLINE],
+                     now_us);
+  if (r->own && o != NULL)
+    {
+      o->request = NULL;
+      r->observation = NULL;
+      rgy_observation_retry (session, o, RETRY_MIN_US, now_us);
+    }
+  else
+    give_up_registration_ (r);
+  g_queue_unlink (&session->requests, &r->link);
+  r->state = RGY_REQUEST_LOST;
+  g_queue_push_tail_link (&session->lost, &r->link);
+  if (session->lost.length > LOST_MAX)
+    request_free_ (session->lost.head->data);
+}
+
+void
+rgy_request_expire (struct rgy_request_engine *engine, int64_t now_us)
+{
+  struct rgy_admission_expired expired;
+
+  while (rgy_admission_expire (engine->admission, now_us, &expired))
+    {
+      struct rgy_request *r
+          = g_hash_table_lookup (engine->requests, &expired.id);
+
+      if (r == NULL)
+        continue;
+      if (expired.was_running)
+        lose_ (r, now_us);
+      else
+        expire_waiting_ (r, now_us);
+    }
+}
+
+void
+rgy_request_pump (struct rgy_request_engine *engine, int64_t now_us,
+                  struct rgy_actions *actions)
+{
+  uint64_t id;
+
+  while (rgy_admission_next (engine->admission, now_us, &id))
+    {
+      struct rgy_request *r = g_hash_table_lookup (engine->requests, &id);
+
+      if (r != NULL)
+        start_ (r, now_us, actions);
+      else
+        (void)rgy_admission_complete (engine->admission, id,
+                                      RGY_COMPLETION_CANCELLED, now_us);
+    }
+}
