--- a/src/libragwortyoke/agent_handover.c
+++ b/src/libragwortyoke/agent_handover.c
@@ -226,9 +226,10 @@
   flow = rgy_flow_table_find_id (a->flows, flow_id);
   if (flow == NULL)
     return;
-  flow->moving = false;
   if (!m->accepted)
     {
+      rgy_request_engine_keep (a->engine, flow);
+      flow->moving = false;
       peer = g_hash_table_lookup (a->peers, &m->from);
       if (peer != NULL)
         peer->refused_until_us = a->now_us + RGY_REBALANCE_PAUSE_US;
