--- a/src/libragwortyoke-io/include/private/store_client_private.h
+++ b/src/libragwortyoke-io/include/private/store_client_private.h
@@ -12,6 +12,13 @@
 #include "ragwortyoke-io/store_client.h"
 #include "ragwortyoke-io/store_json.h"
 
+/* The audit ring lies between agents and balancers; the history, which holds
+   whole contracts, lies behind the watched keys and is not transferred.  */
+#define AGENTS_KEY RGY_STORE_PREFIX "agents/"
+#define AGENTS_END RGY_STORE_PREFIX "agents0"
+#define CONFIG_KEY RGY_STORE_PREFIX "balancers/"
+#define WATCH_END RGY_STORE_PREFIX "domains0"
+
 /** Reading and watching of the prefix.  */
 struct rgy_store_watch
 {
@@ -102,6 +109,24 @@
 uint64_t rgy_store_client_random (struct rgy_store_client *client,
                                   uint64_t limit);
 
+/* Keys that were read.  */
+
+bool rgy_store_known_is_reported (GBytes *key);
+/** Report a key unless this or a newer revision is known; @p value is NULL
+    for a deletion.  */
+void rgy_store_known_report (struct rgy_store_client *client, GBytes *key,
+                             GBytes *value, uint64_t mod_revision);
+/** Pairs of both ranges of a read, borrowed from the answer.  */
+GPtrArray *rgy_store_known_collect (const json_t *answer);
+/** True when a pair is older than the known one.  This shows older contents
+    even when later writes have raised the header's revision again.  */
+bool rgy_store_known_is_older (const struct rgy_store_client *client,
+                               const GPtrArray *pairs);
+/** Report the pairs of a read, and the known keys without a pair as
+    deleted.  */
+void rgy_store_known_apply (struct rgy_store_client *client,
+                            const GPtrArray *pairs, uint64_t revision);
+
 void rgy_store_watch_init (struct rgy_store_client *client);
 void rgy_store_watch_finish (struct rgy_store_client *client);
 /** Apply the queued watch answers now.  */
--- a/src/ragwortyokectl/ctl_domain.c
+++ b/src/ragwortyokectl/ctl_domain.c
@@ -6,9 +6,6 @@
 #include "private/ctl_io.h"
 #include "ragwortyoke/domain.h"
 
-/* The order goes directly to the balancers when the store has not answered by
-   then.  */
-#define STORE_MS 1000
 #define ID_BYTES 8
 #define HEX_BASE 16
 #define US_PER_S 1000000
@@ -50,7 +47,7 @@
 static int
 write_order_ (struct ctl *ctl, const char *id, struct rgy_domain_order *order)
 {
-  int64_t deadline_ms = ctl_now_ms () + STORE_MS;
+  int64_t deadline_ms = ctl_now_ms () + ctl->order_store_ms;
   struct ctl_change change
       = { .kind = CTL_CHANGE_DOMAIN,
           .action = ctl_command_string[ctl->settings->command],
--- a/src/ragwortyokectl/include/private/ctl_io.h
+++ b/src/ragwortyokectl/include/private/ctl_io.h
@@ -10,11 +10,16 @@
 #include "private/ctl_settings.h"
 #include "ragwortyoke-io/store_json.h"
 
+/** Time for the store to take a failure domain order; afterwards it goes
+    directly to the balancers.  */
+#define CTL_ORDER_STORE_MS 1000
+
 struct ctl
 {
   const struct ctl_settings *settings;
-  unsigned store;    /**< Store endpoint in use.  */
-  unsigned balancer; /**< Balancer endpoint in use.  */
+  unsigned store;          /**< Store endpoint in use.  */
+  unsigned balancer;       /**< Balancer endpoint in use.  */
+  unsigned order_store_ms; /**< CTL_ORDER_STORE_MS; tests use more.  */
   struct rgy_store_header seen;
 };
 
--- a/src/ragwortyokectl/main.c
+++ b/src/ragwortyokectl/main.c
@@ -9,7 +9,8 @@
 {
   struct ctl_settings settings;
   struct rgy_check_error error;
-  struct ctl ctl = { .settings = &settings };
+  struct ctl ctl
+      = { .settings = &settings, .order_store_ms = CTL_ORDER_STORE_MS };
   enum rgy_outcome rc;
   char *help;
   int status;
