Test waiting requests and returning members more strictly

Both were found by trial changes to the code that the tests had not noticed: a server that ends its turn without resuming, and a member that comes back but still counts as dead for the cut protection.

--- a/src/test_member/test_member.c
+++ b/src/test_member/test_member.c
@@ -704,11 +704,13 @@
   fleet_set_up_ (&f, 0, 4, true);
   fleet_run_ (&f, 2 * RGY_US_PER_S);
   assert_true (rgy_liveness_is_watched (f.liveness, &f.ids[0]));
-  /* Within the window of the first deaths.  */
-  f.up[7] = false;
+  /* Within the window of the first deaths: 3 of 8 are silent, but 7 of 12
+     would be if the members that came back still counted as dead.  */
+  fleet_set_up_ (&f, 5, 8, false);
   fleet_run_ (&f, 4 * RGY_US_PER_S);
   assert_int_equal (f.cuts, 0);
-  assert_int_equal (f.deaths[7], 1);
+  assert_int_equal (fleet_death_count_ (&f), 7);
+  fleet_run_ (&f, 15 * RGY_US_PER_S);
   f.up[0] = false;
   fleet_run_ (&f, 4 * RGY_US_PER_S);
   assert_int_equal (f.deaths[0], 2);
--- a/src/test_sync/test_sync.c
+++ b/src/test_sync/test_sync.c
@@ -198,6 +198,7 @@
 {
   void *context;
   void *socket;
+  void *monitor; /* Connected first, so that no event is lost.  */
 };
 
 static void
@@ -214,6 +215,9 @@
   assert_int_equal (zmq_socket_monitor (raw->socket, "inproc://monitor",
                                         ZMQ_EVENT_DISCONNECTED),
                     0);
+  raw->monitor = zmq_socket (raw->context, ZMQ_PAIR);
+  assert_non_null (raw->monitor);
+  assert_int_equal (zmq_connect (raw->monitor, "inproc://monitor"), 0);
   url = g_strdup_printf ("tcp://%s", rgy_endpoint_format (endpoint, text));
   assert_int_equal (zmq_connect (raw->socket, url), 0);
   g_free (url);
@@ -231,19 +235,18 @@
 static void
 raw_client_wait_for_disconnect_ (struct raw_client_ *raw)
 {
-  void *monitor = zmq_socket (raw->context, ZMQ_PAIR);
-  char buf[256];
+  uint16_t event = 0;
 
-  assert_int_equal (zmq_connect (monitor, "inproc://monitor"), 0);
-  assert_true (zmq_recv (monitor, buf, sizeof buf, 0) > 0);
-  assert_int_equal (buf[0] | buf[1] << 8, ZMQ_EVENT_DISCONNECTED);
-  zmq_close (monitor);
+  /* Event number and value; the address follows as another frame.  */
+  assert_int_equal (zmq_recv (raw->monitor, &event, sizeof event, 0), 6);
+  assert_int_equal (event, ZMQ_EVENT_DISCONNECTED);
 }
 
 static void
 raw_client_close_ (struct raw_client_ *raw)
 {
   zmq_close (raw->socket);
+  zmq_close (raw->monitor);
   zmq_ctx_term (raw->context);
 }
 
@@ -347,6 +350,61 @@
   fixture_finish_ (&f);
 }
 
+/* Requests of many connections that have all arrived before the loop runs give
+   a single signal on ZMQ_FD.  A server that ends its turn early must go on
+   without another one.  */
+static void
+waiting_requests_are_served_without_new_signal_ (void **state)
+{
+  enum
+  {
+    CONNECTIONS = 60
+  };
+  char text[RGY_ENDPOINT_TEXT_BYTES];
+  void *sockets[CONNECTIONS];
+  struct raw_client_ raw;
+  struct fixture_ f;
+  uint8_t *large;
+  void *context;
+  char *url;
+  int zero = 0;
+  unsigned i;
+
+  (void)state;
+  fixture_init_ (&f, LONG_TIMEOUT_MS);
+  start_server_ (&f);
+  /* Sending further frames was seen to signal ZMQ_FD again, which hides the
+     fault.  */
+  f.frame_count = 0;
+  context = zmq_ctx_new ();
+  url = g_strdup_printf ("tcp://%s", rgy_endpoint_format (f.endpoint, text));
+  for (i = 0; i < CONNECTIONS; i++)
+    {
+      sockets[i] = zmq_socket (context, ZMQ_DEALER);
+      assert_non_null (sockets[i]);
+      zmq_setsockopt (sockets[i], ZMQ_LINGER, &zero, sizeof zero);
+      assert_int_equal (zmq_connect (sockets[i], url), 0);
+      assert_int_equal (zmq_send (sockets[i], "", 0, ZMQ_SNDMORE), 0);
+      assert_int_equal (zmq_send (sockets[i], "x", 1, 0), 1);
+    }
+  /* The server's I/O thread closes this later connection by itself; by then
+     the requests above have normally arrived.  */
+  raw_client_open_ (&raw, f.endpoint);
+  large = g_malloc0 (RGY_SYNC_MAX_FRAME_BYTES + 1);
+  raw_client_send_ (&raw, "", 0, true);
+  raw_client_send_ (&raw, large, RGY_SYNC_MAX_FRAME_BYTES + 1, false);
+  g_free (large);
+  raw_client_wait_for_disconnect_ (&raw);
+  run_until_served_ (&f, CONNECTIONS);
+  assert_int_equal (f.served, CONNECTIONS);
+  for (i = 0; i < CONNECTIONS; i++)
+    zmq_close (sockets[i]);
+  zmq_ctx_term (context);
+  raw_client_close_ (&raw);
+  g_free (url);
+  fixture_finish_ (&f);
+}
+
 /* Each request follows the end of the one before, so that a missed edge on
    either side stops the sequence.  */
 static void
@@ -645,6 +703,7 @@
     cmocka_unit_test (answers_arrive_complete_),
     cmocka_unit_test (frame_size_is_limited_),
     cmocka_unit_test (burst_of_requests_is_served_),
+    cmocka_unit_test (waiting_requests_are_served_without_new_signal_),
     cmocka_unit_test (sequence_of_requests_does_not_stall_),
     cmocka_unit_test (one_request_a_peer_),
     cmocka_unit_test (silent_peer_times_out_),
