Advance the Echo epoch of a flow every few requests

A handover has room for eight deduplication records. A flow with more of them moved without any Echo epoch, and the caller's next record was answered as outcome-unknown after every planned change. Now it carries the epochs whose records it holds completely, and answers hand out the newest Echo. An Echo of the backend server itself no longer reaches the caller.

--- a/include/ragwortyoke/request.h
+++ b/include/ragwortyoke/request.h
@@ -254,9 +254,10 @@
     When it is cleared and the flow is still here, the Echo values minted so
     far are no longer valid, unless rgy_request_engine_keep() was called.
 
-    When more deduplication records are alive than the state has room for, it
-    carries no Echo epochs: the receiver answers outcome-unknown to requests
-    with an older Echo.
+    The state carries only Echo epochs whose deduplication records it holds
+    completely: the receiver answers outcome-unknown to a request with an Echo
+    from before the last few requests.  Answers carry a fresh Echo when the
+    caller's is no longer the newest.
     @return RGY_OK or RGY_ERR_CONFLICT (requests outstanding).  */
 enum rgy_outcome rgy_request_engine_export (struct rgy_request_engine *engine,
                                             struct rgy_flow *flow,
--- a/src/libragwortyoke/dedup.c
+++ b/src/libragwortyoke/dedup.c
@@ -73,16 +73,19 @@
   return false;
 }
 
-void
-rgy_dedup_store (struct rgy_session *session, const struct rgy_dedup_key *key,
-                 GByteArray *response, bool safe, int64_t finished_us)
+struct rgy_dedup_record *
+rgy_dedup_store (struct rgy_session *session,
+                 const struct rgy_coap_view *request, GByteArray *response,
+                 bool safe, int64_t finished_us)
 {
-  struct rgy_dedup_record *r = rgy_dedup_find (session, key);
+  struct rgy_dedup_key key = rgy_dedup_key_of (request);
+  struct rgy_dedup_record *r = rgy_dedup_find (session, &key);
 
   if (r != NULL)
     remove_ (r);
   r = g_new0 (struct rgy_dedup_record, 1);
-  r->key = *key;
+  r->key = key;
+  r->echo_epoch = rgy_echo_epoch_of (request);
   r->session = session;
   r->response = response;
   r->safe = safe;
@@ -93,6 +96,7 @@
   g_hash_table_insert (session->records, &r->key, r);
   g_queue_push_tail_link (&session->record_order, &r->session_link);
   g_queue_push_tail_link (&session->engine->records, &r->engine_link);
+  return r;
 }
 
 /* A record taken over from another agent is older than its place in the
--- a/src/libragwortyoke/echo.c
+++ b/src/libragwortyoke/echo.c
@@ -5,6 +5,11 @@
 #include <sodium.h>
 
 #define FLOW_KEY_BYTES 13
+/* Low bits of an epoch that count the steps of a session.  */
+#define STEP_MASK 0xffff
+/* Half of the records that a handover carries, so that it holds those of the
+   last two steps.  */
+#define REQUESTS_PER_STEP (RGY_HANDOVER_MAX_RECORDS / 2)
 
 static void
 put_be_ (uint8_t *out, uint64_t value, size_t len)
@@ -58,7 +63,12 @@
 /* The epoch of an Echo is not the agent's epoch itself: it also changes for
    new sessions of a bucket after a flow of the bucket has moved away or was
    closed with deduplication records.  Otherwise a flow that comes back would
-   have its old Echo values accepted without the records of what has run.  */
+   have its old Echo values accepted without the records of what has run.
+
+   Within a session the epoch advances by one step after a few requests.  A
+   handover has room for a few records only, and carries just the epochs whose
+   records it holds completely; a caller that uses the newest Echo it was given
+   therefore gets no outcome-unknown from a planned change.  */
 uint64_t
 rgy_echo_epoch (const struct rgy_request_engine *engine, unsigned bucket)
 {
@@ -70,7 +80,8 @@
   input[2] = engine->generations[bucket];
   return rgy_hash_bytes ((struct rgy_bytes){ .data = (const uint8_t *)input,
                                              .len = sizeof input },
-                         0);
+                         0)
+         & ~(uint64_t)STEP_MASK;
 }
 
 void
@@ -80,16 +91,59 @@
   unsigned bucket = session->flow->bucket;
 
   engine->generations[bucket]++;
-  session->epochs[0] = rgy_echo_epoch (engine, bucket);
-  session->epoch_count = 1;
+  session->own_epoch = rgy_echo_epoch (engine, bucket);
+  session->step = 0;
+  session->accepted = 0;
+  session->imported_count = 0;
   session->exports = 0;
 }
 
+uint64_t
+rgy_echo_current (const struct rgy_session *session)
+{
+  return session->own_epoch + session->step;
+}
+
+uint64_t
+rgy_echo_epoch_of (const struct rgy_coap_view *request)
+{
+  if (!request->has_echo || request->echo.len != RGY_ECHO_BYTES)
+    return 0;
+  return get_be_ (request->echo.data, RGY_ECHO_EPOCH_BYTES);
+}
+
+void
+rgy_echo_note_accepted (struct rgy_session *session,
+                        const struct rgy_coap_view *request)
+{
+  if (rgy_echo_epoch_of (request) != rgy_echo_current (session)
+      || ++session->accepted < REQUESTS_PER_STEP || session->step == STEP_MASK)
+    return;
+  session->step++;
+  session->accepted = 0;
+}
+
 void
 rgy_echo_mint (const struct rgy_session *session, uint8_t *echo)
 {
-  put_be_ (echo, session->epochs[0], RGY_ECHO_EPOCH_BYTES);
-  mac_ (session, session->epochs[0], echo + RGY_ECHO_EPOCH_BYTES);
+  uint64_t epoch = rgy_echo_current (session);
+
+  put_be_ (echo, epoch, RGY_ECHO_EPOCH_BYTES);
+  mac_ (session, epoch, echo + RGY_ECHO_EPOCH_BYTES);
+}
+
+static bool
+is_valid_epoch_ (const struct rgy_session *session, uint64_t epoch)
+{
+  size_t i;
+
+  if (epoch >= session->own_epoch
+      && epoch - session->own_epoch <= session->step)
+    return true;
+  for (i = 0; i < session->imported_count; i++)
+    if (session->imported_epochs[i] == epoch)
+      return true;
+  return false;
 }
 
 bool
@@ -97,18 +151,13 @@
 {
   uint8_t mac[RGY_ECHO_MAC_BYTES];
   uint64_t epoch;
-  size_t i;
 
   if (echo.len != RGY_ECHO_BYTES)
     return false;
   epoch = get_be_ (echo.data, RGY_ECHO_EPOCH_BYTES);
-  for (i = 0; i < session->epoch_count; i++)
-    if (session->epochs[i] == epoch)
-      {
-        mac_ (session, epoch, mac);
-        return sodium_memcmp (mac, echo.data + RGY_ECHO_EPOCH_BYTES,
-                              sizeof mac)
-               == 0;
-      }
-  return false;
+  if (!is_valid_epoch_ (session, epoch))
+    return false;
+  mac_ (session, epoch, mac);
+  return sodium_memcmp (mac, echo.data + RGY_ECHO_EPOCH_BYTES, sizeof mac)
+         == 0;
 }
--- a/src/libragwortyoke/include/private/request_private.h
+++ b/src/libragwortyoke/include/private/request_private.h
@@ -59,6 +59,9 @@
   struct rgy_dedup_key key;
   struct rgy_session *session;
   GByteArray *response; /**< NULL: outcome unknown.  */
+  uint64_t echo_epoch;  /**< Of the request's Echo; 0: none.  */
+  bool imported;        /**< Run by an earlier holder, under any of the
+                           imported epochs.  */
   bool safe;            /**< GET or FETCH: may be evicted.  */
   int64_t finished_us;
   int64_t expires_us;
@@ -74,10 +77,11 @@
 /** True when a record for one more request fits; evicts the oldest record of
     a safe request if necessary.  */
 bool rgy_dedup_make_room (struct rgy_session *session);
-/** Store an answer; takes ownership of @p response.  */
-void rgy_dedup_store (struct rgy_session *session,
-                      const struct rgy_dedup_key *key, GByteArray *response,
-                      bool safe, int64_t finished_us);
+/** Store the answer to a request; takes ownership of @p response.  */
+struct rgy_dedup_record *rgy_dedup_store (struct rgy_session *session,
+                                          const struct rgy_coap_view *request,
+                                          GByteArray *response, bool safe,
+                                          int64_t finished_us);
 void rgy_dedup_expire (struct rgy_request_engine *engine, int64_t now_us);
 void rgy_dedup_clear (struct rgy_session *session);
 
@@ -146,8 +150,12 @@
 {
   struct rgy_request_engine *engine;
   struct rgy_flow *flow;
-  uint64_t epochs[RGY_HANDOVER_MAX_EPOCHS]; /**< Valid; the own one first.  */
-  size_t epoch_count;
+  uint64_t own_epoch; /**< Echo epochs from this one to @c step above it
+                         are valid; the last is minted.  */
+  unsigned step;
+  unsigned accepted; /**< Requests under the last own epoch.  */
+  uint64_t imported_epochs[RGY_HANDOVER_MAX_EPOCHS]; /**< Also valid.  */
+  size_t imported_count;
   unsigned exports; /**< Since the Echo epochs were last renewed.  */
   GQueue requests;
   GQueue lost;
@@ -201,12 +209,19 @@
 
 /* Echo.  */
 
-/** Epoch of new sessions of a bucket.  */
+/** First epoch of new sessions of a bucket.  */
 uint64_t rgy_echo_epoch (const struct rgy_request_engine *engine,
                          unsigned bucket);
 /** Make all Echo values of the session invalid and begin a new epoch for its
     bucket.  */
 void rgy_echo_renew (struct rgy_session *session);
+/** Epoch of the Echo values that are minted now.  */
+uint64_t rgy_echo_current (const struct rgy_session *session);
+/** Epoch in the Echo of a request; 0 when there is none.  */
+uint64_t rgy_echo_epoch_of (const struct rgy_coap_view *request);
+/** Count a request whose Echo was accepted.  */
+void rgy_echo_note_accepted (struct rgy_session *session,
+                             const struct rgy_coap_view *request);
 void rgy_echo_mint (const struct rgy_session *session, uint8_t *echo);
 bool rgy_echo_is_valid (const struct rgy_session *session,
                         struct rgy_bytes echo);
--- a/src/libragwortyoke/observation.c
+++ b/src/libragwortyoke/observation.c
@@ -167,12 +167,14 @@
   struct rgy_coap_header header = {
     .type = type, .code = view->code, .message_id = id, .token = o->view.token
   };
-  struct rgy_coap_option change = { .number = RGY_COAP_OPTION_OBSERVE };
+  struct rgy_coap_option changes[] = { { .number = RGY_COAP_OPTION_OBSERVE },
+                                       { .number = RGY_COAP_OPTION_ECHO } };
   struct rgy_coap_uint room;
 
   if (has_sequence)
-    change = rgy_coap_uint_option (RGY_COAP_OPTION_OBSERVE, sequence, &room);
-  return rgy_coap_rewrite (view, &header, &change, 1);
+    changes[0]
+        = rgy_coap_uint_option (RGY_COAP_OPTION_OBSERVE, sequence, &room);
+  return rgy_coap_rewrite (view, &header, changes, G_N_ELEMENTS (changes));
 }
 
 /* Notifications of the backend server.  */
--- a/src/libragwortyoke/request_engine.c
+++ b/src/libragwortyoke/request_engine.c
@@ -225,7 +225,10 @@
       return false;
     }
   if (rgy_echo_is_valid (session, view->echo))
-    return true;
+    {
+      rgy_echo_note_accepted (session, view);
+      return true;
+    }
   reject_echo_ (session, view);
   return false;
 }
--- a/src/libragwortyoke/request_move.c
+++ b/src/libragwortyoke/request_move.c
@@ -38,11 +38,17 @@
   state->observation_count = s->observation_count;
 }
 
-/* Adds the newest records first.
-   @return false when one did not fit.  */
-static bool
+/* Epochs of which a record did not fit.  */
+struct missing_
+{
+  bool imported;
+  GArray *epochs;
+};
+
+/* Adds the newest records first and notes the epochs of those left out.  */
+static void
 export_records_ (const struct rgy_session *s, bool safe, int64_t now_us,
-                 struct rgy_handover_state *state)
+                 struct rgy_handover_state *state, struct missing_ *missing)
 {
   GList *link;
 
@@ -54,7 +60,11 @@
       if (r->safe != safe || r->expires_us <= now_us)
         continue;
       if (state->record_count == RGY_HANDOVER_MAX_RECORDS)
-        return false;
+        {
+          missing->imported = missing->imported || r->imported;
+          g_array_append_val (missing->epochs, r->echo_epoch);
+          continue;
+        }
       out = &state->records[state->record_count++];
       out->message_id = r->key.message_id;
       out->token = (struct rgy_bytes){ .data = (const uint8_t *)&r->key.token,
@@ -64,7 +74,38 @@
         out->response = bytes_of_ (r->response);
       out->age_ms = (uint32_t)((now_us - r->finished_us) / RGY_US_PER_MS);
     }
-  return true;
+}
+
+static void
+export_epoch_ (uint64_t epoch, const struct missing_ *missing,
+               struct rgy_handover_state *state)
+{
+  guint i;
+
+  if (state->echo_epoch_count == RGY_HANDOVER_MAX_EPOCHS)
+    return;
+  for (i = 0; i < missing->epochs->len; i++)
+    if (g_array_index (missing->epochs, uint64_t, i) == epoch)
+      return;
+  state->echo_epochs[state->echo_epoch_count++] = epoch;
+}
+
+/* An epoch without all its records would let a request run again.  The
+   newest own epochs come first; half of the room is left for those of earlier
+   holders, which a caller may not have replaced yet.  */
+static void
+export_epochs_ (const struct rgy_session *s, const struct missing_ *missing,
+                struct rgy_handover_state *state)
+{
+  unsigned steps = MIN (s->step + 1, RGY_HANDOVER_MAX_EPOCHS / 2);
+  unsigned i;
+
+  for (i = 0; i < steps; i++)
+    export_epoch_ (s->own_epoch + s->step - i, missing, state);
+  if (missing->imported)
+    return;
+  for (i = 0; i < s->imported_count; i++)
+    export_epoch_ (s->imported_epochs[i], missing, state);
 }
 
 enum rgy_outcome
@@ -73,20 +114,18 @@
                            struct rgy_handover_state *state)
 {
   struct rgy_session *s = rgy_session_get (engine, flow);
-  size_t i;
+  struct missing_ missing = { 0 };
 
   if (s->requests.length > 0)
     return RGY_ERR_CONFLICT;
   *state = (struct rgy_handover_state){ .key = flow->key,
                                         .customer = flow->customer };
   export_observations_ (s, state);
-  if (export_records_ (s, false, now_us, state))
-    {
-      for (i = 0; i < s->epoch_count; i++)
-        state->echo_epochs[i] = s->epochs[i];
-      state->echo_epoch_count = s->epoch_count;
-    }
-  (void)export_records_ (s, true, now_us, state);
+  missing.epochs = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  export_records_ (s, false, now_us, state, &missing);
+  export_epochs_ (s, &missing, state);
+  export_records_ (s, true, now_us, state, &missing);
+  g_array_unref (missing.epochs);
   s->exports++;
   return RGY_OK;
 }
@@ -141,8 +180,10 @@
       g_byte_array_append (response, in->response.data,
                            (guint)in->response.len);
     }
-  rgy_dedup_store (s, &key, response, false,
-                   now_us - in->age_ms * RGY_US_PER_MS);
+  rgy_dedup_store (s, &view, response, false,
+                   now_us - in->age_ms * RGY_US_PER_MS)
+      ->imported
+      = true;
 }
 
 static void
@@ -153,11 +194,11 @@
 
   for (i = 0; i < state->echo_epoch_count; i++)
     {
-      for (k = 0; k < s->epoch_count; k++)
-        if (s->epochs[k] == state->echo_epochs[i])
+      for (k = 0; k < s->imported_count; k++)
+        if (s->imported_epochs[k] == state->echo_epochs[i])
           break;
-      if (k == s->epoch_count && s->epoch_count < RGY_HANDOVER_MAX_EPOCHS)
-        s->epochs[s->epoch_count++] = state->echo_epochs[i];
+      if (k == s->imported_count && k < RGY_HANDOVER_MAX_EPOCHS)
+        s->imported_epochs[s->imported_count++] = state->echo_epochs[i];
     }
 }
 
--- a/src/libragwortyoke/request_run.c
+++ b/src/libragwortyoke/request_run.c
@@ -82,7 +82,6 @@
                     enum rgy_refusal_reason reason, int64_t now_us)
 {
   struct rgy_request_engine *engine = session->engine;
-  struct rgy_dedup_key key = rgy_dedup_key_of (view);
   GByteArray *out;
 
   if (!rgy_dedup_make_room (session))
@@ -94,7 +93,7 @@
   renumber_ (session, out);
   ++*engine->c.refused[reason];
   rgy_session_send (session, out);
-  rgy_dedup_store (session, &key, out, is_safe_ (view), now_us);
+  (void)rgy_dedup_store (session, view, out, is_safe_ (view), now_us);
 }
 
 static enum rgy_refusal_reason
@@ -183,7 +182,7 @@
   end_for_contract_ (r);
   rgy_session_send (session, answer);
   if (!is_safe_ (&r->view))
-    rgy_dedup_store (session, &r->key, answer, false, now_us);
+    (void)rgy_dedup_store (session, &r->view, answer, false, now_us);
   else
     g_byte_array_unref (answer);
 }
@@ -412,8 +411,8 @@
   end_for_contract_ (request);
   /* The caller expects no answer; duplicates of the request must not run.  */
   if (!is_safe_ (&request->view))
-    rgy_dedup_store (
-        session, &request->key,
+    (void)rgy_dedup_store (
+        session, &request->view,
         rgy_coap_build_outcome_unknown (&request->view, "cancelled"), false,
         now_us);
   give_up_registration_ (request);
@@ -452,6 +451,15 @@
   return true;
 }
 
+/* The caller has used an Echo other than the newest.  */
+static bool
+wants_fresh_echo_ (const struct rgy_request *r)
+{
+  return r->class == RGY_MESSAGE_NON_IDEMPOTENT
+         && r->session->engine->settings.echo_required
+         && rgy_echo_epoch_of (&r->view) != rgy_echo_current (r->session);
+}
+
 void
 rgy_request_answered (struct rgy_request *request,
                       const struct rgy_coap_view *answer, int64_t now_us)
@@ -462,7 +470,10 @@
                                     .code = answer->code,
                                     .message_id = request->view.message_id,
                                     .token = request->view.token };
-  struct rgy_coap_option change = { .number = RGY_COAP_OPTION_OBSERVE };
+  /* An Echo of the backend server itself would be taken for one of ours.  */
+  struct rgy_coap_option changes[] = { { .number = RGY_COAP_OPTION_OBSERVE },
+                                       { .number = RGY_COAP_OPTION_ECHO } };
+  uint8_t echo[RGY_ECHO_BYTES];
   struct rgy_coap_uint room;
   uint32_t sequence;
 
@@ -479,13 +490,22 @@
       return;
     }
   if (note_registration_ (request, answer, &sequence))
-    change = rgy_coap_uint_option (RGY_COAP_OPTION_OBSERVE, sequence, &room);
+    changes[0]
+        = rgy_coap_uint_option (RGY_COAP_OPTION_OBSERVE, sequence, &room);
+  if (wants_fresh_echo_ (request))
+    {
+      rgy_echo_mint (session, echo);
+      changes[1].value
+          = (struct rgy_bytes){ .data = echo, .len = sizeof echo };
+    }
   if (request->view.type == RGY_COAP_NON)
     {
       header.type = RGY_COAP_NON;
       header.message_id = session->caller_id++;
     }
-  finish_ (request, rgy_coap_rewrite (answer, &header, &change, 1), now_us);
+  finish_ (request,
+           rgy_coap_rewrite (answer, &header, changes, G_N_ELEMENTS (changes)),
+           now_us);
   request_free_ (request);
 }
 
--- a/src/libragwortyoke/request_session.c
+++ b/src/libragwortyoke/request_session.c
@@ -36,8 +36,7 @@
   s = g_new0 (struct rgy_session, 1);
   s->engine = engine;
   s->flow = flow;
-  s->epochs[0] = rgy_echo_epoch (engine, flow->bucket);
-  s->epoch_count = 1;
+  s->own_epoch = rgy_echo_epoch (engine, flow->bucket);
   g_queue_init (&s->requests);
   g_queue_init (&s->lost);
   g_queue_init (&s->record_order);
