Claim a bucket before ending a loop

A loop between agents that disagree about the owner ended by opening the flow without anyone knowing. The agent now claims the bucket and asks all live peers first. The owner of an unsettled bucket likewise asks visited peers again when they may hold flows.

--- a/include/ragwortyoke/steering.h
+++ b/include/ragwortyoke/steering.h
@@ -101,6 +101,8 @@
   struct rgy_name next;    /**< Valid for RGY_STEER_FORWARD.  */
   bool ask;                /**< This agent becomes the origin of the trail.  */
   bool search;             /**< All live peers are to be visited.  */
+  bool restart;            /**< The trail starts anew.  The own bitmap may have
+                              advanced: send PEER_STATE at once.  */
   uint64_t claim_sequence; /**< Own sequence if this agent is the owner.  */
 };
 
@@ -115,8 +117,10 @@
                     packet returns when nobody is left to ask; 0: none.  */
   uint64_t origin_sequence; /**< Sequence of the origin if it considers
                                itself the owner, else 0.  */
-  bool search; /**< Ask all live peers, not only those that may hold the
-                  flow.  */
+  bool search;    /**< Ask all live peers, not only those that may hold the
+                     flow.  */
+  bool restarted; /**< The trail has been started anew once, because an agent
+                     claimed the bucket while the packet was on its way.  */
 };
 
 /**
@@ -159,7 +163,8 @@
                              const struct rgy_name *peers, size_t peer_count);
 
 /**
- * Record the buckets in which flows are held.
+ * Record the buckets in which flows are held.  Called after every open and
+ * close, before anything is acknowledged to a peer.
  *
  * @return true when the own bitmap changed: the sequence has advanced and a
  *         PEER_STATE should be sent at once.
--- a/src/libragwortyoke/steering.c
+++ b/src/libragwortyoke/steering.c
@@ -42,8 +42,10 @@
   struct rgy_bucket_table *table;
   struct rgy_bucket_set owned;
   struct rgy_bucket_set held;
+  struct rgy_bucket_set claimed; /* To end loops; not owned.  */
   struct rgy_bucket_set unsettled;
   uint64_t sequence;
+  uint64_t group_sequence;  /* Sequence of the last change of the group.  */
   uint64_t settle_sequence; /* To be acknowledged by every live peer.  */
   GHashTable *peers;        /* Owned struct peer_ by name.  */
   GPtrArray *live;          /* Borrowed, sorted by name.  */
@@ -120,6 +122,9 @@
 {
   const struct rgy_name *origin = NULL;
 
+  if (decision->restart)
+    *trail = (struct rgy_steer_trail){ .overflow = trail->overflow,
+                                       .restarted = true };
   /* The trail has room except when the last agent of a full search returns
      the packet to its origin, which then asks nobody else.  */
   if (!trail_has_ (trail, self) && trail->count < RGY_MAX_HOPS)
@@ -403,7 +408,9 @@
       steering->eligible = true;
   joined = replace_live_ (steering, live);
   gained = update_owned_ (steering);
+  memset (&steering->claimed, 0, sizeof steering->claimed);
   steering->sequence++;
+  steering->group_sequence = steering->sequence;
   if (gained || joined)
     steering->settle_sequence = steering->sequence;
   update_settled_ (steering);
@@ -416,10 +423,11 @@
 rgy_steering_set_held (struct rgy_steering *steering,
                        const struct rgy_bucket_set *held)
 {
-  struct rgy_bucket_set before
-      = set_union_ (&steering->owned, &steering->held);
-  struct rgy_bucket_set after = set_union_ (&steering->owned, held);
+  struct rgy_bucket_set before;
+  struct rgy_bucket_set after;
 
+  rgy_steering_get_may_hold (steering, &steering->held, &before);
+  rgy_steering_get_may_hold (steering, held, &after);
   steering->held = *held;
   if (set_equal_ (&before, &after))
     return false;
@@ -438,7 +446,8 @@
                            const struct rgy_bucket_set *held,
                            struct rgy_bucket_set *may_hold)
 {
-  *may_hold = set_union_ (&steering->owned, held);
+  *may_hold = set_union_ (&steering->owned, &steering->claimed);
+  *may_hold = set_union_ (may_hold, held);
 }
 
 enum rgy_outcome
@@ -525,6 +534,15 @@
 
 /* Decisions.  */
 
+static bool
+is_live_peer_ (const struct rgy_steering *steering,
+               const struct rgy_name *name)
+{
+  const struct peer_ *peer = find_peer_ (steering, name);
+
+  return peer != NULL && peer->live;
+}
+
 /* A peer whose state has not arrived yet may hold any flow.  */
 static bool
 may_hold_ (const struct peer_ *peer, unsigned bucket)
@@ -598,63 +616,133 @@
   return count;
 }
 
+/* True when a visited peer may hold flows of the bucket.  */
+static bool
+visited_may_hold_ (const struct rgy_steering *steering, unsigned bucket,
+                   const struct rgy_steer_trail *trail)
+{
+  guint i;
+
+  for (i = 0; i < steering->live->len; i++)
+    {
+      const struct peer_ *peer = steering->live->pdata[i];
+
+      if (may_hold_ (peer, bucket) && trail_has_ (trail, &peer->name))
+        return true;
+    }
+  return false;
+}
+
+/* A packet on its way through this agent.  */
+struct packet_
+{
+  unsigned bucket;
+  const struct rgy_steer_trail *trail;
+  const struct rgy_name *origin; /* Or NULL.  */
+  bool is_owner;
+  bool unsettled;     /* Owner, but not yet known to all peers.  */
+  bool returned;      /* This agent is the origin.  */
+  bool own_claim;     /* Returned, and the bit of the bucket has been set in
+                         the own bitmap ever since the packet left.  */
+  bool foreign_claim; /* The origin, a live peer, considers itself owner.  */
+};
+
+static struct packet_
+inspect_ (const struct rgy_steering *steering, unsigned bucket,
+          const struct rgy_steer_trail *trail)
+{
+  struct packet_ p = { .bucket = bucket, .trail = trail };
+
+  p.origin = trail_origin_ (trail);
+  p.is_owner = rgy_steering_is_owner (steering, bucket);
+  p.unsettled = rgy_bucket_set_has (&steering->unsettled, bucket);
+  p.returned = p.origin != NULL && rgy_name_equal (p.origin, &steering->self);
+  p.own_claim
+      = p.returned && origin_claims_ (trail)
+        && trail->origin_sequence >= steering->group_sequence
+        && (p.is_owner || rgy_bucket_set_has (&steering->claimed, bucket));
+  p.foreign_claim = origin_claims_ (trail) && !p.returned
+                    && is_live_peer_ (steering, p.origin);
+  return p;
+}
+
+/* Sends the packet to all live peers anew.  A peer that it visited before
+   this agent claimed the bucket may since have become a settled owner without
+   knowing of the claim.  A second restart is refused, so that forwarding
+   ends.  */
+static void
+decide_restart_ (const struct rgy_steering *steering, const struct packet_ *p,
+                 struct rgy_steer_decision *decision)
+{
+  static const struct rgy_steer_trail empty = { 0 };
+  const struct peer_ *peer = NULL;
+
+  if (p->trail->restarted || p->trail->count >= RGY_MAX_HOPS)
+    {
+      set_result_ (decision, RGY_STEER_DROP, RGY_STEER_REASON_HOP_LIMIT);
+      return;
+    }
+  peer = next_peer_ (steering, p->bucket, &empty, true);
+  set_forward_ (decision, RGY_STEER_REASON_MAY_HOLD, &peer->name);
+  decision->ask = true;
+  decision->search = true;
+  decision->restart = true;
+  decision->claim_sequence = steering->sequence;
+}
+
 /* Looks for an agent to ask before a flow may be opened.  Returns false when
    nobody is left.  */
 static bool
-decide_ask_ (const struct rgy_steering *steering, unsigned bucket,
-             const struct rgy_steer_trail *trail, bool returned,
+decide_ask_ (const struct rgy_steering *steering, const struct packet_ *p,
              struct rgy_steer_decision *decision)
 {
-  bool is_owner = rgy_steering_is_owner (steering, bucket);
-  bool search = is_owner ? rgy_bucket_set_has (&steering->unsettled, bucket)
-                         : trail->search && trail_origin_ (trail) != NULL;
+  bool search
+      = p->is_owner ? p->unsettled : p->trail->search && p->origin != NULL;
   enum rgy_steer_reason reason = RGY_STEER_REASON_MAY_HOLD;
-  const struct peer_ *peer = next_peer_ (steering, bucket, trail, true);
+  const struct peer_ *peer = NULL;
 
+  if (p->unsettled && !p->own_claim && !p->foreign_claim
+      && visited_may_hold_ (steering, p->bucket, p->trail))
+    {
+      decide_restart_ (steering, p, decision);
+      return true;
+    }
+  peer = next_peer_ (steering, p->bucket, p->trail, true);
   if (peer == NULL && search)
     {
       reason = RGY_STEER_REASON_UNSETTLED;
-      peer = next_peer_ (steering, bucket, trail, false);
+      peer = next_peer_ (steering, p->bucket, p->trail, false);
     }
   if (peer == NULL)
     return false;
-  if (trail->count >= RGY_MAX_HOPS)
+  if (p->trail->count >= RGY_MAX_HOPS)
     {
       /* A full trail does not name the agent that returned the packet.  */
-      if (returned && count_unvisited_ (steering, bucket, trail, !search) == 1)
+      if (p->returned
+          && count_unvisited_ (steering, p->bucket, p->trail, !search) == 1)
         return false;
       set_result_ (decision, RGY_STEER_DROP, RGY_STEER_REASON_HOP_LIMIT);
       return true;
     }
   set_forward_ (decision, reason, &peer->name);
-  if (is_owner)
-    /* A settled owner takes the packet over from an unsettled one.  */
-    decision->ask = !search || !origin_claims_ (trail);
-  else
-    decision->ask = trail_origin_ (trail) == NULL || returned
-                    || (trail->overflow && steering->eligible);
   decision->search = search;
-  if (is_owner)
+  /* A settled owner takes the packet over from an unsettled one.  */
+  if (p->is_owner)
+    decision->ask = !search || !p->foreign_claim;
+  else
+    decision->ask = p->origin == NULL || p->returned
+                    || (p->trail->overflow && steering->eligible);
+  if (p->is_owner || p->own_claim)
     decision->claim_sequence = steering->sequence;
   return true;
 }
 
-static bool
-is_live_peer_ (const struct rgy_steering *steering,
-               const struct rgy_name *name)
-{
-  const struct peer_ *peer = find_peer_ (steering, name);
-
-  return peer != NULL && peer->live;
-}
-
 /* Decides when the owner in this view has already passed the packet on, so
    that it considers another agent the owner.  Opening the flow here ends the
-   loop.  Nobody's claim covers the flow then, so all live peers are asked
-   first, as for an unsettled bucket.  */
+   loop.  This agent first claims the bucket and asks all live peers, as the
+   owner of an unsettled bucket does.  */
 static void
-decide_loop_ (const struct rgy_steering *steering, unsigned bucket,
-              const struct rgy_steer_trail *trail, bool returned,
+decide_loop_ (struct rgy_steering *steering, const struct packet_ *p,
               struct rgy_steer_decision *decision)
 {
   const struct peer_ *peer = NULL;
@@ -665,45 +753,63 @@
       return;
     }
   if (steering->chain_enabled)
-    peer = next_peer_ (steering, bucket, trail, false);
-  if (peer == NULL
-      || (returned && trail->count >= RGY_MAX_HOPS
-          && count_unvisited_ (steering, bucket, trail, false) == 1))
-    set_result_ (decision, RGY_STEER_OPEN, RGY_STEER_REASON_NOT_OWNER);
-  else if (trail->count >= RGY_MAX_HOPS)
-    set_result_ (decision, RGY_STEER_DROP, RGY_STEER_REASON_HOP_LIMIT);
-  else
+    peer = next_peer_ (steering, p->bucket, p->trail, false);
+  if (!steering->chain_enabled
+      || (peer == NULL && !visited_may_hold_ (steering, p->bucket, p->trail)))
+    {
+      set_result_ (decision, RGY_STEER_OPEN, RGY_STEER_REASON_NOT_OWNER);
+      return;
+    }
+  if (p->trail->restarted || p->trail->count >= RGY_MAX_HOPS)
+    {
+      set_result_ (decision, RGY_STEER_DROP,
+                   p->trail->restarted ? RGY_STEER_REASON_NOT_OWNER
+                                       : RGY_STEER_REASON_HOP_LIMIT);
+      return;
+    }
+  if (!rgy_bucket_set_has (&steering->claimed, p->bucket))
+    {
+      rgy_bucket_set_add (&steering->claimed, p->bucket);
+      if (!rgy_bucket_set_has (&steering->held, p->bucket))
+        steering->sequence++;
+    }
+  if (peer == NULL)
     {
-      set_forward_ (decision, RGY_STEER_REASON_UNSETTLED, &peer->name);
-      decision->ask = true;
-      decision->search = true;
+      decide_restart_ (steering, p, decision);
+      return;
     }
+  set_forward_ (decision, RGY_STEER_REASON_UNSETTLED, &peer->name);
+  decision->ask = true;
+  decision->search = true;
+  decision->restart = true;
+  decision->claim_sequence = steering->sequence;
 }
 
 /* Decides for an agent that is not the owner when nobody is left to ask.  */
 static void
-decide_not_owner_ (const struct rgy_steering *steering, unsigned bucket,
-                   const struct rgy_steer_trail *trail, bool returned,
+decide_not_owner_ (struct rgy_steering *steering, const struct packet_ *p,
                    struct rgy_steer_decision *decision)
 {
-  const struct rgy_name *origin = trail_origin_ (trail);
   const struct rgy_name *owner
-      = rgy_bucket_table_get_owner (steering->table, bucket);
+      = rgy_bucket_table_get_owner (steering->table, p->bucket);
 
-  if (owner != NULL && !trail_has_ (trail, owner))
+  if (p->own_claim)
+    set_result_ (decision, RGY_STEER_OPEN, RGY_STEER_REASON_NOT_OWNER);
+  else if (owner != NULL && !trail_has_ (p->trail, owner))
     {
-      if (trail->count >= RGY_MAX_HOPS)
+      if (p->trail->count >= RGY_MAX_HOPS)
         set_result_ (decision, RGY_STEER_DROP, RGY_STEER_REASON_HOP_LIMIT);
       else
         set_forward_ (decision, RGY_STEER_REASON_NOT_OWNER, owner);
     }
-  else if (origin != NULL && !returned && is_live_peer_ (steering, origin))
+  else if (p->origin != NULL && !p->returned
+           && is_live_peer_ (steering, p->origin))
     /* Another agent may be the owner in the view of the origin.  */
-    set_forward_ (decision, RGY_STEER_REASON_NOT_OWNER, origin);
+    set_forward_ (decision, RGY_STEER_REASON_NOT_OWNER, p->origin);
   else if (owner == NULL)
     set_result_ (decision, RGY_STEER_DROP, RGY_STEER_REASON_NO_AGENT);
   else
-    decide_loop_ (steering, bucket, trail, returned, decision);
+    decide_loop_ (steering, p, decision);
 }
 
 /* Records that the origin of a packet considers itself the owner.  An owner
@@ -711,18 +817,14 @@
    the origin sent before it became owner; its buckets stay unsettled until
    the newer state of the origin has arrived.  */
 static void
-note_claim_ (struct rgy_steering *steering, unsigned bucket,
-             const struct rgy_steer_trail *trail)
+note_claim_ (struct rgy_steering *steering, const struct packet_ *p)
 {
-  const struct rgy_name *origin = trail_origin_ (trail);
   struct peer_ *peer = NULL;
 
-  if (!origin_claims_ (trail)
-      || !rgy_bucket_set_has (&steering->unsettled, bucket))
+  if (!p->foreign_claim || !p->unsettled)
     return;
-  peer = find_peer_ (steering, origin);
-  if (peer != NULL)
-    peer->claim_sequence = MAX (peer->claim_sequence, trail->origin_sequence);
+  peer = find_peer_ (steering, p->origin);
+  peer->claim_sequence = MAX (peer->claim_sequence, p->trail->origin_sequence);
 }
 
 void
@@ -730,26 +832,20 @@
                      const struct rgy_steer_trail *trail,
                      struct rgy_steer_decision *decision)
 {
-  const struct rgy_name *origin = trail_origin_ (trail);
-  bool returned = origin != NULL && rgy_name_equal (origin, &steering->self);
-  bool return_to_origin = origin_claims_ (trail) && !returned
-                          && is_live_peer_ (steering, origin);
-  bool settled_owner = rgy_steering_is_owner (steering, bucket)
-                       && !rgy_bucket_set_has (&steering->unsettled, bucket);
+  struct packet_ p = inspect_ (steering, bucket, trail);
 
   memset (decision, 0, sizeof *decision);
-  note_claim_ (steering, bucket, trail);
-  if (steering->chain_enabled
-      && decide_ask_ (steering, bucket, trail, returned, decision))
+  note_claim_ (steering, &p);
+  if (steering->chain_enabled && decide_ask_ (steering, &p, decision))
     return;
   if (trail->overflow && steering->eligible)
     set_result_ (decision, RGY_STEER_OPEN, RGY_STEER_REASON_OVERFLOW);
-  else if (return_to_origin && !settled_owner)
-    set_forward_ (decision, RGY_STEER_REASON_NOT_OWNER, origin);
-  else if (rgy_steering_is_owner (steering, bucket))
+  else if (p.foreign_claim && (!p.is_owner || p.unsettled))
+    set_forward_ (decision, RGY_STEER_REASON_NOT_OWNER, p.origin);
+  else if (p.is_owner)
     set_result_ (decision, RGY_STEER_OPEN, RGY_STEER_REASON_OWNER);
   else
-    decide_not_owner_ (steering, bucket, trail, returned, decision);
+    decide_not_owner_ (steering, &p, decision);
 }
 
 void
