--- /dev/null
+++ b/src/libragwortyoke/include/private/steering_state.h
@@ -0,0 +1,49 @@
+#ifndef RAGWORTYOKE_PRIVATE_STEERING_STATE_H
+#define RAGWORTYOKE_PRIVATE_STEERING_STATE_H
+
+#include <glib.h>
+
+#include "ragwortyoke/steering.h"
+
+/* What is known of another agent.  */
+struct rgy_steering_peer
+{
+  struct rgy_name name;
+  uint64_t weight_hash;
+  bool live;
+  bool known; /* Its state has arrived, or is no longer waited for.  */
+  uint64_t epoch;
+  uint64_t sequence;
+  struct rgy_bucket_set may_hold;
+  uint64_t acked;           /* Highest own sequence it acknowledged.  */
+  uint64_t needed_sequence; /* Its sequence when it acknowledged.  */
+  uint64_t claim_sequence;  /* Its sequence in packets that it asked with.  */
+};
+
+struct rgy_steering
+{
+  struct rgy_name self;
+  uint64_t seed;
+  bool chain_enabled;
+  bool eligible; /* This agent may open flows.  */
+  struct rgy_bucket_table *table;
+  struct rgy_bucket_set owned;
+  struct rgy_bucket_set held;
+  struct rgy_bucket_set claimed; /* To end loops; not owned.  */
+  struct rgy_bucket_set unsettled;
+  uint64_t sequence;
+  uint64_t group_sequence;  /* Sequence of the last change of the group.  */
+  uint64_t settle_sequence; /* To be acknowledged by every live peer.  */
+  GHashTable *peers;        /* Owned struct rgy_steering_peer by name.  */
+  GPtrArray *live;          /* Borrowed, sorted by name.  */
+};
+
+/** @return what is known of an agent, live or not, or NULL.  */
+static inline struct rgy_steering_peer *
+rgy_steering_find_peer (const struct rgy_steering *steering,
+                        const struct rgy_name *name)
+{
+  return g_hash_table_lookup (steering->peers, name);
+}
+
+#endif
