Carry the whole steering trail and repeat the answers to handovers

A retransmitted HANDOVER now gets its first answer again, so that a flow that was refused and kept cannot be accepted later by the target.

--- a/include/ragwortyoke/action.h
+++ b/include/ragwortyoke/action.h
@@ -43,7 +43,7 @@
       struct rgy_str key; /**< Without the common prefix.  */
       struct rgy_bytes value;
     } store;             /**< STORE.  */
-    struct rgy_str text;     /**< LOG.  */
+    struct rgy_str text; /**< LOG.  */
   } u;
 };
 
--- a/include/ragwortyoke/blackboard.h
+++ b/include/ragwortyoke/blackboard.h
@@ -75,9 +75,8 @@
 bool rgy_blackboard_agent_is_live (const struct rgy_blackboard *blackboard,
                                    const struct rgy_agent_record *record);
 /** True when the agent may open flows: live and ready.  */
-bool
-rgy_blackboard_agent_is_eligible (const struct rgy_blackboard *blackboard,
-                                  const struct rgy_agent_record *record);
+bool rgy_blackboard_agent_is_eligible (const struct rgy_blackboard *blackboard,
+                                       const struct rgy_agent_record *record);
 /** True when traffic may go through the balancer.  */
 bool
 rgy_blackboard_balancer_is_usable (const struct rgy_blackboard *blackboard,
--- a/src/libragwortyoke-io/udp.c
+++ b/src/libragwortyoke-io/udp.c
@@ -155,9 +155,9 @@
 {
   struct sockaddr_in in = to_sockaddr_ (to);
   uv_buf_t buf = uv_buf_init ((char *)data.data, (unsigned)data.len);
-  int rc = uv_udp_try_send (
-      &udp->handle, &buf, 1,
-      udp->connected ? NULL : (const struct sockaddr *)&in);
+  int rc
+      = uv_udp_try_send (&udp->handle, &buf, 1,
+                         udp->connected ? NULL : (const struct sockaddr *)&in);
 
   if (rc >= 0)
     return RGY_OK;
--- a/src/libragwortyoke/action.c
+++ b/src/libragwortyoke/action.c
@@ -151,13 +151,14 @@
 rgy_actions_store (struct rgy_actions *actions, struct rgy_str key,
                    struct rgy_bytes value)
 {
-  append_ (actions,
-           (struct record_){ .kind = RGY_ACTION_STORE, .key_len = key.len },
-           (struct rgy_bytes){ .data = (const uint8_t *)key.data,
-                               .len = key.len });
+  append_ (
+      actions,
+      (struct record_){ .kind = RGY_ACTION_STORE, .key_len = key.len },
+      (struct rgy_bytes){ .data = (const uint8_t *)key.data, .len = key.len });
   g_byte_array_append (actions->payload, value.data, (guint)value.len);
   g_array_index (actions->records, struct record_, actions->records->len - 1)
-      .len += value.len;
+      .len
+      += value.len;
 }
 
 void
--- a/src/libragwortyoke/agent_handover.c
+++ b/src/libragwortyoke/agent_handover.c
@@ -93,11 +93,11 @@
       return;
     }
   bytes = rgy_handover_state_encode (&state);
-  m.u.handover = (struct rgy_handover_message){
-    .from = a->settings.id,
-    .transfer_id = event->transfer_id,
-    .state = { .data = bytes->data, .len = bytes->len }
-  };
+  m.u.handover
+      = (struct rgy_handover_message){ .from = a->settings.id,
+                                       .transfer_id = event->transfer_id,
+                                       .state = { .data = bytes->data,
+                                                  .len = bytes->len } };
   rgy_agent_send_message (a, target->endpoint, &m);
   g_byte_array_unref (bytes);
 }
@@ -124,11 +124,10 @@
         case RGY_TRANSFER_GIVEN_UP:
           /* A live target may hold the flow although its answers were lost;
              it accepts what it already holds.  */
-          flow->moving
-              = !event.target_died
-                && rgy_transfers_begin (a->transfers, flow->id, &event.target,
-                                        a->now_us)
-                       == RGY_OK;
+          flow->moving = !event.target_died
+                         && rgy_transfers_begin (a->transfers, flow->id,
+                                                 &event.target, a->now_us)
+                                == RGY_OK;
           break;
         }
     }
@@ -145,8 +144,8 @@
     return;
   if (stage == RGY_DRAIN_MOVING)
     scan.room
-        = RGY_MAX_TRANSFERS - MIN (RGY_MAX_TRANSFERS,
-                                   rgy_transfers_get_count (a->transfers));
+        = RGY_MAX_TRANSFERS
+          - MIN (RGY_MAX_TRANSFERS, rgy_transfers_get_count (a->transfers));
   else if (a->self.state == RGY_MEMBER_READY
            && a->now_us >= a->next_rebalance_us
            && rgy_steering_is_settled (a->steering))
@@ -183,8 +182,7 @@
   rgy_count_limit_force (usage->flows);
   flow->customer = state->customer;
   ++*a->c.flows_moved_in;
-  if (rgy_request_engine_import (a->engine, flow, state, a->now_us,
-                                 a->actions)
+  if (rgy_request_engine_import (a->engine, flow, state, a->now_us, a->actions)
       != RGY_OK)
     {
       rgy_agent_close_flow (a, flow);
@@ -199,16 +197,24 @@
 {
   struct rgy_message ack = { .kind = RGY_MSG_HANDOVER_ACK };
   struct rgy_handover_state state;
+  bool accepted;
 
   if (rgy_handover_state_decode (m->state, &state) != RGY_OK)
     {
       ++*a->c.bad_message;
       return;
     }
-  ack.u.handover_ack
-      = (struct rgy_handover_ack_message){ .from = a->settings.id,
-                                           .transfer_id = m->transfer_id,
-                                           .accepted = accept_ (a, &state) };
+  if (rgy_receipts_find (a->receipts, &m->from, m->transfer_id, &state.key,
+                         a->now_us, &accepted)
+      != RGY_OK)
+    {
+      accepted = accept_ (a, &state);
+      rgy_receipts_note (a->receipts, &m->from, m->transfer_id, &state.key,
+                         accepted, a->now_us);
+    }
+  ack.u.handover_ack = (struct rgy_handover_ack_message){
+    .from = a->settings.id, .transfer_id = m->transfer_id, .accepted = accepted
+  };
   rgy_agent_send_message (a, from, &ack);
 }
 
--- a/src/libragwortyoke/agent_packet.c
+++ b/src/libragwortyoke/agent_packet.c
@@ -231,6 +231,8 @@
   struct rgy_steer_decision decision;
 
   rgy_steering_decide (a->steering, bucket, &m->trail, &decision);
+  if (decision.restart)
+    rgy_agent_send_peer_state (a);
   switch (decision.kind)
     {
     case RGY_STEER_FORWARD:
@@ -322,8 +324,8 @@
   if (flow_id == RGY_PROBE_FLOW_ID)
     {
       if (rgy_coap_parse (datagram, &view) == RGY_OK)
-        note_health_ (a, rgy_health_note_answer (a->health, view.message_id,
-                                                 now_us));
+        note_health_ (
+            a, rgy_health_note_answer (a->health, view.message_id, now_us));
       return;
     }
   flow = rgy_flow_table_find_id (a->flows, flow_id);
--- a/src/libragwortyoke/agent_usage.c
+++ b/src/libragwortyoke/agent_usage.c
@@ -54,8 +54,8 @@
     {
       usage = g_new0 (struct rgy_customer_usage, 1);
       usage->flows = rgy_count_limit_new (limits.open_flows);
-      usage->new_flows
-          = rgy_rate_limit_new (limits.new_flows_per_second, NEW_FLOW_BURST_MS);
+      usage->new_flows = rgy_rate_limit_new (limits.new_flows_per_second,
+                                             NEW_FLOW_BURST_MS);
       usage->requests = rgy_count_limit_new (limits.requests_in_flight);
       g_hash_table_insert (a->usage, g_memdup2 (customer, sizeof *customer),
                            usage);
@@ -129,7 +129,8 @@
   size_t n = 0;
 
   g_hash_table_iter_init (&iter, a->usage);
-  while (n < RGY_WIRE_MAX_USAGE && g_hash_table_iter_next (&iter, &key, &value))
+  while (n < RGY_WIRE_MAX_USAGE
+         && g_hash_table_iter_next (&iter, &key, &value))
     {
       struct rgy_customer_usage *usage = value;
 
--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -44,22 +44,18 @@
                                    "Packets sent to agents."),
     .answers = rgy_counters_add (c, "balancer_answers_total", NULL,
                                  "Responses sent to the fabric."),
-    .drop_malformed
-    = rgy_counters_add (c, "balancer_dropped_total", "reason=\"malformed\"",
-                        dropped),
+    .drop_malformed = rgy_counters_add (c, "balancer_dropped_total",
+                                        "reason=\"malformed\"", dropped),
     .drop_unknown_service = rgy_counters_add (
         c, "balancer_dropped_total", "reason=\"unknown-service\"", dropped),
     .drop_unknown_caller = rgy_counters_add (
         c, "balancer_dropped_total", "reason=\"unknown-caller\"", dropped),
-    .drop_limit
-    = rgy_counters_add (c, "balancer_dropped_total",
-                        "reason=\"contract-limit\"", dropped),
-    .drop_no_backend
-    = rgy_counters_add (c, "balancer_dropped_total",
-                        "reason=\"no-backend-server\"", dropped),
-    .drop_out
-    = rgy_counters_add (c, "balancer_dropped_total",
-                        "reason=\"failure-domain-out\"", dropped),
+    .drop_limit = rgy_counters_add (c, "balancer_dropped_total",
+                                    "reason=\"contract-limit\"", dropped),
+    .drop_no_backend = rgy_counters_add (
+        c, "balancer_dropped_total", "reason=\"no-backend-server\"", dropped),
+    .drop_out = rgy_counters_add (c, "balancer_dropped_total",
+                                  "reason=\"failure-domain-out\"", dropped),
     .bad_tag = rgy_counters_add (c, "bad_tag_total", NULL,
                                  "Internal datagrams with a wrong tag."),
     .bad_message
@@ -106,8 +102,8 @@
                                      limit_free_);
   b->agents_liveness = rgy_liveness_new (&rgy_liveness_defaults);
   b->balancers_liveness = rgy_liveness_new (&rgy_liveness_defaults);
-  b->lagging = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free,
-                                      NULL);
+  b->lagging
+      = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free, NULL);
   b->fresh = g_ptr_array_new_with_free_func (fresh_entry_free_);
   b->stored_orders = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal,
                                             g_free, g_free);
@@ -160,8 +156,8 @@
 }
 
 size_t
-rgy_balancer_list_others (const struct rgy_balancer *b,
-                          struct rgy_name *names, size_t max)
+rgy_balancer_list_others (const struct rgy_balancer *b, struct rgy_name *names,
+                          size_t max)
 {
   GHashTableIter iter;
   gpointer value;
@@ -204,8 +200,9 @@
   switch (entry->class)
     {
     case RGY_ENTRY_CONTRACT:
-      rgy_actions_log (actions, "contract %s: revision %" G_GUINT64_FORMAT
-                       " %s", entry->key.data, entry->version.major,
+      rgy_actions_log (actions,
+                       "contract %s: revision %" G_GUINT64_FORMAT " %s",
+                       entry->key.data, entry->version.major,
                        entry->deleted ? "deleted" : "in force");
       break;
     case RGY_ENTRY_DOMAIN:
@@ -343,8 +340,7 @@
               enum rgy_message_kind kind, struct rgy_actions *actions)
 {
   struct rgy_message *m = g_new0 (struct rgy_message, 1);
-  size_t members
-      = rgy_replica_get_count (b->bb->replica, RGY_ENTRY_BALANCER);
+  size_t members = rgy_replica_get_count (b->bb->replica, RGY_ENTRY_BALANCER);
 
   m->kind = kind;
   m->u.gossip.from = b->settings.id;
--- a/src/libragwortyoke/balancer_monitor.c
+++ b/src/libragwortyoke/balancer_monitor.c
@@ -134,8 +134,8 @@
              const struct rgy_name *names, size_t count)
 {
   size_t chosen[RGY_MONITOR_COUNT];
-  size_t n = rgy_member_choose (subject, names, count, RGY_MONITOR_COUNT,
-                                chosen);
+  size_t n
+      = rgy_member_choose (subject, names, count, RGY_MONITOR_COUNT, chosen);
   size_t i;
 
   for (i = 0; i < n; i++)
@@ -155,8 +155,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct rgy_agent_record *r = value;
-      bool wanted = r->state != RGY_MEMBER_LEFT
-                    && r->state != RGY_MEMBER_DEAD
+      bool wanted = r->state != RGY_MEMBER_LEFT && r->state != RGY_MEMBER_DEAD
                     && is_monitor_ (b, &r->id, names, count);
       bool watched = rgy_liveness_is_watched (b->agents_liveness, &r->id);
 
--- a/src/libragwortyoke/balancer_packet.c
+++ b/src/libragwortyoke/balancer_packet.c
@@ -151,19 +151,19 @@
 static void
 forward_ (struct rgy_balancer *b, const struct rgy_agent_record *agent,
           const struct rgy_contract *contract, struct rgy_endpoint caller,
-          struct rgy_endpoint service, uint64_t view,
-          struct rgy_bytes payload, struct rgy_actions *actions)
+          struct rgy_endpoint service, uint64_t view, struct rgy_bytes payload,
+          struct rgy_actions *actions)
 {
   struct rgy_message m = { .kind = RGY_MSG_DATA };
 
-  m.u.data = (struct rgy_data_message){ .caller = caller,
-                                        .service = service,
-                                        .customer = contract->customer,
-                                        .contract_revision
-                                        = contract->revision,
-                                        .view = view,
-                                        .balancer = b->settings.endpoint,
-                                        .payload = payload };
+  m.u.data
+      = (struct rgy_data_message){ .caller = caller,
+                                   .service = service,
+                                   .customer = contract->customer,
+                                   .contract_revision = contract->revision,
+                                   .view = view,
+                                   .balancer = b->settings.endpoint,
+                                   .payload = payload };
   rgy_actions_send (actions, agent->endpoint, rgy_wire_encode (b->wire, &m));
   ++*b->c.forwarded;
 }
--- a/src/libragwortyoke/balancer_status.c
+++ b/src/libragwortyoke/balancer_status.c
@@ -36,11 +36,11 @@
       const struct rgy_agent_record *r = value;
 
       json_array_append_new (
-          list, json_pack ("{s:s, s:s, s:s, s:o, s:o}", "id", r->id.data,
-                           "state", rgy_member_state_string[r->state],
-                           "domain", r->domain.data, "endpoint",
-                           endpoint_json_ (r->endpoint), "service",
-                           endpoint_json_ (r->service)));
+          list,
+          json_pack ("{s:s, s:s, s:s, s:o, s:o}", "id", r->id.data, "state",
+                     rgy_member_state_string[r->state], "domain",
+                     r->domain.data, "endpoint", endpoint_json_ (r->endpoint),
+                     "service", endpoint_json_ (r->service)));
     }
   return list;
 }
@@ -58,11 +58,11 @@
       const struct rgy_balancer_record *r = value;
 
       json_array_append_new (
-          list, json_pack ("{s:s, s:s, s:s, s:o, s:i}", "id", r->id.data,
-                           "state", rgy_member_state_string[r->state],
-                           "domain", r->domain.data, "endpoint",
-                           endpoint_json_ (r->endpoint), "lagging",
-                           (int)r->lagging_count));
+          list,
+          json_pack ("{s:s, s:s, s:s, s:o, s:i}", "id", r->id.data, "state",
+                     rgy_member_state_string[r->state], "domain",
+                     r->domain.data, "endpoint", endpoint_json_ (r->endpoint),
+                     "lagging", (int)r->lagging_count));
     }
   return list;
 }
@@ -80,9 +80,8 @@
 add_domain_ (const struct rgy_domain_order *order, void *ctx)
 {
   json_array_append_new (ctx, json_pack ("{s:s, s:b, s:I}", "domain",
-                                         order->domain.data, "out",
-                                         order->out, "number",
-                                         (json_int_t)order->number));
+                                         order->domain.data, "out", order->out,
+                                         "number", (json_int_t)order->number));
 }
 
 char *
@@ -146,6 +145,5 @@
           = confirmed && r->config_digest == digest && r->lagging_count == 0;
     }
   return dump_ (json_pack ("{s:b, s:I, s:o}", "confirmed", confirmed,
-                           "revision", (json_int_t)known, "lagging",
-                           lagging));
+                           "revision", (json_int_t)known, "lagging", lagging));
 }
--- a/src/libragwortyoke/balancer_sync.c
+++ b/src/libragwortyoke/balancer_sync.c
@@ -66,9 +66,9 @@
     {
       const struct rgy_agent_record *r = g_ptr_array_index (group->agents, i);
 
-      add_entry_ (rgy_replica_get (reply->b->bb->replica, RGY_ENTRY_AGENT,
-                                   &r->id),
-                  reply);
+      add_entry_ (
+          rgy_replica_get (reply->b->bb->replica, RGY_ENTRY_AGENT, &r->id),
+          reply);
     }
 }
 
@@ -95,8 +95,7 @@
     {
       if ((reply.request->classes & 1U << c) == 0)
         continue;
-      if (c == RGY_ENTRY_AGENT
-          && rgy_endpoint_is_set (reply.request->service))
+      if (c == RGY_ENTRY_AGENT && rgy_endpoint_is_set (reply.request->service))
         add_group_ (&reply);
       else
         rgy_replica_foreach_difference (
--- a/src/libragwortyoke/blackboard.c
+++ b/src/libragwortyoke/blackboard.c
@@ -145,10 +145,9 @@
 {
   uint64_t packed = rgy_endpoint_pack (service);
 
-  return rgy_hash_bytes (
-      (struct rgy_bytes){ .data = (const uint8_t *)&packed,
-                          .len = sizeof packed },
-      0);
+  return rgy_hash_bytes ((struct rgy_bytes){ .data = (const uint8_t *)&packed,
+                                             .len = sizeof packed },
+                         0);
 }
 
 bool
--- a/src/libragwortyoke/config_change.c
+++ b/src/libragwortyoke/config_change.c
@@ -49,9 +49,8 @@
       &change->order, &error);
   if (rc != RGY_OK)
     return rc;
-  return rgy_name_equal (&change->order.domain, &entry->key)
-             ? RGY_OK
-             : RGY_ERR_INVALID;
+  return rgy_name_equal (&change->order.domain, &entry->key) ? RGY_OK
+                                                             : RGY_ERR_INVALID;
 }
 
 static enum rgy_outcome
--- a/src/libragwortyoke/include/private/agent_private.h
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -111,6 +111,7 @@
   struct rgy_health *health;
   struct rgy_drain *drain;
   struct rgy_transfers *transfers;
+  struct rgy_receipts *receipts;
   GHashTable *balancers; /**< Name to struct rgy_known_balancer.  */
   GHashTable *usage;     /**< Customer to struct rgy_customer_usage.  */
   GHashTable *peers;     /**< Agent to struct rgy_peer.  */
@@ -144,6 +145,8 @@
 rgy_agent_get_service (const struct rgy_agent *a,
                        const struct rgy_contract **contract,
                        uint32_t caller_ip);
+/** Send the state of this agent to all peers.  */
+void rgy_agent_send_peer_state (struct rgy_agent *a);
 /** A balancer through which an answer may go, or an unset endpoint.  */
 struct rgy_endpoint rgy_agent_choose_balancer (struct rgy_agent *a,
                                                const struct rgy_flow *flow);
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -30,7 +30,7 @@
 {
   struct rgy_endpoint service;
   struct rgy_bucket_table *table;
-  uint64_t group_changes;  /**< Changes that it was built from.  */
+  uint64_t group_changes; /**< Changes that it was built from.  */
   uint64_t domain_changes;
 };
 
@@ -103,8 +103,7 @@
 };
 
 /* balancer_control.c */
-void rgy_balancer_send_message (struct rgy_balancer *b,
-                                struct rgy_endpoint to,
+void rgy_balancer_send_message (struct rgy_balancer *b, struct rgy_endpoint to,
                                 const struct rgy_message *message,
                                 struct rgy_actions *actions);
 enum rgy_outcome rgy_balancer_apply_entry (struct rgy_balancer *b,
--- a/src/libragwortyoke/include/private/msgpack_io.h
+++ b/src/libragwortyoke/include/private/msgpack_io.h
@@ -41,8 +41,7 @@
 void rgy_read_name (struct rgy_reader *reader, struct rgy_name *name);
 
 /** As rgy_read_name(), but an empty name is allowed.  */
-void rgy_read_optional_name (struct rgy_reader *reader,
-                             struct rgy_name *name);
+void rgy_read_optional_name (struct rgy_reader *reader, struct rgy_name *name);
 struct rgy_endpoint rgy_read_endpoint (struct rgy_reader *reader);
 
 #endif
--- a/src/libragwortyoke/wire.c
+++ b/src/libragwortyoke/wire.c
@@ -97,9 +97,9 @@
                 datagram.len - RGY_WIRE_TAG_BYTES, tag);
   if (sodium_memcmp (tag, datagram.data, sizeof tag) != 0)
     return RGY_ERR_AUTH;
-  if (!rgy_msgpack_is_complete ((struct rgy_bytes){
-          .data = datagram.data + RGY_WIRE_TAG_BYTES,
-          .len = datagram.len - RGY_WIRE_TAG_BYTES }))
+  if (!rgy_msgpack_is_complete (
+          (struct rgy_bytes){ .data = datagram.data + RGY_WIRE_TAG_BYTES,
+                              .len = datagram.len - RGY_WIRE_TAG_BYTES }))
     return RGY_ERR_INVALID;
   msgpack_zone_clear (&wire->zone);
   rc = msgpack_unpack ((const char *)datagram.data, datagram.len, &offset,
--- a/src/libragwortyoke/wire_decode.c
+++ b/src/libragwortyoke/wire_decode.c
@@ -7,8 +7,8 @@
 {
   struct rgy_reader r = rgy_read_array (parent);
 
-  entry->class = (enum rgy_entry_class)rgy_read_max (
-      &r, RGY_ENTRY_CLASS_COUNT - 1);
+  entry->class = (enum rgy_entry_class)rgy_read_max (&r, RGY_ENTRY_CLASS_COUNT
+                                                             - 1);
   rgy_read_name (&r, &entry->key);
   entry->version.major = rgy_read_u64 (&r);
   entry->version.minor = rgy_read_u64 (&r);
@@ -79,6 +79,7 @@
   m->balancer = rgy_read_endpoint (r);
   m->trail.overflow = rgy_read_bool (r);
   m->trail.search = rgy_read_bool (r);
+  m->trail.restarted = rgy_read_bool (r);
   m->trail.origin = (size_t)rgy_read_max (r, RGY_MAX_HOPS);
   m->trail.origin_sequence = rgy_read_u64 (r);
   list = rgy_read_array (r);
@@ -107,8 +108,7 @@
 }
 
 static void
-read_heartbeat_ack_ (struct rgy_reader *r,
-                     struct rgy_heartbeat_ack_message *m)
+read_heartbeat_ack_ (struct rgy_reader *r, struct rgy_heartbeat_ack_message *m)
 {
   struct rgy_reader list;
   struct rgy_bytes bytes;
--- a/src/ragwortyoked/agent_main.c
+++ b/src/ragwortyoked/agent_main.c
@@ -31,8 +31,8 @@
   struct agent_daemon_ *a = s->daemon;
 
   (void)from;
-  rgy_agent_from_backend (a->core, s->flow_id, data,
-                          rgy_daemon_now_us (&a->d), a->d.actions);
+  rgy_agent_from_backend (a->core, s->flow_id, data, rgy_daemon_now_us (&a->d),
+                          a->d.actions);
   run_actions_ (a);
 }
 
@@ -75,9 +75,9 @@
 static void
 store_ (struct agent_daemon_ *a, const struct rgy_action *action)
 {
-  char *key = g_strdup_printf (RGY_STORE_PREFIX "%.*s",
-                               (int)action->u.store.key.len,
-                               action->u.store.key.data);
+  char *key
+      = g_strdup_printf (RGY_STORE_PREFIX "%.*s", (int)action->u.store.key.len,
+                         action->u.store.key.data);
 
   rgy_store_client_keep (a->d.store, rgy_str_from_c (key),
                          action->u.store.value, RGY_AGENT_LEASE_S);
@@ -210,8 +210,7 @@
   if (g_str_equal (request->path, "/readyz"))
     rgy_daemon_respond_ready (response, rgy_agent_is_ready (a->core));
   else if (g_str_equal (request->path, "/v1/status"))
-    rgy_daemon_respond_json (response, 200,
-                             rgy_agent_format_status (a->core));
+    rgy_daemon_respond_json (response, 200, rgy_agent_format_status (a->core));
   else
     rgy_daemon_respond_json (response, 404,
                              g_strdup ("{\"error\":\"no such path\"}"));
@@ -244,15 +243,13 @@
 open_ (struct agent_daemon_ *a)
 {
   const struct rgy_settings *s = a->d.settings;
-  const struct rgy_store_callbacks callbacks
-      = { .on_event = on_store_event_,
-          .on_synced = on_store_synced_,
-          .on_state = on_store_state_,
-          .ctx = a };
+  const struct rgy_store_callbacks callbacks = { .on_event = on_store_event_,
+                                                 .on_synced = on_store_synced_,
+                                                 .on_state = on_store_state_,
+                                                 .ctx = a };
   const char *why = "";
 
-  a->d.internal
-      = rgy_udp_bind (&a->d.loop, s->listen, on_internal_, a, &why);
+  a->d.internal = rgy_udp_bind (&a->d.loop, s->listen, on_internal_, a, &why);
   if (a->d.internal == NULL)
     {
       rgy_log_error ("--listen: cannot bind: %s", why);
--- a/src/ragwortyoked/balancer_main.c
+++ b/src/ragwortyoked/balancer_main.c
@@ -39,9 +39,9 @@
 static void
 store_ (struct balancer_daemon_ *b, const struct rgy_action *action)
 {
-  char *key = g_strdup_printf (RGY_STORE_PREFIX "%.*s",
-                               (int)action->u.store.key.len,
-                               action->u.store.key.data);
+  char *key
+      = g_strdup_printf (RGY_STORE_PREFIX "%.*s", (int)action->u.store.key.len,
+                         action->u.store.key.data);
   struct rgy_str k = rgy_str_from_c (key);
 
   if (rgy_store_client_get_state (b->d.store) == RGY_STORE_UP)
@@ -270,9 +270,9 @@
                     "number, are required\"}"));
       return;
     }
-  rgy_daemon_respond_json (response, 200,
-                           rgy_balancer_format_confirm (
-                               b->core, &key, domain != NULL, value));
+  rgy_daemon_respond_json (
+      response, 200,
+      rgy_balancer_format_confirm (b->core, &key, domain != NULL, value));
 }
 
 static void
@@ -321,22 +321,19 @@
 open_ (struct balancer_daemon_ *b)
 {
   const struct rgy_settings *s = b->d.settings;
-  const struct rgy_store_callbacks callbacks
-      = { .on_event = on_store_event_,
-          .on_synced = on_store_synced_,
-          .on_state = on_store_state_,
-          .ctx = b };
+  const struct rgy_store_callbacks callbacks = { .on_event = on_store_event_,
+                                                 .on_synced = on_store_synced_,
+                                                 .on_state = on_store_state_,
+                                                 .ctx = b };
   const char *why = "";
 
-  b->d.internal
-      = rgy_udp_bind (&b->d.loop, s->listen, on_internal_, b, &why);
+  b->d.internal = rgy_udp_bind (&b->d.loop, s->listen, on_internal_, b, &why);
   if (b->d.internal == NULL)
     {
       rgy_log_error ("--listen: cannot bind: %s", why);
       return false;
     }
-  b->fabric
-      = rgy_udp_bind (&b->d.loop, s->fabric_listen, on_fabric_, b, &why);
+  b->fabric = rgy_udp_bind (&b->d.loop, s->fabric_listen, on_fabric_, b, &why);
   if (b->fabric == NULL)
     {
       rgy_log_error ("--fabric-listen: cannot bind: %s", why);
--- a/src/ragwortyoked/main.c
+++ b/src/ragwortyoked/main.c
@@ -19,11 +19,10 @@
     return;
   limit.rlim_cur = MIN (wanted, limit.rlim_max);
   if (setrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur < wanted)
-    rgy_log_warning ("only %" G_GUINT64_FORMAT
-                     " open files are allowed, %" G_GUINT64_FORMAT
-                     " are needed for --connections %u",
-                     (guint64)limit.rlim_cur, (guint64)wanted,
-                     settings->connections);
+    rgy_log_warning (
+        "only %" G_GUINT64_FORMAT " open files are allowed, %" G_GUINT64_FORMAT
+        " are needed for --connections %u",
+        (guint64)limit.rlim_cur, (guint64)wanted, settings->connections);
 }
 
 int
--- a/tests/harness/backend.c
+++ b/tests/harness/backend.c
@@ -53,13 +53,13 @@
 answer_ (struct harness *h, struct node *node, uint64_t flow_id,
          GByteArray *datagram)
 {
-  h_push (h,
-          (struct event){ .kind = EVENT_FROM_BACKEND,
-                          .node = node,
-                          .flow_id = flow_id,
-                          .data = g_bytes_new (datagram->data,
-                                               datagram->len) },
-          LOOPBACK_DELAY_US);
+  h_push (
+      h,
+      (struct event){ .kind = EVENT_FROM_BACKEND,
+                      .node = node,
+                      .flow_id = flow_id,
+                      .data = g_bytes_new (datagram->data, datagram->len) },
+      LOOPBACK_DELAY_US);
   g_byte_array_unref (datagram);
 }
 
@@ -292,8 +292,8 @@
       struct rgy_coap_option option;
 
       o->sequence = (o->sequence + 1) & 0xffffff;
-      option = rgy_coap_uint_option (RGY_COAP_OPTION_OBSERVE, o->sequence,
-                                     &room);
+      option
+          = rgy_coap_uint_option (RGY_COAP_OPTION_OBSERVE, o->sequence, &room);
       if (socket >> 40 == node->incarnation)
         answer_ (h, node, socket & ((UINT64_C (1) << 40) - 1),
                  rgy_coap_build (&header, &option, 1, text_bytes_ (board)));
--- a/tests/harness/caller.c
+++ b/tests/harness/caller.c
@@ -60,18 +60,17 @@
 
   c->harness = h;
   c->kind = kind;
-  c->endpoint = (struct rgy_endpoint){
-    .ip = ip, .port = (uint16_t)(10000 + h->callers->len)
-  };
+  c->endpoint
+      = (struct rgy_endpoint){ .ip = ip,
+                               .port = (uint16_t)(10000 + h->callers->len) };
   c->service = service;
   c->interval_us = interval_us;
   c->token = (uint64_t)h->callers->len << 32;
   c->message_id = (uint16_t)g_rand_int (h->random);
-  c->next_us
-      = h->now_us
-        + (interval_us > 0
-               ? g_rand_int_range (h->random, 0, (gint32)interval_us)
-               : g_rand_int_range (h->random, 0, (gint32)H_S));
+  c->next_us = h->now_us
+               + (interval_us > 0
+                      ? g_rand_int_range (h->random, 0, (gint32)interval_us)
+                      : g_rand_int_range (h->random, 0, (gint32)H_S));
   c->accepted = g_ptr_array_new_with_free_func (g_free);
   g_ptr_array_add (h->callers, c);
   h_push (h, (struct event){ .kind = EVENT_CALLER_TIMER, .caller = c },
@@ -127,9 +126,8 @@
 static void
 build_ (struct caller *c)
 {
-  static const uint8_t codes[] = { [CALLER_WATCH] = 1,
-                                   [CALLER_POST] = 2,
-                                   [CALLER_GET] = 1 };
+  static const uint8_t codes[]
+      = { [CALLER_WATCH] = 1, [CALLER_POST] = 2, [CALLER_GET] = 1 };
   struct rgy_coap_header header;
   struct rgy_coap_option options[2];
   struct rgy_coap_uint room;
@@ -147,16 +145,15 @@
   if (c->kind == CALLER_WATCH)
     options[n++] = rgy_coap_uint_option (RGY_COAP_OPTION_OBSERVE, 0, &room);
   if (c->echo_len > 0 && c->kind == CALLER_POST)
-    options[n++] = (struct rgy_coap_option){
-      .number = RGY_COAP_OPTION_ECHO,
-      .value = { .data = c->echo, .len = c->echo_len }
-    };
+    options[n++] = (struct rgy_coap_option){ .number = RGY_COAP_OPTION_ECHO,
+                                             .value = { .data = c->echo,
+                                                        .len = c->echo_len } };
   if (c->datagram != NULL)
     g_byte_array_unref (c->datagram);
-  c->datagram = rgy_coap_build (
-      &header, options, n,
-      (struct rgy_bytes){ .data = (const uint8_t *)c->id,
-                          .len = strlen (c->id) });
+  c->datagram
+      = rgy_coap_build (&header, options, n,
+                        (struct rgy_bytes){ .data = (const uint8_t *)c->id,
+                                            .len = strlen (c->id) });
   transmit_ (c);
 }
 
@@ -229,8 +226,10 @@
   if (version < c->version)
     {
       c->stats.regressions++;
-      h_trace (c->harness, "caller %s: version %" G_GUINT64_FORMAT
-               " after %" G_GUINT64_FORMAT, c->id, version, c->version);
+      h_trace (c->harness,
+               "caller %s: version %" G_GUINT64_FORMAT
+               " after %" G_GUINT64_FORMAT,
+               c->id, version, c->version);
     }
   else
     c->version = version;
--- a/tests/harness/deployment.c
+++ b/tests/harness/deployment.c
@@ -140,20 +140,20 @@
   unsigned i;
 
   for (i = 0; i < load->watches; i++)
-    g_ptr_array_add (d->callers, harness_add_caller (
-                                     d->h, CALLER_WATCH,
-                                     DEPLOYMENT_CUSTOMER_IP + i + 1, d->desk,
-                                     0));
+    g_ptr_array_add (d->callers,
+                     harness_add_caller (d->h, CALLER_WATCH,
+                                         DEPLOYMENT_CUSTOMER_IP + i + 1,
+                                         d->desk, 0));
   for (i = 0; i < load->posters; i++)
-    g_ptr_array_add (
-        d->callers,
-        harness_add_caller (d->h, CALLER_POST, DEPLOYMENT_CUSTOMER_IP + i + 1,
-                            d->desk, load->interval_us));
+    g_ptr_array_add (d->callers,
+                     harness_add_caller (d->h, CALLER_POST,
+                                         DEPLOYMENT_CUSTOMER_IP + i + 1,
+                                         d->desk, load->interval_us));
   for (i = 0; i < load->getters; i++)
-    g_ptr_array_add (
-        d->callers,
-        harness_add_caller (d->h, CALLER_GET, DEPLOYMENT_CUSTOMER_IP + i + 1,
-                            d->guide, load->interval_us));
+    g_ptr_array_add (d->callers,
+                     harness_add_caller (d->h, CALLER_GET,
+                                         DEPLOYMENT_CUSTOMER_IP + i + 1,
+                                         d->guide, load->interval_us));
   deployment_run (d, WARM_US);
 }
 
--- a/tests/harness/harness.c
+++ b/tests/harness/harness.c
@@ -330,12 +330,11 @@
   for (i = 0; i < h->store->len; i++)
     {
       const struct store_record *r = g_ptr_array_index (h->store, i);
-      struct rgy_entry entry
-          = { .class = r->class,
-              .key = r->key,
-              .version = r->version,
-              .value = { .data = (const uint8_t *)r->json,
-                         .len = strlen (r->json) } };
+      struct rgy_entry entry = { .class = r->class,
+                                 .key = r->key,
+                                 .version = r->version,
+                                 .value = { .data = (const uint8_t *)r->json,
+                                            .len = strlen (r->json) } };
 
       rgy_balancer_from_store (node->balancer, &entry, h->actions);
     }
@@ -360,10 +359,9 @@
           break;
         }
     }
-  *r = (struct store_record){ .class = class,
-                              .key = *key,
-                              .version = version,
-                              .json = g_strdup (json) };
+  *r = (struct store_record){
+    .class = class, .key = *key, .version = version, .json = g_strdup (json)
+  };
   g_ptr_array_add (h->store, r);
 }
 
@@ -371,8 +369,7 @@
 harness_put_contract (struct harness *h, const char *json)
 {
   struct rgy_check_error error;
-  struct rgy_contract *c
-      = rgy_contract_parse (rgy_str_from_c (json), &error);
+  struct rgy_contract *c = rgy_contract_parse (rgy_str_from_c (json), &error);
 
   if (c == NULL)
     g_error ("contract: %s", error.text);
@@ -404,8 +401,7 @@
 
   h->store_revision++;
   store_put_ (h, RGY_ENTRY_DOMAIN, &order.domain,
-              (struct rgy_version){ .major = order.number,
-                                    .minor = order.id },
+              (struct rgy_version){ .major = order.number, .minor = order.id },
               json);
   h_trace (h, "order %s %s", order.domain.data, out ? "out" : "in");
   g_free (json);
@@ -886,8 +882,7 @@
   h->nodes = g_ptr_array_new_with_free_func (node_free_);
   h->callers = g_ptr_array_new_with_free_func ((GDestroyNotify)caller_free);
   h->actions = rgy_actions_new ();
-  h->cuts
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  h->cuts = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   h->store = g_ptr_array_new_with_free_func (store_record_free_);
   h->store_revision = 100;
   return h;
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -55,18 +55,18 @@
   unsigned warm_after; /**< Completions until it is warm.  */
   int64_t work_us;
   bool cold;
-  bool silent;     /**< Answers nothing.  */
-  bool shedding;   /**< Answers 5.03.  */
+  bool silent;   /**< Answers nothing.  */
+  bool shedding; /**< Answers 5.03.  */
   unsigned running;
   unsigned completed;
   unsigned highest_running;
   unsigned violations; /**< Executions above what it bears.  */
   unsigned wrong_service;
   uint64_t executions;
-  uint64_t version;     /**< Of its board.  */
-  GHashTable *records;  /**< Record ID to executions.  */
+  uint64_t version;      /**< Of its board.  */
+  GHashTable *records;   /**< Record ID to executions.  */
   GHashTable *observers; /**< Flow to struct observer (private).  */
-  GHashTable *answered; /**< Message to its answer (private).  */
+  GHashTable *answered;  /**< Message to its answer (private).  */
 };
 
 struct node
@@ -86,7 +86,7 @@
   struct rgy_agent_settings agent_settings;
   struct rgy_balancer_settings balancer_settings;
   struct backend backend;
-  GQueue backlog; /**< Datagrams that arrived while it was frozen.  */
+  GQueue backlog;         /**< Datagrams that arrived while it was frozen.  */
   int64_t last_packet_us; /**< Last datagram of a caller that it got.  */
 };
 
@@ -100,13 +100,13 @@
 /** What one caller has seen.  */
 struct caller_stats
 {
-  uint64_t requests;   /**< Requests of the user, not retransmissions.  */
-  uint64_t in_time;    /**< Answered with success within 5 s.  */
-  uint64_t late;       /**< Answered with success later.  */
-  uint64_t not_run;    /**< Ended by a refusal.  */
+  uint64_t requests;      /**< Requests of the user, not retransmissions.  */
+  uint64_t in_time;       /**< Answered with success within 5 s.  */
+  uint64_t late;          /**< Answered with success later.  */
+  uint64_t not_run;       /**< Ended by a refusal.  */
   uint64_t false_not_run; /**< "not-run" for a record that was executed.  */
-  uint64_t unknown;    /**< Ended with an unknown outcome.  */
-  uint64_t crossed;    /**< Answers that belong to another request.  */
+  uint64_t unknown;       /**< Ended with an unknown outcome.  */
+  uint64_t crossed;       /**< Answers that belong to another request.  */
   uint64_t registrations;
   uint64_t notifications;
   uint64_t regressions; /**< Board versions that went back.  */
@@ -140,8 +140,8 @@
 struct harness_totals
 {
   struct caller_stats sum[CALLER_GET + 1]; /**< By kind.  */
-  uint64_t doubled;   /**< Records executed more than once.  */
-  uint64_t lost;      /**< Records accepted but never executed.  */
+  uint64_t doubled; /**< Records executed more than once.  */
+  uint64_t lost;    /**< Records accepted but never executed.  */
   uint64_t violations;
   uint64_t wrong_service;
 };
--- a/tests/standins/fabric/fabric.c
+++ b/tests/standins/fabric/fabric.c
@@ -101,8 +101,7 @@
   size_t i;
 
   for (i = 0; i < f->balancer_count; i++)
-    if (f->balancers[i].cut
-        && rgy_endpoint_equal (f->balancers[i].data, from))
+    if (f->balancers[i].cut && rgy_endpoint_equal (f->balancers[i].data, from))
       return;
   if (is_lost_ (f)
       || rgy_proxy_parse (data, &source, &destination, &payload) != RGY_OK)
@@ -131,11 +130,9 @@
     f->loss_percent = (gint)n;
   else if (g_str_has_prefix (text, "counts"))
     {
-      g_string_printf (answer, "unroutable %" G_GUINT64_FORMAT,
-                       f->unroutable);
+      g_string_printf (answer, "unroutable %" G_GUINT64_FORMAT, f->unroutable);
       for (i = 0; i < f->balancer_count; i++)
-        g_string_append_printf (answer,
-                                " %" G_GUINT64_FORMAT "%s",
+        g_string_append_printf (answer, " %" G_GUINT64_FORMAT "%s",
                                 f->balancers[i].sent,
                                 f->balancers[i].ready ? "" : "!");
     }
@@ -166,11 +163,11 @@
   gchar **parts = g_strsplit (text, ",", 2);
   struct balancer_ *b = &f->balancers[f->balancer_count];
   struct rgy_endpoint http;
-  bool ok = f->balancer_count < MAX_BALANCERS && parts[0] != NULL
-            && parts[1] != NULL
-            && rgy_endpoint_parse (rgy_str_from_c (parts[0]), &b->data)
-                   == RGY_OK
-            && rgy_endpoint_parse (rgy_str_from_c (parts[1]), &http) == RGY_OK;
+  bool ok
+      = f->balancer_count < MAX_BALANCERS && parts[0] != NULL
+        && parts[1] != NULL
+        && rgy_endpoint_parse (rgy_str_from_c (parts[0]), &b->data) == RGY_OK
+        && rgy_endpoint_parse (rgy_str_from_c (parts[1]), &http) == RGY_OK;
 
   g_strfreev (parts);
   if (!ok)
@@ -217,18 +214,18 @@
   gchar **services = NULL;
   gchar **balancers = NULL;
   gint seed = 1;
-  GOptionEntry options[] = {
-    { "inside", 0, 0, G_OPTION_ARG_STRING, &inside,
-      "Endpoint towards the balancers", "A.B.C.D:PORT" },
-    { "control", 0, 0, G_OPTION_ARG_STRING, &control,
-      "UDP endpoint for control commands", "A.B.C.D:PORT" },
-    { "service", 0, 0, G_OPTION_ARG_STRING_ARRAY, &services,
-      "Service address; may be repeated", "A.B.C.D:PORT" },
-    { "balancer", 0, 0, G_OPTION_ARG_STRING_ARRAY, &balancers,
-      "Balancer's fabric and HTTP endpoints; may be repeated", "DATA,HTTP" },
-    { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of the spray", "N" },
-    { 0 }
-  };
+  GOptionEntry options[]
+      = { { "inside", 0, 0, G_OPTION_ARG_STRING, &inside,
+            "Endpoint towards the balancers", "A.B.C.D:PORT" },
+          { "control", 0, 0, G_OPTION_ARG_STRING, &control,
+            "UDP endpoint for control commands", "A.B.C.D:PORT" },
+          { "service", 0, 0, G_OPTION_ARG_STRING_ARRAY, &services,
+            "Service address; may be repeated", "A.B.C.D:PORT" },
+          { "balancer", 0, 0, G_OPTION_ARG_STRING_ARRAY, &balancers,
+            "Balancer's fabric and HTTP endpoints; may be repeated",
+            "DATA,HTTP" },
+          { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of the spray", "N" },
+          { 0 } };
   GOptionContext *context = g_option_context_new (NULL);
   GError *error = NULL;
   size_t i;
