--- a/src/libragwortyoke/include/private/agent_private.h
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -163,10 +163,10 @@
 /* agent_usage.c */
 struct rgy_customer_usage *
 rgy_agent_get_usage (struct rgy_agent *a, const struct rgy_name *customer);
-void rgy_agent_usage_free (void *usage);
+void rgy_agent_usage_free (void *data);
 void rgy_agent_note_peer_usage (struct rgy_agent *a,
                                 const struct rgy_peer_state_message *m);
-size_t rgy_agent_fill_usage (struct rgy_agent *a, struct rgy_usage *usage);
+size_t rgy_agent_fill_usage (struct rgy_agent *a, struct rgy_usage *out);
 void rgy_agent_update_usage_instances (struct rgy_agent *a);
 void rgy_agent_prepare_usage (struct rgy_agent *a);
 
--- a/tests/harness/harness.c
+++ b/tests/harness/harness.c
@@ -125,14 +125,16 @@
 h_trace (struct harness *h, const char *format, ...)
 {
   va_list ap;
+  char *text;
 
   if (h->settings.trace == NULL)
     return;
-  fprintf (h->settings.trace, "%10.3f ", (double)h->now_us / (double)H_MS);
   va_start (ap, format);
-  vfprintf (h->settings.trace, format, ap);
+  text = g_strdup_vprintf (format, ap);
   va_end (ap);
-  fputc ('\n', h->settings.trace);
+  fprintf (h->settings.trace, "%10.3f %s\n", (double)h->now_us / (double)H_MS,
+           text);
+  g_free (text);
 }
 
 /* Network.  */
--- a/tests/harness/harness_private.h
+++ b/tests/harness/harness_private.h
@@ -73,7 +73,7 @@
 void backend_finish (struct backend *b);
 void backend_receive (struct harness *h, struct node *node, uint64_t flow_id,
                       struct rgy_bytes datagram);
-void backend_work_done (struct harness *h, struct node *node, uint64_t flow_id,
+void backend_work_done (struct harness *h, struct node *node, uint64_t socket,
                         struct rgy_bytes request);
 void backend_bump (struct harness *h, struct node *node);
 
