Rejoin balancers that are dead or unknown here

Cause: a balancer gossiped only with live balancers that it knew, and with its seeds only while it knew none. Balancers that start at once formed groups that never met again; after a partition each side held the other for dead and sent nothing to it. A difference of digests started no synchronisation either, because the next message came from the own group, whose digests agree.

Change: every 5 s one seed or dead balancer, when there is one, gets a gossip message, and a message from a balancer that is unknown or dead here starts a synchronisation at once. Nothing is sent while all are live.

--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -44,22 +44,18 @@
                                    "Packets sent to agents."),
     .answers = rgy_counters_add (c, "balancer_answers_total", NULL,
                                  "Responses sent to the fabric."),
-    .drop_malformed
-    = rgy_counters_add (c, "balancer_dropped_total", "reason=\"malformed\"",
-                        dropped),
+    .drop_malformed = rgy_counters_add (c, "balancer_dropped_total",
+                                        "reason=\"malformed\"", dropped),
     .drop_unknown_service = rgy_counters_add (
         c, "balancer_dropped_total", "reason=\"unknown-service\"", dropped),
     .drop_unknown_caller = rgy_counters_add (
         c, "balancer_dropped_total", "reason=\"unknown-caller\"", dropped),
-    .drop_limit
-    = rgy_counters_add (c, "balancer_dropped_total",
-                        "reason=\"contract-limit\"", dropped),
-    .drop_no_backend
-    = rgy_counters_add (c, "balancer_dropped_total",
-                        "reason=\"no-backend-server\"", dropped),
-    .drop_out
-    = rgy_counters_add (c, "balancer_dropped_total",
-                        "reason=\"failure-domain-out\"", dropped),
+    .drop_limit = rgy_counters_add (c, "balancer_dropped_total",
+                                    "reason=\"contract-limit\"", dropped),
+    .drop_no_backend = rgy_counters_add (
+        c, "balancer_dropped_total", "reason=\"no-backend-server\"", dropped),
+    .drop_out = rgy_counters_add (c, "balancer_dropped_total",
+                                  "reason=\"failure-domain-out\"", dropped),
     .bad_tag = rgy_counters_add (c, "bad_tag_total", NULL,
                                  "Internal datagrams with a wrong tag."),
     .bad_message
@@ -106,8 +102,8 @@
                                      limit_free_);
   b->agents_liveness = rgy_liveness_new (&rgy_liveness_defaults);
   b->balancers_liveness = rgy_liveness_new (&rgy_liveness_defaults);
-  b->lagging = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free,
-                                      NULL);
+  b->lagging
+      = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free, NULL);
   b->fresh = g_ptr_array_new_with_free_func (fresh_entry_free_);
   b->stored_orders = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal,
                                             g_free, g_free);
@@ -160,8 +156,8 @@
 }
 
 size_t
-rgy_balancer_list_others (const struct rgy_balancer *b,
-                          struct rgy_name *names, size_t max)
+rgy_balancer_list_others (const struct rgy_balancer *b, struct rgy_name *names,
+                          size_t max)
 {
   GHashTableIter iter;
   gpointer value;
@@ -204,8 +200,9 @@
   switch (entry->class)
     {
     case RGY_ENTRY_CONTRACT:
-      rgy_actions_log (actions, "contract %s: revision %" G_GUINT64_FORMAT
-                       " %s", entry->key.data, entry->version.major,
+      rgy_actions_log (actions,
+                       "contract %s: revision %" G_GUINT64_FORMAT " %s",
+                       entry->key.data, entry->version.major,
                        entry->deleted ? "deleted" : "in force");
       break;
     case RGY_ENTRY_DOMAIN:
@@ -343,8 +340,7 @@
               enum rgy_message_kind kind, struct rgy_actions *actions)
 {
   struct rgy_message *m = g_new0 (struct rgy_message, 1);
-  size_t members
-      = rgy_replica_get_count (b->bb->replica, RGY_ENTRY_BALANCER);
+  size_t members = rgy_replica_get_count (b->bb->replica, RGY_ENTRY_BALANCER);
 
   m->kind = kind;
   m->u.gossip.from = b->settings.id;
@@ -387,11 +383,71 @@
   g_free (names);
 }
 
+static bool
+is_live_endpoint_ (const struct rgy_balancer *b, struct rgy_endpoint endpoint)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->bb->balancers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_balancer_record *r = value;
+
+      if (is_member_of_cluster_ (r)
+          && rgy_endpoint_equal (r->endpoint, endpoint))
+        return true;
+    }
+  return false;
+}
+
+/* After a start at the same time, or a partition, there may be groups of
+   balancers that know only of each other, or hold the others for dead.  Now
+   and then one seed or dead balancer gets a message, so that such groups
+   join.  Costs nothing when all are live.  */
+static void
+rejoin_tick_ (struct rgy_balancer *b, int64_t now_us,
+              struct rgy_actions *actions)
+{
+  GArray *candidates;
+  GHashTableIter iter;
+  gpointer value;
+  size_t i;
+
+  if (now_us < b->next_rejoin_us)
+    return;
+  b->next_rejoin_us = now_us + RGY_REJOIN_INTERVAL_US;
+  candidates = g_array_new (FALSE, FALSE, sizeof (struct rgy_endpoint));
+  for (i = 0; i < b->settings.seed_count; i++)
+    if (!rgy_endpoint_equal (b->settings.seeds[i], b->settings.endpoint)
+        && !is_live_endpoint_ (b, b->settings.seeds[i]))
+      g_array_append_val (candidates, b->settings.seeds[i]);
+  g_hash_table_iter_init (&iter, b->bb->balancers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct rgy_balancer_record *r = value;
+
+      if (r->state == RGY_MEMBER_DEAD
+          && !rgy_name_equal (&r->id, &b->settings.id))
+        g_array_append_val (candidates, r->endpoint);
+    }
+  if (candidates->len > 0)
+    send_gossip_ (b,
+                  g_array_index (candidates, struct rgy_endpoint,
+                                 g_rand_int_range (b->random, 0,
+                                                   (gint32)candidates->len)),
+                  RGY_MSG_GOSSIP, actions);
+  g_array_unref (candidates);
+}
+
 /* Digests of two balancers differ for a moment after every change; only a
-   difference that lasts starts a synchronisation.  */
+   difference that lasts starts a synchronisation.  With a balancer that is
+   unknown or dead here it starts at once: the next message comes from a peer
+   of the own group, whose digests agree.  */
 static void
 compare_digests_ (struct rgy_balancer *b, const struct rgy_gossip_message *m,
-                  int64_t now_us, struct rgy_actions *actions)
+                  bool is_stranger, int64_t now_us,
+                  struct rgy_actions *actions)
 {
   struct rgy_digests own;
 
@@ -405,7 +461,7 @@
   if (b->digest_differs_since_us == 0)
     b->digest_differs_since_us = now_us;
   if (now_us < b->next_sync_us
-      || (b->synced
+      || (b->synced && !is_stranger
           && now_us - b->digest_differs_since_us < RGY_DIGEST_GRACE_US))
     return;
   b->next_sync_us = now_us + RGY_SYNC_INTERVAL_US;
@@ -418,11 +474,14 @@
                 struct rgy_actions *actions)
 {
   const struct rgy_gossip_message *m = &message->u.gossip;
+  const struct rgy_balancer_record *sender
+      = rgy_blackboard_get_balancer (b->bb, &m->from);
+  bool is_stranger = sender == NULL || !is_member_of_cluster_ (sender);
 
   if (rgy_liveness_is_watched (b->balancers_liveness, &m->from))
     rgy_liveness_heard (b->balancers_liveness, &m->from, now_us);
   apply_entries_ (b, &m->entries, actions);
-  compare_digests_ (b, m, now_us, actions);
+  compare_digests_ (b, m, is_stranger, now_us, actions);
   if (message->kind == RGY_MSG_GOSSIP)
     send_gossip_ (b, from, RGY_MSG_GOSSIP_ACK, actions);
 }
@@ -719,6 +778,7 @@
   publish_record_ (b, now_us);
   rgy_balancer_push_fresh (b, actions);
   gossip_tick_ (b, now_us, actions);
+  rejoin_tick_ (b, now_us, actions);
   reconcile_store_ (b, now_us, actions);
   drain_tick_ (b, now_us, actions);
   *b->c.agents = g_hash_table_size (b->bb->agents);
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -12,6 +12,8 @@
 
 #define RGY_GOSSIP_INTERVAL_US INT64_C (200000)
 #define RGY_PROBE_INTERVAL_US INT64_C (1000000)
+/** A balancer that is dead or unknown here is tried this often.  */
+#define RGY_REJOIN_INTERVAL_US INT64_C (5000000)
 #define RGY_RECORD_INTERVAL_US INT64_C (1000000)
 /** Own demand is published at most this often.  */
 #define RGY_DEMAND_INTERVAL_US INT64_C (2000000)
@@ -90,6 +92,7 @@
 
   int64_t next_gossip_us;
   int64_t next_probe_us;
+  int64_t next_rejoin_us;
   int64_t next_record_us;
   int64_t next_demand_us;
   int64_t next_sync_us;
--- /dev/null
+++ b/src/test_gossip/test_gossip.c
@@ -0,0 +1,136 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "fleet.h"
+
+/* Dissemination among balancer cores: membership after a start and after a
+   partition, the initial pull and the confirmation of changes.  */
+
+static struct fleet_settings
+make_settings_ (unsigned balancers)
+{
+  return (struct fleet_settings){ .balancers = balancers,
+                                  .agents = 5 * balancers,
+                                  .services = balancers,
+                                  .customers = 4,
+                                  .seed = 1,
+                                  .delay_us = 5 * FLEET_MS,
+                                  .jitter_percent = 20,
+                                  .loss_percent = 1 };
+}
+
+static unsigned
+count_complete_ (struct fleet *f)
+{
+  unsigned done = 0;
+  unsigned i;
+
+  for (i = 0; i < fleet_get_balancer_count (f); i++)
+    if (fleet_balancer_is_complete (f, fleet_get_balancer (f, i)))
+      done++;
+  return done;
+}
+
+/* Balancers that see all others as members of the cluster.  */
+static unsigned
+count_connected_ (struct fleet *f)
+{
+  unsigned n = fleet_get_balancer_count (f);
+  unsigned connected = 0;
+  unsigned i;
+  unsigned k;
+
+  for (i = 0; i < n; i++)
+    {
+      const struct rgy_blackboard *bb
+          = rgy_balancer_get_blackboard (fleet_get_balancer (f, i)->core);
+      unsigned known = 0;
+
+      for (k = 0; k < n; k++)
+        {
+          const struct rgy_balancer_record *r = rgy_blackboard_get_balancer (
+              bb, &fleet_get_balancer (f, k)->id);
+
+          known += r != NULL && r->state == RGY_MEMBER_READY;
+        }
+      if (known == n)
+        connected++;
+    }
+  return connected;
+}
+
+/* Pairs of a balancer and an agent that it does not see as ready.  */
+static unsigned
+count_unready_ (struct fleet *f, unsigned agents)
+{
+  unsigned unready = 0;
+  unsigned i;
+  unsigned k;
+
+  for (i = 0; i < fleet_get_balancer_count (f); i++)
+    for (k = 0; k < agents; k++)
+      {
+        const struct rgy_agent_record *r = rgy_blackboard_get_agent (
+            rgy_balancer_get_blackboard (fleet_get_balancer (f, i)->core),
+            &fleet_get_agent (f, k)->record.id);
+
+        unready += r == NULL || r->state != RGY_MEMBER_READY;
+      }
+  return unready;
+}
+
+/* Guards against groups of balancers that start at once, learn only of each
+   other and never speak to the rest again.  */
+static void
+test_start_at_once_forms_one_cluster_ (void **state)
+{
+  struct fleet_settings s = make_settings_ (40);
+  struct fleet *f;
+  uint64_t seed;
+
+  (void)state;
+  for (seed = 1; seed <= 5; seed++)
+    {
+      s.seed = seed;
+      f = fleet_new (&s);
+      fleet_run (f, 20 * FLEET_S);
+      assert_int_equal (count_complete_ (f), 40);
+      assert_int_equal (count_connected_ (f), 40);
+      fleet_delete (f);
+    }
+}
+
+/* Guards against a partition that outlives its cause: each half has declared
+   the other dead and sends nothing to it.  */
+static void
+test_partition_heals_ (void **state)
+{
+  struct fleet_settings s = make_settings_ (12);
+  struct fleet *f = fleet_new (&s);
+
+  (void)state;
+  fleet_run (f, 20 * FLEET_S);
+  assert_int_equal (count_connected_ (f), 12);
+  fleet_set_partitioned (f, true);
+  fleet_run (f, 120 * FLEET_S);
+  fleet_set_partitioned (f, false);
+  fleet_run (f, 30 * FLEET_S);
+  assert_int_equal (count_connected_ (f), 12);
+  assert_int_equal (count_unready_ (f, s.agents), 0);
+  fleet_delete (f);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_start_at_once_forms_one_cluster_),
+    cmocka_unit_test (test_partition_heals_),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/fleet/fleet.c
+++ b/tests/fleet/fleet.c
@@ -558,6 +558,9 @@
   switch (m->kind)
     {
     case RGY_MSG_HEARTBEAT_ACK:
+      if (m->u.heartbeat_ack.agent_epoch == a->record.epoch
+          && m->u.heartbeat_ack.agent_sequence > a->record.sequence)
+        a->record.sequence = (m->u.heartbeat_ack.agent_sequence | 1) + 1;
       if (m->u.heartbeat_ack.digests.of[RGY_ENTRY_CONTRACT]
           != a->contract_digest)
         agent_start_sync_ (f, a, m->u.heartbeat_ack.sync);
