Do not gossip the entries of the initial pull

Cause: a balancer that started put everything that it pulled from a peer, or read from the store, into its gossip queue, although all others held it: 348 updates at 40 balancers, each sent 21 times.

Change: entries that arrive before a balancer has once held the same entries as a peer are merged without joining the queue. A peer that lacks one of them pulls it.

--- a/include/ragwortyoke/blackboard.h
+++ b/include/ragwortyoke/blackboard.h
@@ -52,6 +52,12 @@
 enum rgy_outcome rgy_blackboard_apply (struct rgy_blackboard *blackboard,
                                        const struct rgy_entry *entry);
 
+/** As rgy_blackboard_apply(), but the change is not gossiped: the other
+    balancers hold it already.  */
+enum rgy_outcome
+rgy_blackboard_apply_unqueued (struct rgy_blackboard *blackboard,
+                               const struct rgy_entry *entry);
+
 /** Put one's own record on the blackboard.  */
 void rgy_blackboard_apply_agent (struct rgy_blackboard *blackboard,
                                  const struct rgy_agent_record *record);
@@ -75,9 +81,8 @@
 bool rgy_blackboard_agent_is_live (const struct rgy_blackboard *blackboard,
                                    const struct rgy_agent_record *record);
 /** True when the agent may open flows: live and ready.  */
-bool
-rgy_blackboard_agent_is_eligible (const struct rgy_blackboard *blackboard,
-                                  const struct rgy_agent_record *record);
+bool rgy_blackboard_agent_is_eligible (const struct rgy_blackboard *blackboard,
+                                       const struct rgy_agent_record *record);
 /** True when traffic may go through the balancer.  */
 bool
 rgy_blackboard_balancer_is_usable (const struct rgy_blackboard *blackboard,
--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -237,15 +237,10 @@
   b->record_changed = true;
 }
 
-enum rgy_outcome
-rgy_balancer_apply_entry (struct rgy_balancer *b,
-                          const struct rgy_entry *entry,
-                          struct rgy_actions *actions)
+static void
+follow_entry_ (struct rgy_balancer *b, const struct rgy_entry *entry,
+               struct rgy_actions *actions)
 {
-  enum rgy_outcome rc = rgy_blackboard_apply (b->bb, entry);
-
-  if (rc != RGY_OK)
-    return rc;
   refute_if_self_ (b, entry);
   remember_fresh_ (b, entry);
   log_change_ (b, entry, actions);
@@ -254,10 +249,34 @@
       ++*b->c.config_changes;
       b->record_changed = true;
     }
+}
+
+enum rgy_outcome
+rgy_balancer_apply_entry (struct rgy_balancer *b,
+                          const struct rgy_entry *entry,
+                          struct rgy_actions *actions)
+{
+  enum rgy_outcome rc = rgy_blackboard_apply (b->bb, entry);
+
+  if (rc != RGY_OK)
+    return rc;
+  follow_entry_ (b, entry, actions);
   b->eager = true;
   return RGY_OK;
 }
 
+enum rgy_outcome
+rgy_balancer_apply_pulled_entry (struct rgy_balancer *b,
+                                 const struct rgy_entry *entry,
+                                 struct rgy_actions *actions)
+{
+  enum rgy_outcome rc = rgy_blackboard_apply_unqueued (b->bb, entry);
+
+  if (rc == RGY_OK)
+    follow_entry_ (b, entry, actions);
+  return rc;
+}
+
 static void
 apply_entries_ (struct rgy_balancer *b, const struct rgy_entries_message *m,
                 struct rgy_actions *actions)
@@ -281,7 +300,11 @@
                             number);
     }
   b->synced = true;
-  return rgy_balancer_apply_entry (b, entry, actions);
+  if (b->joined)
+    return rgy_balancer_apply_entry (b, entry, actions);
+  /* A balancer that starts reads everything; peers that lack an entry pull
+     it.  */
+  return rgy_balancer_apply_pulled_entry (b, entry, actions);
 }
 
 enum rgy_outcome
@@ -456,6 +479,7 @@
     {
       b->digest_differs_since_us = 0;
       b->synced = true;
+      b->joined = true;
       return;
     }
   if (b->digest_differs_since_us == 0)
--- a/src/libragwortyoke/balancer_sync.c
+++ b/src/libragwortyoke/balancer_sync.c
@@ -10,6 +10,7 @@
   struct rgy_bytes bytes;
   size_t c;
 
+  b->initial_pull = !b->joined;
   m->kind = RGY_MSG_SYNC_REQUEST;
   m->u.sync_request.from = b->settings.id;
   for (c = 0; c < RGY_ENTRY_CLASS_COUNT; c++)
@@ -66,9 +67,9 @@
     {
       const struct rgy_agent_record *r = g_ptr_array_index (group->agents, i);
 
-      add_entry_ (rgy_replica_get (reply->b->bb->replica, RGY_ENTRY_AGENT,
-                                   &r->id),
-                  reply);
+      add_entry_ (
+          rgy_replica_get (reply->b->bb->replica, RGY_ENTRY_AGENT, &r->id),
+          reply);
     }
 }
 
@@ -95,8 +96,7 @@
     {
       if ((reply.request->classes & 1U << c) == 0)
         continue;
-      if (c == RGY_ENTRY_AGENT
-          && rgy_endpoint_is_set (reply.request->service))
+      if (c == RGY_ENTRY_AGENT && rgy_endpoint_is_set (reply.request->service))
         add_group_ (&reply);
       else
         rgy_replica_foreach_difference (
@@ -122,8 +122,13 @@
   if (rc == RGY_OK)
     {
       for (i = 0; i < m->u.entries.count; i++)
-        rgy_balancer_apply_entry (b, m->u.entries.entries[i], actions);
+        if (b->initial_pull)
+          rgy_balancer_apply_pulled_entry (b, m->u.entries.entries[i],
+                                           actions);
+        else
+          rgy_balancer_apply_entry (b, m->u.entries.entries[i], actions);
       b->synced = true;
+      b->joined = true;
     }
   g_free (m);
   return rc;
--- a/src/libragwortyoke/config_change.c
+++ b/src/libragwortyoke/config_change.c
@@ -49,9 +49,8 @@
       &change->order, &error);
   if (rc != RGY_OK)
     return rc;
-  return rgy_name_equal (&change->order.domain, &entry->key)
-             ? RGY_OK
-             : RGY_ERR_INVALID;
+  return rgy_name_equal (&change->order.domain, &entry->key) ? RGY_OK
+                                                             : RGY_ERR_INVALID;
 }
 
 static enum rgy_outcome
@@ -179,8 +178,10 @@
          && rgy_version_compare (entry->version, known->version) <= 0;
 }
 
-enum rgy_outcome
-rgy_blackboard_apply (struct rgy_blackboard *bb, const struct rgy_entry *entry)
+static enum rgy_outcome
+apply_ (struct rgy_blackboard *bb, const struct rgy_entry *entry,
+        enum rgy_outcome (*merge) (struct rgy_replica *replica,
+                                   const struct rgy_entry *entry))
 {
   struct change_ change = { 0 };
   enum rgy_outcome rc;
@@ -194,7 +195,7 @@
                            "Entries whose value could not be read.");
       return rc;
     }
-  rc = rgy_replica_merge (bb->replica, entry);
+  rc = merge (bb->replica, entry);
   if (rc != RGY_OK)
     {
       rgy_contract_delete (change.contract);
@@ -205,6 +206,19 @@
   return RGY_OK;
 }
 
+enum rgy_outcome
+rgy_blackboard_apply (struct rgy_blackboard *bb, const struct rgy_entry *entry)
+{
+  return apply_ (bb, entry, rgy_replica_merge);
+}
+
+enum rgy_outcome
+rgy_blackboard_apply_unqueued (struct rgy_blackboard *bb,
+                               const struct rgy_entry *entry)
+{
+  return apply_ (bb, entry, rgy_replica_merge_unqueued);
+}
+
 void
 rgy_blackboard_apply_agent (struct rgy_blackboard *bb,
                             const struct rgy_agent_record *record)
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -32,7 +32,7 @@
 {
   struct rgy_endpoint service;
   struct rgy_bucket_table *table;
-  uint64_t group_changes;  /**< Changes that it was built from.  */
+  uint64_t group_changes; /**< Changes that it was built from.  */
   uint64_t domain_changes;
 };
 
@@ -102,17 +102,23 @@
   bool eager;                      /**< Gossip soon: something is new.  */
   bool record_changed;
   bool cut;
-  bool synced; /**< Synchronised with a peer or read from the store.  */
+  bool joined;       /**< Has held the same entries as a peer.  */
+  bool initial_pull; /**< The pull under way began before it had joined.  */
+  bool synced;       /**< Synchronised with a peer or read from the store.  */
 };
 
 /* balancer_control.c */
-void rgy_balancer_send_message (struct rgy_balancer *b,
-                                struct rgy_endpoint to,
+void rgy_balancer_send_message (struct rgy_balancer *b, struct rgy_endpoint to,
                                 const struct rgy_message *message,
                                 struct rgy_actions *actions);
 enum rgy_outcome rgy_balancer_apply_entry (struct rgy_balancer *b,
                                            const struct rgy_entry *entry,
                                            struct rgy_actions *actions);
+/** Apply an entry of the initial pull; it is not gossiped.  */
+enum rgy_outcome
+rgy_balancer_apply_pulled_entry (struct rgy_balancer *b,
+                                 const struct rgy_entry *entry,
+                                 struct rgy_actions *actions);
 /** Names of the usable or starting balancers but this one.  */
 size_t rgy_balancer_list_others (const struct rgy_balancer *b,
                                  struct rgy_name *names, size_t max);
--- a/src/test_gossip/test_gossip.c
+++ b/src/test_gossip/test_gossip.c
@@ -124,12 +124,37 @@
   fleet_delete (f);
 }
 
+/* Guards against a new balancer that gossips everything it has pulled, which
+   all others hold already.  */
+static void
+test_initial_pull_is_not_gossiped_ (void **state)
+{
+  struct fleet_settings s = make_settings_ (12);
+  struct fleet *f = fleet_new (&s);
+  struct fleet_balancer *b;
+
+  (void)state;
+  fleet_run (f, 60 * FLEET_S);
+  b = fleet_add_balancer (f);
+  while (!fleet_balancer_is_complete (f, b))
+    {
+      fleet_run (f, 10 * FLEET_MS);
+      assert_true (fleet_now_us (f) < 70 * FLEET_S);
+    }
+  /* Its own record, and a few that changed meanwhile.  */
+  assert_true (rgy_replica_get_update_count (
+                   rgy_balancer_get_blackboard (b->core)->replica)
+               <= 12);
+  fleet_delete (f);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_start_at_once_forms_one_cluster_),
     cmocka_unit_test (test_partition_heals_),
+    cmocka_unit_test (test_initial_pull_is_not_gossiped_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
