Send an agent the sample of balancers only when it needs one

Cause: each HEARTBEAT_ACK carried 8 balancer records, 640 bytes, although an agent sends its heartbeats to the same 3 balancers for hours. At 7.4 agents a balancer this was 14 kB/s out, above the whole budget of 8 kB/s. The sample was random, so that an agent of a large fleet learned of its own monitors only by chance.

Change: above 8 balancers a sample is sent to an agent that starts, to one whose heartbeat reaches a balancer that does not monitor it, and in one of 16 acknowledgements. It begins with the agent's monitors.

--- a/benchmarks/bench_control.c
+++ b/benchmarks/bench_control.c
@@ -10,7 +10,7 @@
 /* Slopes of the control plane: bytes by kind, CPU, memory and the time until
    a change is known by all, for several sizes of the fleet.
 
-   Usage: bench_control [--size N]... [--no-traffic]  */
+   Usage: bench_control [--size N]... [--no-traffic] [--agent-cores]  */
 
 #define FULL_BALANCERS 460
 #define FULL_AGENTS 3400
@@ -33,6 +33,7 @@
   unsigned sizes[MAX_SIZES];
   unsigned size_count;
   bool traffic;
+  bool agent_cores;
 };
 
 static unsigned
@@ -53,12 +54,14 @@
           .delay_us = 5 * FLEET_MS,
           .jitter_percent = 20,
           .loss_percent = 1,
+          .agent_cores = o->agent_cores,
           .traffic = o->traffic };
 
   printf ("\n== %u balancers, %u agents, %u services, %u customers, "
-          "customer traffic %s\n",
+          "customer traffic %s, %s\n",
           s.balancers, s.agents, s.services, s.customers,
-          o->traffic ? "on" : "off");
+          o->traffic ? "on" : "off",
+          o->agent_cores ? "agent cores" : "heartbeat generators");
   return fleet_new (&s);
 }
 
@@ -130,16 +133,25 @@
   double seconds = (double)duration_us / (double)FLEET_S;
   struct fleet_traffic in = { 0 };
   struct fleet_traffic out = { 0 };
+  uint64_t store_writes = 0;
+  int64_t cpu_ns = 0;
   unsigned i;
   unsigned k;
 
   for (i = 0; i < agents; i++)
-    for (k = 0; k < RGY_MSG_KIND_COUNT; k++)
-      {
-        in.bytes[k] += fleet_get_agent (f, i)->in.bytes[k];
-        out.bytes[k] += fleet_get_agent (f, i)->out.bytes[k];
-      }
-  printf ("balancer messages of one agent:\n");
+    {
+      const struct fleet_agent *a = fleet_get_agent (f, i);
+
+      cpu_ns += a->cpu_ns;
+      store_writes += a->store_writes;
+      for (k = 0; k < RGY_MSG_KIND_COUNT; k++)
+        {
+          in.bytes[k] += a->in.bytes[k];
+          out.bytes[k] += a->out.bytes[k];
+        }
+    }
+  printf ("one agent: CPU %.4f%%, store writes %" PRIu64 "\n",
+          (double)cpu_ns / 1e7 / agents / seconds, store_writes);
   for (k = 0; k < RGY_MSG_KIND_COUNT; k++)
     if (in.bytes[k] + out.bytes[k] > 0)
       printf ("    %-14s in %7.0f B/s  out %7.0f B/s\n",
@@ -271,8 +283,8 @@
       if (agents_us < 0)
         {
           for (i = 0, done = 0; i < agents; i++)
-            done += fleet_agent_has_contract (fleet_get_agent (f, i), customer,
-                                              revision);
+            done += fleet_agent_has_contract (f, fleet_get_agent (f, i),
+                                              customer, revision);
           if (done == agents)
             agents_us = at_us;
         }
@@ -412,6 +424,8 @@
   for (i = 1; i < argc; i++)
     if (strcmp (argv[i], "--no-traffic") == 0)
       o->traffic = false;
+    else if (strcmp (argv[i], "--agent-cores") == 0)
+      o->agent_cores = true;
     else if (strcmp (argv[i], "--size") == 0 && i + 1 < argc
              && o->size_count < MAX_SIZES)
       {
@@ -427,7 +441,9 @@
       }
     else
       {
-        fprintf (stderr, "usage: %s [--size N]... [--no-traffic]\n", argv[0]);
+        fprintf (stderr,
+                 "usage: %s [--size N]... [--no-traffic] [--agent-cores]\n",
+                 argv[0]);
         return false;
       }
   return true;
--- a/src/libragwortyoke/balancer_monitor.c
+++ b/src/libragwortyoke/balancer_monitor.c
@@ -134,8 +134,8 @@
              const struct rgy_name *names, size_t count)
 {
   size_t chosen[RGY_MONITOR_COUNT];
-  size_t n = rgy_member_choose (subject, names, count, RGY_MONITOR_COUNT,
-                                chosen);
+  size_t n
+      = rgy_member_choose (subject, names, count, RGY_MONITOR_COUNT, chosen);
   size_t i;
 
   for (i = 0; i < n; i++)
@@ -155,8 +155,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct rgy_agent_record *r = value;
-      bool wanted = r->state != RGY_MEMBER_LEFT
-                    && r->state != RGY_MEMBER_DEAD
+      bool wanted = r->state != RGY_MEMBER_LEFT && r->state != RGY_MEMBER_DEAD
                     && is_monitor_ (b, &r->id, names, count);
       bool watched = rgy_liveness_is_watched (b->agents_liveness, &r->id);
 
@@ -262,29 +261,91 @@
 
 /* Heartbeats of agents.  */
 
+/* Usable balancers; @return their number.  */
 static size_t
-fill_sample_ (struct rgy_balancer *b, struct rgy_balancer_record *sample)
+list_usable_ (const struct rgy_balancer *b,
+              const struct rgy_balancer_record **usable)
 {
-  size_t max = g_hash_table_size (b->bb->balancers);
-  const struct rgy_balancer_record **usable
-      = g_new (const struct rgy_balancer_record *, max + 1);
   GHashTableIter iter;
   gpointer value;
   size_t n = 0;
-  size_t count = 0;
-  size_t pick;
 
   g_hash_table_iter_init (&iter, b->bb->balancers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (rgy_blackboard_balancer_is_usable (b->bb, value))
       usable[n++] = value;
-  while (n > 0 && count < RGY_WIRE_MAX_SAMPLE)
+  return n;
+}
+
+/* Moves the monitors of AGENT to the front.  @return their number.  */
+static size_t
+put_monitors_first_ (const struct rgy_name *agent,
+                     const struct rgy_balancer_record **usable, size_t n)
+{
+  struct rgy_name *names = g_new (struct rgy_name, n + 1);
+  const struct rgy_balancer_record *monitors[RGY_MONITOR_COUNT];
+  size_t chosen[RGY_MONITOR_COUNT];
+  size_t count;
+  size_t i;
+  size_t k;
+
+  for (i = 0; i < n; i++)
+    names[i] = usable[i]->id;
+  count = rgy_member_choose (agent, names, n, RGY_MONITOR_COUNT, chosen);
+  for (i = 0; i < count; i++)
+    monitors[i] = usable[chosen[i]];
+  for (i = 0; i < count; i++)
+    for (k = i; k < n; k++)
+      if (usable[k] == monitors[i])
+        {
+          usable[k] = usable[i];
+          usable[i] = monitors[i];
+        }
+  g_free (names);
+  return count;
+}
+
+/* An agent that sends its heartbeats to the right balancers needs a sample
+   only now and then, to know others when these die.  A sample in every
+   acknowledgement was 14 kB/s of the control traffic of a balancer.  */
+static bool
+needs_sample_ (struct rgy_balancer *b, const struct rgy_agent_record *agent,
+               const struct rgy_balancer_record *const *monitors, size_t count)
+{
+  size_t i;
+
+  if (agent->state == RGY_MEMBER_STARTING
+      || g_rand_int_range (b->random, 0, RGY_SAMPLE_PERIOD) == 0)
+    return true;
+  for (i = 0; i < count; i++)
+    if (rgy_name_equal (&monitors[i]->id, &b->settings.id))
+      return false;
+  return true;
+}
+
+/* The sample holds the monitors of the agent and others at random.  */
+static size_t
+fill_sample_ (struct rgy_balancer *b, const struct rgy_agent_record *agent,
+              struct rgy_balancer_record *sample)
+{
+  const struct rgy_balancer_record **usable
+      = g_new (const struct rgy_balancer_record *,
+               g_hash_table_size (b->bb->balancers) + 1);
+  size_t n = list_usable_ (b, usable);
+  size_t monitors = put_monitors_first_ (&agent->id, usable, n);
+  size_t count = 0;
+  size_t pick;
+
+  if (n > RGY_WIRE_MAX_SAMPLE && !needs_sample_ (b, agent, usable, monitors))
+    n = 0;
+  for (count = 0; count < MIN (n, RGY_WIRE_MAX_SAMPLE); count++)
     {
-      pick = (size_t)g_rand_int_range (b->random, 0, (gint32)n);
+      pick = count < monitors ? count
+                              : (size_t)g_rand_int_range (
+                                  b->random, (gint32)count, (gint32)n);
       sample[count] = *usable[pick];
       sample[count].demand_count = 0;
-      count++;
-      usable[pick] = usable[--n];
+      usable[pick] = usable[count];
     }
   g_free (usable);
   return count;
@@ -356,7 +417,7 @@
     .agent_sequence = known == NULL ? 0 : known->sequence,
   };
   ack->u.heartbeat_ack.sample_count
-      = fill_sample_ (b, ack->u.heartbeat_ack.sample);
+      = fill_sample_ (b, &m->record, ack->u.heartbeat_ack.sample);
   rgy_balancer_send_message (b, from, ack, actions);
   g_free (ack);
 }
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -23,6 +23,9 @@
 #define RGY_STORE_INTERVAL_US INT64_C (2000000)
 /** Balancers that monitor one member.  */
 #define RGY_MONITOR_COUNT 3
+/** One of so many acknowledgements to an agent carries a sample; at three a
+    second the agent gets one every 5 s.  */
+#define RGY_SAMPLE_PERIOD 16
 /** Balancers of a failure domain that watch the store.  */
 #define RGY_READER_COUNT 2
 #define RGY_BURST_MS 500
--- a/src/test_gossip/test_gossip.c
+++ b/src/test_gossip/test_gossip.c
@@ -148,6 +148,42 @@
   fleet_delete (f);
 }
 
+/* Guards against acknowledgements that carry a sample of balancers although
+   the agent needs none, and against agents that, without it, send their
+   heartbeats to balancers that do not monitor them and must be probed.  */
+static void
+test_samples_are_rare_and_suffice_ (void **state)
+{
+  struct fleet_settings s = make_settings_ (16);
+  struct fleet_traffic in = { 0 };
+  struct fleet *f;
+  unsigned i;
+
+  (void)state;
+  s.agent_cores = true;
+  f = fleet_new (&s);
+  fleet_run (f, 20 * FLEET_S);
+  for (i = 0; i < 3; i++)
+    fleet_add_balancer (f);
+  fleet_run (f, 20 * FLEET_S);
+  fleet_reset_figures (f);
+  fleet_run (f, 30 * FLEET_S);
+  for (i = 0; i < s.agents; i++)
+    {
+      const struct fleet_traffic *t = &fleet_get_agent (f, i)->in;
+
+      in.bytes[RGY_MSG_HEARTBEAT_ACK] += t->bytes[RGY_MSG_HEARTBEAT_ACK];
+      in.messages[RGY_MSG_HEARTBEAT_ACK] += t->messages[RGY_MSG_HEARTBEAT_ACK];
+      in.messages[RGY_MSG_PROBE] += t->messages[RGY_MSG_PROBE];
+    }
+  assert_true (in.messages[RGY_MSG_HEARTBEAT_ACK] > s.agents * 80);
+  assert_true (in.bytes[RGY_MSG_HEARTBEAT_ACK]
+               < 150 * in.messages[RGY_MSG_HEARTBEAT_ACK]);
+  /* A heartbeat lost twice in a row also gives a probe.  */
+  assert_true (in.messages[RGY_MSG_PROBE] < s.agents / 2);
+  fleet_delete (f);
+}
+
 int
 main (void)
 {
@@ -155,6 +191,7 @@
     cmocka_unit_test (test_start_at_once_forms_one_cluster_),
     cmocka_unit_test (test_partition_heals_),
     cmocka_unit_test (test_initial_pull_is_not_gossiped_),
+    cmocka_unit_test (test_samples_are_rare_and_suffice_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/fleet/fleet.c
+++ b/tests/fleet/fleet.c
@@ -478,6 +478,101 @@
     agent_send_ (f, a, fleet_get_balancer (f, a->monitors[i])->endpoint, m);
 }
 
+static void
+run_agent_actions_ (struct fleet *f, struct fleet_agent *a)
+{
+  struct rgy_action action;
+  struct rgy_bytes request;
+  size_t i;
+
+  for (i = 0; i < rgy_actions_get_count (f->actions); i++)
+    {
+      action = rgy_actions_get (f->actions, i);
+      switch (action.kind)
+        {
+        case RGY_ACTION_SEND:
+          count_ (&a->out, action.u.send.data);
+          send_ (f, a->record.endpoint, action.u.send.to, action.u.send.data);
+          break;
+        case RGY_ACTION_SYNC:
+          request = rgy_agent_build_sync_request (a->core);
+          count_ (&a->out, request);
+          send_sync_ (f, a->record.endpoint, action.u.send.to, request);
+          break;
+        case RGY_ACTION_STORE:
+          a->store_writes++;
+          break;
+        default:
+          break;
+        }
+    }
+  rgy_actions_clear (f->actions);
+}
+
+static void
+core_tick_ (struct fleet *f, unsigned node)
+{
+  struct fleet_agent *a = &f->agents[node];
+  int64_t start_ns = cpu_ns_ ();
+
+  rgy_agent_tick (a->core, f->now_us, f->actions);
+  a->cpu_ns += cpu_ns_ () - start_ns;
+  run_agent_actions_ (f, a);
+  push_ (f, (struct event_){ .kind = EVENT_AGENT_TICK, .node = node },
+         TICK_US);
+}
+
+static void
+to_core_ (struct fleet *f, const struct event_ *e)
+{
+  struct fleet_agent *a = &f->agents[e->node];
+  struct rgy_bytes data = view_ (e->data);
+  int64_t start_ns;
+
+  count_ (&a->in, data);
+  start_ns = cpu_ns_ ();
+  if (e->kind == EVENT_TO_AGENT)
+    rgy_agent_from_instance (a->core, e->from, data, f->now_us, f->actions);
+  else
+    rgy_agent_apply_sync (a->core, data, f->now_us, f->actions);
+  a->cpu_ns += cpu_ns_ () - start_ns;
+  run_agent_actions_ (f, a);
+}
+
+static void
+start_core_ (struct fleet *f, struct fleet_agent *a)
+{
+  struct rgy_agent_settings s = { .id = a->record.id,
+                                  .domain = a->record.domain,
+                                  .epoch = a->record.epoch,
+                                  .endpoint = a->record.endpoint,
+                                  .service = a->record.service,
+                                  .seed_count = SEEDS,
+                                  .random_seed = a->record.epoch,
+                                  .slots = 4,
+                                  .connections = 2000,
+                                  .queue_length = 16,
+                                  .deadline_ms = 2000,
+                                  .idle_timeout_us = 86400 * FLEET_S,
+                                  .drain_timeout_us = 60 * FLEET_S };
+  unsigned k;
+
+  for (k = 0; k < SEEDS; k++)
+    s.seeds[k] = (struct rgy_endpoint){ .ip = BALANCER_IP + k,
+                                        .port = INTERNAL_PORT };
+  memcpy (s.key, f->key, sizeof s.key);
+  a->counters = rgy_counters_new ();
+  a->core = rgy_agent_new (&s, a->counters);
+}
+
+static void
+stop_core_ (struct fleet_agent *a)
+{
+  rgy_agent_delete (a->core);
+  if (a->counters != NULL)
+    rgy_counters_delete (a->counters);
+}
+
 static void
 agent_tick_ (struct fleet *f, unsigned node)
 {
@@ -613,6 +708,8 @@
   a->peers = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free,
                                     g_free);
   g_free (names);
+  if (f->settings.agent_cores)
+    start_core_ (f, a);
   push_ (f, (struct event_){ .kind = EVENT_AGENT_TICK, .node = i },
          g_rand_int_range (f->random, 0, HEARTBEAT_US));
 }
@@ -620,8 +717,16 @@
 void
 fleet_restart_agent (struct fleet *f, unsigned i)
 {
-  f->agents[i].record.epoch += FIRST_EPOCH;
-  send_heartbeats_ (f, &f->agents[i]);
+  struct fleet_agent *a = &f->agents[i];
+
+  a->record.epoch += FIRST_EPOCH;
+  if (a->core == NULL)
+    {
+      send_heartbeats_ (f, a);
+      return;
+    }
+  stop_core_ (a);
+  start_core_ (f, a);
 }
 
 /* Store.  */
@@ -714,9 +819,17 @@
 }
 
 bool
-fleet_agent_has_contract (const struct fleet_agent *a, unsigned customer,
-                          uint64_t revision)
+fleet_agent_has_contract (const struct fleet *f, const struct fleet_agent *a,
+                          unsigned customer, uint64_t revision)
 {
+  const struct rgy_entry *entry;
+
+  if (a->core != NULL)
+    {
+      entry = rgy_replica_get (rgy_agent_get_blackboard (a->core)->replica,
+                               RGY_ENTRY_CONTRACT, &f->customers[customer]);
+      return entry != NULL && entry->version.major >= revision;
+    }
   return a->contract_revisions[customer] >= revision;
 }
 
@@ -758,6 +871,8 @@
     {
       memset (&f->agents[i].in, 0, sizeof f->agents[i].in);
       memset (&f->agents[i].out, 0, sizeof f->agents[i].out);
+      f->agents[i].cpu_ns = 0;
+      f->agents[i].store_writes = 0;
     }
   f->store_writes = 0;
 }
@@ -773,7 +888,10 @@
       balancer_tick_ (f, e->node);
       break;
     case EVENT_AGENT_TICK:
-      agent_tick_ (f, e->node);
+      if (f->agents[e->node].core != NULL)
+        core_tick_ (f, e->node);
+      else
+        agent_tick_ (f, e->node);
       break;
     case EVENT_TO_BALANCER:
     case EVENT_SYNC_TO_BALANCER:
@@ -781,7 +899,10 @@
       break;
     case EVENT_TO_AGENT:
     case EVENT_SYNC_TO_AGENT:
-      to_agent_ (f, e);
+      if (f->agents[e->node].core != NULL)
+        to_core_ (f, e);
+      else
+        to_agent_ (f, e);
       break;
     case EVENT_SYNC_REQUEST:
       serve_sync_ (f, e);
@@ -864,6 +985,7 @@
       g_free (f->agents[i].contract_revisions);
       g_free (f->agents[i].contract_hashes);
       g_hash_table_unref (f->agents[i].peers);
+      stop_core_ (&f->agents[i]);
     }
   g_free (f->agents);
   for (i = 0; i < f->settings.customers; i++)
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -12,6 +12,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "ragwortyoke/agent.h"
 #include "ragwortyoke/balancer.h"
 #include "ragwortyoke/clock.h"
 
@@ -31,6 +32,7 @@
   int64_t delay_us; /**< One way.  */
   unsigned jitter_percent;
   unsigned loss_percent; /**< Of datagrams.  */
+  bool agent_cores;      /**< Whole agent cores instead of stand-ins.  */
   bool traffic;          /**< Customers have a limit and send packets.  */
 };
 
@@ -54,9 +56,14 @@
   bool alive;
 };
 
-/** Stand-in of an agent: heartbeats, probes, configuration digests.  */
+/** Stand-in of an agent: heartbeats, probes, configuration digests; or a
+    whole agent core.  */
 struct fleet_agent
 {
+  struct rgy_agent *core; /**< NULL for a stand-in.  */
+  struct rgy_counters *counters;
+  int64_t cpu_ns; /**< Of the core.  */
+  uint64_t store_writes;
   struct rgy_agent_record record;
   unsigned monitors[3]; /**< Balancers that it sends heartbeats to.  */
   unsigned monitor_count;
@@ -98,7 +105,8 @@
 bool fleet_balancer_has_contract (const struct fleet *fleet,
                                   const struct fleet_balancer *b,
                                   unsigned customer, uint64_t revision);
-bool fleet_agent_has_contract (const struct fleet_agent *a, unsigned customer,
+bool fleet_agent_has_contract (const struct fleet *fleet,
+                               const struct fleet_agent *a, unsigned customer,
                                uint64_t revision);
 bool fleet_balancer_has_agent (const struct fleet_balancer *b,
                                const struct fleet_agent *a);
