--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -237,15 +237,10 @@
   b->record_changed = true;
 }
 
-enum rgy_outcome
-rgy_balancer_apply_entry (struct rgy_balancer *b,
-                          const struct rgy_entry *entry,
-                          struct rgy_actions *actions)
+static void
+follow_entry_ (struct rgy_balancer *b, const struct rgy_entry *entry,
+               struct rgy_actions *actions)
 {
-  enum rgy_outcome rc = rgy_blackboard_apply (b->bb, entry);
-
-  if (rc != RGY_OK)
-    return rc;
   refute_if_self_ (b, entry);
   remember_fresh_ (b, entry);
   log_change_ (b, entry, actions);
@@ -254,10 +249,34 @@
       ++*b->c.config_changes;
       b->record_changed = true;
     }
+}
+
+enum rgy_outcome
+rgy_balancer_apply_entry (struct rgy_balancer *b,
+                          const struct rgy_entry *entry,
+                          struct rgy_actions *actions)
+{
+  enum rgy_outcome rc = rgy_blackboard_apply (b->bb, entry);
+
+  if (rc != RGY_OK)
+    return rc;
+  follow_entry_ (b, entry, actions);
   b->eager = true;
   return RGY_OK;
 }
 
+enum rgy_outcome
+rgy_balancer_apply_pulled_entry (struct rgy_balancer *b,
+                                 const struct rgy_entry *entry,
+                                 struct rgy_actions *actions)
+{
+  enum rgy_outcome rc = rgy_blackboard_apply_unqueued (b->bb, entry);
+
+  if (rc == RGY_OK)
+    follow_entry_ (b, entry, actions);
+  return rc;
+}
+
 static void
 apply_entries_ (struct rgy_balancer *b, const struct rgy_entries_message *m,
                 struct rgy_actions *actions)
@@ -281,7 +300,11 @@
                             number);
     }
   b->synced = true;
-  return rgy_balancer_apply_entry (b, entry, actions);
+  if (b->joined)
+    return rgy_balancer_apply_entry (b, entry, actions);
+  /* A balancer that starts reads everything; peers that lack an entry pull
+     it.  */
+  return rgy_balancer_apply_pulled_entry (b, entry, actions);
 }
 
 enum rgy_outcome
@@ -383,11 +406,71 @@
   g_free (names);
 }
 
+static bool
+is_live_endpoint_ (const struct rgy_balancer *b, struct rgy_endpoint endpoint)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->bb->balancers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_balancer_record *r = value;
+
+      if (is_member_of_cluster_ (r)
+          && rgy_endpoint_equal (r->endpoint, endpoint))
+        return true;
+    }
+  return false;
+}
+
+/* After a start at the same time, or a partition, there may be groups of
+   balancers that know only of each other, or hold the others for dead.  Now
+   and then one seed or dead balancer gets a message, so that such groups
+   join.  Costs nothing when all are live.  */
+static void
+rejoin_tick_ (struct rgy_balancer *b, int64_t now_us,
+              struct rgy_actions *actions)
+{
+  GArray *candidates;
+  GHashTableIter iter;
+  gpointer value;
+  size_t i;
+
+  if (now_us < b->next_rejoin_us)
+    return;
+  b->next_rejoin_us = now_us + RGY_REJOIN_INTERVAL_US;
+  candidates = g_array_new (FALSE, FALSE, sizeof (struct rgy_endpoint));
+  for (i = 0; i < b->settings.seed_count; i++)
+    if (!rgy_endpoint_equal (b->settings.seeds[i], b->settings.endpoint)
+        && !is_live_endpoint_ (b, b->settings.seeds[i]))
+      g_array_append_val (candidates, b->settings.seeds[i]);
+  g_hash_table_iter_init (&iter, b->bb->balancers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct rgy_balancer_record *r = value;
+
+      if (r->state == RGY_MEMBER_DEAD
+          && !rgy_name_equal (&r->id, &b->settings.id))
+        g_array_append_val (candidates, r->endpoint);
+    }
+  if (candidates->len > 0)
+    send_gossip_ (b,
+                  g_array_index (candidates, struct rgy_endpoint,
+                                 g_rand_int_range (b->random, 0,
+                                                   (gint32)candidates->len)),
+                  RGY_MSG_GOSSIP, actions);
+  g_array_unref (candidates);
+}
+
 /* Digests of two balancers differ for a moment after every change; only a
-   difference that lasts starts a synchronisation.  */
+   difference that lasts starts a synchronisation.  With a balancer that is
+   unknown or dead here it starts at once: the next message comes from a peer
+   of the own group, whose digests agree.  */
 static void
 compare_digests_ (struct rgy_balancer *b, const struct rgy_gossip_message *m,
-                  int64_t now_us, struct rgy_actions *actions)
+                  bool is_stranger, int64_t now_us,
+                  struct rgy_actions *actions)
 {
   struct rgy_digests own;
 
@@ -396,12 +479,13 @@
     {
       b->digest_differs_since_us = 0;
       b->synced = true;
+      b->joined = true;
       return;
     }
   if (b->digest_differs_since_us == 0)
     b->digest_differs_since_us = now_us;
   if (now_us < b->next_sync_us
-      || (b->synced
+      || (b->synced && !is_stranger
           && now_us - b->digest_differs_since_us < RGY_DIGEST_GRACE_US))
     return;
   b->next_sync_us = now_us + RGY_SYNC_INTERVAL_US;
@@ -414,11 +498,14 @@
                 struct rgy_actions *actions)
 {
   const struct rgy_gossip_message *m = &message->u.gossip;
+  const struct rgy_balancer_record *sender
+      = rgy_blackboard_get_balancer (b->bb, &m->from);
+  bool is_stranger = sender == NULL || !is_member_of_cluster_ (sender);
 
   if (rgy_liveness_is_watched (b->balancers_liveness, &m->from))
     rgy_liveness_heard (b->balancers_liveness, &m->from, now_us);
   apply_entries_ (b, &m->entries, actions);
-  compare_digests_ (b, m, now_us, actions);
+  compare_digests_ (b, m, is_stranger, now_us, actions);
   if (message->kind == RGY_MSG_GOSSIP)
     send_gossip_ (b, from, RGY_MSG_GOSSIP_ACK, actions);
 }
@@ -715,6 +802,7 @@
   publish_record_ (b, now_us);
   rgy_balancer_push_fresh (b, actions);
   gossip_tick_ (b, now_us, actions);
+  rejoin_tick_ (b, now_us, actions);
   reconcile_store_ (b, now_us, actions);
   drain_tick_ (b, now_us, actions);
   *b->c.agents = g_hash_table_size (b->bb->agents);
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -12,6 +12,8 @@
 
 #define RGY_GOSSIP_INTERVAL_US INT64_C (200000)
 #define RGY_PROBE_INTERVAL_US INT64_C (1000000)
+/** A balancer that is dead or unknown here is tried this often.  */
+#define RGY_REJOIN_INTERVAL_US INT64_C (5000000)
 #define RGY_RECORD_INTERVAL_US INT64_C (1000000)
 /** Own demand is published at most this often.  */
 #define RGY_DEMAND_INTERVAL_US INT64_C (2000000)
@@ -21,6 +23,9 @@
 #define RGY_STORE_INTERVAL_US INT64_C (2000000)
 /** Balancers that monitor one member.  */
 #define RGY_MONITOR_COUNT 3
+/** One of so many acknowledgements to an agent carries a sample; at three a
+    second the agent gets one every 5 s.  */
+#define RGY_SAMPLE_PERIOD 16
 /** Balancers of a failure domain that watch the store.  */
 #define RGY_READER_COUNT 2
 #define RGY_BURST_MS 500
@@ -90,6 +95,7 @@
 
   int64_t next_gossip_us;
   int64_t next_probe_us;
+  int64_t next_rejoin_us;
   int64_t next_record_us;
   int64_t next_demand_us;
   int64_t next_sync_us;
@@ -99,7 +105,9 @@
   bool eager;                      /**< Gossip soon: something is new.  */
   bool record_changed;
   bool cut;
-  bool synced; /**< Synchronised with a peer or read from the store.  */
+  bool joined;       /**< Has held the same entries as a peer.  */
+  bool initial_pull; /**< The pull under way began before it had joined.  */
+  bool synced;       /**< Synchronised with a peer or read from the store.  */
 };
 
 /* balancer_control.c */
@@ -109,6 +117,11 @@
 enum rgy_outcome rgy_balancer_apply_entry (struct rgy_balancer *b,
                                            const struct rgy_entry *entry,
                                            struct rgy_actions *actions);
+/** Apply an entry of the initial pull; it is not gossiped.  */
+enum rgy_outcome
+rgy_balancer_apply_pulled_entry (struct rgy_balancer *b,
+                                 const struct rgy_entry *entry,
+                                 struct rgy_actions *actions);
 /** Names of the usable or starting balancers but this one.  */
 size_t rgy_balancer_list_others (const struct rgy_balancer *b,
                                  struct rgy_name *names, size_t max);
