--- a/src/libragwortyoke/handover.c
+++ b/src/libragwortyoke/handover.c
@@ -1,47 +1,21 @@
 #include "ragwortyoke/handover.h"
 
-#include <msgpack.h>
 #include <stdlib.h>
-#include <string.h>
 
-/* Fields of an encoded state, in order.  */
-enum field_
-{
-  FIELD_KEY_KIND,
-  FIELD_CALLER,
-  FIELD_SERVICE,
-  FIELD_CUSTOMER,
-  FIELD_OBSERVATIONS,
-  FIELD_RECORDS,
-  FIELD_ECHO_EPOCHS,
-  FIELD_COUNT
-};
+#include "private/msgpack_io.h"
 
+/* Fields of an encoded state: kind of the flow key, caller, service,
+   customer, observations, records, Echo epochs.  */
+#define FIELD_COUNT 7
 #define OBSERVATION_FIELDS 3
 #define RECORD_FIELDS 4
 /* The Observe option has 24 bits, a CoAP token 8 bytes (RFC 7641, RFC
    7252).  */
 #define SEQUENCE_MAX 0xffffff
 #define TOKEN_MAX_BYTES 8
-#define ENDPOINT_MAX ((UINT64_C (1) << 48) - 1)
 
 /* Encoding.  */
 
-static int
-append_ (void *data, const char *buf, size_t len)
-{
-  g_byte_array_append (data, (const guint8 *)buf, (guint)len);
-  return 0;
-}
-
-static void
-pack_bytes_ (msgpack_packer *pk, struct rgy_bytes bytes)
-{
-  msgpack_pack_bin (pk, bytes.len);
-  if (bytes.len > 0)
-    msgpack_pack_bin_body (pk, bytes.data, bytes.len);
-}
-
 static void
 pack_key_ (msgpack_packer *pk, const struct rgy_flow_key *key)
 {
@@ -49,8 +23,8 @@
     {
     case RGY_FLOW_KEY_UDP:
       msgpack_pack_uint64 (pk, key->kind);
-      msgpack_pack_uint64 (pk, rgy_endpoint_pack (key->u.udp.caller));
-      msgpack_pack_uint64 (pk, rgy_endpoint_pack (key->u.udp.service));
+      rgy_pack_endpoint (pk, key->u.udp.caller);
+      rgy_pack_endpoint (pk, key->u.udp.service);
       return;
     }
   abort ();
@@ -60,30 +34,25 @@
 rgy_handover_state_encode (const struct rgy_handover_state *state)
 {
   GByteArray *out = g_byte_array_new ();
-  struct rgy_str customer = rgy_name_str (&state->customer);
   msgpack_packer pk;
   size_t i;
 
   g_assert (state->observation_count <= RGY_HANDOVER_MAX_OBSERVATIONS
             && state->record_count <= RGY_HANDOVER_MAX_RECORDS
             && state->echo_epoch_count <= RGY_HANDOVER_MAX_EPOCHS);
-  msgpack_packer_init (&pk, out, append_);
+  msgpack_packer_init (&pk, out, rgy_pack_append);
   msgpack_pack_array (&pk, FIELD_COUNT);
   pack_key_ (&pk, &state->key);
-  msgpack_pack_str (&pk, customer.len);
-  msgpack_pack_str_body (&pk, customer.data, customer.len);
+  rgy_pack_name (&pk, &state->customer);
   msgpack_pack_array (&pk, state->observation_count);
   for (i = 0; i < state->observation_count; i++)
     {
       const struct rgy_handover_observation *obs = &state->observations[i];
 
       msgpack_pack_array (&pk, OBSERVATION_FIELDS);
-      pack_bytes_ (&pk, obs->registration);
+      rgy_pack_bytes (&pk, obs->registration);
       msgpack_pack_uint32 (&pk, obs->last_sequence);
-      if (obs->notified)
-        msgpack_pack_true (&pk);
-      else
-        msgpack_pack_false (&pk);
+      rgy_pack_bool (&pk, obs->notified);
     }
   msgpack_pack_array (&pk, state->record_count);
   for (i = 0; i < state->record_count; i++)
@@ -92,8 +61,8 @@
 
       msgpack_pack_array (&pk, RECORD_FIELDS);
       msgpack_pack_uint16 (&pk, record->message_id);
-      pack_bytes_ (&pk, record->token);
-      pack_bytes_ (&pk, record->response);
+      rgy_pack_bytes (&pk, record->token);
+      rgy_pack_bytes (&pk, record->response);
       msgpack_pack_uint32 (&pk, record->age_ms);
     }
   msgpack_pack_array (&pk, state->echo_epoch_count);
@@ -104,230 +73,90 @@
 
 /* Decoding.  */
 
-/* Big-endian number of LEN bytes.  */
-static uint64_t
-read_number_ (const uint8_t *data, size_t len)
-{
-  uint64_t value = 0;
-  size_t i;
-
-  for (i = 0; i < len; i++)
-    value = value << 8 | data[i];
-  return value;
-}
-
-/* Length of the object at DATA without the elements of an array, whose number
-   is stored in ELEMENTS; 0 for an object that does not fit into LEN bytes or
-   is of a type that a state does not contain.  */
-static size_t
-object_length_ (const uint8_t *data, size_t len, size_t *elements)
-{
-  uint8_t type = data[0];
-  size_t head = 1;
-  uint64_t body = 0;
-
-  *elements = 0;
-  if (type >= 0x90 && type <= 0x9f)
-    *elements = type & 0x0f;
-  else if (type >= 0xa0 && type <= 0xbf)
-    body = type & 0x1f;
-  else if (type >= 0xcc && type <= 0xcf) /* uint 8 to uint 64 */
-    body = UINT64_C (1) << (type - 0xcc);
-  else if (type >= 0xc4 && type <= 0xc6) /* bin 8 to bin 32 */
-    head += (size_t)1 << (type - 0xc4);
-  else if (type == 0xd9) /* str 8 */
-    head += 1;
-  else if (type > 0x7f && type != 0xc2 && type != 0xc3) /* number, boolean */
-    return 0;
-  if (head > len)
-    return 0;
-  if (head > 1)
-    body = read_number_ (data + 1, head - 1);
-  return body > len - head ? 0 : head + body;
-}
-
-/* Checks that BYTES is exactly one object built from the types of a state.
-   msgpack-c allocates an array from the count in its header before it reads
-   the elements, so counts are bounded here first.  */
-static bool
-is_bounded_ (struct rgy_bytes bytes)
-{
-  size_t at = 0;
-  size_t pending = 1;
-
-  while (pending > 0)
-    {
-      size_t elements = 0;
-      size_t len = 0;
-
-      if (at < bytes.len)
-        len = object_length_ (bytes.data + at, bytes.len - at, &elements);
-      if (len == 0)
-        return false;
-      at += len;
-      pending += elements;
-      pending--;
-    }
-  return at == bytes.len;
-}
-
-static bool
-get_uint_ (const msgpack_object *object, uint64_t max, uint64_t *value)
-{
-  if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER || object->via.u64 > max)
-    return false;
-  *value = object->via.u64;
-  return true;
-}
-
-static bool
-get_bytes_ (const msgpack_object *object, struct rgy_bytes *bytes)
-{
-  if (object->type != MSGPACK_OBJECT_BIN)
-    return false;
-  *bytes = (struct rgy_bytes){ .data = (const uint8_t *)object->via.bin.ptr,
-                               .len = object->via.bin.size };
-  return true;
-}
-
-/* Elements of an array of at most MAX elements, or NULL.  */
-static const msgpack_object *
-get_array_ (const msgpack_object *object, size_t max, size_t *count)
-{
-  static const msgpack_object empty = { .type = MSGPACK_OBJECT_NIL };
-
-  if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size > max)
-    return NULL;
-  *count = object->via.array.size;
-  return *count == 0 ? &empty : object->via.array.ptr;
-}
-
-/* Elements of an array of exactly COUNT elements, or NULL.  */
-static const msgpack_object *
-get_fields_ (const msgpack_object *object, size_t count)
-{
-  size_t found = 0;
-  const msgpack_object *fields = get_array_ (object, count, &found);
-
-  return found == count ? fields : NULL;
-}
-
-static enum rgy_outcome
-decode_key_ (const msgpack_object *fields, struct rgy_flow_key *key)
+static void
+read_key_ (struct rgy_reader *r, struct rgy_flow_key *key)
 {
-  uint64_t kind = 0;
-  uint64_t caller = 0;
-  uint64_t service = 0;
-
-  if (!get_uint_ (&fields[FIELD_KEY_KIND], UINT64_MAX, &kind)
-      || !get_uint_ (&fields[FIELD_CALLER], ENDPOINT_MAX, &caller)
-      || !get_uint_ (&fields[FIELD_SERVICE], ENDPOINT_MAX, &service))
-    return RGY_ERR_INVALID;
-  if (kind != RGY_FLOW_KEY_UDP)
-    return RGY_ERR_UNSUPPORTED;
-  *key = rgy_flow_key_udp (rgy_endpoint_unpack (caller),
-                           rgy_endpoint_unpack (service));
-  return RGY_OK;
-}
+  uint64_t kind = rgy_read_u64 (r);
+  struct rgy_endpoint caller = rgy_read_endpoint (r);
+  struct rgy_endpoint service = rgy_read_endpoint (r);
 
-static bool
-decode_customer_ (const msgpack_object *object, struct rgy_name *customer)
-{
-  return object->type == MSGPACK_OBJECT_STR
-         && rgy_name_set (customer,
-                          (struct rgy_str){ .data = object->via.str.ptr,
-                                            .len = object->via.str.size })
-                == RGY_OK;
+  if (kind == RGY_FLOW_KEY_UDP)
+    *key = rgy_flow_key_udp (caller, service);
+  else
+    rgy_reader_fail (r, RGY_ERR_UNSUPPORTED);
 }
 
-static bool
-decode_observations_ (const msgpack_object *object,
-                      struct rgy_handover_state *state)
+static void
+read_observations_ (struct rgy_reader *r, struct rgy_handover_state *state)
 {
-  const msgpack_object *items = get_array_ (
-      object, RGY_HANDOVER_MAX_OBSERVATIONS, &state->observation_count);
+  struct rgy_reader list
+      = rgy_read_array_of (r, 0, RGY_HANDOVER_MAX_OBSERVATIONS);
   size_t i;
 
-  if (items == NULL)
-    return false;
-  for (i = 0; i < state->observation_count; i++)
+  state->observation_count = list.count;
+  for (i = 0; i < list.count; i++)
     {
       struct rgy_handover_observation *obs = &state->observations[i];
-      const msgpack_object *fields
-          = get_fields_ (&items[i], OBSERVATION_FIELDS);
-      uint64_t sequence = 0;
-
-      if (fields == NULL || !get_bytes_ (&fields[0], &obs->registration)
-          || !get_uint_ (&fields[1], SEQUENCE_MAX, &sequence)
-          || fields[2].type != MSGPACK_OBJECT_BOOLEAN)
-        return false;
-      obs->last_sequence = (uint32_t)sequence;
-      obs->notified = fields[2].via.boolean;
+      struct rgy_reader fields
+          = rgy_read_array_of (&list, OBSERVATION_FIELDS, OBSERVATION_FIELDS);
+
+      obs->registration = rgy_read_bytes (&fields);
+      obs->last_sequence = (uint32_t)rgy_read_max (&fields, SEQUENCE_MAX);
+      obs->notified = rgy_read_bool (&fields);
+      rgy_reader_fail (&list, fields.outcome);
     }
-  return true;
+  rgy_reader_fail (r, list.outcome);
 }
 
-static bool
-decode_records_ (const msgpack_object *object,
-                 struct rgy_handover_state *state)
+static void
+read_records_ (struct rgy_reader *r, struct rgy_handover_state *state)
 {
-  const msgpack_object *items
-      = get_array_ (object, RGY_HANDOVER_MAX_RECORDS, &state->record_count);
+  struct rgy_reader list = rgy_read_array_of (r, 0, RGY_HANDOVER_MAX_RECORDS);
   size_t i;
 
-  if (items == NULL)
-    return false;
-  for (i = 0; i < state->record_count; i++)
+  state->record_count = list.count;
+  for (i = 0; i < list.count; i++)
     {
       struct rgy_handover_record *record = &state->records[i];
-      const msgpack_object *fields = get_fields_ (&items[i], RECORD_FIELDS);
-      uint64_t message_id = 0;
-      uint64_t age_ms = 0;
-
-      if (fields == NULL || !get_uint_ (&fields[0], UINT16_MAX, &message_id)
-          || !get_bytes_ (&fields[1], &record->token)
-          || record->token.len > TOKEN_MAX_BYTES
-          || !get_bytes_ (&fields[2], &record->response)
-          || !get_uint_ (&fields[3], UINT32_MAX, &age_ms))
-        return false;
-      record->message_id = (uint16_t)message_id;
-      record->age_ms = (uint32_t)age_ms;
+      struct rgy_reader fields
+          = rgy_read_array_of (&list, RECORD_FIELDS, RECORD_FIELDS);
+
+      record->message_id = (uint16_t)rgy_read_max (&fields, UINT16_MAX);
+      record->token = rgy_read_bytes (&fields);
+      if (record->token.len > TOKEN_MAX_BYTES)
+        rgy_reader_fail (&fields, RGY_ERR_INVALID);
+      record->response = rgy_read_bytes (&fields);
+      record->age_ms = (uint32_t)rgy_read_max (&fields, UINT32_MAX);
+      rgy_reader_fail (&list, fields.outcome);
     }
-  return true;
+  rgy_reader_fail (r, list.outcome);
 }
 
-static bool
-decode_epochs_ (const msgpack_object *object, struct rgy_handover_state *state)
+static void
+read_epochs_ (struct rgy_reader *r, struct rgy_handover_state *state)
 {
-  const msgpack_object *items
-      = get_array_ (object, RGY_HANDOVER_MAX_EPOCHS, &state->echo_epoch_count);
+  struct rgy_reader list = rgy_read_array_of (r, 0, RGY_HANDOVER_MAX_EPOCHS);
   size_t i;
 
-  if (items == NULL)
-    return false;
-  for (i = 0; i < state->echo_epoch_count; i++)
-    if (!get_uint_ (&items[i], UINT64_MAX, &state->echo_epochs[i]))
-      return false;
-  return true;
+  state->echo_epoch_count = list.count;
+  for (i = 0; i < list.count; i++)
+    state->echo_epochs[i] = rgy_read_u64 (&list);
+  rgy_reader_fail (r, list.outcome);
 }
 
 static enum rgy_outcome
-decode_object_ (const msgpack_object *object, struct rgy_handover_state *state)
+read_state_ (const msgpack_object *object, struct rgy_handover_state *state)
 {
-  const msgpack_object *fields = get_fields_ (object, FIELD_COUNT);
-  enum rgy_outcome rc;
+  struct rgy_reader r = rgy_reader_init (object);
 
-  if (fields == NULL)
-    return RGY_ERR_INVALID;
-  rc = decode_key_ (fields, &state->key);
-  if (rc != RGY_OK)
-    return rc;
-  if (!decode_customer_ (&fields[FIELD_CUSTOMER], &state->customer)
-      || !decode_observations_ (&fields[FIELD_OBSERVATIONS], state)
-      || !decode_records_ (&fields[FIELD_RECORDS], state)
-      || !decode_epochs_ (&fields[FIELD_ECHO_EPOCHS], state))
+  if (r.count != FIELD_COUNT)
     return RGY_ERR_INVALID;
-  return RGY_OK;
+  read_key_ (&r, &state->key);
+  rgy_read_name (&r, &state->customer);
+  read_observations_ (&r, state);
+  read_records_ (&r, state);
+  read_epochs_ (&r, state);
+  return r.outcome;
 }
 
 enum rgy_outcome
@@ -336,17 +165,13 @@
 {
   struct rgy_handover_state decoded = { 0 };
   enum rgy_outcome rc = RGY_ERR_INVALID;
-  msgpack_unpacked unpacked;
-  size_t offset = 0;
+  msgpack_object object;
+  msgpack_zone zone;
 
-  if (!is_bounded_ (bytes))
-    return RGY_ERR_INVALID;
-  msgpack_unpacked_init (&unpacked);
-  if (msgpack_unpack_next (&unpacked, (const char *)bytes.data, bytes.len,
-                           &offset)
-      == MSGPACK_UNPACK_SUCCESS)
-    rc = decode_object_ (&unpacked.data, &decoded);
-  msgpack_unpacked_destroy (&unpacked);
+  msgpack_zone_init (&zone, MSGPACK_ZONE_CHUNK_SIZE);
+  if (rgy_msgpack_unpack (bytes, &zone, &object))
+    rc = read_state_ (&object, &decoded);
+  msgpack_zone_destroy (&zone);
   if (rc == RGY_OK)
     *state = decoded;
   return rc;
--- a/src/libragwortyoke/msgpack_check.c
+++ b/src/libragwortyoke/msgpack_check.c
@@ -1,4 +1,4 @@
-#include "private/msgpack_check.h"
+#include "private/msgpack_io.h"
 
 /* What follows the first byte and the length field of an object.  */
 enum follows_
--- a/src/libragwortyoke/msgpack_io.c
+++ b/src/libragwortyoke/msgpack_io.c
@@ -5,6 +5,13 @@
 /* 32-bit address and 16-bit port.  */
 #define ENDPOINT_MAX ((UINT64_C (1) << 48) - 1)
 
+int
+rgy_pack_append (void *byte_array, const char *data, size_t len)
+{
+  g_byte_array_append (byte_array, (const guint8 *)data, (guint)len);
+  return 0;
+}
+
 void
 rgy_pack_name (msgpack_packer *pk, const struct rgy_name *name)
 {
@@ -16,7 +23,8 @@
 rgy_pack_bytes (msgpack_packer *pk, struct rgy_bytes bytes)
 {
   msgpack_pack_bin (pk, bytes.len);
-  msgpack_pack_bin_body (pk, bytes.data, bytes.len);
+  if (bytes.len > 0)
+    msgpack_pack_bin_body (pk, bytes.data, bytes.len);
 }
 
 void
@@ -34,19 +42,38 @@
     msgpack_pack_false (pk);
 }
 
+bool
+rgy_msgpack_unpack (struct rgy_bytes bytes, msgpack_zone *zone,
+                    msgpack_object *object)
+{
+  size_t offset = 0;
+
+  return rgy_msgpack_is_complete (bytes)
+         && msgpack_unpack ((const char *)bytes.data, bytes.len, &offset, zone,
+                            object)
+                == MSGPACK_UNPACK_SUCCESS;
+}
+
 struct rgy_reader
 rgy_reader_init (const msgpack_object *object)
 {
-  struct rgy_reader r = { 0 };
-
   if (object->type != MSGPACK_OBJECT_ARRAY)
-    {
-      r.failed = true;
-      return r;
-    }
-  r.items = object->via.array.ptr;
-  r.count = object->via.array.size;
-  return r;
+    return (struct rgy_reader){ .outcome = RGY_ERR_INVALID };
+  return (struct rgy_reader){ .items = object->via.array.ptr,
+                              .count = object->via.array.size };
+}
+
+bool
+rgy_reader_is_ok (const struct rgy_reader *r)
+{
+  return r->outcome == RGY_OK;
+}
+
+void
+rgy_reader_fail (struct rgy_reader *r, enum rgy_outcome outcome)
+{
+  if (r->outcome == RGY_OK)
+    r->outcome = outcome;
 }
 
 /* Takes the next element if it has the wanted type.  */
@@ -55,18 +82,13 @@
 {
   const msgpack_object *o;
 
-  if (r->failed || r->next >= r->count)
-    {
-      r->failed = true;
-      return NULL;
-    }
-  o = &r->items[r->next++];
-  if (o->type != type)
-    {
-      r->failed = true;
-      return NULL;
-    }
-  return o;
+  if (r->outcome != RGY_OK)
+    return NULL;
+  o = r->next < r->count ? &r->items[r->next++] : NULL;
+  if (o != NULL && o->type == type)
+    return o;
+  r->outcome = RGY_ERR_INVALID;
+  return NULL;
 }
 
 struct rgy_reader
@@ -75,10 +97,21 @@
   const msgpack_object *o = take_ (r, MSGPACK_OBJECT_ARRAY);
 
   if (o == NULL)
-    return (struct rgy_reader){ .failed = true };
+    return (struct rgy_reader){ .outcome = RGY_ERR_INVALID };
   return rgy_reader_init (o);
 }
 
+struct rgy_reader
+rgy_read_array_of (struct rgy_reader *r, size_t min, size_t max)
+{
+  struct rgy_reader list = rgy_read_array (r);
+
+  if (list.outcome == RGY_OK && list.count >= min && list.count <= max)
+    return list;
+  rgy_reader_fail (r, RGY_ERR_INVALID);
+  return (struct rgy_reader){ .outcome = RGY_ERR_INVALID };
+}
+
 uint64_t
 rgy_read_u64 (struct rgy_reader *r)
 {
@@ -92,12 +125,10 @@
 {
   uint64_t value = rgy_read_u64 (r);
 
-  if (value > max)
-    {
-      r->failed = true;
-      return 0;
-    }
-  return value;
+  if (value <= max)
+    return value;
+  rgy_reader_fail (r, RGY_ERR_INVALID);
+  return 0;
 }
 
 bool
@@ -127,10 +158,9 @@
   memset (name, 0, sizeof *name);
   if (o == NULL || o->via.str.size == 0)
     return;
-  if (rgy_name_set (name, (struct rgy_str){ .data = o->via.str.ptr,
-                                            .len = o->via.str.size })
-      != RGY_OK)
-    r->failed = true;
+  rgy_reader_fail (
+      r, rgy_name_set (name, (struct rgy_str){ .data = o->via.str.ptr,
+                                               .len = o->via.str.size }));
 }
 
 void
@@ -138,7 +168,7 @@
 {
   rgy_read_optional_name (r, name);
   if (name->len == 0)
-    r->failed = true;
+    rgy_reader_fail (r, RGY_ERR_INVALID);
 }
 
 struct rgy_endpoint
--- a/src/libragwortyoke/wire.c
+++ b/src/libragwortyoke/wire.c
@@ -86,20 +86,18 @@
                  struct rgy_message *message)
 {
   uint8_t tag[RGY_WIRE_TAG_BYTES];
+  struct rgy_bytes body;
   msgpack_object object;
-  msgpack_unpack_return rc;
-  size_t offset = RGY_WIRE_TAG_BYTES;
 
   if (datagram.len <= RGY_WIRE_TAG_BYTES)
     return RGY_ERR_INVALID;
-  compute_tag_ (wire, datagram.data + RGY_WIRE_TAG_BYTES,
-                datagram.len - RGY_WIRE_TAG_BYTES, tag);
+  body = (struct rgy_bytes){ .data = datagram.data + RGY_WIRE_TAG_BYTES,
+                             .len = datagram.len - RGY_WIRE_TAG_BYTES };
+  compute_tag_ (wire, body.data, body.len, tag);
   if (sodium_memcmp (tag, datagram.data, sizeof tag) != 0)
     return RGY_ERR_AUTH;
   msgpack_zone_clear (&wire->zone);
-  rc = msgpack_unpack ((const char *)datagram.data, datagram.len, &offset,
-                       &wire->zone, &object);
-  if (rc != MSGPACK_UNPACK_SUCCESS || offset != datagram.len)
+  if (!rgy_msgpack_unpack (body, &wire->zone, &object))
     return RGY_ERR_INVALID;
   return rgy_wire_read_message (&object, message);
 }
--- a/src/libragwortyoke/wire_decode.c
+++ b/src/libragwortyoke/wire_decode.c
@@ -7,14 +7,14 @@
 {
   struct rgy_reader r = rgy_read_array (parent);
 
-  entry->class = (enum rgy_entry_class)rgy_read_max (
-      &r, RGY_ENTRY_CLASS_COUNT - 1);
+  entry->class = (enum rgy_entry_class)rgy_read_max (&r, RGY_ENTRY_CLASS_COUNT
+                                                             - 1);
   rgy_read_name (&r, &entry->key);
   entry->version.major = rgy_read_u64 (&r);
   entry->version.minor = rgy_read_u64 (&r);
   entry->deleted = rgy_read_bool (&r);
   entry->value = rgy_read_bytes (&r);
-  parent->failed |= r.failed;
+  rgy_reader_fail (parent, r.outcome);
 }
 
 static void
@@ -24,36 +24,26 @@
   size_t i;
 
   rgy_read_name (r, &m->from);
-  list = rgy_read_array (r);
-  if (list.failed || list.count > RGY_WIRE_MAX_ENTRIES)
-    {
-      r->failed = true;
-      return;
-    }
+  list = rgy_read_array_of (r, 0, RGY_WIRE_MAX_ENTRIES);
   m->count = list.count;
   for (i = 0; i < m->count; i++)
     {
       read_entry_ (&list, &m->decoded[i]);
       m->entries[i] = &m->decoded[i];
     }
-  r->failed |= list.failed;
+  rgy_reader_fail (r, list.outcome);
 }
 
 /* Reads an array of exactly COUNT integers.  */
 static void
 read_words_ (struct rgy_reader *r, uint64_t *words, size_t count)
 {
-  struct rgy_reader list = rgy_read_array (r);
+  struct rgy_reader list = rgy_read_array_of (r, count, count);
   size_t i;
 
-  if (list.failed || list.count != count)
-    {
-      r->failed = true;
-      return;
-    }
   for (i = 0; i < count; i++)
     words[i] = rgy_read_u64 (&list);
-  r->failed |= list.failed;
+  rgy_reader_fail (r, list.outcome);
 }
 
 static void
@@ -61,8 +51,9 @@
 {
   struct rgy_bytes bytes = rgy_read_bytes (r);
 
-  if (r->failed || rgy_agent_record_decode (bytes, record) != RGY_OK)
-    r->failed = true;
+  if (!rgy_reader_is_ok (r)
+      || rgy_agent_record_decode (bytes, record) != RGY_OK)
+    rgy_reader_fail (r, RGY_ERR_INVALID);
 }
 
 static void
@@ -81,18 +72,13 @@
   m->trail.search = rgy_read_bool (r);
   m->trail.origin = (size_t)rgy_read_max (r, RGY_MAX_HOPS);
   m->trail.origin_sequence = rgy_read_u64 (r);
-  list = rgy_read_array (r);
-  if (list.failed || list.count > RGY_MAX_HOPS)
-    {
-      r->failed = true;
-      return;
-    }
+  list = rgy_read_array_of (r, 0, RGY_MAX_HOPS);
   m->trail.count = list.count;
   if (m->trail.origin > m->trail.count)
-    r->failed = true;
+    rgy_reader_fail (r, RGY_ERR_INVALID);
   for (i = 0; i < m->trail.count; i++)
     rgy_read_name (&list, &m->trail.visited[i]);
-  r->failed |= list.failed;
+  rgy_reader_fail (r, list.outcome);
   m->payload = rgy_read_bytes (r);
 }
 
@@ -107,8 +93,7 @@
 }
 
 static void
-read_heartbeat_ack_ (struct rgy_reader *r,
-                     struct rgy_heartbeat_ack_message *m)
+read_heartbeat_ack_ (struct rgy_reader *r, struct rgy_heartbeat_ack_message *m)
 {
   struct rgy_reader list;
   struct rgy_bytes bytes;
@@ -119,21 +104,16 @@
   read_words_ (r, m->digests.of, RGY_ENTRY_CLASS_COUNT);
   m->agent_epoch = rgy_read_u64 (r);
   m->agent_sequence = rgy_read_u64 (r);
-  list = rgy_read_array (r);
-  if (list.failed || list.count > RGY_WIRE_MAX_SAMPLE)
-    {
-      r->failed = true;
-      return;
-    }
+  list = rgy_read_array_of (r, 0, RGY_WIRE_MAX_SAMPLE);
   m->sample_count = list.count;
   for (i = 0; i < m->sample_count; i++)
     {
       bytes = rgy_read_bytes (&list);
-      if (list.failed
+      if (!rgy_reader_is_ok (&list)
           || rgy_balancer_record_decode (bytes, &m->sample[i]) != RGY_OK)
-        list.failed = true;
+        rgy_reader_fail (&list, RGY_ERR_INVALID);
     }
-  r->failed |= list.failed;
+  rgy_reader_fail (r, list.outcome);
 }
 
 static void
@@ -145,7 +125,7 @@
   usage->open_flows = rgy_read_u64 (&r);
   usage->new_flows_per_s = rgy_read_u64 (&r);
   usage->requests = rgy_read_u64 (&r);
-  parent->failed |= r.failed;
+  rgy_reader_fail (parent, r.outcome);
 }
 
 static void
@@ -159,16 +139,11 @@
   m->sequence = rgy_read_u64 (r);
   read_words_ (r, m->may_hold.words, RGY_BUCKET_WORDS);
   m->can_accept = rgy_read_bool (r);
-  list = rgy_read_array (r);
-  if (list.failed || list.count > RGY_WIRE_MAX_USAGE)
-    {
-      r->failed = true;
-      return;
-    }
+  list = rgy_read_array_of (r, 0, RGY_WIRE_MAX_USAGE);
   m->usage_count = list.count;
   for (i = 0; i < m->usage_count; i++)
     read_usage_ (&list, &m->usage[i]);
-  r->failed |= list.failed;
+  rgy_reader_fail (r, list.outcome);
 }
 
 static void
@@ -254,7 +229,7 @@
   uint64_t kind = rgy_read_u64 (&r);
   enum rgy_outcome rc;
 
-  if (r.failed)
+  if (!rgy_reader_is_ok (&r))
     return RGY_ERR_INVALID;
   if (kind == 0 || kind >= RGY_MSG_KIND_COUNT)
     return RGY_ERR_UNSUPPORTED;
@@ -262,5 +237,5 @@
   rc = read_body_ (&r, message);
   if (rc != RGY_OK)
     return rc;
-  return r.failed ? RGY_ERR_INVALID : RGY_OK;
+  return rgy_reader_is_ok (&r) ? RGY_OK : RGY_ERR_INVALID;
 }
