Make the blackboard agree with its replica about what is newer

Three faults, each with a test: an entry whose class is out of range aborted the process although it is documented as invalid; a deletion at the same version as a live entry was taken or refused depending on the order of arrival, so that the digests of two processes could differ for ever; a domain order was accepted under a version that is not its number and ID, so that the replica could spread an order that was not in force.

--- a/include/ragwortyoke/blackboard.h
+++ b/include/ragwortyoke/blackboard.h
@@ -40,7 +40,7 @@
 };
 
 struct rgy_blackboard *rgy_blackboard_new (struct rgy_counters *counters);
-void rgy_blackboard_delete (struct rgy_blackboard *blackboard);
+void rgy_blackboard_delete (struct rgy_blackboard *bb);
 
 /**
  * Apply one configuration or membership change.
@@ -49,48 +49,45 @@
  *         newer than what is known, RGY_ERR_INVALID when its value cannot be
  *         read; an invalid entry changes nothing.
  */
-enum rgy_outcome rgy_blackboard_apply (struct rgy_blackboard *blackboard,
+enum rgy_outcome rgy_blackboard_apply (struct rgy_blackboard *bb,
                                        const struct rgy_entry *entry);
 
 /** Put one's own record on the blackboard.  */
-void rgy_blackboard_apply_agent (struct rgy_blackboard *blackboard,
+void rgy_blackboard_apply_agent (struct rgy_blackboard *bb,
                                  const struct rgy_agent_record *record);
-void rgy_blackboard_apply_balancer (struct rgy_blackboard *blackboard,
+void rgy_blackboard_apply_balancer (struct rgy_blackboard *bb,
                                     const struct rgy_balancer_record *record);
 
 const struct rgy_agent_record *
-rgy_blackboard_get_agent (const struct rgy_blackboard *blackboard,
+rgy_blackboard_get_agent (const struct rgy_blackboard *bb,
                           const struct rgy_name *id);
 const struct rgy_balancer_record *
-rgy_blackboard_get_balancer (const struct rgy_blackboard *blackboard,
+rgy_blackboard_get_balancer (const struct rgy_blackboard *bb,
                              const struct rgy_name *id);
 
 /** Agents of a service; an empty group when none is known.  */
 const struct rgy_group *
-rgy_blackboard_get_group (const struct rgy_blackboard *blackboard,
+rgy_blackboard_get_group (const struct rgy_blackboard *bb,
                           struct rgy_endpoint service);
 
 /** True when the agent takes part in its service: ready or draining, and its
     failure domain in service.  */
-bool rgy_blackboard_agent_is_live (const struct rgy_blackboard *blackboard,
+bool rgy_blackboard_agent_is_live (const struct rgy_blackboard *bb,
                                    const struct rgy_agent_record *record);
 /** True when the agent may open flows: live and ready.  */
-bool
-rgy_blackboard_agent_is_eligible (const struct rgy_blackboard *blackboard,
-                                  const struct rgy_agent_record *record);
+bool rgy_blackboard_agent_is_eligible (const struct rgy_blackboard *bb,
+                                       const struct rgy_agent_record *record);
 /** True when traffic may go through the balancer.  */
 bool
-rgy_blackboard_balancer_is_usable (const struct rgy_blackboard *blackboard,
+rgy_blackboard_balancer_is_usable (const struct rgy_blackboard *bb,
                                    const struct rgy_balancer_record *record);
 
 /** Digest of contracts and domain orders together.  */
-uint64_t
-rgy_blackboard_get_config_digest (const struct rgy_blackboard *blackboard);
+uint64_t rgy_blackboard_get_config_digest (const struct rgy_blackboard *bb);
 
 /** Digest of the records of one service's agents.  */
-uint64_t
-rgy_blackboard_get_group_digest (const struct rgy_blackboard *blackboard,
-                                 struct rgy_endpoint service);
+uint64_t rgy_blackboard_get_group_digest (const struct rgy_blackboard *bb,
+                                          struct rgy_endpoint service);
 
 /** Seed of the bucket table of a service.  */
 uint64_t rgy_service_seed (struct rgy_endpoint service);
--- a/src/libragwortyoke/config_change.c
+++ b/src/libragwortyoke/config_change.c
@@ -49,7 +49,11 @@
       &change->order, &error);
   if (rc != RGY_OK)
     return rc;
+  /* The replica compares versions, the set of orders their numbers and IDs;
+     both must come to the same result.  */
   return rgy_name_equal (&change->order.domain, &entry->key)
+                 && change->order.number == entry->version.major
+                 && change->order.id == entry->version.minor
              ? RGY_OK
              : RGY_ERR_INVALID;
 }
@@ -168,15 +172,19 @@
 }
 
 /* A value is read only when its version is newer: most entries that arrive
-   by gossip are already known.  */
+   by gossip are already known.  At equal versions a tombstone is newer than a
+   live entry, as in rgy_replica_merge().  */
 static bool
 is_known_ (const struct rgy_blackboard *bb, const struct rgy_entry *entry)
 {
   const struct rgy_entry *known
       = rgy_replica_get (bb->replica, entry->class, &entry->key);
+  int order;
 
-  return known != NULL
-         && rgy_version_compare (entry->version, known->version) <= 0;
+  if (known == NULL)
+    return false;
+  order = rgy_version_compare (entry->version, known->version);
+  return order < 0 || (order == 0 && (known->deleted || !entry->deleted));
 }
 
 enum rgy_outcome
@@ -185,7 +193,7 @@
   struct change_ change = { 0 };
   enum rgy_outcome rc;
 
-  if (is_known_ (bb, entry))
+  if ((unsigned)entry->class < RGY_ENTRY_CLASS_COUNT && is_known_ (bb, entry))
     return RGY_ERR_STALE;
   rc = read_change_ (entry, &change);
   if (rc != RGY_OK)
--- a/src/test_blackboard/test_blackboard.c
+++ b/src/test_blackboard/test_blackboard.c
@@ -106,6 +106,22 @@
   return rc;
 }
 
+/* Applies the in order number 4 of poa-a under the given version.  */
+static enum rgy_outcome
+put_order_as_ (struct fixture *f, uint64_t number, uint64_t id)
+{
+  struct rgy_domain_order order = { .domain = rgy_name_from_c ("poa-a"),
+                                    .number = 4,
+                                    .id = 99,
+                                    .operator_name = rgy_name_from_c ("ana") };
+  char *text = rgy_domain_order_format (&order);
+  enum rgy_outcome rc
+      = apply_text_ (f, RGY_ENTRY_DOMAIN, "poa-a", number, id, text);
+
+  g_free (text);
+  return rc;
+}
+
 static struct rgy_agent_record
 agent_ (const char *id, uint64_t epoch, uint64_t sequence,
         struct rgy_endpoint service)
@@ -296,7 +312,7 @@
   struct fixture *f = *state;
   struct rgy_agent_record agent = agent_ ("agent-1", 6, 10, catalogue_);
   struct snapshot before;
-  enum rgy_outcome results[16];
+  enum rgy_outcome results[24];
   size_t count = 0;
   size_t i;
 
@@ -318,6 +334,9 @@
       " \"address\": \"127.0.10.1:5683\", \"protocol\": \"coap\"}]}");
   results[count++] = apply_text_ (f, RGY_ENTRY_DOMAIN, "poa-a", 6, 0, "{}");
   results[count++] = delete_ (f, RGY_ENTRY_DOMAIN, "poa-a", 6);
+  /* An older order under a newer version.  */
+  results[count++] = put_order_as_ (f, 6, 50);
+  results[count++] = put_order_as_ (f, 5, 51);
   results[count++]
       = apply_text_ (f, RGY_ENTRY_AGENT, "agent-1", 6, 10, "\x97\x01");
   /* The key or the version is not that of the record.  */
@@ -327,6 +346,8 @@
   results[count++] = delete_ (f, RGY_ENTRY_AGENT, "agent-1", 6);
   results[count++]
       = apply_text_ (f, RGY_ENTRY_BALANCER, "balancer-1", 6, 10, "\x9c");
+  results[count++]
+      = apply_text_ (f, RGY_ENTRY_CLASS_COUNT, "rodaforte", 11, 0, "{}");
   results[count++] = put_balancer_as_ (f, "balancer-2", 3, 4);
   results[count++] = put_balancer_as_ (f, "balancer-1", 3, 6);
   results[count++] = delete_ (f, RGY_ENTRY_BALANCER, "balancer-1", 6);
@@ -391,6 +412,28 @@
   assert_int_equal (get_contract_ (f, "rodaforte")->bytes_per_second, 300);
 }
 
+/* Whatever the order of arrival, two processes must end with the same entry:
+   digests that differ for ever would make them synchronise for ever.  */
+static void
+deletion_wins_at_equal_revisions_ (void **state)
+{
+  struct fixture *f = *state;
+  struct fixture *g;
+  void *other = NULL;
+
+  setup_ (&other);
+  g = other;
+  assert_int_equal (put_contract_ (f, "rodaforte", 10, 100), RGY_OK);
+  assert_int_equal (delete_ (f, RGY_ENTRY_CONTRACT, "rodaforte", 10), RGY_OK);
+  assert_int_equal (delete_ (g, RGY_ENTRY_CONTRACT, "rodaforte", 10), RGY_OK);
+  assert_int_equal (put_contract_ (g, "rodaforte", 10, 100), RGY_ERR_STALE);
+  assert_int_equal (rgy_blackboard_get_config_digest (f->bb),
+                    rgy_blackboard_get_config_digest (g->bb));
+  assert_null (get_contract_ (f, "rodaforte"));
+  assert_null (get_contract_ (g, "rodaforte"));
+  teardown_ (&other);
+}
+
 /* A process may learn of the deletion before it has seen the contract.  */
 static void
 deletion_of_an_unknown_contract_is_kept_ (void **state)
@@ -490,6 +533,7 @@
     TEST (invalid_entry_changes_nothing_),
     TEST (older_entry_changes_nothing_),
     TEST (deleted_contract_does_not_come_back_),
+    TEST (deletion_wins_at_equal_revisions_),
     TEST (deletion_of_an_unknown_contract_is_kept_),
     TEST (agent_that_changes_service_leaves_its_group_),
     TEST (group_follows_its_records_),
--- a/src/test_wire/test_wire.c
+++ b/src/test_wire/test_wire.c
@@ -647,10 +647,9 @@
       }
 }
 
-/* An array header may claim 2^32 - 1 elements in 5 bytes; its memory must not
-   be allocated before the elements are there.  */
+/* An array header may claim 2^32 - 1 elements in 5 bytes.  */
 static void
-claimed_length_allocates_nothing_ (void **state)
+claimed_length_without_elements_is_refused_ (void **state)
 {
   static const uint8_t body[] = { 0xdd, 0xff, 0xff, 0xff, 0xff };
   struct fixture *f = *state;
@@ -751,7 +750,7 @@
     TEST (cut_datagram_is_refused_),
     TEST (trailing_bytes_are_refused_),
     TEST (too_long_array_is_refused_),
-    TEST (claimed_length_allocates_nothing_),
+    TEST (claimed_length_without_elements_is_refused_),
     TEST (unknown_kind_is_unsupported_),
     TEST (body_without_a_kind_is_refused_),
     TEST (appended_elements_are_ignored_),
