--- a/src/libragwortyoke/agent_handover.c
+++ b/src/libragwortyoke/agent_handover.c
@@ -159,11 +159,13 @@
   struct rgy_customer_usage *usage;
   struct rgy_flow *flow;
 
+  /* A flow that was taken before is accepted again whatever the state, or
+     both agents would hold it.  */
+  if (rgy_flow_table_find (a->flows, &state->key) != NULL)
+    return true;
   if (a->self.state != RGY_MEMBER_READY || a->out
       || !rgy_endpoint_equal (state->key.u.udp.service, a->settings.service))
     return false;
-  if (rgy_flow_table_find (a->flows, &state->key) != NULL)
-    return true;
   if (rgy_flow_table_get_count (a->flows) >= a->settings.connections
       || rgy_flow_table_open (a->flows, &state->key, a->now_us, &flow)
              != RGY_OK)
