Keep a roll-up of each failure domain's balancers in the store

Seeds from settings go stale as instances are replaced. Readers write the addresses of up to 8 balancers of their failure domain when they change; an agent that no balancer has acknowledged for 5 s reads them, at most every 30 s plus jitter. The calls to the store and its state are counters now. The store writes of a balancer moved to a file of their own.

--- a/include/ragwortyoke/action.h
+++ b/include/ragwortyoke/action.h
@@ -19,6 +19,7 @@
                             to the fabric.  */
   RGY_ACTION_SYNC,       /**< Start a synchronisation with @c to.  */
   RGY_ACTION_STORE,      /**< Write a key to the key-value service.  */
+  RGY_ACTION_READ_STORE, /**< Read the store once, for its roll-ups.  */
   RGY_ACTION_LOG,        /**< Log one change of state.  */
   RGY_ACTION_EXIT        /**< Graceful shutdown is complete.  */
 };
@@ -67,6 +68,7 @@
 void rgy_actions_sync (struct rgy_actions *actions, struct rgy_endpoint peer);
 void rgy_actions_store (struct rgy_actions *actions, struct rgy_str key,
                         struct rgy_bytes value);
+void rgy_actions_read_store (struct rgy_actions *actions);
 void rgy_actions_log (struct rgy_actions *actions, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
 void rgy_actions_exit (struct rgy_actions *actions);
--- a/include/ragwortyoke/agent.h
+++ b/include/ragwortyoke/agent.h
@@ -65,6 +65,8 @@
 /** Call every 50 ms.  */
 void rgy_agent_tick (struct rgy_agent *agent, int64_t now_us,
                      struct rgy_actions *actions);
+/** A roll-up that the store holds; its balancers become seeds.  */
+void rgy_agent_note_rollup (struct rgy_agent *agent, struct rgy_str json);
 /** Begin a graceful shutdown.  */
 void rgy_agent_start_drain (struct rgy_agent *agent, int64_t now_us,
                             struct rgy_actions *actions);
--- a/include/ragwortyoke/balancer.h
+++ b/include/ragwortyoke/balancer.h
@@ -62,6 +62,10 @@
 enum rgy_outcome rgy_balancer_from_store (struct rgy_balancer *balancer,
                                           const struct rgy_entry *entry,
                                           struct rgy_actions *actions);
+/** A roll-up that the store holds; its balancers become seeds.  */
+void rgy_balancer_note_rollup (struct rgy_balancer *balancer,
+                               const struct rgy_name *domain,
+                               struct rgy_str json);
 /** An order given directly by an operator.
     @return RGY_OK, RGY_ERR_STALE or RGY_ERR_INVALID.  */
 enum rgy_outcome rgy_balancer_from_operator (struct rgy_balancer *balancer,
--- a/include/ragwortyoke/blackboard.h
+++ b/include/ragwortyoke/blackboard.h
@@ -54,9 +54,8 @@
 
 /** As rgy_blackboard_apply(), but the change is not gossiped: the other
     balancers hold it already.  */
-enum rgy_outcome
-rgy_blackboard_apply_unqueued (struct rgy_blackboard *bb,
-                               const struct rgy_entry *entry);
+enum rgy_outcome rgy_blackboard_apply_unqueued (struct rgy_blackboard *bb,
+                                                const struct rgy_entry *entry);
 
 /** Put one's own record on the blackboard.  */
 void rgy_blackboard_apply_agent (struct rgy_blackboard *bb,
--- /dev/null
+++ b/include/ragwortyoke/rollup.h
@@ -0,0 +1,39 @@
+#ifndef RAGWORTYOKE_ROLLUP_H
+#define RAGWORTYOKE_ROLLUP_H
+
+/**
+ * @file
+ * Roll-up of a failure domain's balancers in the key-value service, from
+ * which a process that knows no live balancer finds one.
+ */
+
+#include <stddef.h>
+
+#include "ragwortyoke/address.h"
+#include "ragwortyoke/outcome.h"
+#include "ragwortyoke/str.h"
+
+/** Most balancers in a roll-up.  */
+#define RGY_ROLLUP_MAX 8
+
+struct rgy_rollup
+{
+  struct rgy_endpoint balancers[RGY_ROLLUP_MAX];
+  size_t count;
+};
+
+/** JSON form {"balancers":["A.B.C.D:PORT",...]}; free with g_free().  */
+char *rgy_rollup_format (const struct rgy_rollup *rollup);
+
+/** @return RGY_OK or RGY_ERR_INVALID; endpoints past the most are
+    ignored.  */
+enum rgy_outcome rgy_rollup_parse (struct rgy_str json,
+                                   struct rgy_rollup *rollup);
+
+/** Add the endpoints of a roll-up that are not yet among @p seeds; the oldest
+    ones give way when there is no room.  */
+void rgy_rollup_add_seeds (const struct rgy_rollup *rollup,
+                           struct rgy_endpoint *seeds, size_t *count,
+                           size_t max);
+
+#endif
--- a/src/libragwortyoke/action.c
+++ b/src/libragwortyoke/action.c
@@ -91,6 +91,7 @@
       action.u.text = (struct rgy_str){ .data = (const char *)data.data,
                                         .len = data.len };
       break;
+    case RGY_ACTION_READ_STORE:
     case RGY_ACTION_EXIT:
       break;
     }
@@ -161,6 +162,13 @@
       += value.len;
 }
 
+void
+rgy_actions_read_store (struct rgy_actions *actions)
+{
+  append_ (actions, (struct record_){ .kind = RGY_ACTION_READ_STORE },
+           (struct rgy_bytes){ 0 });
+}
+
 void
 rgy_actions_log (struct rgy_actions *actions, const char *format, ...)
 {
--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -338,6 +338,30 @@
   g_free (names);
 }
 
+void
+rgy_agent_note_rollup (struct rgy_agent *a, struct rgy_str json)
+{
+  struct rgy_rollup rollup;
+
+  if (rgy_rollup_parse (json, &rollup) == RGY_OK)
+    rgy_rollup_add_seeds (&rollup, a->settings.seeds, &a->settings.seed_count,
+                          RGY_AGENT_MAX_SEEDS);
+}
+
+static void
+look_for_balancers_ (struct rgy_agent *a)
+{
+  if (a->last_ack_us == 0)
+    a->last_ack_us = a->now_us;
+  if (a->now_us - a->last_ack_us < RGY_LOST_BALANCERS_US
+      || a->now_us < a->next_store_read_us)
+    return;
+  a->next_store_read_us
+      = a->now_us + RGY_STORE_READ_INTERVAL_US
+        + g_rand_int_range (a->random, 0, (gint32)RGY_STORE_READ_INTERVAL_US);
+  rgy_actions_read_store (a->actions);
+}
+
 /* Own record.  */
 
 static void
@@ -457,6 +481,7 @@
   for (i = 0; i < m->sample_count; i++)
     learn_balancer_ (a, &m->sample[i]);
   k = g_hash_table_lookup (a->balancers, &m->balancer);
+  a->last_ack_us = a->now_us;
   if (k != NULL)
     {
       k->last_ack_us = a->now_us;
@@ -805,6 +830,7 @@
     {
       a->next_heartbeat_us = now_us + RGY_HEARTBEAT_INTERVAL_US;
       send_heartbeats_ (a);
+      look_for_balancers_ (a);
     }
   *a->c.flows = rgy_flow_table_get_count (a->flows);
   *a->c.limit = rgy_admission_get_limit (admission);
--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -124,6 +124,7 @@
 {
   if (b == NULL)
     return;
+  g_free (b->stored_rollup);
   g_hash_table_unref (b->stored_orders);
   g_ptr_array_unref (b->fresh);
   g_hash_table_unref (b->lagging);
@@ -707,77 +708,6 @@
   b->eager = true;
 }
 
-/* Store.  */
-
-bool
-rgy_balancer_is_reader (const struct rgy_balancer *b)
-{
-  size_t max = g_hash_table_size (b->bb->balancers);
-  struct rgy_name *names = g_new (struct rgy_name, max + 1);
-  size_t chosen[RGY_READER_COUNT];
-  size_t n = rgy_balancer_list_others (b, names, max);
-  size_t kept = 0;
-  size_t count;
-  size_t i;
-  bool reader = false;
-
-  for (i = 0; i < n; i++)
-    if (rgy_name_equal (
-            &rgy_blackboard_get_balancer (b->bb, &names[i])->domain,
-            &b->settings.domain))
-      names[kept++] = names[i];
-  names[kept++] = b->settings.id;
-  count = rgy_member_choose (&b->settings.domain, names, kept,
-                             RGY_READER_COUNT, chosen);
-  for (i = 0; i < count; i++)
-    reader |= rgy_name_equal (&names[chosen[i]], &b->settings.id);
-  g_free (names);
-  return reader;
-}
-
-/* Writes domain orders that reached the balancers directly, during a store
-   outage, into the store.  */
-static void
-store_order_ (const struct rgy_domain_order *order, void *ctx)
-{
-  struct
-  {
-    struct rgy_balancer *b;
-    struct rgy_actions *actions;
-  } *c = ctx;
-  const uint64_t *stored
-      = g_hash_table_lookup (c->b->stored_orders, &order->domain);
-  char *json;
-  char *key;
-
-  if (stored != NULL && *stored >= order->number)
-    return;
-  json = rgy_domain_order_format (order);
-  key = g_strdup_printf ("domains/%s", order->domain.data);
-  rgy_actions_store (c->actions, rgy_str_from_c (key),
-                     (struct rgy_bytes){ .data = (const uint8_t *)json,
-                                         .len = strlen (json) });
-  g_free (key);
-  g_free (json);
-}
-
-static void
-reconcile_store_ (struct rgy_balancer *b, int64_t now_us,
-                  struct rgy_actions *actions)
-{
-  struct
-  {
-    struct rgy_balancer *b;
-    struct rgy_actions *actions;
-  } ctx = { .b = b, .actions = actions };
-
-  if (now_us < b->next_store_us)
-    return;
-  b->next_store_us = now_us + RGY_STORE_INTERVAL_US;
-  if (rgy_balancer_is_reader (b))
-    rgy_domain_set_foreach (b->bb->domains, store_order_, &ctx);
-}
-
 /* Time.  */
 
 static void
@@ -803,7 +733,7 @@
   rgy_balancer_push_fresh (b, actions);
   gossip_tick_ (b, now_us, actions);
   rejoin_tick_ (b, now_us, actions);
-  reconcile_store_ (b, now_us, actions);
+  rgy_balancer_store_tick (b, now_us, actions);
   drain_tick_ (b, now_us, actions);
   *b->c.agents = g_hash_table_size (b->bb->agents);
   *b->c.balancers = g_hash_table_size (b->bb->balancers);
--- a/src/libragwortyoke/include/private/agent_private.h
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -13,6 +13,7 @@
 #include "ragwortyoke/handover.h"
 #include "ragwortyoke/health.h"
 #include "ragwortyoke/limit.h"
+#include "ragwortyoke/rollup.h"
 #include "ragwortyoke/steering.h"
 
 #define RGY_HEARTBEAT_INTERVAL_US INT64_C (1000000)
@@ -27,6 +28,12 @@
 #define RGY_SETTLE_TIMEOUT_US INT64_C (1000000)
 #define RGY_SYNC_RETRY_US INT64_C (1000000)
 #define RGY_HEARTBEAT_TARGETS 3
+/** An agent that no balancer acknowledges for this long looks for others in
+    the store.  */
+#define RGY_LOST_BALANCERS_US INT64_C (5000000)
+/** Between such reads, plus up to as much as jitter: the whole fleet may look
+    at once.  */
+#define RGY_STORE_READ_INTERVAL_US INT64_C (30000000)
 #define RGY_MAX_TRANSFERS 200
 /** Observations that a ready agent hands over a second.  */
 #define RGY_REBALANCE_PER_SECOND 20
@@ -133,6 +140,8 @@
   int64_t next_sync_us;
   int64_t next_rebalance_us;
   int64_t ready_since_us;
+  int64_t last_ack_us; /**< Of any balancer.  */
+  int64_t next_store_read_us;
   int64_t last_digest_match_us;
   bool synced;
   bool out; /**< The own failure domain is out of service.  */
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -8,6 +8,7 @@
 
 #include "ragwortyoke/balancer.h"
 #include "ragwortyoke/limit.h"
+#include "ragwortyoke/rollup.h"
 #include "ragwortyoke/steering.h"
 
 #define RGY_GOSSIP_INTERVAL_US INT64_C (200000)
@@ -90,7 +91,8 @@
   uint64_t monitored_agent_changes;
   uint64_t monitored_balancer_changes;
 
-  GPtrArray *fresh; /**< Owned entries to push to monitored agents.  */
+  GPtrArray *fresh;    /**< Owned entries to push to monitored agents.  */
+  char *stored_rollup; /**< Of the own failure domain, as last seen.  */
   GHashTable *stored_orders; /**< Domain to the order number in the store. */
 
   int64_t next_gossip_us;
@@ -137,6 +139,10 @@
 void rgy_balancer_push_fresh (struct rgy_balancer *b,
                               struct rgy_actions *actions);
 
+/* balancer_store.c */
+void rgy_balancer_store_tick (struct rgy_balancer *b, int64_t now_us,
+                              struct rgy_actions *actions);
+
 /* balancer_packet.c */
 void rgy_balancer_handle_answer (struct rgy_balancer *b,
                                  const struct rgy_answer_message *m,
--- a/src/ragwortyoked/agent_main.c
+++ b/src/ragwortyoked/agent_main.c
@@ -111,6 +111,9 @@
     case RGY_ACTION_LOG:
       rgy_log_info ("%.*s", (int)action->u.text.len, action->u.text.data);
       break;
+    case RGY_ACTION_READ_STORE:
+      rgy_store_client_read (a->d.store);
+      break;
     case RGY_ACTION_EXIT:
       rgy_daemon_exit (&a->d);
       break;
@@ -162,8 +165,13 @@
 static void
 on_store_event_ (const struct rgy_store_event *event, void *ctx)
 {
-  (void)event;
-  (void)ctx;
+  struct agent_daemon_ *a = ctx;
+  struct rgy_name domain;
+
+  if (rgy_daemon_get_rollup_domain (event, &domain))
+    rgy_agent_note_rollup (
+        a->core, (struct rgy_str){ .data = (const char *)event->value.data,
+                                   .len = event->value.len });
 }
 
 static void
--- a/src/ragwortyoked/balancer_main.c
+++ b/src/ragwortyoked/balancer_main.c
@@ -32,7 +32,7 @@
 {
   (void)ctx;
   if (outcome != RGY_OK && outcome != RGY_ERR_CONFLICT)
-    rgy_log_warning ("store: domain order not written: %s",
+    rgy_log_warning ("store: key not written: %s",
                      rgy_outcome_string[outcome]);
 }
 
@@ -76,6 +76,7 @@
     case RGY_ACTION_EXIT:
       rgy_daemon_exit (&b->d);
       break;
+    case RGY_ACTION_READ_STORE:
     case RGY_ACTION_DELIVER:
     case RGY_ACTION_CLOSE_FLOW:
       break;
@@ -146,7 +147,13 @@
 {
   struct balancer_daemon_ *b = ctx;
   struct rgy_entry entry;
+  struct rgy_name domain;
 
+  if (rgy_daemon_get_rollup_domain (event, &domain))
+    rgy_balancer_note_rollup (
+        b->core, &domain,
+        (struct rgy_str){ .data = (const char *)event->value.data,
+                          .len = event->value.len });
   if (rgy_store_event_to_entry (event, &entry) != RGY_OK)
     return;
   rgy_balancer_from_store (b->core, &entry, b->d.actions);
--- a/src/ragwortyoked/daemon.c
+++ b/src/ragwortyoked/daemon.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <signal.h>
 #include <sodium.h>
+#include <string.h>
 
 static void
 monotonic_now_ (void *ctx, struct timespec *ts)
@@ -40,6 +41,11 @@
   d->counters = rgy_counters_new ();
   d->send_failed = rgy_counters_add (d->counters, "send_failed_total", NULL,
                                      "Datagrams that could not be sent.");
+  d->store_calls = rgy_counters_add (d->counters, "store_calls_total", NULL,
+                                     "Calls to the key-value service.");
+  d->store_up = rgy_counters_add_gauge (
+      d->counters, "store_up", NULL,
+      "1 while the key-value service answers and is accepted.");
   d->actions = rgy_actions_new ();
   uv_timer_init (&d->loop, &d->timer);
   d->timer.data = d;
@@ -90,6 +96,21 @@
   return rgy_clock_now_us (&d->clock);
 }
 
+bool
+rgy_daemon_get_rollup_domain (const struct rgy_store_event *event,
+                              struct rgy_name *domain)
+{
+  static const char prefix[] = RGY_STORE_PREFIX "balancers/";
+  const size_t len = sizeof prefix - 1;
+
+  return !event->deleted && event->key.len > len
+         && memcmp (event->key.data, prefix, len) == 0
+         && rgy_name_set (domain,
+                          (struct rgy_str){ .data = event->key.data + len,
+                                            .len = event->key.len - len })
+                == RGY_OK;
+}
+
 void
 rgy_daemon_send (struct rgy_daemon *d, struct rgy_udp *udp,
                  struct rgy_endpoint to, struct rgy_bytes data)
@@ -122,6 +143,8 @@
 {
   if (g_str_equal (request->path, "/metrics"))
     {
+      *d->store_calls = rgy_store_client_get_calls (d->store);
+      *d->store_up = rgy_store_client_get_state (d->store) == RGY_STORE_UP;
       response->status = 200;
       response->content_type = "text/plain; version=0.0.4";
       response->body = rgy_counters_format (d->counters);
--- a/src/ragwortyoked/daemon.h
+++ b/src/ragwortyoked/daemon.h
@@ -31,6 +31,8 @@
   struct rgy_clock clock;
   struct rgy_counters *counters;
   uint64_t *send_failed;
+  uint64_t *store_calls;
+  uint64_t *store_up;
   struct rgy_actions *actions;
   struct rgy_udp *internal;
   struct rgy_http *http;
@@ -55,6 +57,10 @@
 void rgy_daemon_exit (struct rgy_daemon *daemon);
 
 int64_t rgy_daemon_now_us (struct rgy_daemon *daemon);
+/** Failure domain of a roll-up's event.
+    @return false for another kind of event.  */
+bool rgy_daemon_get_rollup_domain (const struct rgy_store_event *event,
+                                   struct rgy_name *domain);
 void rgy_daemon_send (struct rgy_daemon *daemon, struct rgy_udp *udp,
                       struct rgy_endpoint to, struct rgy_bytes data);
 
--- a/tests/harness/harness.c
+++ b/tests/harness/harness.c
@@ -301,6 +301,7 @@
       h_trace (h, "%s: exit", node->id.data);
       break;
     case RGY_ACTION_STORE:
+    case RGY_ACTION_READ_STORE:
     case RGY_ACTION_CLOSE_FLOW:
       break;
     }
