Read the load endpoint of the backend server

It may lag or mislead, so it only lowers the ceiling of admission, and what the agent itself had running in the last two intervals is not taken for the load of others. Probes moved to a file of their own.

--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the Debian packages that the build and the tests need.
 set -euo pipefail
-packages=(gcc cmake ninja-build pkg-config clang-format clang-tidy clang
+packages=(gcc libc6-dev cmake ninja-build pkg-config clang-format clang-tidy clang
           libuv1-dev libzmq3-dev libcmocka-dev libglib2.0-dev libcoap3-dev
           curl libcurl4-openssl-dev libmicrohttpd-dev libmsgpack-dev
           libjansson-dev libxxhash-dev libsodium-dev)
--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -728,30 +728,6 @@
 
 /* Time.  */
 
-static void
-probe_backend_ (struct rgy_agent *a)
-{
-  uint16_t id;
-  uint8_t ping[4] = { 0x40, 0, 0, 0 };
-
-  if (!rgy_agent_serves_requests (a))
-    return;
-  if (rgy_health_tick (a->health, a->now_us) == RGY_HEALTH_FAILED)
-    {
-      rgy_admission_set_cold (rgy_request_engine_get_admission (a->engine),
-                              RGY_COLD_PROBE, a->now_us);
-      rgy_actions_log (a->actions, "backend server: unhealthy");
-    }
-  rgy_admission_set_ceiling (rgy_request_engine_get_admission (a->engine),
-                             rgy_health_get_ceiling (a->health, a->now_us));
-  if (!rgy_health_probe_due (a->health, a->now_us, &id))
-    return;
-  ping[2] = (uint8_t)(id >> 8);
-  ping[3] = (uint8_t)id;
-  rgy_actions_deliver (a->actions, RGY_PROBE_FLOW_ID,
-                       (struct rgy_bytes){ .data = ping, .len = sizeof ping });
-}
-
 static void
 expire_flows_ (struct rgy_agent *a)
 {
@@ -820,7 +796,7 @@
   update_group_ (a);
   settle_tick_ (a);
   peer_state_tick_ (a);
-  probe_backend_ (a);
+  rgy_agent_probe_tick (a);
   rgy_request_engine_tick (a->engine, now_us, actions);
   expire_flows_ (a);
   rgy_agent_handover_tick (a);
--- a/src/libragwortyoke/agent_packet.c
+++ b/src/libragwortyoke/agent_packet.c
@@ -299,41 +299,25 @@
   rgy_actions_send (a->actions, balancer, rgy_wire_encode (a->wire, &m));
 }
 
-static void
-note_health_ (struct rgy_agent *a, enum rgy_health_change change)
-{
-  struct rgy_admission *admission
-      = rgy_request_engine_get_admission (a->engine);
-
-  if (change == RGY_HEALTH_UNCHANGED)
-    return;
-  rgy_admission_set_cold (admission, RGY_COLD_PROBE, a->now_us);
-  rgy_actions_log (a->actions, "backend server: %s",
-                   change == RGY_HEALTH_FAILED ? "unhealthy" : "healthy");
-}
-
 void
 rgy_agent_from_backend (struct rgy_agent *a, uint64_t flow_id,
                         struct rgy_bytes datagram, int64_t now_us,
                         struct rgy_actions *actions)
 {
   struct rgy_flow *flow;
-  struct rgy_coap_view view;
 
   a->now_us = now_us;
   a->actions = actions;
   if (flow_id == RGY_PROBE_FLOW_ID)
     {
-      if (rgy_coap_parse (datagram, &view) == RGY_OK)
-        note_health_ (
-            a, rgy_health_note_answer (a->health, view.message_id, now_us));
+      rgy_agent_handle_probe_answer (a, datagram);
       return;
     }
   flow = rgy_flow_table_find_id (a->flows, flow_id);
   if (flow == NULL || a->out)
     return;
   rgy_flow_table_touch (a->flows, flow, now_us);
-  note_health_ (a, rgy_health_note_work (a->health, now_us));
+  rgy_agent_note_health (a, rgy_health_note_work (a->health, now_us));
   if (rgy_agent_serves_requests (a))
     rgy_request_engine_from_backend (a->engine, flow, datagram, now_us,
                                      actions);
@@ -350,7 +334,7 @@
 
   a->now_us = now_us;
   a->actions = actions;
-  note_health_ (a, rgy_health_note_refused (a->health, now_us));
+  rgy_agent_note_health (a, rgy_health_note_refused (a->health, now_us));
   rgy_admission_set_cold (rgy_request_engine_get_admission (a->engine),
                           RGY_COLD_REFUSED, now_us);
   flow = rgy_flow_table_find_id (a->flows, flow_id);
--- a/src/libragwortyoke/include/private/agent_private.h
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -140,7 +140,10 @@
   int64_t next_sync_us;
   int64_t next_rebalance_us;
   int64_t ready_since_us;
-  int64_t last_ack_us; /**< Of any balancer.  */
+  int64_t next_load_us;
+  uint16_t load_id;
+  unsigned running_peak[2]; /**< Of this and of the last interval.  */
+  int64_t last_ack_us;      /**< Of any balancer.  */
   int64_t next_store_read_us;
   int64_t last_digest_match_us;
   bool synced;
@@ -170,6 +173,13 @@
 /** Close a flow and everything that belongs to it.  */
 void rgy_agent_close_flow (struct rgy_agent *a, struct rgy_flow *flow);
 
+/* agent_probe.c */
+void rgy_agent_probe_tick (struct rgy_agent *a);
+void rgy_agent_handle_probe_answer (struct rgy_agent *a,
+                                    struct rgy_bytes datagram);
+void rgy_agent_note_health (struct rgy_agent *a,
+                            enum rgy_health_change change);
+
 /* agent_usage.c */
 struct rgy_customer_usage *
 rgy_agent_get_usage (struct rgy_agent *a, const struct rgy_name *customer);
--- a/tests/harness/backend.c
+++ b/tests/harness/backend.c
@@ -131,6 +131,19 @@
   return payload.len > len && memcmp (payload.data, text, len) == 0;
 }
 
+static void
+answer_load_ (struct harness *h, struct node *node,
+              const struct rgy_coap_view *view)
+{
+  char text[64];
+
+  g_snprintf (text, sizeof text, "{\"running\":%u,\"slots\":%u}",
+              node->backend.running, node->backend.slots);
+  answer_ (
+      h, node, RGY_PROBE_FLOW_ID,
+      build_answer_ (view, RGY_COAP_CODE (2, 5), NULL, text_bytes_ (text)));
+}
+
 void
 backend_receive (struct harness *h, struct node *node, uint64_t flow_id,
                  struct rgy_bytes datagram)
@@ -166,6 +179,11 @@
     case RGY_MESSAGE_NON_IDEMPOTENT:
       break;
     }
+  if (flow_id == RGY_PROBE_FLOW_ID)
+    {
+      answer_load_ (h, node, &view);
+      return;
+    }
   if (!is_for_service_ (node, view.payload))
     b->wrong_service++;
   key = message_key_ (node, flow_id, view.message_id);
