Confirm a change only when the agents have reported it

Cause: a balancer published the new digest as soon as it had the change, with the agents that lagged before it. An agent that had missed the change was listed only after its next heartbeat, up to 1 s later; until then ctl could read "confirmed". Every change also published each balancer's record three times: new digest, lagging agents, none.

Change: a change marks all monitored agents as lagging until a heartbeat shows the new digest, and the record is published when none lags, or after 1.5 s with those that do. An agent sends a heartbeat at once after a change.

Conclusion: a confirmation is now true, and one change costs one record of every balancer.

--- a/benchmarks/bench_control.c
+++ b/benchmarks/bench_control.c
@@ -233,24 +233,6 @@
   print_memory_ (f);
 }
 
-static bool
-is_confirmed_ (struct fleet *f, unsigned customer, uint64_t revision)
-{
-  char name[RGY_NAME_MAX_BYTES];
-  struct rgy_name key;
-  char *json;
-  bool confirmed;
-
-  g_snprintf (name, sizeof name, "customer-%04u", customer);
-  key = rgy_name_from_c (name);
-  json = rgy_balancer_format_confirm (
-      fleet_get_balancer (f, fleet_get_balancer_count (f) - 1)->core, &key,
-      false, revision);
-  confirmed = strstr (json, "\"confirmed\":true") != NULL;
-  g_free (json);
-  return confirmed;
-}
-
 static void
 phase_contract_ (struct fleet *f, unsigned agents, unsigned customer,
                  size_t min_bytes, const char *what)
@@ -289,7 +271,7 @@
             agents_us = at_us;
         }
       if (confirmed_us < 0 && at_us % CONFIRM_STEP_US == 0
-          && is_confirmed_ (f, customer, revision))
+          && fleet_is_confirmed (f, n - 1, customer, revision))
         confirmed_us = at_us;
     }
   printf ("%s: known by all balancers after %" PRId64
--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -73,13 +73,12 @@
                                         "reason=\"hop-limit\"", dropped),
     .drop_not_held = rgy_counters_add (c, "agent_dropped_total",
                                        "reason=\"not-held\"", dropped),
-    .refused_limit = rgy_counters_add (
-        c, "agent_refused_total", "reason=\"contract-limit\"", refused),
+    .refused_limit = rgy_counters_add (c, "agent_refused_total",
+                                       "reason=\"contract-limit\"", refused),
     .refused_overload = rgy_counters_add (c, "agent_refused_total",
                                           "reason=\"overload\"", refused),
-    .refused_out
-    = rgy_counters_add (c, "agent_refused_total",
-                        "reason=\"failure-domain-out\"", refused),
+    .refused_out = rgy_counters_add (c, "agent_refused_total",
+                                     "reason=\"failure-domain-out\"", refused),
     .refused_draining = rgy_counters_add (c, "agent_refused_total",
                                           "reason=\"draining\"", refused),
     .view_mismatch
@@ -141,18 +140,18 @@
   a->random = g_rand_new_with_seed_array (
       (const guint32 *)&a->settings.random_seed,
       sizeof a->settings.random_seed / sizeof (guint32));
-  a->flows = rgy_flow_table_new (settings->connections,
-                                 settings->idle_timeout_us);
-  a->steering = rgy_steering_new (&settings->id,
-                                  rgy_service_seed (settings->service));
+  a->flows
+      = rgy_flow_table_new (settings->connections, settings->idle_timeout_us);
+  a->steering
+      = rgy_steering_new (&settings->id, rgy_service_seed (settings->service));
   rgy_steering_set_chain_enabled (a->steering, !settings->without_chain);
   a->engine = new_engine_ (settings, counters);
   rgy_request_engine_set_hooks (a->engine, &hooks);
   a->health = rgy_health_new (&rgy_health_defaults, settings->slots);
   a->drain = rgy_drain_new (settings->drain_timeout_us, RGY_LINGER_US);
   a->transfers = rgy_transfers_new ();
-  a->balancers = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, NULL,
-                                        g_free);
+  a->balancers
+      = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, NULL, g_free);
   a->usage = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free,
                                     rgy_agent_usage_free);
   a->peers = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free,
@@ -213,8 +212,8 @@
 {
   const struct rgy_contract_service *service = NULL;
 
-  if (rgy_contract_set_match (a->bb->contracts, caller_ip,
-                              a->settings.service, contract, &service)
+  if (rgy_contract_set_match (a->bb->contracts, caller_ip, a->settings.service,
+                              contract, &service)
       != RGY_OK)
     return NULL;
   return service;
@@ -420,7 +419,11 @@
       || rgy_blackboard_apply (a->bb, entry) != RGY_OK)
     return;
   if (entry->class == RGY_ENTRY_CONTRACT || entry->class == RGY_ENTRY_DOMAIN)
-    ++*a->c.config_changes;
+    {
+      ++*a->c.config_changes;
+      /* The balancers wait for the new digest.  */
+      a->next_heartbeat_us = 0;
+    }
   if (entry->class == RGY_ENTRY_CONTRACT)
     rgy_agent_prepare_usage (a);
   if (entry->class == RGY_ENTRY_DOMAIN)
@@ -492,8 +495,8 @@
   p->from = a->settings.id;
   p->epoch = a->self.epoch;
   p->sequence = rgy_steering_get_sequence (a->steering);
-  rgy_steering_get_may_hold (a->steering,
-                             rgy_flow_table_get_held (a->flows), &p->may_hold);
+  rgy_steering_get_may_hold (a->steering, rgy_flow_table_get_held (a->flows),
+                             &p->may_hold);
   p->can_accept
       = a->self.state == RGY_MEMBER_READY && !a->out
         && rgy_admission_get_queued (admission) == 0
@@ -592,8 +595,7 @@
 static void
 publish_held_ (struct rgy_agent *a)
 {
-  if (rgy_steering_set_held (a->steering,
-                             rgy_flow_table_get_held (a->flows)))
+  if (rgy_steering_set_held (a->steering, rgy_flow_table_get_held (a->flows)))
     peer_state_tick_ (a);
 }
 
--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -247,7 +247,7 @@
   if (entry->class == RGY_ENTRY_CONTRACT || entry->class == RGY_ENTRY_DOMAIN)
     {
       ++*b->c.config_changes;
-      b->record_changed = true;
+      b->config_changed = true;
     }
 }
 
@@ -687,9 +687,34 @@
     b->self.lagging[n] = (struct rgy_name){ 0 };
 }
 
+/* The new digest is published together with the agents that lack the change,
+   or a moment later without any: one publication for each change instead of
+   three, and none that says too early that all agents have it.  */
+static void
+follow_config_ (struct rgy_balancer *b, int64_t now_us)
+{
+  guint lagging;
+
+  if (b->config_changed)
+    {
+      b->config_changed = false;
+      b->confirm_until_us = now_us + RGY_CONFIRM_WAIT_US;
+      rgy_balancer_suspect_lag (b);
+    }
+  lagging = g_hash_table_size (b->lagging);
+  if (b->confirm_until_us == 0
+      || (now_us < b->confirm_until_us && lagging > 0))
+    return;
+  b->confirm_until_us = 0;
+  if (lagging > 0 || lagging != b->self.lagging_count
+      || b->self.config_digest != rgy_blackboard_get_config_digest (b->bb))
+    b->record_changed = true;
+}
+
 static void
 publish_record_ (struct rgy_balancer *b, int64_t now_us)
 {
+  follow_config_ (b, now_us);
   if (now_us >= b->next_demand_us && g_hash_table_size (b->limits) > 0)
     {
       b->next_demand_us = now_us + RGY_DEMAND_INTERVAL_US;
--- a/src/libragwortyoke/balancer_monitor.c
+++ b/src/libragwortyoke/balancer_monitor.c
@@ -352,7 +352,8 @@
 }
 
 static void
-note_digests_ (struct rgy_balancer *b, const struct rgy_heartbeat_message *m)
+note_digests_ (struct rgy_balancer *b, const struct rgy_heartbeat_message *m,
+               int64_t now_us)
 {
   const struct rgy_name *id = &m->record.id;
   bool lags
@@ -367,7 +368,21 @@
     g_hash_table_add (b->lagging, g_memdup2 (id, sizeof *id));
   else
     g_hash_table_remove (b->lagging, id);
-  b->record_changed = true;
+  /* An agent may also be ahead: the change has reached it first.  */
+  if (b->confirm_until_us == 0)
+    b->confirm_until_us = now_us + RGY_CONFIRM_WAIT_US;
+}
+
+void
+rgy_balancer_suspect_lag (struct rgy_balancer *b)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, b->bb->agents);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (rgy_liveness_is_watched (b->agents_liveness, key))
+      g_hash_table_add (b->lagging, g_memdup2 (key, sizeof (struct rgy_name)));
 }
 
 static void
@@ -399,7 +414,7 @@
   if (rgy_liveness_is_watched (b->agents_liveness, &m->record.id))
     {
       rgy_liveness_heard (b->agents_liveness, &m->record.id, now_us);
-      note_digests_ (b, m);
+      note_digests_ (b, m, now_us);
     }
   known = rgy_blackboard_get_agent (b->bb, &m->record.id);
   ack->kind = RGY_MSG_HEARTBEAT_ACK;
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -23,6 +23,9 @@
 #define RGY_STORE_INTERVAL_US INT64_C (2000000)
 /** Balancers that monitor one member.  */
 #define RGY_MONITOR_COUNT 3
+/** Time for the monitored agents to report a change before those that have
+    not are published; longer than a heartbeat interval.  */
+#define RGY_CONFIRM_WAIT_US INT64_C (1500000)
 /** One of so many acknowledgements to an agent carries a sample; at three a
     second the agent gets one every 5 s.  */
 #define RGY_SAMPLE_PERIOD 16
@@ -103,7 +106,9 @@
   int64_t digest_differs_since_us; /**< 0 when digests agree.  */
   int64_t drain_until_us;          /**< 0 when not draining.  */
   bool eager;                      /**< Gossip soon: something is new.  */
+  int64_t confirm_until_us; /**< 0 when no digest waits to be published.  */
   bool record_changed;
+  bool config_changed;
   bool cut;
   bool joined;       /**< Has held the same entries as a peer.  */
   bool initial_pull; /**< The pull under way began before it had joined.  */
@@ -134,6 +139,8 @@
                                     const struct rgy_heartbeat_message *m,
                                     int64_t now_us,
                                     struct rgy_actions *actions);
+/** Counts every monitored agent as lagging until its next heartbeat.  */
+void rgy_balancer_suspect_lag (struct rgy_balancer *b);
 void rgy_balancer_push_fresh (struct rgy_balancer *b,
                               struct rgy_actions *actions);
 
--- a/src/test_gossip/test_gossip.c
+++ b/src/test_gossip/test_gossip.c
@@ -184,6 +184,63 @@
   fleet_delete (f);
 }
 
+/* Guards against a change that counts as confirmed while an agent lacks it:
+   balancers must not publish the new digest before they have heard of it from
+   the agents that they monitor.  */
+static void
+test_change_is_not_confirmed_without_an_agent_ (void **state)
+{
+  struct fleet_settings s = make_settings_ (4);
+  struct fleet *f = fleet_new (&s);
+  uint64_t revision;
+  unsigned agent;
+  unsigned i;
+
+  (void)state;
+  fleet_run (f, 20 * FLEET_S);
+  for (agent = 0; agent < s.agents; agent++)
+    {
+      fleet_get_agent (f, agent)->deaf = true;
+      revision = fleet_put_contract (f, 1, 0);
+      for (i = 0; i < 300; i++)
+        {
+          fleet_run (f, 10 * FLEET_MS);
+          assert_false (fleet_is_confirmed (f, 0, 1, revision));
+        }
+      fleet_get_agent (f, agent)->deaf = false;
+      fleet_run (f, 6 * FLEET_S);
+      assert_true (fleet_is_confirmed (f, 0, 1, revision));
+    }
+  fleet_delete (f);
+}
+
+/* Guards against several publications of every balancer's record for one
+   change: first with the new digest, then with agents that lag, then without
+   them.  */
+static void
+test_change_is_published_once_ (void **state)
+{
+  struct fleet_settings s = make_settings_ (12);
+  struct fleet *f;
+  uint64_t before = 0;
+  uint64_t after = 0;
+  unsigned i;
+
+  (void)state;
+  s.loss_percent = 0;
+  f = fleet_new (&s);
+  fleet_run (f, 20 * FLEET_S);
+  for (i = 0; i < 12; i++)
+    before += fleet_get_sequence (f, i);
+  fleet_put_contract (f, 1, 0);
+  fleet_run (f, 10 * FLEET_S);
+  for (i = 0; i < 12; i++)
+    after += fleet_get_sequence (f, i);
+  /* Sequences of a member are even.  */
+  assert_true (after - before <= 2 * (12 + 3));
+  fleet_delete (f);
+}
+
 int
 main (void)
 {
@@ -192,6 +249,8 @@
     cmocka_unit_test (test_partition_heals_),
     cmocka_unit_test (test_initial_pull_is_not_gossiped_),
     cmocka_unit_test (test_samples_are_rare_and_suffice_),
+    cmocka_unit_test (test_change_is_not_confirmed_without_an_agent_),
+    cmocka_unit_test (test_change_is_published_once_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/fleet/fleet.c
+++ b/tests/fleet/fleet.c
@@ -645,10 +645,13 @@
   struct rgy_bytes data = view_ (e->data);
   struct rgy_message *m = f->message;
   struct rgy_name self = a->record.id;
+  uint64_t digest = a->contract_digest;
   size_t i;
 
   count_ (&a->in, data);
-  if (rgy_wire_decode (f->wire, data, m) != RGY_OK)
+  if (rgy_wire_decode (f->wire, data, m) != RGY_OK
+      || (a->deaf
+          && (m->kind == RGY_MSG_ENTRIES || m->kind == RGY_MSG_SYNC_REPLY)))
     return;
   switch (m->kind)
     {
@@ -664,6 +667,8 @@
     case RGY_MSG_SYNC_REPLY:
       for (i = 0; i < m->u.entries.count; i++)
         note_entry_ (f, a, m->u.entries.entries[i]);
+      if (a->contract_digest != digest)
+        send_heartbeats_ (f, a);
       break;
     case RGY_MSG_PROBE:
       m->kind = RGY_MSG_PROBE_ACK;
@@ -833,6 +838,29 @@
   return a->contract_revisions[customer] >= revision;
 }
 
+bool
+fleet_is_confirmed (const struct fleet *f, unsigned balancer,
+                    unsigned customer, uint64_t revision)
+{
+  const struct fleet_balancer *b = f->balancers->pdata[balancer];
+  char *json = rgy_balancer_format_confirm (b->core, &f->customers[customer],
+                                            false, revision);
+  bool confirmed = strstr (json, "\"confirmed\":true") != NULL;
+
+  g_free (json);
+  return confirmed;
+}
+
+uint64_t
+fleet_get_sequence (const struct fleet *f, unsigned balancer)
+{
+  const struct fleet_balancer *b = f->balancers->pdata[balancer];
+
+  return rgy_blackboard_get_balancer (rgy_balancer_get_blackboard (b->core),
+                                      &b->id)
+      ->sequence;
+}
+
 bool
 fleet_balancer_has_agent (const struct fleet_balancer *b,
                           const struct fleet_agent *a)
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -71,6 +71,7 @@
   uint64_t *contract_hashes;
   uint64_t contract_digest;
   uint64_t domain_digest;
+  bool deaf;         /**< Gets no configuration.  */
   GHashTable *peers; /**< Name to highest sequence, from ENTRIES.  */
   int64_t next_sync_us;
   struct fleet_traffic in;
@@ -108,6 +109,12 @@
 bool fleet_agent_has_contract (const struct fleet *fleet,
                                const struct fleet_agent *a, unsigned customer,
                                uint64_t revision);
+/** What one balancer tells an operator who asks whether a contract is in force
+    everywhere.  */
+bool fleet_is_confirmed (const struct fleet *fleet, unsigned balancer,
+                         unsigned customer, uint64_t revision);
+/** Sequence of a balancer's own record.  */
+uint64_t fleet_get_sequence (const struct fleet *fleet, unsigned balancer);
 bool fleet_balancer_has_agent (const struct fleet_balancer *b,
                                const struct fleet_agent *a);
 /** True when the balancer holds every contract, agent and balancer.  */
