Announce entries that are too large for a gossip datagram

Cause: a contract above 1,000 bytes spread only by synchronisations, which need a difference of digests that lasts 1 s and reach one more peer a second.

Change: gossip carries the key and version of such an entry without its value; a balancer that lacks this version pulls it from the sender at once.

Conclusion: the time of a large contract, 6 s at most, no longer depends on chance.

--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -105,6 +105,8 @@
   b->lagging
       = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free, NULL);
   b->fresh = g_ptr_array_new_with_free_func (fresh_entry_free_);
+  b->announcements
+      = g_array_new (FALSE, FALSE, sizeof (struct rgy_announcement));
   b->stored_orders = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal,
                                             g_free, g_free);
   b->self = (struct rgy_balancer_record){ .id = settings->id,
@@ -125,6 +127,7 @@
   if (b == NULL)
     return;
   g_hash_table_unref (b->stored_orders);
+  g_array_unref (b->announcements);
   g_ptr_array_unref (b->fresh);
   g_hash_table_unref (b->lagging);
   rgy_liveness_delete (b->balancers_liveness);
@@ -177,6 +180,39 @@
 
 /* Entries.  */
 
+/* Room left in a datagram after tag, names and digests.  */
+#define GOSSIP_ENTRY_BYTES (RGY_WIRE_DATAGRAM_BYTES - 200)
+/* Key and version of an entry in a datagram.  */
+#define ENTRY_OVERHEAD_BYTES 32
+#define ANNOUNCEMENT_BYTES (RGY_NAME_MAX_BYTES + ENTRY_OVERHEAD_BYTES)
+#define MAX_ANNOUNCEMENTS 4
+
+static void
+announce_if_large_ (struct rgy_balancer *b, const struct rgy_entry *entry)
+{
+  struct rgy_announcement a = { .entry = *entry };
+  guint i;
+
+  for (i = 0; i < b->announcements->len; i++)
+    {
+      const struct rgy_entry *old
+          = &g_array_index (b->announcements, struct rgy_announcement, i)
+                 .entry;
+
+      if (old->class == entry->class
+          && rgy_name_equal (&old->key, &entry->key))
+        {
+          g_array_remove_index (b->announcements, i);
+          break;
+        }
+    }
+  if (entry->key.len + entry->value.len + ENTRY_OVERHEAD_BYTES
+      <= GOSSIP_ENTRY_BYTES)
+    return;
+  a.entry.value = (struct rgy_bytes){ 0 };
+  g_array_append_val (b->announcements, a);
+}
+
 static void
 remember_fresh_ (struct rgy_balancer *b, const struct rgy_entry *entry)
 {
@@ -261,6 +297,7 @@
   if (rc != RGY_OK)
     return rc;
   follow_entry_ (b, entry, actions);
+  announce_if_large_ (b, entry);
   b->eager = true;
   return RGY_OK;
 }
@@ -277,14 +314,36 @@
   return rc;
 }
 
-static void
+static bool
+is_announcement_ (const struct rgy_entry *entry)
+{
+  return !entry->deleted && entry->value.len == 0;
+}
+
+static bool
+is_lacking_ (const struct rgy_balancer *b, const struct rgy_entry *entry)
+{
+  const struct rgy_entry *known
+      = rgy_replica_get (b->bb->replica, entry->class, &entry->key);
+
+  return known == NULL
+         || rgy_version_compare (known->version, entry->version) < 0;
+}
+
+/* @return true when an entry is announced that is lacking here.  */
+static bool
 apply_entries_ (struct rgy_balancer *b, const struct rgy_entries_message *m,
                 struct rgy_actions *actions)
 {
+  bool lacking = false;
   size_t i;
 
   for (i = 0; i < m->count; i++)
-    rgy_balancer_apply_entry (b, m->entries[i], actions);
+    if (is_announcement_ (m->entries[i]))
+      lacking |= is_lacking_ (b, m->entries[i]);
+    else
+      rgy_balancer_apply_entry (b, m->entries[i], actions);
+  return lacking;
 }
 
 enum rgy_outcome
@@ -355,8 +414,31 @@
         = rgy_replica_get_digest (b->bb->replica, (enum rgy_entry_class)c);
 }
 
-/* Room left in a datagram after tag, names and digests.  */
-#define GOSSIP_ENTRY_BYTES (RGY_WIRE_DATAGRAM_BYTES - 200)
+/* Puts the announcements that are due in front of the updates.  */
+static size_t
+take_announcements_ (struct rgy_balancer *b, unsigned transmissions,
+                     struct rgy_announcement *taken,
+                     const struct rgy_entry **entries)
+{
+  size_t count = 0;
+  guint i = 0;
+
+  while (i < b->announcements->len && count < MAX_ANNOUNCEMENTS)
+    {
+      struct rgy_announcement *a
+          = &g_array_index (b->announcements, struct rgy_announcement, i);
+
+      a->sends++;
+      taken[count] = *a;
+      entries[count] = &taken[count].entry;
+      count++;
+      if (a->sends < transmissions)
+        i++;
+      else
+        g_array_remove_index (b->announcements, i);
+    }
+  return count;
+}
 
 static void
 send_gossip_ (struct rgy_balancer *b, struct rgy_endpoint to,
@@ -364,15 +446,23 @@
 {
   struct rgy_message *m = g_new0 (struct rgy_message, 1);
   size_t members = rgy_replica_get_count (b->bb->replica, RGY_ENTRY_BALANCER);
+  struct rgy_announcement taken[MAX_ANNOUNCEMENTS];
+  size_t announced;
 
   m->kind = kind;
   m->u.gossip.from = b->settings.id;
   m->u.gossip.sync = b->settings.sync;
   get_digests_ (b, &m->u.gossip.digests);
   m->u.gossip.entries.from = b->settings.id;
-  m->u.gossip.entries.count = rgy_replica_take_updates (
-      b->bb->replica, transmissions_ (members), GOSSIP_ENTRY_BYTES,
-      m->u.gossip.entries.entries, RGY_WIRE_MAX_ENTRIES);
+  announced = take_announcements_ (b, transmissions_ (members), taken,
+                                   m->u.gossip.entries.entries);
+  m->u.gossip.entries.count
+      = announced
+        + rgy_replica_take_updates (b->bb->replica, transmissions_ (members),
+                                    GOSSIP_ENTRY_BYTES
+                                        - announced * ANNOUNCEMENT_BYTES,
+                                    m->u.gossip.entries.entries + announced,
+                                    RGY_WIRE_MAX_ENTRIES - announced);
   rgy_balancer_send_message (b, to, m, actions);
   g_free (m);
 }
@@ -464,13 +554,13 @@
 }
 
 /* Digests of two balancers differ for a moment after every change; only a
-   difference that lasts starts a synchronisation.  With a balancer that is
-   unknown or dead here it starts at once: the next message comes from a peer
-   of the own group, whose digests agree.  */
+   difference that lasts starts a synchronisation.  It starts at once with a
+   balancer that has announced an entry lacking here, and with one that is
+   unknown or dead here: the next message comes from a peer of the own group,
+   whose digests agree.  */
 static void
 compare_digests_ (struct rgy_balancer *b, const struct rgy_gossip_message *m,
-                  bool is_stranger, int64_t now_us,
-                  struct rgy_actions *actions)
+                  bool at_once, int64_t now_us, struct rgy_actions *actions)
 {
   struct rgy_digests own;
 
@@ -485,7 +575,7 @@
   if (b->digest_differs_since_us == 0)
     b->digest_differs_since_us = now_us;
   if (now_us < b->next_sync_us
-      || (b->synced && !is_stranger
+      || (b->synced && !at_once
           && now_us - b->digest_differs_since_us < RGY_DIGEST_GRACE_US))
     return;
   b->next_sync_us = now_us + RGY_SYNC_INTERVAL_US;
@@ -501,11 +591,12 @@
   const struct rgy_balancer_record *sender
       = rgy_blackboard_get_balancer (b->bb, &m->from);
   bool is_stranger = sender == NULL || !is_member_of_cluster_ (sender);
+  bool lacking;
 
   if (rgy_liveness_is_watched (b->balancers_liveness, &m->from))
     rgy_liveness_heard (b->balancers_liveness, &m->from, now_us);
-  apply_entries_ (b, &m->entries, actions);
-  compare_digests_ (b, m, is_stranger, now_us, actions);
+  lacking = apply_entries_ (b, &m->entries, actions);
+  compare_digests_ (b, m, is_stranger || lacking, now_us, actions);
   if (message->kind == RGY_MSG_GOSSIP)
     send_gossip_ (b, from, RGY_MSG_GOSSIP_ACK, actions);
 }
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -49,6 +49,14 @@
   GBytes *value; /**< Owns the entry's value.  */
 };
 
+/** Entry that is too large for a gossip datagram.  Its version alone is
+    gossiped, and who lacks it pulls it from the sender.  */
+struct rgy_announcement
+{
+  struct rgy_entry entry; /**< Without its value.  */
+  unsigned sends;
+};
+
 struct rgy_balancer_counters
 {
   uint64_t *packets_in;
@@ -93,7 +101,8 @@
   uint64_t monitored_agent_changes;
   uint64_t monitored_balancer_changes;
 
-  GPtrArray *fresh; /**< Owned entries to push to monitored agents.  */
+  GPtrArray *fresh;      /**< Owned entries to push to monitored agents.  */
+  GArray *announcements; /**< struct rgy_announcement.  */
   GHashTable *stored_orders; /**< Domain to the order number in the store. */
 
   int64_t next_gossip_us;
--- a/src/test_gossip/test_gossip.c
+++ b/src/test_gossip/test_gossip.c
@@ -241,6 +241,34 @@
   fleet_delete (f);
 }
 
+/* Guards against contracts too large for a datagram that spread only by
+   synchronisations of lasting differences, one balancer a second.  */
+static void
+test_large_contract_spreads_within_six_seconds_ (void **state)
+{
+  struct fleet_settings s = make_settings_ (40);
+  struct fleet *f = fleet_new (&s);
+  uint64_t revision;
+  unsigned customer;
+  unsigned i;
+
+  (void)state;
+  fleet_run (f, 60 * FLEET_S);
+  for (customer = 0; customer < s.customers; customer++)
+    {
+      revision = fleet_put_contract (f, customer, 3000);
+      fleet_run (f, 4 * FLEET_S);
+      for (i = 0; i < s.balancers; i++)
+        assert_true (fleet_balancer_has_contract (f, fleet_get_balancer (f, i),
+                                                  customer, revision));
+      fleet_run (f, 2 * FLEET_S);
+      for (i = 0; i < s.agents; i++)
+        assert_true (fleet_agent_has_contract (f, fleet_get_agent (f, i),
+                                               customer, revision));
+    }
+  fleet_delete (f);
+}
+
 int
 main (void)
 {
@@ -251,6 +279,7 @@
     cmocka_unit_test (test_samples_are_rare_and_suffice_),
     cmocka_unit_test (test_change_is_not_confirmed_without_an_agent_),
     cmocka_unit_test (test_change_is_published_once_),
+    cmocka_unit_test (test_large_contract_spreads_within_six_seconds_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
