--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -447,7 +447,11 @@
       || rgy_blackboard_apply (a->bb, entry) != RGY_OK)
     return;
   if (entry->class == RGY_ENTRY_CONTRACT || entry->class == RGY_ENTRY_DOMAIN)
-    ++*a->c.config_changes;
+    {
+      ++*a->c.config_changes;
+      /* The balancers wait for the new digest.  */
+      a->next_heartbeat_us = 0;
+    }
   if (entry->class == RGY_ENTRY_CONTRACT)
     rgy_agent_prepare_usage (a);
   if (entry->class == RGY_ENTRY_DOMAIN)
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -24,6 +24,9 @@
 #define RGY_STORE_INTERVAL_US INT64_C (2000000)
 /** Balancers that monitor one member.  */
 #define RGY_MONITOR_COUNT 3
+/** Time for the monitored agents to report a change before those that have
+    not are published; longer than a heartbeat interval.  */
+#define RGY_CONFIRM_WAIT_US INT64_C (1500000)
 /** One of so many acknowledgements to an agent carries a sample; at three a
     second the agent gets one every 5 s.  */
 #define RGY_SAMPLE_PERIOD 16
@@ -47,6 +50,14 @@
   GBytes *value; /**< Owns the entry's value.  */
 };
 
+/** Entry that is too large for a gossip datagram.  Its version alone is
+    gossiped, and who lacks it pulls it from the sender.  */
+struct rgy_announcement
+{
+  struct rgy_entry entry; /**< Without its value.  */
+  unsigned sends;
+};
+
 struct rgy_balancer_counters
 {
   uint64_t *packets_in;
@@ -91,8 +102,9 @@
   uint64_t monitored_agent_changes;
   uint64_t monitored_balancer_changes;
 
-  GPtrArray *fresh;    /**< Owned entries to push to monitored agents.  */
-  char *stored_rollup; /**< Of the own failure domain, as last seen.  */
+  GPtrArray *fresh;      /**< Owned entries to push to monitored agents.  */
+  char *stored_rollup;   /**< Of the own failure domain, as last seen.  */
+  GArray *announcements; /**< struct rgy_announcement.  */
   GHashTable *stored_orders; /**< Domain to the order number in the store. */
 
   int64_t next_gossip_us;
@@ -105,7 +117,9 @@
   int64_t digest_differs_since_us; /**< 0 when digests agree.  */
   int64_t drain_until_us;          /**< 0 when not draining.  */
   bool eager;                      /**< Gossip soon: something is new.  */
+  int64_t confirm_until_us; /**< 0 when no digest waits to be published.  */
   bool record_changed;
+  bool config_changed;
   bool cut;
   bool joined;       /**< Has held the same entries as a peer.  */
   bool initial_pull; /**< The pull under way began before it had joined.  */
@@ -136,6 +150,8 @@
                                     const struct rgy_heartbeat_message *m,
                                     int64_t now_us,
                                     struct rgy_actions *actions);
+/** Counts every monitored agent as lagging until its next heartbeat.  */
+void rgy_balancer_suspect_lag (struct rgy_balancer *b);
 void rgy_balancer_push_fresh (struct rgy_balancer *b,
                               struct rgy_actions *actions);
 
