Read numbers of the key-value service strictly

A revision given as "-1", or as a number that does not fit into 64 bits, was read as 2^64 - 1. The highest revision seen is remembered, so that one such answer made all later ones look older for as long as the process ran. Found by the fuzz target of the store's answers.

--- a/include/ragwortyoke-io/store_json.h
+++ b/include/ragwortyoke-io/store_json.h
@@ -34,8 +34,12 @@
                                 struct rgy_store_header *header);
 
 /** Number given as a string or a number; 0 when missing, as the gateway
-    leaves out zeros.  */
+    leaves out zeros, and 0 when it is not a number of 64 bits.  */
 uint64_t rgy_store_json_get_u64 (const json_t *object, const char *name);
+/** As rgy_store_json_get_u64(), and 0 also above the largest revision of the
+    protocol, a signed 64-bit number: the highest revision seen is remembered,
+    so that one answer could make all later ones look older.  */
+uint64_t rgy_store_json_get_revision (const json_t *object, const char *name);
 json_t *rgy_store_json_u64 (uint64_t value);
 
 /** Decoded member, empty when missing; free with g_bytes_unref().  */
--- a/src/libragwortyoke-io/store_json.c
+++ b/src/libragwortyoke-io/store_json.c
@@ -9,13 +9,25 @@
 rgy_store_json_get_u64 (const json_t *object, const char *name)
 {
   const json_t *value = json_object_get (object, name);
+  guint64 number = 0;
 
   if (json_is_string (value))
-    return g_ascii_strtoull (json_string_value (value), NULL, 10);
+    return g_ascii_string_to_unsigned (json_string_value (value), 10, 0,
+                                       G_MAXUINT64, &number, NULL)
+               ? number
+               : 0;
   return json_integer_value (value) < 0 ? 0
                                         : (uint64_t)json_integer_value (value);
 }
 
+uint64_t
+rgy_store_json_get_revision (const json_t *object, const char *name)
+{
+  uint64_t revision = rgy_store_json_get_u64 (object, name);
+
+  return revision > INT64_MAX ? 0 : revision;
+}
+
 json_t *
 rgy_store_json_u64 (uint64_t value)
 {
@@ -32,7 +44,7 @@
   const json_t *object = json_object_get (answer, "header");
 
   header->cluster_id = rgy_store_json_get_u64 (object, "cluster_id");
-  header->revision = rgy_store_json_get_u64 (object, "revision");
+  header->revision = rgy_store_json_get_revision (object, "revision");
   return json_is_object (object);
 }
 
--- a/src/libragwortyoke-io/store_watch.c
+++ b/src/libragwortyoke-io/store_watch.c
@@ -146,7 +146,7 @@
   json_array_foreach (json_object_get (result, "events"), i, event)
   {
     kv = json_object_get (event, "kv");
-    revision = rgy_store_json_get_u64 (kv, "mod_revision");
+    revision = rgy_store_json_get_revision (kv, "mod_revision");
     key = rgy_store_json_get_bytes (kv, "key");
     newest = g_hash_table_lookup (last, key);
     if (is_reported_ (key) && (newest == NULL || *newest == revision))
@@ -177,7 +177,7 @@
   json_array_foreach (json_object_get (result, "events"), i, event)
   {
     kv = json_object_get (event, "kv");
-    revision = rgy_store_json_get_u64 (kv, "mod_revision");
+    revision = rgy_store_json_get_revision (kv, "mod_revision");
     g_hash_table_replace (last, rgy_store_json_get_bytes (kv, "key"),
                           g_memdup2 (&revision, sizeof revision));
   }
@@ -257,8 +257,8 @@
     }
   json_array_foreach ((json_t *)events, i, event)
   {
-    revision = rgy_store_json_get_u64 (json_object_get (event, "kv"),
-                                       "mod_revision");
+    revision = rgy_store_json_get_revision (json_object_get (event, "kv"),
+                                            "mod_revision");
     newest = MAX (newest, revision);
   }
   if (newest == 0)
@@ -398,7 +398,7 @@
     {
       kv = g_ptr_array_index (pairs, i);
       key = rgy_store_json_get_bytes (kv, "key");
-      older = rgy_store_json_get_u64 (kv, "mod_revision")
+      older = rgy_store_json_get_revision (kv, "mod_revision")
               < get_known_ (client, key);
       g_bytes_unref (key);
     }
@@ -447,7 +447,7 @@
       value = rgy_store_json_get_bytes (kv, "value");
       if (is_reported_ (key))
         report_ (client, key, value,
-                 rgy_store_json_get_u64 (kv, "mod_revision"));
+                 rgy_store_json_get_revision (kv, "mod_revision"));
       g_bytes_unref (value);
       g_bytes_unref (key);
     }
