--- /dev/null
+++ b/tests/fuzz/driver.c
@@ -0,0 +1,388 @@
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "fuzz.h"
+
+/* Mutates the target's valid inputs with a seeded generator.  Every iteration
+   has its own generator state, so that "--first I --iterations 1" repeats one
+   input.  */
+
+#define MAX_INPUT_BYTES 65536
+#define MAX_MUTATIONS 6
+#define MAX_INSERT_BYTES 32
+/* One input in this many is made of random bytes only.  */
+#define RANDOM_INTERVAL 64
+#define REPORT_BYTES 160
+
+/* How to repeat the input that runs; formatted beforehand, as a signal handler
+   may only write.  */
+static char repeat_text_[REPORT_BYTES];
+static size_t repeat_len_;
+
+/* Reporting.  */
+
+/* Present in programs that are built with the sanitizers.  */
+/* NOLINTNEXTLINE(readability-identifier-naming) */
+void __sanitizer_set_death_callback (void (*callback) (void))
+    __attribute__ ((weak));
+
+static void
+prepare_report_ (const char *program, gint64 seed, gint64 iteration)
+{
+  g_snprintf (repeat_text_, sizeof repeat_text_,
+              "\nfailed; repeat with: %s --seed %" G_GINT64_FORMAT
+              " --first %" G_GINT64_FORMAT " --iterations 1\n",
+              program, seed, iteration);
+  repeat_len_ = strlen (repeat_text_);
+}
+
+static void
+report_ (void)
+{
+  ssize_t written = write (STDERR_FILENO, repeat_text_, repeat_len_);
+
+  (void)written;
+}
+
+static void
+on_signal_ (int number)
+{
+  report_ ();
+  (void)signal (number, SIG_DFL);
+  (void)raise (number);
+}
+
+static void
+watch_for_failures_ (void)
+{
+  if (__sanitizer_set_death_callback != NULL)
+    __sanitizer_set_death_callback (report_);
+  else
+    (void)signal (SIGSEGV, on_signal_);
+  (void)signal (SIGABRT, on_signal_);
+}
+
+/* Generator: splitmix64.  */
+
+static uint64_t
+next_ (uint64_t *state)
+{
+  uint64_t z;
+
+  *state += UINT64_C (0x9e3779b97f4a7c15);
+  z = *state;
+  z = (z ^ (z >> 30)) * UINT64_C (0xbf58476d1ce4e5b9);
+  z = (z ^ (z >> 27)) * UINT64_C (0x94d049bb133111eb);
+  return z ^ (z >> 31);
+}
+
+static size_t
+below_ (uint64_t *state, size_t limit)
+{
+  return (size_t)(next_ (state) % limit);
+}
+
+/* Mutations.  */
+
+static void
+insert_ (GByteArray *input, size_t at, const uint8_t *data, size_t len)
+{
+  size_t tail = input->len - at;
+
+  if (len == 0 || input->len + len > MAX_INPUT_BYTES)
+    return;
+  g_byte_array_set_size (input, (guint)(input->len + len));
+  memmove (input->data + at + len, input->data + at, tail);
+  memcpy (input->data + at, data, len);
+}
+
+static void
+insert_random_ (GByteArray *input, uint64_t *state)
+{
+  uint8_t data[MAX_INSERT_BYTES];
+  size_t len = 1 + below_ (state, MAX_INSERT_BYTES);
+  size_t i;
+
+  for (i = 0; i < len; i++)
+    data[i] = (uint8_t)next_ (state);
+  insert_ (input, below_ (state, input->len + 1), data, len);
+}
+
+/* Replaces the tail by the tail of another valid input.  */
+static void
+splice_ (GByteArray *input, const GPtrArray *seeds, uint64_t *state)
+{
+  gsize len = 0;
+  const uint8_t *other = g_bytes_get_data (
+      g_ptr_array_index (seeds, below_ (state, seeds->len)), &len);
+  size_t at = below_ (state, input->len + 1);
+  size_t from = below_ (state, len + 1);
+
+  g_byte_array_set_size (input, (guint)at);
+  insert_ (input, at, other + from, len - from);
+}
+
+/* Copies a part of the input to another place.  */
+static void
+repeat_ (GByteArray *input, uint64_t *state)
+{
+  size_t from = below_ (state, input->len);
+  size_t len = 1 + below_ (state, input->len - from);
+  uint8_t *copy = g_memdup2 (input->data + from, len);
+
+  insert_ (input, below_ (state, input->len + 1), copy, len);
+  g_free (copy);
+}
+
+/* Changes a big-endian number of 1, 2 or 4 bytes, which is a length as often
+   as not.  */
+static void
+change_number_ (GByteArray *input, uint64_t *state)
+{
+  static const uint32_t values[]
+      = { 0, 1, 0x7f, 0x80, 0xff, 0x7fff, 0xffff, 0x7fffffff, 0xffffffff };
+  size_t width = (size_t)1 << below_ (state, 3);
+  uint64_t value = 0;
+  size_t at;
+  size_t i;
+
+  if (input->len < width)
+    return;
+  at = below_ (state, input->len - width + 1);
+  for (i = 0; i < width; i++)
+    value = value << 8 | input->data[at + i];
+  switch (below_ (state, 3))
+    {
+    case 0:
+      value++;
+      break;
+    case 1:
+      value--;
+      break;
+    default:
+      value = values[below_ (state, G_N_ELEMENTS (values))];
+      break;
+    }
+  for (i = 0; i < width; i++)
+    input->data[at + i] = (uint8_t)(value >> (8 * (width - 1 - i)));
+}
+
+static void
+mutate_ (GByteArray *input, const GPtrArray *seeds, uint64_t *state)
+{
+  size_t at;
+  size_t kind = below_ (state, 8);
+
+  if (input->len == 0)
+    {
+      insert_random_ (input, state);
+      return;
+    }
+  at = below_ (state, input->len);
+  switch (kind)
+    {
+    case 0: /* Cut the tail.  */
+      g_byte_array_set_size (input, (guint)at);
+      break;
+    case 1: /* Remove a part.  */
+      g_byte_array_remove_range (input, (guint)at,
+                                 (guint)(1 + below_ (state, input->len - at)));
+      break;
+    case 2:
+      insert_random_ (input, state);
+      break;
+    case 3:
+      splice_ (input, seeds, state);
+      break;
+    case 4:
+      repeat_ (input, state);
+      break;
+    case 5:
+      change_number_ (input, state);
+      break;
+    case 6:
+      input->data[at] = (uint8_t)next_ (state);
+      break;
+    default:
+      input->data[at] ^= (uint8_t)(1U << below_ (state, 8));
+      break;
+    }
+}
+
+static void
+build_input_ (GByteArray *input, const GPtrArray *seeds, uint64_t *state)
+{
+  gsize len = 0;
+  const uint8_t *data;
+  size_t mutations;
+  size_t i;
+
+  g_byte_array_set_size (input, 0);
+  if (below_ (state, RANDOM_INTERVAL) == 0)
+    {
+      len = below_ (state, MAX_INSERT_BYTES * 8);
+      for (i = 0; i < len; i++)
+        {
+          uint8_t byte = (uint8_t)next_ (state);
+
+          g_byte_array_append (input, &byte, 1);
+        }
+      return;
+    }
+  data = g_bytes_get_data (
+      g_ptr_array_index (seeds, below_ (state, seeds->len)), &len);
+  g_byte_array_append (input, data, (guint)len);
+  mutations = 1 + below_ (state, MAX_MUTATIONS);
+  for (i = 0; i < mutations; i++)
+    mutate_ (input, seeds, state);
+}
+
+/* Runs.  */
+
+/* The copy has exactly the input's length, so that the sanitizers see a read
+   past its end.  */
+static void
+run_copy_ (const void *data, size_t len)
+{
+  uint8_t *copy = g_memdup2 (data, len);
+
+  fuzz_run ((struct rgy_bytes){ .data = copy, .len = len });
+  g_free (copy);
+}
+
+static bool
+run_files_ (char **files)
+{
+  char *data = NULL;
+  gsize len = 0;
+  size_t i;
+
+  for (i = 0; files[i] != NULL; i++)
+    {
+      if (!g_file_get_contents (files[i], &data, &len, NULL))
+        {
+          g_printerr ("cannot read %s\n", files[i]);
+          return false;
+        }
+      run_copy_ (data, len);
+      g_free (data);
+    }
+  return true;
+}
+
+static bool
+write_seeds_ (const GPtrArray *seeds, const char *folder)
+{
+  char name[REPORT_BYTES];
+  char *path;
+  gsize len = 0;
+  const char *data;
+  bool ok = true;
+  guint i;
+
+  for (i = 0; ok && i < seeds->len; i++)
+    {
+      g_snprintf (name, sizeof name, "seed-%u", i);
+      path = g_build_filename (folder, name, NULL);
+      data = g_bytes_get_data (g_ptr_array_index (seeds, i), &len);
+      ok = g_file_set_contents (path, data, (gssize)len, NULL);
+      if (!ok)
+        g_printerr ("cannot write %s\n", path);
+      g_free (path);
+    }
+  return ok;
+}
+
+static void
+run_mutations_ (const GPtrArray *seeds, const char *program, gint64 seed,
+                gint64 first, gint64 iterations)
+{
+  GByteArray *input = g_byte_array_new ();
+  uint64_t state;
+  gint64 i;
+
+  for (i = first; i < first + iterations; i++)
+    {
+      prepare_report_ (program, seed, i);
+      state = (uint64_t)seed;
+      state = next_ (&state) ^ (uint64_t)i;
+      build_input_ (input, seeds, &state);
+      run_copy_ (input->data, input->len);
+    }
+  g_byte_array_unref (input);
+}
+
+/* Valid inputs must pass too.  */
+static void
+run_seeds_ (const GPtrArray *seeds)
+{
+  gsize len = 0;
+  const void *data;
+  guint i;
+
+  for (i = 0; i < seeds->len; i++)
+    {
+      data = g_bytes_get_data (g_ptr_array_index (seeds, i), &len);
+      run_copy_ (data, len);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  gint64 seed = 1;
+  gint64 first = 0;
+  gint64 iterations = 1000;
+  gchar *folder = NULL;
+  gchar **files = NULL;
+  GOptionEntry options[] = {
+    { "seed", 0, 0, G_OPTION_ARG_INT64, &seed, "Seed of the mutations", "N" },
+    { "first", 0, 0, G_OPTION_ARG_INT64, &first, "First iteration", "N" },
+    { "iterations", 0, 0, G_OPTION_ARG_INT64, &iterations,
+      "Number of iterations", "N" },
+    { "write-seeds", 0, 0, G_OPTION_ARG_FILENAME, &folder,
+      "Write the valid inputs to a folder and stop", "FOLDER" },
+    { G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_FILENAME_ARRAY, &files,
+      "Inputs to run instead of mutations", "FILE..." },
+    { 0 },
+  };
+  GOptionContext *context = g_option_context_new (NULL);
+  GPtrArray *seeds
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  GError *error = NULL;
+  bool ok = true;
+
+  g_option_context_add_main_entries (context, options, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error))
+    {
+      g_printerr ("%s\n", error->message);
+      g_error_free (error);
+      ok = false;
+      goto done;
+    }
+  watch_for_failures_ ();
+  fuzz_add_seeds (seeds);
+  g_assert (seeds->len > 0);
+  if (folder != NULL)
+    ok = write_seeds_ (seeds, folder);
+  else if (files != NULL)
+    ok = run_files_ (files);
+  else
+    {
+      run_seeds_ (seeds);
+      run_mutations_ (seeds, argv[0], seed, first, iterations);
+      g_print ("seed %" G_GINT64_FORMAT
+               ": %u valid inputs and %" G_GINT64_FORMAT " mutations passed\n",
+               seed, seeds->len, iterations);
+    }
+done:
+  g_ptr_array_unref (seeds);
+  g_option_context_free (context);
+  g_free (folder);
+  g_strfreev (files);
+  return ok ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/fuzz/fuzz_store.c
@@ -0,0 +1,235 @@
+#include <jansson.h>
+#include <string.h>
+
+#include "fuzz.h"
+#include "ragwortyoke-io/store_client.h"
+#include "ragwortyoke-io/store_json.h"
+#include "ragwortyoke/blackboard.h"
+
+/* Inputs that start with '{' are answers of the key-value service; others are
+   one event: a byte (bit 0: deleted), the modification revision, the length
+   of the key, the key and the value.  */
+
+#define EVENT_HEADER_BYTES 10
+
+static const char contract_[]
+    = "{\"customer\":\"rodaforte\",\"callers\":[\"127.0.0.0/8\"],"
+      "\"services\":[{\"name\":\"workshop\","
+      "\"address\":\"127.0.10.1:5683\",\"protocol\":\"coap\"}]}";
+
+static struct rgy_bytes
+bytes_of_ (GBytes *bytes)
+{
+  struct rgy_bytes out;
+
+  out.data = g_bytes_get_data (bytes, &out.len);
+  return out;
+}
+
+/* Seeds.  */
+
+static void
+add_event_ (GPtrArray *seeds, bool deleted, const char *key,
+            struct rgy_bytes value)
+{
+  GByteArray *event = g_byte_array_new ();
+  uint8_t header[EVENT_HEADER_BYTES] = { deleted ? 1 : 0 };
+
+  header[8] = 42;
+  header[9] = (uint8_t)strlen (key);
+  g_byte_array_append (event, header, sizeof header);
+  g_byte_array_append (event, (const guint8 *)key, (guint)strlen (key));
+  if (value.len > 0)
+    g_byte_array_append (event, value.data, (guint)value.len);
+  fuzz_add_array (seeds, event);
+}
+
+static json_t *
+build_kv_ (const char *key, struct rgy_bytes value)
+{
+  return json_pack ("{s:o, s:o, s:o, s:o, s:o}", "key",
+                    rgy_store_json_str (rgy_str_from_c (key)), "mod_revision",
+                    rgy_store_json_u64 (42), "version", rgy_store_json_u64 (3),
+                    "lease", rgy_store_json_u64 (7), "value",
+                    rgy_store_json_bytes (value));
+}
+
+static json_t *
+build_header_ (void)
+{
+  return json_pack ("{s:o, s:o}", "cluster_id",
+                    rgy_store_json_u64 (UINT64_MAX), "revision",
+                    rgy_store_json_u64 (43));
+}
+
+static void
+add_json_ (GPtrArray *seeds, json_t *json)
+{
+  char *text = json_dumps (json, JSON_COMPACT);
+
+  fuzz_add_text (seeds, text);
+  free (text);
+  json_decref (json);
+}
+
+void
+fuzz_add_seeds (GPtrArray *seeds)
+{
+  static const char contract_key[] = RGY_STORE_PREFIX "contracts/rodaforte";
+  struct rgy_bytes contract
+      = { .data = (const uint8_t *)contract_, .len = sizeof contract_ - 1 };
+  struct rgy_domain_order order = { .domain = rgy_name_from_c ("poa-a"),
+                                    .out = true,
+                                    .number = 5,
+                                    .id = 6,
+                                    .operator_name = rgy_name_from_c ("ana") };
+  struct rgy_agent_record agent
+      = { .id = rgy_name_from_c ("agent-1"),
+          .epoch = 5,
+          .sequence = 8,
+          .state = RGY_MEMBER_READY,
+          .domain = rgy_name_from_c ("poa-a"),
+          .endpoint = { .ip = 0x7f000001, .port = 7000 },
+          .service = { .ip = 0x7f000a01, .port = 5683 } };
+  char *order_text = rgy_domain_order_format (&order);
+  struct rgy_bytes order_bytes
+      = { .data = (const uint8_t *)order_text, .len = strlen (order_text) };
+  GByteArray *record = rgy_agent_record_encode (&agent);
+
+  add_event_ (seeds, false, contract_key, contract);
+  add_event_ (seeds, true, contract_key, (struct rgy_bytes){ 0 });
+  add_event_ (seeds, false, RGY_STORE_PREFIX "domains/poa-a", order_bytes);
+  add_event_ (seeds, false, RGY_STORE_PREFIX "agents/agent-1",
+              fuzz_borrow (record));
+  add_json_ (seeds,
+             json_pack ("{s:o, s:[o, o], s:s}", "header", build_header_ (),
+                        "kvs", build_kv_ (contract_key, contract),
+                        build_kv_ (RGY_STORE_PREFIX "agents/agent-1",
+                                   fuzz_borrow (record)),
+                        "count", "2"));
+  add_json_ (
+      seeds,
+      json_pack ("{s:{s:o, s:[{s:s, s:o}, {s:o}]}}", "result", "header",
+                 build_header_ (), "events", "type", "DELETE", "kv",
+                 build_kv_ (contract_key, contract), "kv",
+                 build_kv_ (RGY_STORE_PREFIX "domains/poa-a", order_bytes)));
+  add_json_ (seeds, json_pack ("{s:o, s:b, s:[{s:{s:[o]}}]}", "header",
+                               build_header_ (), "succeeded", 1, "responses",
+                               "response_range", "kvs",
+                               build_kv_ (contract_key, contract)));
+  g_byte_array_unref (record);
+  g_free (order_text);
+}
+
+/* Run.  */
+
+/* An event that the adapter accepts must also be accepted by the blackboard,
+   or the adapter's check and the blackboard's have drifted apart.  */
+static void
+check_event_ (const struct rgy_store_event *event)
+{
+  struct rgy_counters *counters;
+  struct rgy_blackboard *bb;
+  struct rgy_entry entry;
+
+  if (rgy_store_event_to_entry (event, &entry) != RGY_OK)
+    return;
+  counters = rgy_counters_new ();
+  bb = rgy_blackboard_new (counters);
+  g_assert (rgy_blackboard_apply (bb, &entry) == RGY_OK);
+  g_assert (rgy_blackboard_apply (bb, &entry) == RGY_ERR_STALE);
+  rgy_blackboard_delete (bb);
+  rgy_counters_delete (counters);
+}
+
+static void
+run_event_ (struct rgy_bytes input)
+{
+  struct rgy_store_event event = { 0 };
+  size_t key_len;
+  size_t i;
+
+  if (input.len < EVENT_HEADER_BYTES)
+    return;
+  key_len = MIN (input.data[9], input.len - EVENT_HEADER_BYTES);
+  event.deleted = (input.data[0] & 1) != 0;
+  for (i = 1; i < EVENT_HEADER_BYTES - 1; i++)
+    event.mod_revision = event.mod_revision << 8 | input.data[i];
+  event.key = (struct rgy_str){
+    .data = (const char *)input.data + EVENT_HEADER_BYTES, .len = key_len
+  };
+  if (!event.deleted)
+    event.value = (struct rgy_bytes){
+      .data = input.data + EVENT_HEADER_BYTES + key_len,
+      .len = input.len - EVENT_HEADER_BYTES - key_len
+    };
+  check_event_ (&event);
+}
+
+static void
+run_kv_ (const json_t *kv, bool deleted)
+{
+  GBytes *key = rgy_store_json_get_bytes (kv, "key");
+  GBytes *value = rgy_store_json_get_bytes (kv, "value");
+  struct rgy_store_event event
+      = { .deleted = deleted,
+          .mod_revision = rgy_store_json_get_revision (kv, "mod_revision") };
+  struct rgy_bytes key_bytes = bytes_of_ (key);
+
+  event.key = (struct rgy_str){ .data = (const char *)key_bytes.data,
+                                .len = key_bytes.len };
+  if (!deleted)
+    event.value = bytes_of_ (value);
+  check_event_ (&event);
+  g_bytes_unref (key);
+  g_bytes_unref (value);
+}
+
+static void
+run_list_ (const json_t *list)
+{
+  json_t *item;
+  size_t i;
+
+  json_array_foreach ((json_t *)list, i, item)
+  {
+    run_kv_ (item, false);
+    run_kv_ (json_object_get (item, "kv"),
+             g_strcmp0 (json_string_value (json_object_get (item, "type")),
+                        "DELETE")
+                 == 0);
+    run_list_ (
+        json_object_get (json_object_get (item, "response_range"), "kvs"));
+  }
+}
+
+static void
+run_answer_ (const json_t *answer)
+{
+  struct rgy_store_header header;
+
+  /* A larger one would make every later answer look older.  */
+  if (rgy_store_json_get_header (answer, &header))
+    g_assert (header.revision <= INT64_MAX);
+  run_list_ (json_object_get (answer, "kvs"));
+  run_list_ (json_object_get (answer, "events"));
+  run_list_ (json_object_get (answer, "responses"));
+}
+
+void
+fuzz_run (struct rgy_bytes input)
+{
+  json_t *json;
+
+  if (input.len == 0 || input.data[0] != '{')
+    {
+      run_event_ (input);
+      return;
+    }
+  json = json_loadb ((const char *)input.data, input.len, 0, NULL);
+  if (json == NULL)
+    return;
+  run_answer_ (json);
+  run_answer_ (json_object_get (json, "result"));
+  json_decref (json);
+}
--- /dev/null
+++ b/tests/fuzz/fuzz_wire.c
@@ -0,0 +1,122 @@
+#include <string.h>
+
+#include "fuzz.h"
+#include "message_samples.h"
+
+static struct rgy_wire *wire_;
+static struct rgy_message *message_;
+
+static void
+init_ (void)
+{
+  if (wire_ != NULL)
+    return;
+  wire_ = rgy_wire_new (fuzz_key);
+  message_ = g_new0 (struct rgy_message, 1);
+}
+
+/* Inputs are bodies without their tag, and one whole datagram.  */
+void
+fuzz_add_seeds (GPtrArray *seeds)
+{
+  struct rgy_bytes bytes;
+  int kind;
+
+  init_ ();
+  for (kind = 1; kind < RGY_MSG_KIND_COUNT; kind++)
+    {
+      message_sample_fill ((enum rgy_message_kind)kind, message_);
+      bytes = rgy_wire_encode (wire_, message_);
+      if (kind == RGY_MSG_PROBE)
+        fuzz_add_seed (seeds, bytes.data, bytes.len);
+      fuzz_add_seed (seeds, bytes.data + RGY_WIRE_TAG_BYTES,
+                     bytes.len - RGY_WIRE_TAG_BYTES);
+    }
+}
+
+static void
+check_ranges_ (const struct rgy_message *m, struct rgy_bytes datagram)
+{
+  const struct rgy_entries_message *entries = NULL;
+  size_t i;
+
+  switch (m->kind)
+    {
+    case RGY_MSG_DATA:
+      g_assert (fuzz_is_within (m->u.data.payload, datagram));
+      g_assert (m->u.data.trail.count <= RGY_MAX_HOPS);
+      g_assert (m->u.data.trail.origin <= m->u.data.trail.count);
+      break;
+    case RGY_MSG_ANSWER:
+      g_assert (fuzz_is_within (m->u.answer.payload, datagram));
+      break;
+    case RGY_MSG_HANDOVER:
+      g_assert (fuzz_is_within (m->u.handover.state, datagram));
+      break;
+    case RGY_MSG_ENTRIES:
+    case RGY_MSG_SYNC_REPLY:
+      entries = &m->u.entries;
+      break;
+    case RGY_MSG_GOSSIP:
+    case RGY_MSG_GOSSIP_ACK:
+      entries = &m->u.gossip.entries;
+      break;
+    default:
+      break;
+    }
+  if (entries == NULL)
+    return;
+  g_assert (entries->count <= RGY_WIRE_MAX_ENTRIES);
+  for (i = 0; i < entries->count; i++)
+    {
+      g_assert (fuzz_is_within (entries->entries[i]->value, datagram));
+      g_assert ((unsigned)entries->entries[i]->class < RGY_ENTRY_CLASS_COUNT);
+    }
+}
+
+static GByteArray *
+encode_ (const struct rgy_message *m)
+{
+  struct rgy_bytes bytes = rgy_wire_encode (wire_, m);
+
+  return g_byte_array_append (g_byte_array_new (), bytes.data,
+                              (guint)bytes.len);
+}
+
+/* A message that was accepted must be encoded into one that is accepted and
+   means the same: balancers pass entries on.  */
+static void
+check_reencoding_ (void)
+{
+  GByteArray *first = encode_ (message_);
+  GByteArray *second;
+
+  g_assert (rgy_wire_decode (wire_, fuzz_borrow (first), message_) == RGY_OK);
+  second = encode_ (message_);
+  g_assert (fuzz_arrays_equal (first, second));
+  g_byte_array_unref (first);
+  g_byte_array_unref (second);
+}
+
+void
+fuzz_run (struct rgy_bytes input)
+{
+  GByteArray *sealed;
+  struct rgy_bytes datagram;
+
+  init_ ();
+  /* Without a valid tag.  */
+  if (rgy_wire_decode (wire_, input, message_) == RGY_OK)
+    check_ranges_ (message_, input);
+  sealed = fuzz_seal (input);
+  /* Of exactly the datagram's length, as an array has spare room.  */
+  datagram = (struct rgy_bytes){ .data = g_memdup2 (sealed->data, sealed->len),
+                                 .len = sealed->len };
+  g_byte_array_unref (sealed);
+  if (rgy_wire_decode (wire_, datagram, message_) == RGY_OK)
+    {
+      check_ranges_ (message_, datagram);
+      check_reencoding_ ();
+    }
+  g_free ((void *)datagram.data);
+}
