--- a/src/libragwortyoke-io/store_watch.c
+++ b/src/libragwortyoke-io/store_watch.c
@@ -74,7 +74,7 @@
   json_array_foreach (json_object_get (result, "events"), i, event)
   {
     kv = json_object_get (event, "kv");
-    revision = rgy_store_json_get_u64 (kv, "mod_revision");
+    revision = rgy_store_json_get_revision (kv, "mod_revision");
     key = rgy_store_json_get_bytes (kv, "key");
     newest = g_hash_table_lookup (last, key);
     if (rgy_store_known_is_reported (key)
@@ -106,7 +106,7 @@
   json_array_foreach (json_object_get (result, "events"), i, event)
   {
     kv = json_object_get (event, "kv");
-    revision = rgy_store_json_get_u64 (kv, "mod_revision");
+    revision = rgy_store_json_get_revision (kv, "mod_revision");
     g_hash_table_replace (last, rgy_store_json_get_bytes (kv, "key"),
                           g_memdup2 (&revision, sizeof revision));
   }
@@ -186,8 +186,8 @@
     }
   json_array_foreach ((json_t *)events, i, event)
   {
-    revision = rgy_store_json_get_u64 (json_object_get (event, "kv"),
-                                       "mod_revision");
+    revision = rgy_store_json_get_revision (json_object_get (event, "kv"),
+                                            "mod_revision");
     newest = MAX (newest, revision);
   }
   if (newest == 0)
