--- a/tests/fuzz/fuzz_balancer.c
+++ b/tests/fuzz/fuzz_balancer.c
@@ -217,6 +217,7 @@
           /* A balancer holds no flows.  */
           g_assert_not_reached ();
         case RGY_ACTION_SYNC:
+        case RGY_ACTION_READ_STORE:
         case RGY_ACTION_LOG:
         case RGY_ACTION_EXIT:
           break;
