--- a/src/libragwortyoke/config_change.c
+++ b/src/libragwortyoke/config_change.c
@@ -216,17 +216,17 @@
 }
 
 enum rgy_outcome
-rgy_blackboard_apply (struct rgy_blackboard *blackboard,
+rgy_blackboard_apply (struct rgy_blackboard *bb,
                       const struct rgy_entry *entry)
 {
-  return apply_ (blackboard, entry, rgy_replica_merge);
+  return apply_ (bb, entry, rgy_replica_merge);
 }
 
 enum rgy_outcome
-rgy_blackboard_apply_unqueued (struct rgy_blackboard *blackboard,
+rgy_blackboard_apply_unqueued (struct rgy_blackboard *bb,
                                const struct rgy_entry *entry)
 {
-  return apply_ (blackboard, entry, rgy_replica_merge_unqueued);
+  return apply_ (bb, entry, rgy_replica_merge_unqueued);
 }
 
 void
