--- a/src/libragwortyoke/config_change.c
+++ b/src/libragwortyoke/config_change.c
@@ -216,8 +216,7 @@
 }
 
 enum rgy_outcome
-rgy_blackboard_apply (struct rgy_blackboard *bb,
-                      const struct rgy_entry *entry)
+rgy_blackboard_apply (struct rgy_blackboard *bb, const struct rgy_entry *entry)
 {
   return apply_ (bb, entry, rgy_replica_merge);
 }
