Mint Echo values that belong to one agent only

Cause: an Echo was a keyed hash over the agent's epoch, the bucket and the flow. The key is the cluster's, so two agents that had started at the same moment minted the same Echo. When a flow was opened twice, after a false declaration of death under loss, a retransmitted POST with the Echo of one agent was accepted by the other and ran again.

Change: the epoch that the request engine gets is a hash of the agent's name and its epoch.

Conclusion: the other agent now answers outcome-unknown, which is true.

--- a/include/ragwortyoke/request.h
+++ b/include/ragwortyoke/request.h
@@ -187,7 +187,7 @@
 
 struct rgy_request_settings
 {
-  uint64_t epoch;       /**< Of the agent.  */
+  uint64_t epoch;       /**< Different for each start of each agent.  */
   uint8_t echo_key[32]; /**< Key of Echo values, the cluster's key.  */
   unsigned deadline_ms; /**< Default deadline of a request.  */
   struct rgy_admission_settings admission;
--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -109,8 +109,11 @@
 static struct rgy_request_engine *
 new_engine_ (const struct rgy_agent_settings *s, struct rgy_counters *counters)
 {
+  /* Agents that start at the same moment may have the same epoch, and all of
+     them have the same key: without the name, one would take the Echo values
+     of another for its own.  */
   struct rgy_request_settings rs
-      = { .epoch = s->epoch,
+      = { .epoch = rgy_name_hash (&s->id, s->epoch),
           .deadline_ms = s->deadline_ms,
           .admission = { .slots = s->slots,
                          .queue_length = s->queue_length,
