Go on after the other holder's sequence when two agents hold one flow

Cause: an agent that was paused took a HANDOVER out of its backlog after its sender had given up on it and kept the flow. Both agents then notified the caller; the paused one's sequences were 1,024 ahead. When it gave the flow back, the handover was accepted as one of a flow that is already held and its state was ignored, so that the caller took all further notifications for old ones until it registered again.

Change: the agent that holds the flow notes the sequences of such a handover and goes on after them.

--- a/include/ragwortyoke/request.h
+++ b/include/ragwortyoke/request.h
@@ -285,6 +285,11 @@
                            struct rgy_flow *flow,
                            const struct rgy_handover_state *state,
                            int64_t now_us, struct rgy_actions *actions);
+/** Note what another agent that held the same flow has sent to the caller:
+    the sequences of its observations go on after it.  */
+void rgy_request_engine_merge (struct rgy_request_engine *engine,
+                               struct rgy_flow *flow,
+                               const struct rgy_handover_state *state);
 /** End the observations of a flow that has moved away at the backend
     server; the caller is not told.  */
 void rgy_request_engine_deregister (struct rgy_request_engine *engine,
--- a/src/libragwortyoke/agent_handover.c
+++ b/src/libragwortyoke/agent_handover.c
@@ -157,12 +157,15 @@
 accept_ (struct rgy_agent *a, const struct rgy_handover_state *state)
 {
   struct rgy_customer_usage *usage;
-  struct rgy_flow *flow;
+  struct rgy_flow *flow = rgy_flow_table_find (a->flows, &state->key);
 
   /* A flow that was taken before is accepted again whatever the state, or
      both agents would hold it.  */
-  if (rgy_flow_table_find (a->flows, &state->key) != NULL)
-    return true;
+  if (flow != NULL)
+    {
+      rgy_request_engine_merge (a->engine, flow, state);
+      return true;
+    }
   if (a->self.state != RGY_MEMBER_READY || a->out
       || !rgy_endpoint_equal (state->key.u.udp.service, a->settings.service))
     return false;
--- a/src/libragwortyoke/include/private/request_private.h
+++ b/src/libragwortyoke/include/private/request_private.h
@@ -283,6 +283,9 @@
     last one sent.  */
 uint32_t rgy_observation_shift_first (struct rgy_observation *observation,
                                       uint32_t sequence);
+/** Another agent has sent up to @p sequence to the caller.  */
+void rgy_observation_skip (struct rgy_observation *observation,
+                           uint32_t sequence);
 void rgy_observation_notify (struct rgy_session *session,
                              struct rgy_observation *observation,
                              const struct rgy_coap_view *view,
--- a/src/libragwortyoke/observation.c
+++ b/src/libragwortyoke/observation.c
@@ -158,6 +158,18 @@
   return shifted;
 }
 
+void
+rgy_observation_skip (struct rgy_observation *observation, uint32_t sequence)
+{
+  struct rgy_observation *o = observation;
+
+  if (o->notified && !is_newer_ (sequence, o->last_sequence))
+    return;
+  o->offset = (o->offset + sequence - o->last_sequence) & SEQUENCE_MASK;
+  o->last_sequence = sequence;
+  o->notified = true;
+}
+
 /* Builds a message of the observation for the caller.  */
 static GByteArray *
 build_ (const struct rgy_observation *o, const struct rgy_coap_view *view,
--- a/src/libragwortyoke/request_move.c
+++ b/src/libragwortyoke/request_move.c
@@ -238,6 +238,30 @@
   return RGY_OK;
 }
 
+void
+rgy_request_engine_merge (struct rgy_request_engine *engine,
+                          struct rgy_flow *flow,
+                          const struct rgy_handover_state *state)
+{
+  struct rgy_session *s = flow->session;
+  struct rgy_coap_view view;
+  size_t i;
+
+  (void)engine;
+  if (s == NULL || !is_valid_ (state))
+    return;
+  for (i = 0; i < state->observation_count; i++)
+    {
+      const struct rgy_handover_observation *in = &state->observations[i];
+      struct rgy_observation *o = NULL;
+
+      if (in->notified && rgy_coap_parse (in->registration, &view) == RGY_OK)
+        o = rgy_observation_find (s, view.token);
+      if (o != NULL)
+        rgy_observation_skip (o, in->last_sequence & SEQUENCE_MASK);
+    }
+}
+
 void
 rgy_request_engine_deregister (struct rgy_request_engine *engine,
                                struct rgy_flow *flow,
