Retransmit the newest state of an observation that was moved

Cause: the first notification after a handover is confirmable and was retransmitted unchanged for up to 30 s, although newer ones had followed. When the newer ones were lost on a one-way cut, its sequence was still ahead of what the caller had seen, and the board went back.

Change: a new notification replaces the content of the outstanding confirmable one, as RFC 7641 section 4.5.2 asks for.

--- a/src/libragwortyoke/observation.c
+++ b/src/libragwortyoke/observation.c
@@ -234,6 +234,22 @@
     o->registered = false;
 }
 
+/* A retransmission carries the newest state (RFC 7641 section 4.5.2).  A
+   confirmable notification of the backend server is retransmitted by it.  */
+static void
+renew_confirmable_ (struct rgy_session *session, struct rgy_observation *o,
+                    const struct rgy_coap_view *view)
+{
+  if (o->confirmable == NULL)
+    return;
+  drop_confirmable_ (o);
+  if (view->type == RGY_COAP_CON)
+    return;
+  o->confirmable_id = session->caller_id++;
+  o->confirmable = build_ (o, view, RGY_COAP_CON, o->confirmable_id, true,
+                           o->last_sequence);
+}
+
 void
 rgy_observation_notify (struct rgy_session *session,
                         struct rgy_observation *observation,
@@ -271,6 +287,7 @@
                                         .caller_id = session->caller_id++,
                                         .sequence = sequence };
   forward_ (session, o, view, ids);
+  renew_confirmable_ (session, o, view);
 }
 
 /* Registrations by the engine.  */
