Keep a new balancer out of service until it knows the agents

Cause: a balancer was ready as soon as it had a contract from the store, up to a second before the agents' heartbeats or the first synchronisation. It refused what the fabric sent it in the meantime; a POST with its Echo got outcome-unknown although its agent was there.

Change: it is ready when it has held the same entries as a peer and knows agents, or after the time of two heartbeats.

Conclusion: when all balancers start at once, the service begins 2 s after the first of them instead of about 1 s.

--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -724,10 +724,25 @@
   rgy_actions_exit (actions);
 }
 
+/* Packets that come before the agents are known would be refused.  Agents are
+   known when a peer holds the same entries, or when each had the time to send
+   two heartbeats.  */
+static void
+warm_up_tick_ (struct rgy_balancer *b, int64_t now_us)
+{
+  if (b->knows_agents)
+    return;
+  if (b->started_us == 0)
+    b->started_us = now_us;
+  b->knows_agents = (b->joined && g_hash_table_size (b->bb->agents) > 0)
+                    || now_us - b->started_us >= RGY_WARM_UP_US;
+}
+
 void
 rgy_balancer_tick (struct rgy_balancer *b, int64_t now_us,
                    struct rgy_actions *actions)
 {
+  warm_up_tick_ (b, now_us);
   rgy_balancer_monitor_tick (b, now_us, actions);
   publish_record_ (b, now_us);
   rgy_balancer_push_fresh (b, actions);
@@ -756,8 +771,8 @@
 bool
 rgy_balancer_is_ready (const struct rgy_balancer *b)
 {
-  return b->self.state == RGY_MEMBER_READY && b->synced && !b->cut
-         && rgy_contract_set_get_count (b->bb->contracts) > 0
+  return b->self.state == RGY_MEMBER_READY && b->synced && b->knows_agents
+         && !b->cut && rgy_contract_set_get_count (b->bb->contracts) > 0
          && !rgy_domain_set_is_out (b->bb->domains, &b->settings.domain);
 }
 
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -29,6 +29,9 @@
 #define RGY_SAMPLE_PERIOD 16
 /** Balancers of a failure domain that watch the store.  */
 #define RGY_READER_COUNT 2
+/** A new balancer that no peer tells of the agents is ready after this long:
+    two heartbeats of an agent.  */
+#define RGY_WARM_UP_US INT64_C (2000000)
 #define RGY_BURST_MS 500
 
 /** Bucket table of one service.  */
@@ -107,9 +110,11 @@
   bool eager;                      /**< Gossip soon: something is new.  */
   bool record_changed;
   bool cut;
-  bool joined;       /**< Has held the same entries as a peer.  */
-  bool initial_pull; /**< The pull under way began before it had joined.  */
-  bool synced;       /**< Synchronised with a peer or read from the store.  */
+  bool knows_agents;  /**< May be ready; see warm_up_tick_().  */
+  int64_t started_us; /**< First tick.  */
+  bool joined;        /**< Has held the same entries as a peer.  */
+  bool initial_pull;  /**< The pull under way began before it had joined.  */
+  bool synced;        /**< Synchronised with a peer or read from the store.  */
 };
 
 /* balancer_control.c */
