Remember where a new flow was passed on to

Cause: an owner that is above its share passes a new flow on. The taker's bitmap reaches the owner one way between failure domains later, while the answer can reach the caller on a shorter path; the caller's second packet found an owner that knew of no holder and opened the flow once more. A POST with the first agent's Echo then got outcome-unknown.

Change: the owner counts the taker as a holder of the bucket for 1 to 2 s, until its bitmap has been sent at least twice.

--- a/include/ragwortyoke/steering.h
+++ b/include/ragwortyoke/steering.h
@@ -206,6 +206,12 @@
                                const struct rgy_name *peer, uint64_t sequence,
                                uint64_t peer_sequence);
 
+/** A packet that may open a flow is passed on to @p peer: it counts as a
+    holder of the bucket until rgy_steering_age_passed() is called twice.  */
+void rgy_steering_note_passed (struct rgy_steering *steering, unsigned bucket,
+                               const struct rgy_name *peer);
+void rgy_steering_age_passed (struct rgy_steering *steering);
+
 /** True once every live peer has sent its state and acknowledged ours.  */
 bool rgy_steering_is_settled (const struct rgy_steering *steering);
 
--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -553,6 +553,11 @@
 static void
 peer_state_tick_ (struct rgy_agent *a)
 {
+  if (a->now_us >= a->next_age_us)
+    {
+      a->next_age_us = a->now_us + RGY_PASSED_AGE_US;
+      rgy_steering_age_passed (a->steering);
+    }
   if (a->now_us >= a->next_peer_state_us
       || rgy_steering_get_sequence (a->steering) != a->sent_sequence)
     rgy_agent_send_peer_state (a);
--- a/src/libragwortyoke/agent_packet.c
+++ b/src/libragwortyoke/agent_packet.c
@@ -119,6 +119,8 @@
   rgy_steering_decide_overflow (a->steering, bucket, &m->trail, &decision);
   if (decision.kind != RGY_STEER_FORWARD)
     return false;
+  /* The caller's next packet may be here before the peer's bitmap.  */
+  rgy_steering_note_passed (a->steering, bucket, &decision.next);
   forward_ (a, m, &decision);
   return true;
 }
--- a/src/libragwortyoke/include/private/agent_private.h
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -26,6 +26,9 @@
 #define RGY_BALANCER_FORGET_US INT64_C (60000000)
 /** Wait for the acknowledgements of peers after a change of the group.  */
 #define RGY_SETTLE_TIMEOUT_US INT64_C (1000000)
+/** Flows that were passed on are remembered for one to two of these, so that
+    the peer has sent its state at least twice.  */
+#define RGY_PASSED_AGE_US INT64_C (1000000)
 #define RGY_SYNC_RETRY_US INT64_C (1000000)
 #define RGY_HEARTBEAT_TARGETS 3
 /** An agent that no balancer acknowledges for this long looks for others in
@@ -135,6 +138,7 @@
   uint64_t domain_changes;
   uint64_t sent_sequence; /**< Of the last PEER_STATE.  */
   int64_t settle_deadline_us;
+  int64_t next_age_us;
   int64_t next_heartbeat_us;
   int64_t next_peer_state_us;
   int64_t next_sync_us;
--- a/src/libragwortyoke/include/private/steering_state.h
+++ b/src/libragwortyoke/include/private/steering_state.h
@@ -15,6 +15,9 @@
   uint64_t epoch;
   uint64_t sequence;
   struct rgy_bucket_set may_hold;
+  /* Buckets of new flows that were passed on to it, which it may hold before
+     its state says so: since the last rgy_steering_age_passed() and before. */
+  struct rgy_bucket_set passed[2];
   uint64_t acked;           /* Highest own sequence it acknowledged.  */
   uint64_t needed_sequence; /* Its sequence when it acknowledged.  */
   uint64_t claim_sequence;  /* Its sequence in packets that it asked with.  */
--- a/src/libragwortyoke/steering.c
+++ b/src/libragwortyoke/steering.c
@@ -185,6 +185,7 @@
       peer->needed_sequence = 0;
       peer->claim_sequence = 0;
       memset (&peer->may_hold, 0, sizeof peer->may_hold);
+      memset (peer->passed, 0, sizeof peer->passed);
     }
   g_ptr_array_unref (steering->live);
   steering->live = live;
@@ -381,6 +382,32 @@
   rgy_steering_note_answer (steering, peer, sequence, 0);
 }
 
+void
+rgy_steering_note_passed (struct rgy_steering *steering, unsigned bucket,
+                          const struct rgy_name *peer)
+{
+  struct rgy_steering_peer *record = rgy_steering_find_peer (steering, peer);
+
+  if (record != NULL)
+    rgy_bucket_set_add (&record->passed[0], bucket);
+}
+
+void
+rgy_steering_age_passed (struct rgy_steering *steering)
+{
+  GHashTableIter iter;
+  gpointer value = NULL;
+
+  g_hash_table_iter_init (&iter, steering->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct rgy_steering_peer *peer = value;
+
+      peer->passed[1] = peer->passed[0];
+      memset (&peer->passed[0], 0, sizeof peer->passed[0]);
+    }
+}
+
 void
 rgy_steering_force_settled (struct rgy_steering *steering)
 {
--- a/src/libragwortyoke/steering_decide.c
+++ b/src/libragwortyoke/steering_decide.c
@@ -115,7 +115,9 @@
 static bool
 may_hold_ (const struct rgy_steering_peer *peer, unsigned bucket)
 {
-  return !peer->known || rgy_bucket_set_has (&peer->may_hold, bucket);
+  return !peer->known || rgy_bucket_set_has (&peer->may_hold, bucket)
+         || rgy_bucket_set_has (&peer->passed[0], bucket)
+         || rgy_bucket_set_has (&peer->passed[1], bucket);
 }
 
 /* First live peer in rendezvous order that is not in the trail; with
