--- a/include/ragwortyoke/request.h
+++ b/include/ragwortyoke/request.h
@@ -187,7 +187,7 @@
 
 struct rgy_request_settings
 {
-  uint64_t epoch;       /**< Of the agent.  */
+  uint64_t epoch;       /**< Different for each start of each agent.  */
   uint8_t echo_key[32]; /**< Key of Echo values, the cluster's key.  */
   unsigned deadline_ms; /**< Default deadline of a request.  */
   struct rgy_admission_settings admission;
@@ -285,6 +285,11 @@
                            struct rgy_flow *flow,
                            const struct rgy_handover_state *state,
                            int64_t now_us, struct rgy_actions *actions);
+/** Note what another agent that held the same flow has sent to the caller:
+    the sequences of its observations go on after it.  */
+void rgy_request_engine_merge (struct rgy_request_engine *engine,
+                               struct rgy_flow *flow,
+                               const struct rgy_handover_state *state);
 /** End the observations of a flow that has moved away at the backend
     server; the caller is not told.  */
 void rgy_request_engine_deregister (struct rgy_request_engine *engine,
