--- a/include/ragwortyoke/agent.h
+++ b/include/ragwortyoke/agent.h
@@ -35,11 +35,21 @@
   unsigned deadline_ms;
   int64_t idle_timeout_us;
   int64_t drain_timeout_us;
-  /* Switches for baselines in measurements; all false in the daemon.  */
+  /** @name Switches
+      For baselines in measurements and tests only; all false in the daemon.
+      @{ */
   bool without_chain;
   bool without_cold_start;
   bool without_echo;
   bool without_handover;
+  bool without_service_check;   /**< Takes packets of other services.  */
+  bool without_answer_matching; /**< An answer goes to the oldest request.  */
+  bool without_outcome_unknown; /**< Every failure says "not-run".  */
+  bool without_contract_limits; /**< Does not limit requests in flight.  */
+  bool without_drain_announcement; /**< Drains in the state ready.  */
+  bool without_domain_orders;      /**< Stores the orders only.  */
+  bool without_version_check;      /**< Takes older contracts.  */
+  /** @} */
 };
 
 struct rgy_agent;
--- a/include/ragwortyoke/balancer.h
+++ b/include/ragwortyoke/balancer.h
@@ -35,6 +35,9 @@
   uint64_t random_seed;
   int64_t drain_us; /**< A draining balancer forwards for this long.  */
   enum rgy_balancer_steering steering;
+  bool without_domain_orders; /**< For baselines in measurements and tests
+                                 only: stores the orders only.  */
+  bool without_version_check; /**< Likewise: takes older contracts.  */
 };
 
 struct rgy_balancer;
--- a/include/ragwortyoke/blackboard.h
+++ b/include/ragwortyoke/blackboard.h
@@ -37,6 +37,10 @@
   struct rgy_counters *counters; /**< Borrowed.  */
   /** Counts the changes of a class, for caches derived from it.  */
   uint64_t changes[RGY_ENTRY_CLASS_COUNT];
+  bool without_domain_orders; /**< For baselines in measurements and tests
+                                 only: orders are kept but not followed.  */
+  bool without_version_check; /**< Likewise: older contracts are put in
+                                 force.  */
 };
 
 struct rgy_blackboard *rgy_blackboard_new (struct rgy_counters *counters);
--- a/include/ragwortyoke/request.h
+++ b/include/ragwortyoke/request.h
@@ -191,7 +191,12 @@
   uint8_t echo_key[32]; /**< Key of Echo values, the cluster's key.  */
   unsigned deadline_ms; /**< Default deadline of a request.  */
   struct rgy_admission_settings admission;
-  bool echo_required; /**< False only for baselines.  */
+  bool echo_required;           /**< False only for baselines.  */
+  bool without_answer_matching; /**< For baselines in measurements and tests
+                                   only: an answer goes to the oldest
+                                   request.  */
+  bool without_outcome_unknown; /**< Likewise: every failure says
+                                   "not-run".  */
   struct rgy_counters *counters;
 };
 
--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -21,8 +21,15 @@
 {
   struct rgy_agent *a = ctx;
 
-  return rgy_count_limit_take (
-      rgy_agent_get_usage (a, &flow->customer)->requests, a->now_us);
+  struct rgy_count_limit *requests
+      = rgy_agent_get_usage (a, &flow->customer)->requests;
+
+  if (a->settings.without_contract_limits)
+    {
+      rgy_count_limit_force (requests);
+      return true;
+    }
+  return rgy_count_limit_take (requests, a->now_us);
 }
 
 static void
@@ -116,6 +123,8 @@
                          .queue_length = s->queue_length,
                          .cold_start = !s->without_cold_start },
           .echo_required = !s->without_echo,
+          .without_answer_matching = s->without_answer_matching,
+          .without_outcome_unknown = s->without_outcome_unknown,
           .counters = counters };
 
   memcpy (rs.echo_key, s->key, sizeof rs.echo_key);
@@ -136,6 +145,8 @@
   a->counters = counters;
   register_counters_ (a);
   a->bb = rgy_blackboard_new (counters);
+  a->bb->without_domain_orders = settings->without_domain_orders;
+  a->bb->without_version_check = settings->without_version_check;
   a->wire = rgy_wire_new (settings->key);
   a->random = g_rand_new_with_seed_array (
       (const guint32 *)&a->settings.random_seed,
@@ -820,7 +831,8 @@
   if (rgy_drain_get_stage (a->drain) != RGY_DRAIN_NONE)
     return;
   rgy_drain_start (a->drain, now_us);
-  set_state_ (a, RGY_MEMBER_DRAINING);
+  if (!a->settings.without_drain_announcement)
+    set_state_ (a, RGY_MEMBER_DRAINING);
   publish_record_ (a);
   update_group_ (a);
   peer_state_tick_ (a);
--- a/src/libragwortyoke/agent_packet.c
+++ b/src/libragwortyoke/agent_packet.c
@@ -261,7 +261,8 @@
   struct rgy_flow *flow;
 
   ++*a->c.packets_in;
-  if (!rgy_endpoint_equal (m->service, a->settings.service))
+  if (!rgy_endpoint_equal (m->service, a->settings.service)
+      && !a->settings.without_service_check)
     {
       ++*a->c.drop_wrong_service;
       return;
--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -91,6 +91,8 @@
   b->counters = counters;
   register_counters_ (b);
   b->bb = rgy_blackboard_new (counters);
+  b->bb->without_domain_orders = settings->without_domain_orders;
+  b->bb->without_version_check = settings->without_version_check;
   b->wire = rgy_wire_new (settings->key);
   b->random = g_rand_new_with_seed_array (
       (const guint32 *)&b->settings.random_seed,
--- a/src/libragwortyoke/config_change.c
+++ b/src/libragwortyoke/config_change.c
@@ -153,7 +153,8 @@
         rgy_contract_set_put (bb->contracts, change->contract);
       break;
     case RGY_ENTRY_DOMAIN:
-      rgy_domain_set_apply (bb->domains, &change->order);
+      if (!bb->without_domain_orders)
+        rgy_domain_set_apply (bb->domains, &change->order);
       break;
     case RGY_ENTRY_AGENT:
       put_agent_ (bb, &change->agent);
@@ -178,6 +179,23 @@
          && rgy_version_compare (entry->version, known->version) <= 0;
 }
 
+/* Baseline: the contract that arrived last is in force.  */
+static enum rgy_outcome
+force_contract_ (struct rgy_blackboard *bb, const struct rgy_entry *entry)
+{
+  struct change_ change = { 0 };
+  enum rgy_outcome rc = read_contract_ (entry, &change);
+
+  if (rc != RGY_OK || change.contract == NULL)
+    return rc;
+  change.contract->revision
+      = rgy_replica_get (bb->replica, entry->class, &entry->key)
+            ->version.major;
+  rgy_contract_set_put (bb->contracts, change.contract);
+  bb->changes[entry->class]++;
+  return RGY_OK;
+}
+
 enum rgy_outcome
 rgy_blackboard_apply (struct rgy_blackboard *bb, const struct rgy_entry *entry)
 {
@@ -185,7 +203,9 @@
   enum rgy_outcome rc;
 
   if (is_known_ (bb, entry))
-    return RGY_ERR_STALE;
+    return bb->without_version_check && entry->class == RGY_ENTRY_CONTRACT
+               ? force_contract_ (bb, entry)
+               : RGY_ERR_STALE;
   rc = read_change_ (entry, &change);
   if (rc != RGY_OK)
     {
--- a/src/libragwortyoke/request_engine.c
+++ b/src/libragwortyoke/request_engine.c
@@ -204,7 +204,10 @@
 {
   ++*session->engine->c.echo_rejected;
   ++*session->engine->c.outcome_unknown;
-  send_with_echo_ (session, rgy_coap_build_outcome_unknown (view, "echo"));
+  send_with_echo_ (session,
+                   session->engine->settings.without_outcome_unknown
+                       ? rgy_coap_build_not_run (view, RGY_REFUSAL_OVERLOAD, 1)
+                       : rgy_coap_build_outcome_unknown (view, "echo"));
 }
 
 /* Decides by Echo whether a non-idempotent request may run.
@@ -398,6 +401,12 @@
       = find_by_token_ (&session->requests, view->token);
   struct rgy_observation *o;
 
+  if (session->engine->settings.without_answer_matching
+      && session->requests.head != NULL)
+    {
+      rgy_request_answered (session->requests.head->data, view, now_us);
+      return;
+    }
   if (request != NULL && is_answer_to_ (request, view))
     {
       if (view->type == RGY_COAP_CON)
--- a/src/libragwortyoke/request_run.c
+++ b/src/libragwortyoke/request_run.c
@@ -190,7 +190,10 @@
 static void
 finish_unknown_ (struct rgy_request *r, const char *reason, int64_t now_us)
 {
-  GByteArray *answer = rgy_coap_build_outcome_unknown (&r->view, reason);
+  GByteArray *answer
+      = r->session->engine->settings.without_outcome_unknown
+            ? rgy_coap_build_not_run (&r->view, RGY_REFUSAL_OVERLOAD, 1)
+            : rgy_coap_build_outcome_unknown (&r->view, reason);
 
   ++*r->session->engine->c.outcome_unknown;
   renumber_ (r->session, answer);
--- /dev/null
+++ b/src/test_guarantees/config.c
@@ -0,0 +1,95 @@
+#include "proofs.h"
+
+#define OUT_TARGET_US (3 * H_S)
+#define OUT_US (20 * H_S)
+#define CONTRACT_TARGET_US (6 * H_S)
+#define OLD_LIMIT 1000
+#define NEW_LIMIT 700
+#define LIMIT 40
+#define LIMIT_POSTERS 200
+#define LIMIT_INTERVAL_US (20 * H_MS)
+#define STEP_US H_MS
+#define STEPS 6000
+
+uint64_t
+proof_domain_out (enum deployment_kind kind,
+                  const struct harness_settings *settings)
+{
+  const unsigned domain = 1;
+  struct deployment *d = proof_start (kind, settings);
+  int64_t limit_us = harness_now_us (d->h) + OUT_TARGET_US;
+  uint64_t reached;
+
+  harness_order_domain (d->h, domain, true);
+  deployment_run (d, OUT_US);
+  reached = deployment_count_reached (d, domain, limit_us);
+  deployment_delete (d);
+  return reached;
+}
+
+uint64_t
+proof_contract (enum deployment_kind kind,
+                const struct harness_settings *settings)
+{
+  struct deployment *d = proof_start (kind, settings);
+  char *json = deployment_make_contract (d, OLD_LIMIT);
+  uint64_t revision = harness_put_contract (d->h, json);
+  uint64_t missing;
+
+  deployment_run (d, CONTRACT_TARGET_US);
+  deployment_put_limit (d, NEW_LIMIT);
+  deployment_run (d, CONTRACT_TARGET_US);
+  missing = deployment_count_without_limit (d, NEW_LIMIT);
+  harness_restore_contract (d->h, json, revision);
+  deployment_run (d, CONTRACT_TARGET_US);
+  missing += deployment_count_without_limit (d, NEW_LIMIT);
+  g_free (json);
+  deployment_delete (d);
+  return missing;
+}
+
+static uint64_t
+count_in_flight_ (const struct deployment *d)
+{
+  uint64_t n = 0;
+  unsigned i;
+
+  for (i = 0; i < DEPLOYMENT_DESK_HOSTS; i++)
+    if (d->desk_agents[i]->alive)
+      {
+        const struct rgy_admission *a
+            = rgy_agent_get_admission (d->desk_agents[i]->agent);
+
+        n += rgy_admission_get_running (a) + rgy_admission_get_queued (a);
+      }
+  return n;
+}
+
+/* Many more requests than the limit, while an agent drains and returns and a
+   balancer dies.  */
+uint64_t
+proof_fleet_limit (enum deployment_kind kind,
+                   const struct harness_settings *settings)
+{
+  const struct deployment_load load
+      = { .posters = LIMIT_POSTERS, .interval_us = LIMIT_INTERVAL_US };
+  struct deployment *d = deployment_new (kind, settings);
+  uint64_t above = 0;
+  unsigned i;
+
+  deployment_put_limit (d, LIMIT);
+  deployment_run (d, CONTRACT_TARGET_US);
+  deployment_add_load (d, &load);
+  for (i = 0; i < STEPS; i++)
+    {
+      if (i == STEPS / 4)
+        harness_drain (d->h, d->desk_agents[2]);
+      if (i == STEPS / 2)
+        harness_kill (d->h, d->balancers[0]);
+      deployment_run (d, STEP_US);
+      if (count_in_flight_ (d) > LIMIT)
+        above++;
+    }
+  deployment_delete (d);
+  return above;
+}
--- /dev/null
+++ b/src/test_targets/test_targets.c
@@ -0,0 +1,251 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "deployment.h"
+
+/* The measured targets of section 1.2 of the design page, for both
+   deployments and several seeds.  */
+#define STEADY_IMBALANCE 1.15
+#define RETURN_IMBALANCE 1.3
+#define SERVICE_PERCENT 99.0
+#define OUT_TARGET_US (3 * H_S)
+#define CONTRACT_TARGET_US (6 * H_S)
+#define NEW_LIMIT 700
+
+#define DEFAULT_SEED 1
+#define SEEDS 3
+#define WATCHES 120
+#define POSTERS 20
+#define GETTERS 6
+#define STEADY_SAMPLES 10
+#define OUT_US (20 * H_S)
+#define RETURN_US (60 * H_S)
+#define DOWN_US (12 * H_S)
+#define BACK_US (8 * H_S)
+#define PERCENT 100.0
+
+/** What one run showed.  */
+struct figures_
+{
+  double steady;
+  double after_return;
+  double service;
+  uint64_t late_packets;
+  uint64_t without_contract;
+  uint64_t broken_by_change;
+  uint64_t broken_by_death;
+};
+
+/* One run gives all figures; the tests check one each.  */
+static struct figures_ figures_[DEPLOYMENT_COUNT][SEEDS];
+static bool measured_;
+static uint64_t first_seed_ = DEFAULT_SEED;
+
+static uint64_t
+count_registrations_ (struct deployment *d)
+{
+  return harness_get_totals (d->h).sum[CALLER_WATCH].registrations;
+}
+
+static void
+measure_planned_change_ (struct deployment *d, struct figures_ *f)
+{
+  uint64_t before = count_registrations_ (d);
+  unsigned i;
+
+  for (i = 0; i < DEPLOYMENT_DESK_HOSTS; i += 3)
+    {
+      harness_drain (d->h, d->desk_agents[i]);
+      deployment_run (d, DOWN_US);
+      harness_restart (d->h, d->desk_agents[i], true);
+      deployment_run (d, BACK_US);
+    }
+  harness_drain (d->h, d->balancers[1]);
+  deployment_run (d, DOWN_US);
+  harness_restart (d->h, d->balancers[1], false);
+  deployment_run (d, BACK_US);
+  f->broken_by_change = count_registrations_ (d) - before;
+}
+
+static void
+measure_deaths_ (struct deployment *d, struct figures_ *f)
+{
+  uint64_t before = count_registrations_ (d);
+  unsigned i;
+
+  for (i = 0; i < DEPLOYMENT_DOMAINS; i++)
+    {
+      harness_kill (d->h, d->balancers[i]);
+      deployment_run (d, DOWN_US);
+      harness_restart (d->h, d->balancers[i], false);
+      deployment_run (d, BACK_US);
+    }
+  f->broken_by_death = count_registrations_ (d) - before;
+}
+
+/* Requests that were under way at the start belong to the change.  */
+static uint64_t
+count_ended_ (const struct caller_stats *s)
+{
+  return s->in_time + s->late + s->not_run + s->unknown;
+}
+
+static void
+measure_domain_change_ (struct deployment *d, unsigned domain,
+                        struct figures_ *f)
+{
+  struct harness_totals before = harness_get_totals (d->h);
+  struct harness_totals after;
+  int64_t limit_us = harness_now_us (d->h) + OUT_TARGET_US;
+  uint64_t sent = 0;
+  uint64_t served = 0;
+  int caller;
+
+  harness_order_domain (d->h, domain, true);
+  deployment_run (d, OUT_US);
+  f->late_packets = deployment_count_reached (d, domain, limit_us);
+  harness_order_domain (d->h, domain, false);
+  deployment_run (d, RETURN_US);
+  f->after_return = deployment_get_imbalance (d);
+  deployment_finish_load (d);
+  after = harness_get_totals (d->h);
+  for (caller = CALLER_POST; caller <= CALLER_GET; caller++)
+    {
+      sent += after.sum[caller].requests - count_ended_ (&before.sum[caller]);
+      served += after.sum[caller].in_time - before.sum[caller].in_time;
+    }
+  f->service = PERCENT * (double)served / (double)sent;
+}
+
+static void
+measure_run_ (enum deployment_kind kind, unsigned number, struct figures_ *f)
+{
+  const struct deployment_load load = { .watches = WATCHES,
+                                        .posters = POSTERS,
+                                        .getters = GETTERS,
+                                        .interval_us = H_S };
+  const struct harness_settings settings = { .seed = first_seed_ + number };
+  struct deployment *d = deployment_new (kind, &settings);
+  unsigned i;
+
+  deployment_add_load (d, &load);
+  for (i = 0; i < STEADY_SAMPLES; i++)
+    {
+      deployment_run (d, H_S);
+      f->steady = MAX (f->steady, deployment_get_imbalance (d));
+    }
+  deployment_put_limit (d, NEW_LIMIT);
+  deployment_run (d, CONTRACT_TARGET_US);
+  f->without_contract = deployment_count_without_limit (d, NEW_LIMIT);
+  measure_planned_change_ (d, f);
+  measure_deaths_ (d, f);
+  measure_domain_change_ (d, number % DEPLOYMENT_DOMAINS, f);
+  print_message (
+      "  %s, seed %" G_GUINT64_FORMAT
+      ": imbalance %.3f steady, %.3f after return; service %.2f%%; "
+      "instances %" G_GUINT64_FORMAT " with late packets, %" G_GUINT64_FORMAT
+      " without the contract; broken sessions %" G_GUINT64_FORMAT
+      " by planned change, %" G_GUINT64_FORMAT " by balancer death\n",
+      deployment_string[kind], settings.seed, f->steady, f->after_return,
+      f->service, f->late_packets, f->without_contract, f->broken_by_change,
+      f->broken_by_death);
+  deployment_delete (d);
+}
+
+static void
+measure_ (void)
+{
+  enum deployment_kind kind;
+  unsigned i;
+
+  if (measured_)
+    return;
+  measured_ = true;
+  for (kind = DEPLOYMENT_SUL; kind < DEPLOYMENT_COUNT; kind++)
+    for (i = 0; i < SEEDS; i++)
+      measure_run_ (kind, i, &figures_[kind][i]);
+}
+
+#define FOR_EACH_RUN(f)                                                       \
+  measure_ ();                                                                \
+  for (const struct figures_ *f = figures_[0];                                \
+       f < figures_[0] + DEPLOYMENT_COUNT * SEEDS; f++)
+
+static void
+test_imbalance_in_steady_state (void **state)
+{
+  (void)state;
+  FOR_EACH_RUN (f)
+  {
+    assert_true (f->steady > 0);
+    assert_true (f->steady <= STEADY_IMBALANCE);
+  }
+}
+
+static void
+test_imbalance_after_return (void **state)
+{
+  (void)state;
+  FOR_EACH_RUN (f)
+  {
+    assert_true (f->after_return > 0);
+    assert_true (f->after_return <= RETURN_IMBALANCE);
+  }
+}
+
+static void
+test_service_during_domain_change (void **state)
+{
+  (void)state;
+  FOR_EACH_RUN (f) { assert_true (f->service >= SERVICE_PERCENT); }
+}
+
+static void
+test_no_packet_after_domain_out (void **state)
+{
+  (void)state;
+  FOR_EACH_RUN (f) { assert_int_equal (f->late_packets, 0); }
+}
+
+static void
+test_contract_in_force_within_target (void **state)
+{
+  (void)state;
+  FOR_EACH_RUN (f) { assert_int_equal (f->without_contract, 0); }
+}
+
+static void
+test_no_broken_session_in_planned_change (void **state)
+{
+  (void)state;
+  FOR_EACH_RUN (f) { assert_int_equal (f->broken_by_change, 0); }
+}
+
+static void
+test_no_broken_session_after_balancer_death (void **state)
+{
+  (void)state;
+  FOR_EACH_RUN (f) { assert_int_equal (f->broken_by_death, 0); }
+}
+
+/* Usage: test_targets [SEED].  */
+int
+main (int argc, char **argv)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_imbalance_in_steady_state),
+    cmocka_unit_test (test_imbalance_after_return),
+    cmocka_unit_test (test_service_during_domain_change),
+    cmocka_unit_test (test_no_packet_after_domain_out),
+    cmocka_unit_test (test_contract_in_force_within_target),
+    cmocka_unit_test (test_no_broken_session_in_planned_change),
+    cmocka_unit_test (test_no_broken_session_after_balancer_death),
+  };
+
+  if (argc > 1)
+    first_seed_ = g_ascii_strtoull (argv[1], NULL, 10);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/harness/deployment.c
+++ b/tests/harness/deployment.c
@@ -189,3 +189,63 @@
     }
   return sum == 0 ? 0 : (double)most * (double)n / (double)sum;
 }
+
+void
+deployment_put_limit (struct deployment *d, unsigned requests_in_flight)
+{
+  char *json = deployment_make_contract (d, requests_in_flight);
+
+  harness_put_contract (d->h, json);
+  g_free (json);
+}
+
+static uint64_t
+get_limit_ (const struct deployment *d, const struct node *node)
+{
+  const struct rgy_blackboard *bb
+      = node->kind == NODE_BALANCER
+            ? rgy_balancer_get_blackboard (node->balancer)
+            : rgy_agent_get_blackboard (node->agent);
+  const struct rgy_contract *contract;
+  const struct rgy_contract_service *service;
+
+  if (rgy_contract_set_match (bb->contracts, DEPLOYMENT_CUSTOMER_IP + 1,
+                              d->desk, &contract, &service)
+      != RGY_OK)
+    return 0;
+  return service->limits.requests_in_flight;
+}
+
+unsigned
+deployment_count_without_limit (const struct deployment *d,
+                                unsigned requests_in_flight)
+{
+  unsigned n = 0;
+  unsigned i;
+
+  for (i = 0; i < harness_get_node_count (d->h); i++)
+    {
+      const struct node *node = harness_get_node_at (d->h, i);
+
+      if (node->alive && get_limit_ (d, node) != requests_in_flight)
+        n++;
+    }
+  return n;
+}
+
+unsigned
+deployment_count_reached (const struct deployment *d, unsigned domain,
+                          int64_t after_us)
+{
+  unsigned n = 0;
+  unsigned i;
+
+  for (i = 0; i < harness_get_node_count (d->h); i++)
+    {
+      const struct node *node = harness_get_node_at (d->h, i);
+
+      if (node->domain == domain && node->last_packet_us > after_us)
+        n++;
+    }
+  return n;
+}
--- a/tests/harness/deployment.h
+++ b/tests/harness/deployment.h
@@ -59,6 +59,17 @@
     service.  */
 double deployment_get_imbalance (const struct deployment *d);
 
+/** Put a contract with this limit of requests in flight for the desk
+    service.  */
+void deployment_put_limit (struct deployment *d, unsigned requests_in_flight);
+/** Live processes in which another limit is in force.  */
+unsigned deployment_count_without_limit (const struct deployment *d,
+                                         unsigned requests_in_flight);
+/** Processes of a failure domain that got a datagram of a caller after a
+    time.  */
+unsigned deployment_count_reached (const struct deployment *d, unsigned domain,
+                                   int64_t after_us);
+
 /** Contract of the customer with limits for the desk service.  */
 char *deployment_make_contract (const struct deployment *d,
                                 unsigned requests_in_flight);
--- a/tests/harness/harness.c
+++ b/tests/harness/harness.c
@@ -367,18 +367,26 @@
   g_ptr_array_add (h->store, r);
 }
 
-uint64_t
-harness_put_contract (struct harness *h, const char *json)
+void
+harness_restore_contract (struct harness *h, const char *json,
+                          uint64_t revision)
 {
   struct rgy_check_error error;
   struct rgy_contract *c = rgy_contract_parse (rgy_str_from_c (json), &error);
 
   if (c == NULL)
     g_error ("contract: %s", error.text);
-  h->store_revision++;
   store_put_ (h, RGY_ENTRY_CONTRACT, &c->customer,
-              (struct rgy_version){ .major = h->store_revision }, json);
+              (struct rgy_version){ .major = revision }, json);
   rgy_contract_delete (c);
+  h_trace (h, "contract revision %" G_GUINT64_FORMAT, revision);
+}
+
+uint64_t
+harness_put_contract (struct harness *h, const char *json)
+{
+  h->store_revision++;
+  harness_restore_contract (h, json, h->store_revision);
   return h->store_revision;
 }
 
@@ -536,7 +544,9 @@
     .random_seed = h->settings.seed * 1000 + h->nodes->len,
     .drain_us = DRAIN_US,
     .steering = h->settings.modulo_steering ? RGY_BALANCER_STEER_MODULO
-                                            : RGY_BALANCER_STEER_TABLE
+                                            : RGY_BALANCER_STEER_TABLE,
+    .without_domain_orders = h->settings.without_domain_orders,
+    .without_version_check = h->settings.without_version_check,
   };
   memcpy (s->key, h->key, sizeof s->key);
   s->seed_count = fill_seeds_ (h, s->seeds);
@@ -568,6 +578,13 @@
     .without_cold_start = h->settings.without_cold_start,
     .without_echo = h->settings.without_echo,
     .without_handover = h->settings.without_handover,
+    .without_service_check = h->settings.without_service_check,
+    .without_answer_matching = h->settings.without_answer_matching,
+    .without_outcome_unknown = h->settings.without_outcome_unknown,
+    .without_contract_limits = h->settings.without_contract_limits,
+    .without_drain_announcement = h->settings.without_drain_announcement,
+    .without_domain_orders = h->settings.without_domain_orders,
+    .without_version_check = h->settings.without_version_check,
   };
   memcpy (s->key, h->key, sizeof s->key);
   s->seed_count = fill_seeds_ (h, s->seeds);
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -39,6 +39,13 @@
   bool without_cold_start;
   bool without_echo;
   bool without_handover;
+  bool without_service_check;
+  bool without_answer_matching;
+  bool without_outcome_unknown;
+  bool without_contract_limits;
+  bool without_drain_announcement;
+  bool without_domain_orders;
+  bool without_version_check;
 };
 
 enum node_kind
@@ -156,6 +163,10 @@
 /** Write a contract; readers get it when the store is up.  Returns its
     revision.  */
 uint64_t harness_put_contract (struct harness *h, const char *json);
+/** The store comes back with an older contract and its older revision, as
+    after a restore from a backup.  */
+void harness_restore_contract (struct harness *h, const char *json,
+                               uint64_t revision);
 /** Write a domain order through the store.  */
 uint64_t harness_order_domain (struct harness *h, unsigned domain, bool out);
 /** Give the order to one balancer directly.  */
