--- a/include/ragwortyoke/blackboard.h
+++ b/include/ragwortyoke/blackboard.h
@@ -56,6 +56,11 @@
 enum rgy_outcome rgy_blackboard_apply (struct rgy_blackboard *bb,
                                        const struct rgy_entry *entry);
 
+/** As rgy_blackboard_apply(), but the change is not gossiped: the other
+    balancers hold it already.  */
+enum rgy_outcome rgy_blackboard_apply_unqueued (struct rgy_blackboard *bb,
+                                                const struct rgy_entry *entry);
+
 /** Put one's own record on the blackboard.  */
 void rgy_blackboard_apply_agent (struct rgy_blackboard *bb,
                                  const struct rgy_agent_record *record);
--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -349,6 +349,30 @@
   g_free (names);
 }
 
+void
+rgy_agent_note_rollup (struct rgy_agent *a, struct rgy_str json)
+{
+  struct rgy_rollup rollup;
+
+  if (rgy_rollup_parse (json, &rollup) == RGY_OK)
+    rgy_rollup_add_seeds (&rollup, a->settings.seeds, &a->settings.seed_count,
+                          RGY_AGENT_MAX_SEEDS);
+}
+
+static void
+look_for_balancers_ (struct rgy_agent *a)
+{
+  if (a->last_ack_us == 0)
+    a->last_ack_us = a->now_us;
+  if (a->now_us - a->last_ack_us < RGY_LOST_BALANCERS_US
+      || a->now_us < a->next_store_read_us)
+    return;
+  a->next_store_read_us
+      = a->now_us + RGY_STORE_READ_INTERVAL_US
+        + g_rand_int_range (a->random, 0, (gint32)RGY_STORE_READ_INTERVAL_US);
+  rgy_actions_read_store (a->actions);
+}
+
 /* Own record.  */
 
 static void
@@ -434,7 +458,11 @@
       || rgy_blackboard_apply (a->bb, entry) != RGY_OK)
     return;
   if (entry->class == RGY_ENTRY_CONTRACT || entry->class == RGY_ENTRY_DOMAIN)
-    ++*a->c.config_changes;
+    {
+      ++*a->c.config_changes;
+      /* The balancers wait for the new digest.  */
+      a->next_heartbeat_us = 0;
+    }
   if (entry->class == RGY_ENTRY_CONTRACT)
     rgy_agent_prepare_usage (a);
   if (entry->class == RGY_ENTRY_DOMAIN)
@@ -468,6 +496,7 @@
   for (i = 0; i < m->sample_count; i++)
     learn_balancer_ (a, &m->sample[i]);
   k = g_hash_table_lookup (a->balancers, &m->balancer);
+  a->last_ack_us = a->now_us;
   if (k != NULL)
     {
       k->last_ack_us = a->now_us;
@@ -714,30 +743,6 @@
 
 /* Time.  */
 
-static void
-probe_backend_ (struct rgy_agent *a)
-{
-  uint16_t id;
-  uint8_t ping[4] = { 0x40, 0, 0, 0 };
-
-  if (!rgy_agent_serves_requests (a))
-    return;
-  if (rgy_health_tick (a->health, a->now_us) == RGY_HEALTH_FAILED)
-    {
-      rgy_admission_set_cold (rgy_request_engine_get_admission (a->engine),
-                              RGY_COLD_PROBE, a->now_us);
-      rgy_actions_log (a->actions, "backend server: unhealthy");
-    }
-  rgy_admission_set_ceiling (rgy_request_engine_get_admission (a->engine),
-                             rgy_health_get_ceiling (a->health, a->now_us));
-  if (!rgy_health_probe_due (a->health, a->now_us, &id))
-    return;
-  ping[2] = (uint8_t)(id >> 8);
-  ping[3] = (uint8_t)id;
-  rgy_actions_deliver (a->actions, RGY_PROBE_FLOW_ID,
-                       (struct rgy_bytes){ .data = ping, .len = sizeof ping });
-}
-
 static void
 expire_flows_ (struct rgy_agent *a)
 {
@@ -806,7 +811,7 @@
   update_group_ (a);
   settle_tick_ (a);
   peer_state_tick_ (a);
-  probe_backend_ (a);
+  rgy_agent_probe_tick (a);
   rgy_request_engine_tick (a->engine, now_us, actions);
   expire_flows_ (a);
   rgy_agent_handover_tick (a);
@@ -816,6 +821,7 @@
     {
       a->next_heartbeat_us = now_us + RGY_HEARTBEAT_INTERVAL_US;
       send_heartbeats_ (a);
+      look_for_balancers_ (a);
     }
   *a->c.flows = rgy_flow_table_get_count (a->flows);
   *a->c.limit = rgy_admission_get_limit (admission);
--- a/src/libragwortyoke/balancer_monitor.c
+++ b/src/libragwortyoke/balancer_monitor.c
@@ -261,36 +261,99 @@
 
 /* Heartbeats of agents.  */
 
+/* Usable balancers; @return their number.  */
 static size_t
-fill_sample_ (struct rgy_balancer *b, struct rgy_balancer_record *sample)
+list_usable_ (const struct rgy_balancer *b,
+              const struct rgy_balancer_record **usable)
 {
-  size_t max = g_hash_table_size (b->bb->balancers);
-  const struct rgy_balancer_record **usable
-      = g_new (const struct rgy_balancer_record *, max + 1);
   GHashTableIter iter;
   gpointer value;
   size_t n = 0;
-  size_t count = 0;
-  size_t pick;
 
   g_hash_table_iter_init (&iter, b->bb->balancers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (rgy_blackboard_balancer_is_usable (b->bb, value))
       usable[n++] = value;
-  while (n > 0 && count < RGY_WIRE_MAX_SAMPLE)
+  return n;
+}
+
+/* Moves the monitors of AGENT to the front.  @return their number.  */
+static size_t
+put_monitors_first_ (const struct rgy_name *agent,
+                     const struct rgy_balancer_record **usable, size_t n)
+{
+  struct rgy_name *names = g_new (struct rgy_name, n + 1);
+  const struct rgy_balancer_record *monitors[RGY_MONITOR_COUNT];
+  size_t chosen[RGY_MONITOR_COUNT];
+  size_t count;
+  size_t i;
+  size_t k;
+
+  for (i = 0; i < n; i++)
+    names[i] = usable[i]->id;
+  count = rgy_member_choose (agent, names, n, RGY_MONITOR_COUNT, chosen);
+  for (i = 0; i < count; i++)
+    monitors[i] = usable[chosen[i]];
+  for (i = 0; i < count; i++)
+    for (k = i; k < n; k++)
+      if (usable[k] == monitors[i])
+        {
+          usable[k] = usable[i];
+          usable[i] = monitors[i];
+        }
+  g_free (names);
+  return count;
+}
+
+/* An agent that sends its heartbeats to the right balancers needs a sample
+   only now and then, to know others when these die.  A sample in every
+   acknowledgement was 14 kB/s of the control traffic of a balancer.  */
+static bool
+needs_sample_ (struct rgy_balancer *b, const struct rgy_agent_record *agent,
+               const struct rgy_balancer_record *const *monitors, size_t count)
+{
+  size_t i;
+
+  if (agent->state == RGY_MEMBER_STARTING
+      || g_rand_int_range (b->random, 0, RGY_SAMPLE_PERIOD) == 0)
+    return true;
+  for (i = 0; i < count; i++)
+    if (rgy_name_equal (&monitors[i]->id, &b->settings.id))
+      return false;
+  return true;
+}
+
+/* The sample holds the monitors of the agent and others at random.  */
+static size_t
+fill_sample_ (struct rgy_balancer *b, const struct rgy_agent_record *agent,
+              struct rgy_balancer_record *sample)
+{
+  const struct rgy_balancer_record **usable
+      = g_new (const struct rgy_balancer_record *,
+               g_hash_table_size (b->bb->balancers) + 1);
+  size_t n = list_usable_ (b, usable);
+  size_t monitors = put_monitors_first_ (&agent->id, usable, n);
+  size_t count = 0;
+  size_t pick;
+
+  if (n > RGY_WIRE_MAX_SAMPLE && !needs_sample_ (b, agent, usable, monitors))
+    n = 0;
+  for (count = 0; count < MIN (n, RGY_WIRE_MAX_SAMPLE); count++)
     {
-      pick = (size_t)g_rand_int_range (b->random, 0, (gint32)n);
+      pick = count < monitors ? count
+                              : (size_t)g_rand_int_range (
+                                  b->random, (gint32)count, (gint32)n);
       sample[count] = *usable[pick];
       sample[count].demand_count = 0;
-      count++;
-      usable[pick] = usable[--n];
+      usable[pick] = usable[count];
     }
   g_free (usable);
   return count;
 }
 
 static void
-note_digests_ (struct rgy_balancer *b, const struct rgy_heartbeat_message *m)
+note_digests_ (struct rgy_balancer *b, const struct rgy_heartbeat_message *m,
+               int64_t now_us)
 {
   const struct rgy_name *id = &m->record.id;
   bool lags
@@ -305,7 +368,21 @@
     g_hash_table_add (b->lagging, g_memdup2 (id, sizeof *id));
   else
     g_hash_table_remove (b->lagging, id);
-  b->record_changed = true;
+  /* An agent may also be ahead: the change has reached it first.  */
+  if (b->confirm_until_us == 0)
+    b->confirm_until_us = now_us + RGY_CONFIRM_WAIT_US;
+}
+
+void
+rgy_balancer_suspect_lag (struct rgy_balancer *b)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, b->bb->agents);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (rgy_liveness_is_watched (b->agents_liveness, key))
+      g_hash_table_add (b->lagging, g_memdup2 (key, sizeof (struct rgy_name)));
 }
 
 static void
@@ -337,7 +414,7 @@
   if (rgy_liveness_is_watched (b->agents_liveness, &m->record.id))
     {
       rgy_liveness_heard (b->agents_liveness, &m->record.id, now_us);
-      note_digests_ (b, m);
+      note_digests_ (b, m, now_us);
     }
   known = rgy_blackboard_get_agent (b->bb, &m->record.id);
   ack->kind = RGY_MSG_HEARTBEAT_ACK;
@@ -355,7 +432,7 @@
     .agent_sequence = known == NULL ? 0 : known->sequence,
   };
   ack->u.heartbeat_ack.sample_count
-      = fill_sample_ (b, ack->u.heartbeat_ack.sample);
+      = fill_sample_ (b, &m->record, ack->u.heartbeat_ack.sample);
   rgy_balancer_send_message (b, from, ack, actions);
   g_free (ack);
 }
--- a/src/libragwortyoke/config_change.c
+++ b/src/libragwortyoke/config_change.c
@@ -49,8 +49,13 @@
       &change->order, &error);
   if (rc != RGY_OK)
     return rc;
-  return rgy_name_equal (&change->order.domain, &entry->key) ? RGY_OK
-                                                             : RGY_ERR_INVALID;
+  /* The replica compares versions, the set of orders their numbers and IDs;
+     both must come to the same result.  */
+  return rgy_name_equal (&change->order.domain, &entry->key)
+                 && change->order.number == entry->version.major
+                 && change->order.id == entry->version.minor
+             ? RGY_OK
+             : RGY_ERR_INVALID;
 }
 
 static enum rgy_outcome
@@ -168,15 +173,19 @@
 }
 
 /* A value is read only when its version is newer: most entries that arrive
-   by gossip are already known.  */
+   by gossip are already known.  At equal versions a tombstone is newer than a
+   live entry, as in rgy_replica_merge().  */
 static bool
 is_known_ (const struct rgy_blackboard *bb, const struct rgy_entry *entry)
 {
   const struct rgy_entry *known
       = rgy_replica_get (bb->replica, entry->class, &entry->key);
+  int order;
 
-  return known != NULL
-         && rgy_version_compare (entry->version, known->version) <= 0;
+  if (known == NULL)
+    return false;
+  order = rgy_version_compare (entry->version, known->version);
+  return order < 0 || (order == 0 && (known->deleted || !entry->deleted));
 }
 
 /* Baseline: the contract that arrived last is in force.  */
@@ -196,13 +205,15 @@
   return RGY_OK;
 }
 
-enum rgy_outcome
-rgy_blackboard_apply (struct rgy_blackboard *bb, const struct rgy_entry *entry)
+static enum rgy_outcome
+apply_ (struct rgy_blackboard *bb, const struct rgy_entry *entry,
+        enum rgy_outcome (*merge) (struct rgy_replica *replica,
+                                   const struct rgy_entry *entry))
 {
   struct change_ change = { 0 };
   enum rgy_outcome rc;
 
-  if (is_known_ (bb, entry))
+  if ((unsigned)entry->class < RGY_ENTRY_CLASS_COUNT && is_known_ (bb, entry))
     return bb->without_version_check && entry->class == RGY_ENTRY_CONTRACT
                ? force_contract_ (bb, entry)
                : RGY_ERR_STALE;
@@ -213,7 +224,7 @@
                            "Entries whose value could not be read.");
       return rc;
     }
-  rc = rgy_replica_merge (bb->replica, entry);
+  rc = merge (bb->replica, entry);
   if (rc != RGY_OK)
     {
       rgy_contract_delete (change.contract);
@@ -224,6 +235,20 @@
   return RGY_OK;
 }
 
+enum rgy_outcome
+rgy_blackboard_apply (struct rgy_blackboard *blackboard,
+                      const struct rgy_entry *entry)
+{
+  return apply_ (blackboard, entry, rgy_replica_merge);
+}
+
+enum rgy_outcome
+rgy_blackboard_apply_unqueued (struct rgy_blackboard *blackboard,
+                               const struct rgy_entry *entry)
+{
+  return apply_ (blackboard, entry, rgy_replica_merge_unqueued);
+}
+
 void
 rgy_blackboard_apply_agent (struct rgy_blackboard *bb,
                             const struct rgy_agent_record *record)
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -8,10 +8,13 @@
 
 #include "ragwortyoke/balancer.h"
 #include "ragwortyoke/limit.h"
+#include "ragwortyoke/rollup.h"
 #include "ragwortyoke/steering.h"
 
 #define RGY_GOSSIP_INTERVAL_US INT64_C (200000)
 #define RGY_PROBE_INTERVAL_US INT64_C (1000000)
+/** A balancer that is dead or unknown here is tried this often.  */
+#define RGY_REJOIN_INTERVAL_US INT64_C (5000000)
 #define RGY_RECORD_INTERVAL_US INT64_C (1000000)
 /** Own demand is published at most this often.  */
 #define RGY_DEMAND_INTERVAL_US INT64_C (2000000)
@@ -21,6 +24,12 @@
 #define RGY_STORE_INTERVAL_US INT64_C (2000000)
 /** Balancers that monitor one member.  */
 #define RGY_MONITOR_COUNT 3
+/** Time for the monitored agents to report a change before those that have
+    not are published; longer than a heartbeat interval.  */
+#define RGY_CONFIRM_WAIT_US INT64_C (1500000)
+/** One of so many acknowledgements to an agent carries a sample; at three a
+    second the agent gets one every 5 s.  */
+#define RGY_SAMPLE_PERIOD 16
 /** Balancers of a failure domain that watch the store.  */
 #define RGY_READER_COUNT 2
 #define RGY_BURST_MS 500
@@ -41,6 +50,14 @@
   GBytes *value; /**< Owns the entry's value.  */
 };
 
+/** Entry that is too large for a gossip datagram.  Its version alone is
+    gossiped, and who lacks it pulls it from the sender.  */
+struct rgy_announcement
+{
+  struct rgy_entry entry; /**< Without its value.  */
+  unsigned sends;
+};
+
 struct rgy_balancer_counters
 {
   uint64_t *packets_in;
@@ -85,11 +102,14 @@
   uint64_t monitored_agent_changes;
   uint64_t monitored_balancer_changes;
 
-  GPtrArray *fresh; /**< Owned entries to push to monitored agents.  */
+  GPtrArray *fresh;      /**< Owned entries to push to monitored agents.  */
+  char *stored_rollup;   /**< Of the own failure domain, as last seen.  */
+  GArray *announcements; /**< struct rgy_announcement.  */
   GHashTable *stored_orders; /**< Domain to the order number in the store. */
 
   int64_t next_gossip_us;
   int64_t next_probe_us;
+  int64_t next_rejoin_us;
   int64_t next_record_us;
   int64_t next_demand_us;
   int64_t next_sync_us;
@@ -97,9 +117,13 @@
   int64_t digest_differs_since_us; /**< 0 when digests agree.  */
   int64_t drain_until_us;          /**< 0 when not draining.  */
   bool eager;                      /**< Gossip soon: something is new.  */
+  int64_t confirm_until_us; /**< 0 when no digest waits to be published.  */
   bool record_changed;
+  bool config_changed;
   bool cut;
-  bool synced; /**< Synchronised with a peer or read from the store.  */
+  bool joined;       /**< Has held the same entries as a peer.  */
+  bool initial_pull; /**< The pull under way began before it had joined.  */
+  bool synced;       /**< Synchronised with a peer or read from the store.  */
 };
 
 /* balancer_control.c */
@@ -109,6 +133,11 @@
 enum rgy_outcome rgy_balancer_apply_entry (struct rgy_balancer *b,
                                            const struct rgy_entry *entry,
                                            struct rgy_actions *actions);
+/** Apply an entry of the initial pull; it is not gossiped.  */
+enum rgy_outcome
+rgy_balancer_apply_pulled_entry (struct rgy_balancer *b,
+                                 const struct rgy_entry *entry,
+                                 struct rgy_actions *actions);
 /** Names of the usable or starting balancers but this one.  */
 size_t rgy_balancer_list_others (const struct rgy_balancer *b,
                                  struct rgy_name *names, size_t max);
@@ -121,9 +150,15 @@
                                     const struct rgy_heartbeat_message *m,
                                     int64_t now_us,
                                     struct rgy_actions *actions);
+/** Counts every monitored agent as lagging until its next heartbeat.  */
+void rgy_balancer_suspect_lag (struct rgy_balancer *b);
 void rgy_balancer_push_fresh (struct rgy_balancer *b,
                               struct rgy_actions *actions);
 
+/* balancer_store.c */
+void rgy_balancer_store_tick (struct rgy_balancer *b, int64_t now_us,
+                              struct rgy_actions *actions);
+
 /* balancer_packet.c */
 void rgy_balancer_handle_answer (struct rgy_balancer *b,
                                  const struct rgy_answer_message *m,
