Keep the choice of monitors and readers between changes of the fleet

Cause: every change of any balancer's record, several a second, chose the monitors of all agents and balancers again, and every tick chose the readers of the store again. Both list all balancers, so that the CPU time of a balancer grew with the square of the fleet.

Change: both are kept until the set of live balancers changes; for a new agent only its own choice is made.

--- a/benchmarks/bench_control.c
+++ b/benchmarks/bench_control.c
@@ -394,7 +394,6 @@
   printf ("%.0f s of wall time for %.0f virtual seconds\n",
           (double)(bench_wall_ns () - start_ns) / 1e9,
           (double)fleet_now_us (f) / (double)FLEET_S);
-  fflush (stdout);
   fleet_delete (f);
 }
 
@@ -440,6 +439,7 @@
 
   if (!parse_ (argc, argv, &o))
     return 2;
+  setvbuf (stdout, NULL, _IOLBF, 0);
   if (o.size_count == 0)
     {
       memcpy (o.sizes, defaults, sizeof defaults);
--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -102,6 +102,8 @@
                                      limit_free_);
   b->agents_liveness = rgy_liveness_new (&rgy_liveness_defaults);
   b->balancers_liveness = rgy_liveness_new (&rgy_liveness_defaults);
+  b->monitored
+      = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free, NULL);
   b->lagging
       = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free, NULL);
   b->fresh = g_ptr_array_new_with_free_func (fresh_entry_free_);
@@ -130,6 +132,7 @@
   g_array_unref (b->announcements);
   g_ptr_array_unref (b->fresh);
   g_hash_table_unref (b->lagging);
+  g_hash_table_unref (b->monitored);
   rgy_liveness_delete (b->balancers_liveness);
   rgy_liveness_delete (b->agents_liveness);
   g_hash_table_unref (b->limits);
@@ -826,31 +829,35 @@
 /* Store.  */
 
 bool
-rgy_balancer_is_reader (const struct rgy_balancer *b)
+rgy_balancer_choose_reader (const struct rgy_balancer *b,
+                            const struct rgy_name *names, size_t count)
 {
-  size_t max = g_hash_table_size (b->bb->balancers);
-  struct rgy_name *names = g_new (struct rgy_name, max + 1);
+  struct rgy_name *same = g_new (struct rgy_name, count);
   size_t chosen[RGY_READER_COUNT];
-  size_t n = rgy_balancer_list_others (b, names, max);
   size_t kept = 0;
-  size_t count;
-  size_t i;
   bool reader = false;
+  size_t i;
 
-  for (i = 0; i < n; i++)
+  for (i = 0; i + 1 < count; i++)
     if (rgy_name_equal (
             &rgy_blackboard_get_balancer (b->bb, &names[i])->domain,
             &b->settings.domain))
-      names[kept++] = names[i];
-  names[kept++] = b->settings.id;
-  count = rgy_member_choose (&b->settings.domain, names, kept,
-                             RGY_READER_COUNT, chosen);
+      same[kept++] = names[i];
+  same[kept++] = b->settings.id;
+  count = rgy_member_choose (&b->settings.domain, same, kept, RGY_READER_COUNT,
+                             chosen);
   for (i = 0; i < count; i++)
-    reader |= rgy_name_equal (&names[chosen[i]], &b->settings.id);
-  g_free (names);
+    reader |= rgy_name_equal (&same[chosen[i]], &b->settings.id);
+  g_free (same);
   return reader;
 }
 
+bool
+rgy_balancer_is_reader (const struct rgy_balancer *b)
+{
+  return b->reader;
+}
+
 /* Writes domain orders that reached the balancers directly, during a store
    outage, into the store.  */
 static void
--- a/src/libragwortyoke/balancer_monitor.c
+++ b/src/libragwortyoke/balancer_monitor.c
@@ -128,7 +128,7 @@
 }
 
 /* True when this balancer is one of the monitors of SUBJECT among the
-   members NAMES, which end with this balancer.  */
+   members NAMES.  */
 static bool
 is_monitor_ (const struct rgy_balancer *b, const struct rgy_name *subject,
              const struct rgy_name *names, size_t count)
@@ -144,6 +144,23 @@
   return false;
 }
 
+/* The choice among 460 balancers for each of 3,400 agents takes tens of
+   milliseconds, so it is kept until the set of balancers changes.  */
+static bool
+is_agent_monitor_ (struct rgy_balancer *b, const struct rgy_name *agent,
+                   const struct rgy_name *names, size_t count)
+{
+  gpointer known;
+  bool monitored;
+
+  if (g_hash_table_lookup_extended (b->monitored, agent, NULL, &known))
+    return GPOINTER_TO_INT (known) != 0;
+  monitored = is_monitor_ (b, agent, names, count);
+  g_hash_table_insert (b->monitored, g_memdup2 (agent, sizeof *agent),
+                       GINT_TO_POINTER (monitored));
+  return monitored;
+}
+
 static void
 watch_agents_ (struct rgy_balancer *b, const struct rgy_name *names,
                size_t count, int64_t now_us)
@@ -156,7 +173,7 @@
     {
       const struct rgy_agent_record *r = value;
       bool wanted = r->state != RGY_MEMBER_LEFT && r->state != RGY_MEMBER_DEAD
-                    && is_monitor_ (b, &r->id, names, count);
+                    && is_agent_monitor_ (b, &r->id, names, count);
       bool watched = rgy_liveness_is_watched (b->agents_liveness, &r->id);
 
       if (wanted && !watched)
@@ -206,15 +223,30 @@
     }
 }
 
+static uint64_t
+hash_names_ (const struct rgy_name *names, size_t count)
+{
+  uint64_t hash = count;
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    hash ^= rgy_name_hash (&names[i], 0);
+  return hash;
+}
+
 static void
 update_watches_ (struct rgy_balancer *b, int64_t now_us)
 {
+  bool agents_changed
+      = b->monitored_agent_changes != b->bb->changes[RGY_ENTRY_AGENT];
+  bool balancers_changed
+      = b->monitored_balancer_changes != b->bb->changes[RGY_ENTRY_BALANCER];
   size_t max;
   struct rgy_name *names;
+  uint64_t set;
   size_t n;
 
-  if (b->monitored_agent_changes == b->bb->changes[RGY_ENTRY_AGENT]
-      && b->monitored_balancer_changes == b->bb->changes[RGY_ENTRY_BALANCER])
+  if (!agents_changed && !balancers_changed)
     return;
   b->monitored_agent_changes = b->bb->changes[RGY_ENTRY_AGENT];
   b->monitored_balancer_changes = b->bb->changes[RGY_ENTRY_BALANCER];
@@ -222,8 +254,18 @@
   names = g_new (struct rgy_name, max + 1);
   n = rgy_balancer_list_others (b, names, max);
   names[n++] = b->settings.id;
-  watch_agents_ (b, names, n, now_us);
-  watch_balancers_ (b, names, n, now_us);
+  set = hash_names_ (names, n);
+  /* Most changes of balancers' records leave the set as it is.  */
+  if (set != b->monitored_set)
+    {
+      b->monitored_set = set;
+      g_hash_table_remove_all (b->monitored);
+      watch_balancers_ (b, names, n, now_us);
+      b->reader = rgy_balancer_choose_reader (b, names, n);
+      agents_changed = true;
+    }
+  if (agents_changed)
+    watch_agents_ (b, names, n, now_us);
   g_free (names);
 }
 
@@ -309,18 +351,12 @@
    only now and then, to know others when these die.  A sample in every
    acknowledgement was 14 kB/s of the control traffic of a balancer.  */
 static bool
-needs_sample_ (struct rgy_balancer *b, const struct rgy_agent_record *agent,
-               const struct rgy_balancer_record *const *monitors, size_t count)
+needs_sample_ (struct rgy_balancer *b, const struct rgy_agent_record *agent)
 {
-  size_t i;
-
-  if (agent->state == RGY_MEMBER_STARTING
-      || g_rand_int_range (b->random, 0, RGY_SAMPLE_PERIOD) == 0)
-    return true;
-  for (i = 0; i < count; i++)
-    if (rgy_name_equal (&monitors[i]->id, &b->settings.id))
-      return false;
-  return true;
+  return g_hash_table_size (b->bb->balancers) <= RGY_WIRE_MAX_SAMPLE
+         || agent->state == RGY_MEMBER_STARTING
+         || !rgy_liveness_is_watched (b->agents_liveness, &agent->id)
+         || g_rand_int_range (b->random, 0, RGY_SAMPLE_PERIOD) == 0;
 }
 
 /* The sample holds the monitors of the agent and others at random.  */
@@ -328,16 +364,18 @@
 fill_sample_ (struct rgy_balancer *b, const struct rgy_agent_record *agent,
               struct rgy_balancer_record *sample)
 {
-  const struct rgy_balancer_record **usable
-      = g_new (const struct rgy_balancer_record *,
-               g_hash_table_size (b->bb->balancers) + 1);
-  size_t n = list_usable_ (b, usable);
-  size_t monitors = put_monitors_first_ (&agent->id, usable, n);
-  size_t count = 0;
+  const struct rgy_balancer_record **usable;
+  size_t monitors;
+  size_t count;
   size_t pick;
+  size_t n;
 
-  if (n > RGY_WIRE_MAX_SAMPLE && !needs_sample_ (b, agent, usable, monitors))
-    n = 0;
+  if (!needs_sample_ (b, agent))
+    return 0;
+  usable = g_new (const struct rgy_balancer_record *,
+                  g_hash_table_size (b->bb->balancers) + 1);
+  n = list_usable_ (b, usable);
+  monitors = put_monitors_first_ (&agent->id, usable, n);
   for (count = 0; count < MIN (n, RGY_WIRE_MAX_SAMPLE); count++)
     {
       pick = count < monitors ? count
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -100,6 +100,8 @@
   GHashTable *lagging; /**< Set of agent names.  */
   uint64_t monitored_agent_changes;
   uint64_t monitored_balancer_changes;
+  uint64_t monitored_set; /**< Hash of the balancers it was chosen among.  */
+  GHashTable *monitored;  /**< Agent name to whether it is monitored here.  */
 
   GPtrArray *fresh;      /**< Owned entries to push to monitored agents.  */
   GArray *announcements; /**< struct rgy_announcement.  */
@@ -119,6 +121,7 @@
   bool record_changed;
   bool config_changed;
   bool cut;
+  bool reader;
   bool joined;       /**< Has held the same entries as a peer.  */
   bool initial_pull; /**< The pull under way began before it had joined.  */
   bool synced;       /**< Synchronised with a peer or read from the store.  */
@@ -140,6 +143,10 @@
 size_t rgy_balancer_list_others (const struct rgy_balancer *b,
                                  struct rgy_name *names, size_t max);
 
+/** True when this balancer, the last of NAMES, should watch the store.  */
+bool rgy_balancer_choose_reader (const struct rgy_balancer *b,
+                                 const struct rgy_name *names, size_t count);
+
 /* balancer_monitor.c */
 void rgy_balancer_monitor_tick (struct rgy_balancer *b, int64_t now_us,
                                 struct rgy_actions *actions);
