--- a/src/libragwortyoke/balancer_store.c
+++ b/src/libragwortyoke/balancer_store.c
@@ -6,31 +6,35 @@
    directly, and the roll-up of its failure domain.  */
 
 bool
-rgy_balancer_is_reader (const struct rgy_balancer *b)
+rgy_balancer_choose_reader (const struct rgy_balancer *b,
+                            const struct rgy_name *names, size_t count)
 {
-  size_t max = g_hash_table_size (b->bb->balancers);
-  struct rgy_name *names = g_new (struct rgy_name, max + 1);
+  struct rgy_name *same = g_new (struct rgy_name, count);
   size_t chosen[RGY_READER_COUNT];
-  size_t n = rgy_balancer_list_others (b, names, max);
   size_t kept = 0;
-  size_t count;
-  size_t i;
   bool reader = false;
+  size_t i;
 
-  for (i = 0; i < n; i++)
+  for (i = 0; i + 1 < count; i++)
     if (rgy_name_equal (
             &rgy_blackboard_get_balancer (b->bb, &names[i])->domain,
             &b->settings.domain))
-      names[kept++] = names[i];
-  names[kept++] = b->settings.id;
-  count = rgy_member_choose (&b->settings.domain, names, kept,
-                             RGY_READER_COUNT, chosen);
+      same[kept++] = names[i];
+  same[kept++] = b->settings.id;
+  count = rgy_member_choose (&b->settings.domain, same, kept, RGY_READER_COUNT,
+                             chosen);
   for (i = 0; i < count; i++)
-    reader |= rgy_name_equal (&names[chosen[i]], &b->settings.id);
-  g_free (names);
+    reader |= rgy_name_equal (&same[chosen[i]], &b->settings.id);
+  g_free (same);
   return reader;
 }
 
+bool
+rgy_balancer_is_reader (const struct rgy_balancer *b)
+{
+  return b->reader;
+}
+
 static void
 store_text_ (struct rgy_actions *actions, const char *kind,
              const struct rgy_name *name, const char *text)
