--- a/src/ragwortyokectl/ctl_plan.c
+++ b/src/ragwortyokectl/ctl_plan.c
@@ -85,7 +85,7 @@
     key = g_new0 (struct ctl_key, 1);
     key->key = get_text_ (kv, "key");
     key->value = get_text_ (kv, "value");
-    key->mod_revision = rgy_store_json_get_u64 (kv, "mod_revision");
+    key->mod_revision = rgy_store_json_get_revision (kv, "mod_revision");
     g_ptr_array_add (keys, key);
   }
   return keys;
