--- a/include/ragwortyoke-io/settings.h
+++ b/include/ragwortyoke-io/settings.h
@@ -71,6 +71,9 @@
 enum rgy_outcome rgy_settings_parse (int argc, char **argv,
                                      struct rgy_settings *settings,
                                      struct rgy_check_error *error);
+/** Manual page with the texts of --help, as printed by "ragwortyoked --man"
+    (for packaging, not listed).  Free with g_free().  */
+char *rgy_settings_format_man (void);
 void rgy_settings_finish (struct rgy_settings *settings);
 
 /** Effective settings, one "name = value" line each; secrets are shown as
--- a/src/libragwortyoke-io/settings.c
+++ b/src/libragwortyoke-io/settings.c
@@ -4,6 +4,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "ragwortyoke-io/man.h"
+
 #define PROGRAM "ragwortyoked"
 #define ENV_PREFIX "RAGWORTYOKE_"
 #define SHOWN_VALUE_MAX_BYTES 64
@@ -18,6 +20,21 @@
 };
 #define ROLE_COUNT G_N_ELEMENTS (rgy_role_string)
 
+static const char *const role_summary_[] = {
+  [RGY_ROLE_BALANCER] = "forward datagrams from the fabric to agents",
+  [RGY_ROLE_AGENT] = "hold the flows and requests of one backend server",
+};
+
+/* Flags without a value.  */
+#define CHECK_HELP "print the effective settings and exit"
+#define HELP_HELP "print this text"
+#define VERSION_HELP "print the version"
+#define FLAGS_SUMMARY                                                         \
+  "Each flag can be set by the environment variable in brackets; the flag "   \
+  "wins."
+#define SECRETS_SUMMARY                                                       \
+  "Prefer the environment for secrets: flags are visible to other users."
+
 #define FOR_BALANCER (1U << RGY_ROLE_BALANCER)
 #define FOR_AGENT (1U << RGY_ROLE_AGENT)
 #define FOR_BOTH (FOR_BALANCER | FOR_AGENT)
@@ -384,8 +401,35 @@
   return RGY_OK;
 }
 
+/* Appends the defaults of the roles in ROLES, which differ or are the same. */
+static void
+append_default_ (GString *text, const struct setting_ *s, unsigned roles)
+{
+  bool differ = false;
+  const char *separator = "; default ";
+  unsigned role;
+
+  if (s->kind == KIND_LEVEL)
+    g_string_append (text, "; default " DEFAULT_LEVEL);
+  if (s->kind != KIND_NUMBER)
+    return;
+  for (role = 1; role < ROLE_COUNT; role++)
+    differ |= roles == FOR_BOTH && s->default_of[role] != s->default_of[0];
+  for (role = 0; role < ROLE_COUNT; role++)
+    {
+      if ((roles & 1U << role) == 0)
+        continue;
+      g_string_append_printf (text, "%s%u", separator, s->default_of[role]);
+      if (!differ)
+        return;
+      g_string_append_printf (text, " (%s)", rgy_role_string[role]);
+      separator = ", ";
+    }
+}
+
+/* Text for the help of the roles in ROLES.  */
 static char *
-describe_ (const struct setting_ *s, enum rgy_role role)
+describe_ (const struct setting_ *s, unsigned roles)
 {
   char *env = env_name_ (s);
   char *allowed = allowed_ (s);
@@ -394,10 +438,8 @@
   g_string_append_printf (text, "%s; %s", s->help, allowed);
   if (s->required)
     g_string_append (text, "; required");
-  else if (s->kind == KIND_NUMBER)
-    g_string_append_printf (text, "; default %u", s->default_of[role]);
-  else if (s->kind == KIND_LEVEL)
-    g_string_append (text, "; default " DEFAULT_LEVEL);
+  else
+    append_default_ (text, s, roles);
   g_string_append_printf (text, " [%s]", env);
   g_free (env);
   g_free (allowed);
@@ -426,7 +468,7 @@
     {
       if ((table_[i].roles & 1U << role) == 0)
         continue;
-      flags->descriptions[i] = describe_ (&table_[i], role);
+      flags->descriptions[i] = describe_ (&table_[i], 1U << role);
       flags->entries[n++]
           = (GOptionEntry){ .long_name = table_[i].name,
                             .arg = G_OPTION_ARG_STRING,
@@ -434,18 +476,16 @@
                             .description = flags->descriptions[i],
                             .arg_description = table_[i].argument };
     }
-  flags->entries[n++]
-      = (GOptionEntry){ .long_name = "check",
-                        .arg_data = &flags->check,
-                        .description
-                        = "print the effective settings and exit" };
+  flags->entries[n++] = (GOptionEntry){ .long_name = "check",
+                                        .arg_data = &flags->check,
+                                        .description = CHECK_HELP };
   flags->entries[n++] = (GOptionEntry){ .long_name = "help",
                                         .short_name = 'h',
                                         .arg_data = &flags->help,
-                                        .description = "print this text" };
+                                        .description = HELP_HELP };
   flags->entries[n++] = (GOptionEntry){ .long_name = "version",
                                         .arg_data = &flags->version,
-                                        .description = "print the version" };
+                                        .description = VERSION_HELP };
 }
 
 static void
@@ -482,10 +522,6 @@
 {
   const char *role = rgy_role_string[settings->role];
   char *program = g_strconcat (PROGRAM " ", role, NULL);
-  char *summary = g_strdup_printf (
-      "Each flag can be set by the environment variable in brackets; the flag "
-      "wins.\nPrefer the environment for secrets: flags are visible to other "
-      "users.");
   GOptionContext *context = g_option_context_new (NULL);
   char **args = g_new0 (char *, (gsize)argc);
   struct flags_ flags;
@@ -500,7 +536,7 @@
     args[i - 1] = g_strdup (argv[i]);
   g_option_context_set_help_enabled (context, FALSE);
   g_option_context_add_main_entries (context, flags.entries, NULL);
-  g_option_context_set_summary (context, summary);
+  g_option_context_set_summary (context, FLAGS_SUMMARY "\n" SECRETS_SUMMARY);
   g_set_prgname (PROGRAM);
   if (!g_option_context_parse_strv (context, &args, &gerror))
     {
@@ -526,7 +562,6 @@
     rc = apply_flags_ (&flags, settings, error);
 
   g_strfreev (args);
-  g_free (summary);
   g_option_context_free (context);
   flags_finish_ (&flags);
   return rc;
@@ -535,23 +570,78 @@
 static void
 print_usage_ (void)
 {
-  puts ("Usage: " PROGRAM " balancer|agent [flags]\n"
-        "\n"
-        "  balancer   forward datagrams from the fabric to agents\n"
-        "  agent      hold the flows and requests of one backend server\n"
-        "\n"
+  size_t role;
+
+  puts ("Usage: " PROGRAM " balancer|agent [flags]\n");
+  for (role = 0; role < ROLE_COUNT; role++)
+    printf ("  %-10s %s\n", rgy_role_string[role], role_summary_[role]);
+  puts ("\n"
         "\"" PROGRAM " balancer --help\" and \"" PROGRAM
         " agent --help\" list "
         "the flags.\n"
         "\"" PROGRAM " --version\" prints the version.");
 }
 
+/* Manual page.  */
+
+static void
+append_man_flags_ (GString *page, const char *title, unsigned roles)
+{
+  char *text;
+  size_t i;
+
+  rgy_man_section (page, title);
+  for (i = 0; i < SETTING_COUNT; i++)
+    if (table_[i].roles == roles)
+      {
+        text = describe_ (&table_[i], roles);
+        rgy_man_flag (page, table_[i].name, '\0', table_[i].argument, text);
+        g_free (text);
+      }
+}
+
+char *
+rgy_settings_format_man (void)
+{
+  GString *page = g_string_new (NULL);
+  size_t role;
+
+  rgy_man_title (page, PROGRAM, "layer-4 load balancer driven by contracts");
+  rgy_man_section (page, "SYNOPSIS");
+  g_string_append (page, ".B " PROGRAM "\n"
+                         "\\fBbalancer\\fR|\\fBagent\\fR [\\fIflags\\fR]\n");
+  rgy_man_section (page, "DESCRIPTION");
+  rgy_man_paragraph (page, "The first argument chooses what the process "
+                           "does:");
+  for (role = 0; role < ROLE_COUNT; role++)
+    rgy_man_item (page, rgy_role_string[role], NULL, role_summary_[role]);
+  rgy_man_paragraph (page, FLAGS_SUMMARY " " SECRETS_SUMMARY);
+  append_man_flags_ (page, "FLAGS OF BOTH ROLES", FOR_BOTH);
+  rgy_man_flag (page, "check", '\0', NULL, CHECK_HELP);
+  rgy_man_flag (page, "help", 'h', NULL, HELP_HELP);
+  rgy_man_flag (page, "version", '\0', NULL, VERSION_HELP);
+  append_man_flags_ (page, "FLAGS OF A BALANCER", FOR_BALANCER);
+  append_man_flags_ (page, "FLAGS OF AN AGENT", FOR_AGENT);
+  rgy_man_section (page, "SIGNALS");
+  rgy_man_item (page, "SIGTERM, SIGINT", NULL,
+                "begin a graceful shutdown, which ends after "
+                "--drain-timeout-ms at the latest");
+  rgy_man_section (page, "EXIT STATUS");
+  rgy_man_item (page, "0", NULL, "graceful shutdown, help or version");
+  rgy_man_item (page, "1", NULL,
+                "a setting is missing or invalid, or the start failed");
+  rgy_man_section (page, "SEE ALSO");
+  g_string_append (page, ".BR ragwortyokectl (8)\n");
+  return g_string_free (page, FALSE);
+}
+
 enum rgy_outcome
 rgy_settings_parse (int argc, char **argv, struct rgy_settings *settings,
                     struct rgy_check_error *error)
 {
   const char *role = argc > 1 ? argv[1] : NULL;
   enum rgy_outcome rc;
+  char *page;
 
   memset (settings, 0, sizeof *settings);
   memset (error, 0, sizeof *error);
@@ -565,6 +655,13 @@
       print_usage_ ();
       return RGY_ERR_UNSUPPORTED;
     }
+  if (strcmp (role, "--man") == 0)
+    {
+      page = rgy_settings_format_man ();
+      fputs (page, stdout);
+      g_free (page);
+      return RGY_ERR_UNSUPPORTED;
+    }
   if (strcmp (role, "--version") == 0)
     {
       puts (PROGRAM " " RGY_VERSION);
--- a/src/ragwortyokectl/ctl_settings.c
+++ b/src/ragwortyokectl/ctl_settings.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "ragwortyoke-io/man.h"
 #include "ragwortyoke/address.h"
 
 #define DEFAULT_TIMEOUT_MS 6000
@@ -25,6 +26,19 @@
   [CTL_AUDIT] = "audit",
 };
 
+static const char *const exit_string_[] = {
+  [CTL_EXIT_OK] = "done",
+  [CTL_EXIT_USAGE] = "usage or invalid input",
+  [CTL_EXIT_CONFLICT] = "conflict",
+  [CTL_EXIT_UNAVAILABLE] = "store or balancer unavailable",
+  [CTL_EXIT_UNCONFIRMED] = "not confirmed everywhere in time",
+  [CTL_EXIT_NOT_FOUND] = "not found",
+};
+
+#define ENVIRONMENT_HELP                                                      \
+  "Each option with a value but --expect-revision is also an environment "    \
+  "variable, for example RAGWORTYOKE_STORE."
+
 struct command_
 {
   const char *argument; /* NULL when the command has none.  */
@@ -72,6 +86,7 @@
   gboolean json;
   gboolean no_wait;
   gboolean help;
+  gboolean man;
   char **words;
 };
 
@@ -290,6 +305,7 @@
   GString *text = g_string_new ("Usage: ragwortyokectl ");
   char *options = g_option_context_get_help (context, TRUE, NULL);
   const char *body = strchr (options, '\n');
+  size_t i;
   int c;
 
   if (command < CTL_COMMAND_COUNT)
@@ -307,18 +323,50 @@
             commands_[c].argument != NULL ? commands_[c].argument : "");
     }
   g_string_append (text, body == NULL ? "" : body);
-  g_string_append (
-      text,
-      "Each option with a value but --expect-revision is also an environment "
-      "variable, "
-      "for example RAGWORTYOKE_STORE.\n\n"
-      "Exit status: 0 done, 1 usage or invalid input, 2 "
-      "conflict, 3 store or\nbalancer unavailable, 4 not "
-      "confirmed everywhere in time, 5 not found.\n");
+  g_string_append (text, ENVIRONMENT_HELP "\n\nExit status:\n");
+  for (i = 0; i < G_N_ELEMENTS (exit_string_); i++)
+    g_string_append_printf (text, "  %zu %s\n", i, exit_string_[i]);
   g_free (options);
   return g_string_free (text, FALSE);
 }
 
+/* Manual page.  */
+static char *
+format_man_ (const GOptionEntry *entries)
+{
+  GString *page = g_string_new (NULL);
+  const GOptionEntry *e;
+  char *status;
+  size_t i;
+  int c;
+
+  rgy_man_title (page, "ragwortyokectl",
+                 "contracts and failure domains of ragwortyoke");
+  rgy_man_section (page, "SYNOPSIS");
+  g_string_append (page, ".B ragwortyokectl\n"
+                         "\\fIcommand\\fR [\\fIoption\\fR]...\n");
+  rgy_man_section (page, "COMMANDS");
+  for (c = 0; c < CTL_COMMAND_COUNT; c++)
+    rgy_man_item (page, ctl_command_string[c], commands_[c].argument,
+                  commands_[c].summary);
+  rgy_man_section (page, "OPTIONS");
+  for (e = entries; e->long_name != NULL; e++)
+    if (e->description != NULL)
+      rgy_man_flag (page, e->long_name, e->short_name, e->arg_description,
+                    e->description);
+  rgy_man_paragraph (page, ENVIRONMENT_HELP);
+  rgy_man_section (page, "EXIT STATUS");
+  for (i = 0; i < G_N_ELEMENTS (exit_string_); i++)
+    {
+      status = g_strdup_printf ("%zu", i);
+      rgy_man_item (page, status, NULL, exit_string_[i]);
+      g_free (status);
+    }
+  rgy_man_section (page, "SEE ALSO");
+  g_string_append (page, ".BR ragwortyoked (8)\n");
+  return g_string_free (page, FALSE);
+}
+
 enum rgy_outcome
 ctl_settings_parse (char **argv, struct ctl_settings *settings, char **help,
                     struct rgy_check_error *error)
@@ -343,6 +391,8 @@
       "Do not wait until a change is in force everywhere", NULL },
     { "json", 0, 0, G_OPTION_ARG_NONE, &raw.json, "Print JSON", NULL },
     { "help", 'h', 0, G_OPTION_ARG_NONE, &raw.help, "Print this help", NULL },
+    { "man", 0, G_OPTION_FLAG_HIDDEN, G_OPTION_ARG_NONE, &raw.man, NULL,
+      NULL },
     { G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_STRING_ARRAY, &raw.words, NULL,
       NULL },
     { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
@@ -361,6 +411,11 @@
       rc = fail_ (error, "%s", problem->message);
       g_clear_error (&problem);
     }
+  else if (raw.man)
+    {
+      *help = format_man_ (entries);
+      rc = RGY_ERR_UNSUPPORTED;
+    }
   else
     {
       rc = find_command_ (&raw, settings, error);
