--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -151,6 +151,7 @@
   a->bb->without_domain_orders = settings->without_domain_orders;
   a->bb->without_version_check = settings->without_version_check;
   a->wire = rgy_wire_new (settings->key);
+  a->message = g_new0 (struct rgy_message, 1);
   a->random = g_rand_new_with_seed_array (
       (const guint32 *)&a->settings.random_seed,
       sizeof a->settings.random_seed / sizeof (guint32));
@@ -206,6 +207,7 @@
   rgy_steering_delete (a->steering);
   rgy_flow_table_delete (a->flows);
   g_rand_free (a->random);
+  g_free (a->message);
   rgy_wire_delete (a->wire);
   rgy_blackboard_delete (a->bb);
   g_free (a);
@@ -728,7 +730,7 @@
                          struct rgy_bytes datagram, int64_t now_us,
                          struct rgy_actions *actions)
 {
-  struct rgy_message *m = g_new (struct rgy_message, 1);
+  struct rgy_message *m = a->message;
   enum rgy_outcome rc = rgy_wire_decode (a->wire, datagram, m);
 
   a->now_us = now_us;
@@ -746,7 +748,6 @@
     }
   else
     ++*(rc == RGY_ERR_AUTH ? a->c.bad_tag : a->c.bad_message);
-  g_free (m);
 }
 
 /* Time.  */
--- a/src/libragwortyoke/agent_handover.c
+++ b/src/libragwortyoke/agent_handover.c
@@ -26,7 +26,7 @@
 };
 
 static bool
-may_move_ (const struct rgy_agent *a, const struct rgy_flow *flow)
+may_move_ (struct rgy_agent *a, const struct rgy_flow *flow)
 {
   return !flow->moving && rgy_agent_serves_requests (a)
          && rgy_request_engine_get_outstanding (flow) == 0;
--- a/src/libragwortyoke/agent_packet.c
+++ b/src/libragwortyoke/agent_packet.c
@@ -2,21 +2,6 @@
 
 /* The path of one packet through an agent, in both directions.  */
 
-static bool
-find_any_service_ (const struct rgy_contract *c, struct rgy_endpoint address,
-                   enum rgy_protocol *protocol)
-{
-  size_t i;
-
-  for (i = 0; i < c->service_count; i++)
-    if (rgy_endpoint_equal (c->services[i].address, address))
-      {
-        *protocol = c->services[i].protocol;
-        return true;
-      }
-  return false;
-}
-
 struct protocol_search_
 {
   struct rgy_endpoint address;
@@ -27,19 +12,28 @@
 search_protocol_ (const struct rgy_contract *contract, void *ctx)
 {
   struct protocol_search_ *search = ctx;
+  size_t i;
 
-  find_any_service_ (contract, search->address, &search->protocol);
+  for (i = 0; i < contract->service_count; i++)
+    if (rgy_endpoint_equal (contract->services[i].address, search->address))
+      search->protocol = contract->services[i].protocol;
 }
 
-/* The protocol of the own service follows from the contracts.  */
+/* The protocol of the own service follows from the contracts.  It is asked
+   for with every packet, so it is searched only after a change.  */
 bool
-rgy_agent_serves_requests (const struct rgy_agent *a)
+rgy_agent_serves_requests (struct rgy_agent *a)
 {
   struct protocol_search_ search
       = { .address = a->settings.service, .protocol = RGY_PROTOCOL_UDP };
 
-  rgy_contract_set_foreach (a->bb->contracts, search_protocol_, &search);
-  return search.protocol == RGY_PROTOCOL_COAP;
+  if (a->protocol_changes != a->bb->changes[RGY_ENTRY_CONTRACT])
+    {
+      rgy_contract_set_foreach (a->bb->contracts, search_protocol_, &search);
+      a->protocol = search.protocol;
+      a->protocol_changes = a->bb->changes[RGY_ENTRY_CONTRACT];
+    }
+  return a->protocol == RGY_PROTOCOL_COAP;
 }
 
 void
@@ -136,7 +130,7 @@
 
 /* Acknowledgements, resets and responses cannot begin a flow.  */
 static bool
-may_begin_flow_ (const struct rgy_agent *a, struct rgy_bytes payload)
+may_begin_flow_ (struct rgy_agent *a, struct rgy_bytes payload)
 {
   struct rgy_coap_view view;
 
@@ -161,7 +155,7 @@
 }
 
 static bool
-is_overloaded_ (const struct rgy_agent *a)
+is_overloaded_ (struct rgy_agent *a)
 {
   const struct rgy_admission *admission
       = rgy_request_engine_get_admission (a->engine);
--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -94,6 +94,7 @@
   b->bb->without_domain_orders = settings->without_domain_orders;
   b->bb->without_version_check = settings->without_version_check;
   b->wire = rgy_wire_new (settings->key);
+  b->message = g_new0 (struct rgy_message, 1);
   b->random = g_rand_new_with_seed_array (
       (const guint32 *)&b->settings.random_seed,
       sizeof b->settings.random_seed / sizeof (guint32));
@@ -142,6 +143,7 @@
   g_hash_table_unref (b->tables);
   g_byte_array_unref (b->packet);
   g_rand_free (b->random);
+  g_free (b->message);
   rgy_wire_delete (b->wire);
   rgy_blackboard_delete (b->bb);
   g_free (b);
@@ -677,7 +679,7 @@
                             struct rgy_bytes datagram, int64_t now_us,
                             struct rgy_actions *actions)
 {
-  struct rgy_message *m = g_new (struct rgy_message, 1);
+  struct rgy_message *m = b->message;
   enum rgy_outcome rc = rgy_wire_decode (b->wire, datagram, m);
 
   if (rc == RGY_OK)
@@ -691,7 +693,6 @@
     }
   else
     ++*(rc == RGY_ERR_AUTH ? b->c.bad_tag : b->c.bad_message);
-  g_free (m);
 }
 
 /* Own record.  */
--- a/src/libragwortyoke/include/private/agent_private.h
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -134,6 +134,9 @@
   struct rgy_actions *actions;
   int64_t now_us;
 
+  struct rgy_message *message; /**< Scratch for decoding.  */
+  enum rgy_protocol protocol;  /**< Of the own service.  */
+  uint64_t protocol_changes;   /**< Contract changes it follows from.  */
   uint64_t group_changes;
   uint64_t domain_changes;
   uint64_t sent_sequence; /**< Of the last PEER_STATE.  */
@@ -173,7 +176,7 @@
 void rgy_agent_send_answer (struct rgy_agent *a, struct rgy_endpoint caller,
                             struct rgy_bytes payload,
                             struct rgy_endpoint balancer);
-bool rgy_agent_serves_requests (const struct rgy_agent *a);
+bool rgy_agent_serves_requests (struct rgy_agent *a);
 /** Close a flow and everything that belongs to it.  */
 void rgy_agent_close_flow (struct rgy_agent *a, struct rgy_flow *flow);
 
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -92,6 +92,7 @@
   struct rgy_counters *counters;
   struct rgy_balancer_counters c;
   struct rgy_wire *wire;
+  struct rgy_message *message; /**< Scratch for decoding.  */
   GRand *random;
   struct rgy_balancer_record self;
   GByteArray *packet; /**< Scratch for egress datagrams.  */
