--- a/include/ragwortyoke/wire.h
+++ b/include/ragwortyoke/wire.h
@@ -15,6 +15,7 @@
 #include "ragwortyoke/member.h"
 #include "ragwortyoke/outcome.h"
 #include "ragwortyoke/replica.h"
+#include "ragwortyoke/request.h"
 #include "ragwortyoke/steering.h"
 #include "ragwortyoke/str.h"
 
@@ -81,6 +82,7 @@
   uint32_t flows;
   uint32_t running;
   uint32_t limit; /**< Admission limit in slots.  */
+  uint64_t refused[RGY_REFUSAL_REASON_COUNT]; /**< Since the start.  */
 };
 
 struct rgy_heartbeat_ack_message
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -153,7 +153,8 @@
   http "http://127.0.40.$i:8081/stats" | grep -o '"overload_violations":[1-9][0-9]*' | sed "s/^/   backend $i: /"
 done
 check "backend servers above what they bear" "$(for i in $(seq 1 12); do http "http://127.0.40.$i:8081/stats"; echo; done | grep -vc '"overload_violations":0')" 0
-echo "   balancer-1 status: $(http http://127.0.31.1:8080/v1/status | head -c 200)..."
+echo "== ragwortyokectl status, audit"
+RAGWORTYOKE_BALANCERS=127.0.31.1:8080,127.0.31.3:8080 "$ctl" status
 "$ctl" audit 2>/dev/null | head -5
 if [ $broken -eq 0 ]; then echo "nothing broke"; else echo "$broken things broke"; cp -r "$work" "${KEEP:-/dev/null}" 2>/dev/null; fi
 exit $((broken > 0))
--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -295,6 +295,23 @@
   return a->now_us - k->last_seen_us > RGY_BALANCER_FORGET_US;
 }
 
+/* Refusals of new flows are counted here, those of requests by the engine.  */
+static void
+fill_refused_ (const struct rgy_agent *a, uint64_t *refused)
+{
+  char label[64];
+  size_t i;
+
+  for (i = 0; i < RGY_REFUSAL_REASON_COUNT; i++)
+    {
+      g_snprintf (label, sizeof label, "reason=\"%s\"",
+                  rgy_refusal_reason_string[i]);
+      refused[i]
+          = rgy_counters_get (a->counters, "agent_refused_total", label)
+            + rgy_counters_get (a->counters, "requests_not_run_total", label);
+    }
+}
+
 static void
 send_heartbeat_ (struct rgy_agent *a, struct rgy_endpoint to)
 {
@@ -315,6 +332,7 @@
     .running = rgy_admission_get_running (admission),
     .limit = rgy_admission_get_limit (admission),
   };
+  fill_refused_ (a, m.u.heartbeat.refused);
   rgy_agent_send_message (a, to, &m);
 }
 
--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -107,6 +107,8 @@
   b->balancers_liveness = rgy_liveness_new (&rgy_liveness_defaults);
   b->monitored
       = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free, NULL);
+  b->loads = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free,
+                                    g_free);
   b->lagging
       = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free, NULL);
   b->fresh = g_ptr_array_new_with_free_func (fresh_entry_free_);
@@ -136,6 +138,7 @@
   g_array_unref (b->announcements);
   g_ptr_array_unref (b->fresh);
   g_hash_table_unref (b->lagging);
+  g_hash_table_unref (b->loads);
   g_hash_table_unref (b->monitored);
   rgy_liveness_delete (b->balancers_liveness);
   rgy_liveness_delete (b->agents_liveness);
--- a/src/libragwortyoke/balancer_monitor.c
+++ b/src/libragwortyoke/balancer_monitor.c
@@ -1,5 +1,7 @@
 #include "private/balancer_private.h"
 
+#include <string.h>
+
 /* Liveness of the members that this balancer monitors, and the delivery of
    changes to the agents among them.  */
 
@@ -92,6 +94,7 @@
         break;
       case RGY_LIVENESS_DEAD:
         declare_agent_dead_ (b, &event.id, actions);
+        g_hash_table_remove (b->loads, &event.id);
         if (g_hash_table_remove (b->lagging, &event.id))
           b->record_changed = true;
         break;
@@ -181,6 +184,7 @@
       else if (!wanted && watched)
         {
           rgy_liveness_remove (b->agents_liveness, &r->id);
+          g_hash_table_remove (b->loads, &r->id);
           if (g_hash_table_remove (b->lagging, &r->id))
             b->record_changed = true;
         }
@@ -439,6 +443,18 @@
   g_byte_array_unref (bytes);
 }
 
+static void
+note_load_ (struct rgy_balancer *b, const struct rgy_heartbeat_message *m)
+{
+  struct rgy_agent_load load
+      = { .flows = m->flows, .running = m->running, .limit = m->limit };
+
+  memcpy (load.refused, m->refused, sizeof load.refused);
+  g_hash_table_replace (b->loads,
+                        g_memdup2 (&m->record.id, sizeof m->record.id),
+                        g_memdup2 (&load, sizeof load));
+}
+
 void
 rgy_balancer_handle_heartbeat (struct rgy_balancer *b,
                                struct rgy_endpoint from,
@@ -453,6 +469,7 @@
     {
       rgy_liveness_heard (b->agents_liveness, &m->record.id, now_us);
       note_digests_ (b, m, now_us);
+      note_load_ (b, m);
     }
   known = rgy_blackboard_get_agent (b->bb, &m->record.id);
   ack->kind = RGY_MSG_HEARTBEAT_ACK;
--- a/src/libragwortyoke/balancer_status.c
+++ b/src/libragwortyoke/balancer_status.c
@@ -23,6 +23,24 @@
   return json_string (rgy_endpoint_format (endpoint, text));
 }
 
+/* Adds what a monitored agent last reported; only refusals that have occurred
+   are listed.  */
+static void
+add_load_ (json_t *agent, const struct rgy_agent_load *load)
+{
+  json_t *refused = json_object ();
+  size_t i;
+
+  for (i = 0; i < RGY_REFUSAL_REASON_COUNT; i++)
+    if (load->refused[i] > 0)
+      json_object_set_new (refused, rgy_refusal_reason_string[i],
+                           json_integer ((json_int_t)load->refused[i]));
+  json_object_set_new (agent, "flows", json_integer (load->flows));
+  json_object_set_new (agent, "running", json_integer (load->running));
+  json_object_set_new (agent, "limit", json_integer (load->limit));
+  json_object_set_new (agent, "refused", refused);
+}
+
 static json_t *
 agents_json_ (const struct rgy_balancer *b)
 {
@@ -34,13 +52,17 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct rgy_agent_record *r = value;
-
-      json_array_append_new (
-          list,
-          json_pack ("{s:s, s:s, s:s, s:o, s:o}", "id", r->id.data, "state",
-                     rgy_member_state_string[r->state], "domain",
-                     r->domain.data, "endpoint", endpoint_json_ (r->endpoint),
-                     "service", endpoint_json_ (r->service)));
+      const struct rgy_agent_load *load
+          = g_hash_table_lookup (b->loads, &r->id);
+      json_t *agent = json_pack ("{s:s, s:s, s:s, s:o, s:o}", "id", r->id.data,
+                                 "state", rgy_member_state_string[r->state],
+                                 "domain", r->domain.data, "endpoint",
+                                 endpoint_json_ (r->endpoint), "service",
+                                 endpoint_json_ (r->service));
+
+      if (load != NULL)
+        add_load_ (agent, load);
+      json_array_append_new (list, agent);
     }
   return list;
 }
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -61,6 +61,15 @@
   unsigned sends;
 };
 
+/** What an agent last reported in a heartbeat.  */
+struct rgy_agent_load
+{
+  uint32_t flows;
+  uint32_t running;
+  uint32_t limit;
+  uint64_t refused[RGY_REFUSAL_REASON_COUNT];
+};
+
 struct rgy_balancer_counters
 {
   uint64_t *packets_in;
@@ -102,6 +111,7 @@
 
   struct rgy_liveness *agents_liveness;
   struct rgy_liveness *balancers_liveness;
+  GHashTable *loads;   /**< Monitored agents to struct rgy_agent_load.  */
   GHashTable *lagging; /**< Set of agent names.  */
   uint64_t monitored_agent_changes;
   uint64_t monitored_balancer_changes;
--- a/src/libragwortyoke/wire_decode.c
+++ b/src/libragwortyoke/wire_decode.c
@@ -91,6 +91,7 @@
   m->flows = (uint32_t)rgy_read_max (r, UINT32_MAX);
   m->running = (uint32_t)rgy_read_max (r, UINT32_MAX);
   m->limit = (uint32_t)rgy_read_max (r, UINT32_MAX);
+  read_words_ (r, m->refused, RGY_REFUSAL_REASON_COUNT);
 }
 
 static void
--- a/src/libragwortyoke/wire_encode.c
+++ b/src/libragwortyoke/wire_encode.c
@@ -66,11 +66,16 @@
 static void
 pack_heartbeat_ (msgpack_packer *pk, const struct rgy_heartbeat_message *m)
 {
+  size_t i;
+
   pack_record_bytes_ (pk, rgy_agent_record_encode (&m->record));
   pack_digests_ (pk, &m->digests);
   msgpack_pack_uint32 (pk, m->flows);
   msgpack_pack_uint32 (pk, m->running);
   msgpack_pack_uint32 (pk, m->limit);
+  msgpack_pack_array (pk, RGY_REFUSAL_REASON_COUNT);
+  for (i = 0; i < RGY_REFUSAL_REASON_COUNT; i++)
+    msgpack_pack_uint64 (pk, m->refused[i]);
 }
 
 static void
@@ -146,7 +151,7 @@
     case RGY_MSG_HANDOVER_ACK:
       return 4;
     case RGY_MSG_HEARTBEAT:
-      return 6;
+      return 7;
     case RGY_MSG_HEARTBEAT_ACK:
       return 7;
     case RGY_MSG_ENTRIES:
--- a/src/ragwortyokectl/ctl_read.c
+++ b/src/ragwortyokectl/ctl_read.c
@@ -267,9 +267,69 @@
   putchar ('\n');
 }
 
+/* Keeps the fullest description of each agent: only its monitors know its
+   load.  */
+static void
+collect_agents_ (json_t *agents, const json_t *status)
+{
+  json_t *agent;
+  size_t i;
+
+  json_array_foreach (json_object_get (status, "agents"), i, agent)
+  {
+    const char *id = json_string_value (json_object_get (agent, "id"));
+    json_t *known = id == NULL ? NULL : json_object_get (agents, id);
+
+    if (id != NULL
+        && (known == NULL
+            || json_object_size (agent) > json_object_size (known)))
+      json_object_set (agents, id, agent);
+  }
+}
+
+static const char *
+get_text_ (const json_t *object, const char *name)
+{
+  const char *text = json_string_value (json_object_get (object, name));
+
+  return text == NULL ? "-" : text;
+}
+
+static void
+print_agent_ (const json_t *agent)
+{
+  const json_t *flows = json_object_get (agent, "flows");
+  const char *reason;
+  json_t *count;
+
+  printf ("agent %s state=%s domain=%s service=%s", get_text_ (agent, "id"),
+          get_text_ (agent, "state"), get_text_ (agent, "domain"),
+          get_text_ (agent, "service"));
+  if (json_is_integer (flows))
+    printf (" flows=%" JSON_INTEGER_FORMAT " running=%" JSON_INTEGER_FORMAT
+            " limit=%" JSON_INTEGER_FORMAT,
+            json_integer_value (flows),
+            json_integer_value (json_object_get (agent, "running")),
+            json_integer_value (json_object_get (agent, "limit")));
+  json_object_foreach (json_object_get (agent, "refused"), reason, count)
+      printf (" refused[%s]=%" JSON_INTEGER_FORMAT, reason,
+              json_integer_value (count));
+  putchar ('\n');
+}
+
+static void
+print_agents_ (json_t *agents)
+{
+  const char *id;
+  json_t *agent;
+
+  json_object_foreach (agents, id, agent) print_agent_ (agent);
+}
+
 static int
 run_status_ (struct ctl *ctl)
 {
+  json_t *agents = json_object ();
   json_t *array = json_array ();
   int result = CTL_EXIT_OK;
   enum rgy_outcome rc;
@@ -296,11 +356,15 @@
         }
       else if (!ctl->settings->json)
         print_status_ (endpoint, answer);
+      collect_agents_ (agents, answer);
       json_object_set_new (answer, "endpoint", json_string (endpoint));
       json_array_append_new (array, answer);
     }
   if (ctl->settings->json)
     ctl_print_json (json_incref (array));
+  else
+    print_agents_ (agents);
+  json_decref (agents);
   json_decref (array);
   return result;
 }
--- a/src/test_wire/message_samples.c
+++ b/src/test_wire/message_samples.c
@@ -58,6 +58,10 @@
 static void
 fill_heartbeat_ (struct rgy_heartbeat_message *m)
 {
+  size_t i;
+
+  for (i = 0; i < RGY_REFUSAL_REASON_COUNT; i++)
+    m->refused[i] = 900 + i;
   m->record = (struct rgy_agent_record){ .id = rgy_name_from_c ("agent-1"),
                                          .epoch = 5,
                                          .sequence = 8,
--- a/src/test_wire/test_wire.c
+++ b/src/test_wire/test_wire.c
@@ -138,6 +138,7 @@
 assert_heartbeats_equal_ (const struct rgy_heartbeat_message *a,
                           const struct rgy_heartbeat_message *b)
 {
+  assert_memory_equal (a->refused, b->refused, sizeof a->refused);
   assert_names_equal_ (&a->record.id, &b->record.id);
   assert_int_equal (a->record.epoch, b->record.epoch);
   assert_int_equal (a->record.sequence, b->record.sequence);
