Ask again every 100 ms for the acknowledgement of a change

Cause: an agent waits 1 s for its peers to acknowledge a change of the group and then treats its new buckets as settled. PEER_STATE was repeated after 500 ms only, so that two lost datagrams used the second up, and the agent opened flows that a peer still held; a POST with the peer's Echo got outcome-unknown.

Change: PEER_STATE is repeated every 100 ms while acknowledgements are missing.

--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -540,6 +540,7 @@
   size_t i;
 
   a->next_peer_state_us = a->now_us + RGY_PEER_STATE_INTERVAL_US;
+  a->sent_us = a->now_us;
   a->sent_sequence = rgy_steering_get_sequence (a->steering);
   m = g_new0 (struct rgy_message, 1);
   m->kind = RGY_MSG_PEER_STATE;
@@ -559,6 +560,8 @@
       rgy_steering_age_passed (a->steering);
     }
   if (a->now_us >= a->next_peer_state_us
+      || (a->settle_deadline_us != 0 && !rgy_steering_is_settled (a->steering)
+          && a->now_us >= a->sent_us + RGY_SETTLE_RETRY_US)
       || rgy_steering_get_sequence (a->steering) != a->sent_sequence)
     rgy_agent_send_peer_state (a);
 }
--- a/src/libragwortyoke/include/private/agent_private.h
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -29,6 +29,9 @@
 /** Flows that were passed on are remembered for one to two of these, so that
     the peer has sent its state at least twice.  */
 #define RGY_PASSED_AGE_US INT64_C (1000000)
+/** While peers have not acknowledged a change, their acknowledgement is asked
+    for this often: lost datagrams must not use up RGY_SETTLE_TIMEOUT_US.  */
+#define RGY_SETTLE_RETRY_US INT64_C (100000)
 #define RGY_SYNC_RETRY_US INT64_C (1000000)
 #define RGY_HEARTBEAT_TARGETS 3
 /** An agent that no balancer acknowledges for this long looks for others in
@@ -138,6 +141,7 @@
   uint64_t domain_changes;
   uint64_t sent_sequence; /**< Of the last PEER_STATE.  */
   int64_t settle_deadline_us;
+  int64_t sent_us; /**< Last PEER_STATE.  */
   int64_t next_age_us;
   int64_t next_heartbeat_us;
   int64_t next_peer_state_us;
