Pass packets on from an agent whose failure domain is out

Cause: when a failure domain returns, balancers learn of the order some milliseconds before its agents do and send them packets of flows that others hold. These agents refused them: a POST with its Echo got outcome-unknown.

Change: an agent whose failure domain is out passes a packet on to the agent that holds the flow or may open it, and refuses only what no agent can take.

--- a/src/libragwortyoke/agent_packet.c
+++ b/src/libragwortyoke/agent_packet.c
@@ -256,6 +256,22 @@
     }
 }
 
+/* A balancer may learn of an order before or after this agent does; the packet
+   goes to the agent that holds the flow or may open it.  */
+static void
+handle_out_ (struct rgy_agent *a, struct rgy_data_message *m, unsigned bucket)
+{
+  struct rgy_steer_decision decision;
+
+  rgy_steering_decide (a->steering, bucket, &m->trail, &decision);
+  if (decision.restart)
+    rgy_agent_send_peer_state (a);
+  if (decision.kind == RGY_STEER_FORWARD)
+    forward_ (a, m, &decision);
+  else
+    refuse_ (a, m, RGY_REFUSAL_FAILURE_DOMAIN_OUT, a->c.refused_out);
+}
+
 void
 rgy_agent_handle_data (struct rgy_agent *a, struct rgy_data_message *m)
 {
@@ -270,7 +286,7 @@
     }
   if (a->out)
     {
-      refuse_ (a, m, RGY_REFUSAL_FAILURE_DOMAIN_OUT, a->c.refused_out);
+      handle_out_ (a, m, rgy_flow_key_bucket (&key));
       return;
     }
   if (m->view
