Ask the other monitors before an agent is declared dead

Cause: a balancer that did not hear an agent declared it dead on its own. One silent connection, or two heartbeats and a probe lost, took the agent out of all tables; it refuted this within a second and was declared dead again 3 s later. In each such second its buckets moved, and a POST with its Echo got outcome-unknown from another agent.

Change: with its PROBE to a silent agent, a balancer asks the agent's other monitors; one that heard it within 1.5 s answers for it. What others say does not count for cut protection: a balancer without contact is still not ready.

An agent that is killed is still declared dead after 3 s.

--- a/include/ragwortyoke/member.h
+++ b/include/ragwortyoke/member.h
@@ -125,6 +125,13 @@
 /** A message from the member arrived; starts to watch an unknown one.  */
 void rgy_liveness_heard (struct rgy_liveness *liveness,
                          const struct rgy_name *id, int64_t now_us);
+/** Another monitor is in contact with a watched member: it is not silent, but
+    does not count as reached for the cut protection.  */
+void rgy_liveness_vouch (struct rgy_liveness *liveness,
+                         const struct rgy_name *id, int64_t now_us);
+/** True when a message from the member itself has arrived since a time.  */
+bool rgy_liveness_is_reached (const struct rgy_liveness *liveness,
+                              const struct rgy_name *id, int64_t since_us);
 /** Stop watching a member.  */
 void rgy_liveness_remove (struct rgy_liveness *liveness,
                           const struct rgy_name *id);
--- a/include/ragwortyoke/wire.h
+++ b/include/ragwortyoke/wire.h
@@ -156,6 +156,9 @@
 {
   struct rgy_name from;
   uint64_t nonce;
+  /** Agent that the receiver is asked about; answered only by a balancer that
+      is in contact with it.  Empty when the receiver itself is asked.  */
+  struct rgy_name subject;
 };
 
 /** Sub-digests of the classes wanted.  */
--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -515,20 +515,28 @@
 
 static void
 handle_probe_ (struct rgy_balancer *b, struct rgy_endpoint from,
-               const struct rgy_probe_message *probe,
+               const struct rgy_probe_message *probe, int64_t now_us,
                struct rgy_actions *actions)
 {
   struct rgy_message m = { .kind = RGY_MSG_PROBE_ACK };
 
+  if (probe->subject.len > 0
+      && !rgy_liveness_is_reached (b->agents_liveness, &probe->subject,
+                                   now_us - RGY_VOUCH_US))
+    return;
   m.u.probe = (struct rgy_probe_message){ .from = b->settings.id,
-                                          .nonce = probe->nonce };
+                                          .nonce = probe->nonce,
+                                          .subject = probe->subject };
   rgy_balancer_send_message (b, from, &m, actions);
 }
 
 static void
-handle_probe_ack_ (struct rgy_balancer *b, const struct rgy_name *from,
+handle_probe_ack_ (struct rgy_balancer *b, const struct rgy_probe_message *ack,
                    int64_t now_us)
 {
+  const struct rgy_name *from = &ack->from;
+
+  rgy_liveness_vouch (b->agents_liveness, &ack->subject, now_us);
   if (rgy_liveness_is_watched (b->agents_liveness, from))
     rgy_liveness_heard (b->agents_liveness, from, now_us);
   if (rgy_liveness_is_watched (b->balancers_liveness, from))
@@ -557,10 +565,10 @@
       apply_entries_ (b, &m->u.entries, actions);
       break;
     case RGY_MSG_PROBE:
-      handle_probe_ (b, from, &m->u.probe, actions);
+      handle_probe_ (b, from, &m->u.probe, now_us, actions);
       break;
     case RGY_MSG_PROBE_ACK:
-      handle_probe_ack_ (b, &m->u.probe.from, now_us);
+      handle_probe_ack_ (b, &m->u.probe, now_us);
       break;
     case RGY_MSG_DATA:
     case RGY_MSG_HEARTBEAT_ACK:
--- a/src/libragwortyoke/balancer_monitor.c
+++ b/src/libragwortyoke/balancer_monitor.c
@@ -15,17 +15,42 @@
                    cut ? "on" : "off");
 }
 
+/* @param subject agent that the receiver is asked about, or NULL.  */
 static void
-send_probe_ (struct rgy_balancer *b, struct rgy_endpoint to, int64_t now_us,
+send_probe_ (struct rgy_balancer *b, struct rgy_endpoint to,
+             const struct rgy_name *subject, int64_t now_us,
              struct rgy_actions *actions)
 {
   struct rgy_message m = { .kind = RGY_MSG_PROBE };
 
   m.u.probe = (struct rgy_probe_message){ .from = b->settings.id,
                                           .nonce = (uint64_t)now_us };
+  if (subject != NULL)
+    m.u.probe.subject = *subject;
   rgy_balancer_send_message (b, to, &m, actions);
 }
 
+/* Asks the agent, and its other monitors whether they are in contact with it:
+   one silent connection does not make it dead.  */
+static void
+probe_agent_ (struct rgy_balancer *b, const struct rgy_agent_record *agent,
+              int64_t now_us, struct rgy_actions *actions)
+{
+  size_t max = g_hash_table_size (b->bb->balancers);
+  struct rgy_name *names = g_new (struct rgy_name, max + 1);
+  size_t chosen[RGY_MONITOR_COUNT];
+  size_t n = rgy_balancer_list_others (b, names, max);
+  size_t i;
+
+  send_probe_ (b, agent->endpoint, NULL, now_us, actions);
+  n = rgy_member_choose (&agent->id, names, n, RGY_MONITOR_COUNT, chosen);
+  for (i = 0; i < n; i++)
+    send_probe_ (
+        b, rgy_blackboard_get_balancer (b->bb, &names[chosen[i]])->endpoint,
+        &agent->id, now_us, actions);
+  g_free (names);
+}
+
 /* A declaration of death takes the next odd sequence number, so that the
    member can refute it with the next even one.  */
 static void
@@ -88,7 +113,7 @@
       case RGY_LIVENESS_PROBE:
         r = rgy_blackboard_get_agent (b->bb, &event.id);
         if (r != NULL)
-          send_probe_ (b, r->endpoint, now_us, actions);
+          probe_agent_ (b, r, now_us, actions);
         break;
       case RGY_LIVENESS_DEAD:
         declare_agent_dead_ (b, &event.id, actions);
@@ -115,7 +140,7 @@
       case RGY_LIVENESS_PROBE:
         r = rgy_blackboard_get_balancer (b->bb, &event.id);
         if (r != NULL)
-          send_probe_ (b, r->endpoint, now_us, actions);
+          send_probe_ (b, r->endpoint, NULL, now_us, actions);
         break;
       case RGY_LIVENESS_DEAD:
         declare_balancer_dead_ (b, &event.id, actions);
@@ -245,7 +270,7 @@
       const struct rgy_balancer_record *r = value;
 
       if (rgy_liveness_is_watched (b->balancers_liveness, &r->id))
-        send_probe_ (b, r->endpoint, now_us, actions);
+        send_probe_ (b, r->endpoint, NULL, now_us, actions);
     }
 }
 
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -22,6 +22,9 @@
 #define RGY_DIGEST_GRACE_US INT64_C (1000000)
 #define RGY_SYNC_INTERVAL_US INT64_C (1000000)
 #define RGY_STORE_INTERVAL_US INT64_C (2000000)
+/** A balancer vouches for an agent that it heard within this time: more than
+    the interval of heartbeats, less than the silence of a dead agent.  */
+#define RGY_VOUCH_US INT64_C (1500000)
 /** Balancers that monitor one member.  */
 #define RGY_MONITOR_COUNT 3
 /** One of so many acknowledgements to an agent carries a sample; at three a
--- a/src/libragwortyoke/liveness.c
+++ b/src/libragwortyoke/liveness.c
@@ -13,7 +13,9 @@
 struct member_
 {
   struct rgy_name id;
-  int64_t heard_us;
+  int64_t heard_us;   /* From itself or from another monitor.  */
+  int64_t reached_us; /* From itself, or when it was first watched.  */
+  bool reached;       /* Heard from itself.  */
   int64_t probed_us;
   bool probed; /* Since it was last heard.  */
 };
@@ -104,10 +106,34 @@
       m->heard_us = now_us;
       g_tree_insert (liveness->members, &m->id, m);
     }
+  else
+    m->reached = true;
+  m->reached_us = MAX (m->reached_us, now_us);
   m->heard_us = MAX (m->heard_us, now_us);
   m->probed = false;
 }
 
+void
+rgy_liveness_vouch (struct rgy_liveness *liveness, const struct rgy_name *id,
+                    int64_t now_us)
+{
+  struct member_ *m = g_tree_lookup (liveness->members, id);
+
+  if (m == NULL)
+    return;
+  m->heard_us = MAX (m->heard_us, now_us);
+  m->probed = false;
+}
+
+bool
+rgy_liveness_is_reached (const struct rgy_liveness *liveness,
+                         const struct rgy_name *id, int64_t since_us)
+{
+  const struct member_ *m = g_tree_lookup (liveness->members, id);
+
+  return m != NULL && m->reached && m->reached_us >= since_us;
+}
+
 void
 rgy_liveness_remove (struct rgy_liveness *liveness, const struct rgy_name *id)
 {
@@ -149,9 +175,10 @@
        at = g_tree_node_next (at))
     {
       m = g_tree_node_value (at);
+      if (now_us - m->reached_us >= settings->silence_us)
+        s.silent++;
       if (now_us - m->heard_us < settings->silence_us)
         continue;
-      s.silent++;
       if (!m->probed)
         {
           if (s.unprobed == NULL)
--- a/src/libragwortyoke/wire_decode.c
+++ b/src/libragwortyoke/wire_decode.c
@@ -213,6 +213,7 @@
     case RGY_MSG_PROBE_ACK:
       rgy_read_name (r, &message->u.probe.from);
       message->u.probe.nonce = rgy_read_u64 (r);
+      rgy_read_optional_name (r, &message->u.probe.subject);
       return RGY_OK;
     case RGY_MSG_SYNC_REQUEST:
       read_sync_request_ (r, &message->u.sync_request);
--- a/src/libragwortyoke/wire_encode.c
+++ b/src/libragwortyoke/wire_encode.c
@@ -144,6 +144,8 @@
     case RGY_MSG_ANSWER:
     case RGY_MSG_HANDOVER:
     case RGY_MSG_HANDOVER_ACK:
+    case RGY_MSG_PROBE:
+    case RGY_MSG_PROBE_ACK:
       return 4;
     case RGY_MSG_HEARTBEAT:
       return 6;
@@ -151,8 +153,6 @@
       return 7;
     case RGY_MSG_ENTRIES:
     case RGY_MSG_SYNC_REPLY:
-    case RGY_MSG_PROBE:
-    case RGY_MSG_PROBE_ACK:
       return 3;
     case RGY_MSG_GOSSIP:
     case RGY_MSG_GOSSIP_ACK:
@@ -222,6 +222,7 @@
     case RGY_MSG_PROBE_ACK:
       rgy_pack_name (pk, &message->u.probe.from);
       msgpack_pack_uint64 (pk, message->u.probe.nonce);
+      rgy_pack_name (pk, &message->u.probe.subject);
       break;
     case RGY_MSG_SYNC_REQUEST:
       pack_sync_request_ (pk, &message->u.sync_request);
--- a/src/test_wire/message_samples.c
+++ b/src/test_wire/message_samples.c
@@ -221,7 +221,9 @@
     case RGY_MSG_PROBE_ACK:
       m->u.probe
           = (struct rgy_probe_message){ .from = rgy_name_from_c ("balancer-4"),
-                                        .nonce = 18 };
+                                        .nonce = 18,
+                                        .subject
+                                        = rgy_name_from_c ("agent-7") };
       break;
     case RGY_MSG_SYNC_REQUEST:
       fill_sync_request_ (&m->u.sync_request);
--- a/src/test_wire/test_wire.c
+++ b/src/test_wire/test_wire.c
@@ -297,6 +297,7 @@
     case RGY_MSG_PROBE_ACK:
       assert_names_equal_ (&a->u.probe.from, &b->u.probe.from);
       assert_int_equal (a->u.probe.nonce, b->u.probe.nonce);
+      assert_names_equal_ (&a->u.probe.subject, &b->u.probe.subject);
       break;
     case RGY_MSG_SYNC_REQUEST:
       assert_names_equal_ (&a->u.sync_request.from, &b->u.sync_request.from);
