Report a balancer ready only when it knows the agents

A restarted balancer counted as synchronised as soon as it had read the contracts from the store. The fabric then sent packets to it before it knew any agent, and it answered requests with outcome-unknown: no-backend-server. Change: a balancer is ready when it holds the entries of a peer with at least one agent, or 2 s after its start, two heartbeats of the agents. Conclusion: reading the store is not enough to steer; a balancer without peers becomes ready 2 s after its start.

--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -556,6 +556,24 @@
   g_array_unref (candidates);
 }
 
+/* Balancers that have just started agree on having no agents.  */
+void
+rgy_balancer_note_members (struct rgy_balancer *b)
+{
+  if (g_hash_table_size (b->bb->agents) > 0)
+    b->knows_members = true;
+}
+
+/* Without a peer, agents are learnt from their heartbeats.  */
+static void
+members_tick_ (struct rgy_balancer *b, int64_t now_us)
+{
+  if (b->started_us == 0)
+    b->started_us = now_us;
+  if (now_us - b->started_us >= RGY_MEMBERS_WAIT_US)
+    b->knows_members = true;
+}
+
 /* Digests of two balancers differ for a moment after every change; only a
    difference that lasts starts a synchronisation.  It starts at once with a
    balancer that has announced an entry lacking here, and with one that is
@@ -573,6 +591,7 @@
       b->digest_differs_since_us = 0;
       b->synced = true;
       b->joined = true;
+      rgy_balancer_note_members (b);
       return;
     }
   if (b->digest_differs_since_us == 0)
@@ -846,6 +865,7 @@
 rgy_balancer_tick (struct rgy_balancer *b, int64_t now_us,
                    struct rgy_actions *actions)
 {
+  members_tick_ (b, now_us);
   rgy_balancer_monitor_tick (b, now_us, actions);
   publish_record_ (b, now_us);
   rgy_balancer_push_fresh (b, actions);
@@ -874,8 +894,8 @@
 bool
 rgy_balancer_is_ready (const struct rgy_balancer *b)
 {
-  return b->self.state == RGY_MEMBER_READY && b->synced && !b->cut
-         && rgy_contract_set_get_count (b->bb->contracts) > 0
+  return b->self.state == RGY_MEMBER_READY && b->synced && b->knows_members
+         && !b->cut && rgy_contract_set_get_count (b->bb->contracts) > 0
          && !rgy_domain_set_is_out (b->bb->domains, &b->settings.domain);
 }
 
--- a/src/libragwortyoke/balancer_sync.c
+++ b/src/libragwortyoke/balancer_sync.c
@@ -129,6 +129,9 @@
           rgy_balancer_apply_entry (b, m->u.entries.entries[i], actions);
       b->synced = true;
       b->joined = true;
+      /* The last frame is the only one that is not full.  */
+      if (m->u.entries.count < RGY_WIRE_MAX_ENTRIES)
+        rgy_balancer_note_members (b);
     }
   g_free (m);
   return rc;
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -22,6 +22,8 @@
 #define RGY_DIGEST_GRACE_US INT64_C (1000000)
 #define RGY_SYNC_INTERVAL_US INT64_C (1000000)
 #define RGY_STORE_INTERVAL_US INT64_C (2000000)
+/** Two heartbeats of the agents.  */
+#define RGY_MEMBERS_WAIT_US INT64_C (2000000)
 /** Balancers that monitor one member.  */
 #define RGY_MONITOR_COUNT 3
 /** Time for the monitored agents to report a change before those that have
@@ -121,12 +123,17 @@
   bool record_changed;
   bool config_changed;
   bool cut;
-  bool joined;       /**< Has held the same entries as a peer.  */
-  bool initial_pull; /**< The pull under way began before it had joined.  */
-  bool synced;       /**< Synchronised with a peer or read from the store.  */
+  bool joined;        /**< Has held the same entries as a peer.  */
+  bool initial_pull;  /**< The pull under way began before it had joined.  */
+  bool synced;        /**< Synchronised with a peer or read from the store.  */
+  int64_t started_us; /**< First tick; 0 before it.  */
+  bool knows_members; /**< Has the agents of a peer, or has waited for their
+                         heartbeats.  The store does not list members.  */
 };
 
 /* balancer_control.c */
+/** All entries of a peer are known here.  */
+void rgy_balancer_note_members (struct rgy_balancer *b);
 void rgy_balancer_send_message (struct rgy_balancer *b, struct rgy_endpoint to,
                                 const struct rgy_message *message,
                                 struct rgy_actions *actions);
