--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -104,6 +104,8 @@
                                      limit_free_);
   b->agents_liveness = rgy_liveness_new (&rgy_liveness_defaults);
   b->balancers_liveness = rgy_liveness_new (&rgy_liveness_defaults);
+  b->monitored
+      = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free, NULL);
   b->lagging
       = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free, NULL);
   b->fresh = g_ptr_array_new_with_free_func (fresh_entry_free_);
@@ -133,6 +135,7 @@
   g_array_unref (b->announcements);
   g_ptr_array_unref (b->fresh);
   g_hash_table_unref (b->lagging);
+  g_hash_table_unref (b->monitored);
   rgy_liveness_delete (b->balancers_liveness);
   rgy_liveness_delete (b->agents_liveness);
   g_hash_table_unref (b->limits);
@@ -556,24 +559,6 @@
   g_array_unref (candidates);
 }
 
-/* Balancers that have just started agree on having no agents.  */
-void
-rgy_balancer_note_members (struct rgy_balancer *b)
-{
-  if (g_hash_table_size (b->bb->agents) > 0)
-    b->knows_members = true;
-}
-
-/* Without a peer, agents are learnt from their heartbeats.  */
-static void
-members_tick_ (struct rgy_balancer *b, int64_t now_us)
-{
-  if (b->started_us == 0)
-    b->started_us = now_us;
-  if (now_us - b->started_us >= RGY_MEMBERS_WAIT_US)
-    b->knows_members = true;
-}
-
 /* Digests of two balancers differ for a moment after every change; only a
    difference that lasts starts a synchronisation.  It starts at once with a
    balancer that has announced an entry lacking here, and with one that is
@@ -591,7 +576,6 @@
       b->digest_differs_since_us = 0;
       b->synced = true;
       b->joined = true;
-      rgy_balancer_note_members (b);
       return;
     }
   if (b->digest_differs_since_us == 0)
@@ -861,11 +845,25 @@
   rgy_actions_exit (actions);
 }
 
+/* Packets that come before the agents are known would be refused.  Agents are
+   known when a peer holds the same entries, or when each had the time to send
+   two heartbeats.  */
+static void
+warm_up_tick_ (struct rgy_balancer *b, int64_t now_us)
+{
+  if (b->knows_agents)
+    return;
+  if (b->started_us == 0)
+    b->started_us = now_us;
+  b->knows_agents = (b->joined && g_hash_table_size (b->bb->agents) > 0)
+                    || now_us - b->started_us >= RGY_WARM_UP_US;
+}
+
 void
 rgy_balancer_tick (struct rgy_balancer *b, int64_t now_us,
                    struct rgy_actions *actions)
 {
-  members_tick_ (b, now_us);
+  warm_up_tick_ (b, now_us);
   rgy_balancer_monitor_tick (b, now_us, actions);
   publish_record_ (b, now_us);
   rgy_balancer_push_fresh (b, actions);
@@ -894,7 +892,7 @@
 bool
 rgy_balancer_is_ready (const struct rgy_balancer *b)
 {
-  return b->self.state == RGY_MEMBER_READY && b->synced && b->knows_members
+  return b->self.state == RGY_MEMBER_READY && b->synced && b->knows_agents
          && !b->cut && rgy_contract_set_get_count (b->bb->contracts) > 0
          && !rgy_domain_set_is_out (b->bb->domains, &b->settings.domain);
 }
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -22,8 +22,6 @@
 #define RGY_DIGEST_GRACE_US INT64_C (1000000)
 #define RGY_SYNC_INTERVAL_US INT64_C (1000000)
 #define RGY_STORE_INTERVAL_US INT64_C (2000000)
-/** Two heartbeats of the agents.  */
-#define RGY_MEMBERS_WAIT_US INT64_C (2000000)
 /** Balancers that monitor one member.  */
 #define RGY_MONITOR_COUNT 3
 /** Time for the monitored agents to report a change before those that have
@@ -34,6 +32,9 @@
 #define RGY_SAMPLE_PERIOD 16
 /** Balancers of a failure domain that watch the store.  */
 #define RGY_READER_COUNT 2
+/** A new balancer that no peer tells of the agents is ready after this long:
+    two heartbeats of an agent.  */
+#define RGY_WARM_UP_US INT64_C (2000000)
 #define RGY_BURST_MS 500
 
 /** Bucket table of one service.  */
@@ -103,6 +104,8 @@
   GHashTable *lagging; /**< Set of agent names.  */
   uint64_t monitored_agent_changes;
   uint64_t monitored_balancer_changes;
+  uint64_t monitored_set; /**< Hash of the balancers it was chosen among.  */
+  GHashTable *monitored;  /**< Agent name to whether it is monitored here.  */
 
   GPtrArray *fresh;      /**< Owned entries to push to monitored agents.  */
   char *stored_rollup;   /**< Of the own failure domain, as last seen.  */
@@ -123,17 +126,15 @@
   bool record_changed;
   bool config_changed;
   bool cut;
+  bool knows_agents;  /**< May be ready; see warm_up_tick_().  */
+  int64_t started_us; /**< First tick.  */
   bool joined;        /**< Has held the same entries as a peer.  */
   bool initial_pull;  /**< The pull under way began before it had joined.  */
   bool synced;        /**< Synchronised with a peer or read from the store.  */
-  int64_t started_us; /**< First tick; 0 before it.  */
-  bool knows_members; /**< Has the agents of a peer, or has waited for their
-                         heartbeats.  The store does not list members.  */
+  bool reader;        /**< Watches the store.  */
 };
 
 /* balancer_control.c */
-/** All entries of a peer are known here.  */
-void rgy_balancer_note_members (struct rgy_balancer *b);
 void rgy_balancer_send_message (struct rgy_balancer *b, struct rgy_endpoint to,
                                 const struct rgy_message *message,
                                 struct rgy_actions *actions);
@@ -149,6 +150,10 @@
 size_t rgy_balancer_list_others (const struct rgy_balancer *b,
                                  struct rgy_name *names, size_t max);
 
+/** True when this balancer, the last of NAMES, should watch the store.  */
+bool rgy_balancer_choose_reader (const struct rgy_balancer *b,
+                                 const struct rgy_name *names, size_t count);
+
 /* balancer_monitor.c */
 void rgy_balancer_monitor_tick (struct rgy_balancer *b, int64_t now_us,
                                 struct rgy_actions *actions);
