--- a/src/test_guarantees/config.c
+++ b/src/test_guarantees/config.c
@@ -6,10 +6,10 @@
 #define OLD_LIMIT 1000
 #define NEW_LIMIT 700
 #define LIMIT 40
-#define LIMIT_POSTERS 200
+#define LIMIT_POSTERS 150
 #define LIMIT_INTERVAL_US (20 * H_MS)
 #define STEP_US H_MS
-#define STEPS 6000
+#define STEPS 4000
 
 uint64_t
 proof_domain_out (enum deployment_kind kind,
--- a/src/test_guarantees/proofs.h
+++ b/src/test_guarantees/proofs.h
@@ -11,9 +11,9 @@
 
 #include "deployment.h"
 
-#define PROOF_WATCHES 60
-#define PROOF_POSTERS 20
-#define PROOF_GETTERS 6
+#define PROOF_WATCHES 40
+#define PROOF_POSTERS 14
+#define PROOF_GETTERS 4
 
 /** Seed of the proofs.  */
 extern uint64_t proof_seed;
--- a/tests/harness/harness.c
+++ b/tests/harness/harness.c
@@ -811,6 +811,8 @@
 static bool
 handle_ (struct harness *h, struct event *e)
 {
+  if (h->trace_wire != NULL)
+    trace_event (h, e);
   switch (e->kind)
     {
     case EVENT_TO_CALLER:
@@ -922,5 +924,6 @@
   g_hash_table_unref (h->cuts);
   rgy_actions_delete (h->actions);
   g_rand_free (h->random);
+  rgy_wire_delete (h->trace_wire);
   g_free (h);
 }
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -123,6 +123,12 @@
 struct caller;
 struct harness;
 
+/** From now on, write one line for each datagram of a session (time, from,
+    to, kind or CoAP code, token, Observe) and for each change of state.  The
+    lines of control datagrams are folded into one line a second with their
+    number and a digest.  */
+void harness_trace_datagrams (struct harness *h, FILE *out);
+
 struct harness *harness_new (const struct harness_settings *settings);
 void harness_delete (struct harness *h);
 
--- a/tests/harness/harness_private.h
+++ b/tests/harness/harness_private.h
@@ -58,6 +58,10 @@
   uint64_t next_order_number;
   bool store_down;
   uint8_t key[RGY_WIRE_KEY_BYTES];
+  struct rgy_wire *trace_wire; /**< NULL: datagrams are not traced.  */
+  unsigned control_count;      /**< Control datagrams of this second.  */
+  uint64_t control_digest;
+  int64_t control_until_us;
 };
 
 void h_push (struct harness *h, struct event event, int64_t delay_us);
@@ -68,6 +72,10 @@
 void h_trace (struct harness *h, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
 
+/* trace.c */
+/** A datagram has arrived; events of other kinds are passed over.  */
+void trace_event (struct harness *h, const struct event *e);
+
 /* backend.c */
 void backend_init (struct backend *b, unsigned slots, int64_t work_us);
 void backend_finish (struct backend *b);
