--- /dev/null
+++ b/benchmarks/bench_memory.c
@@ -0,0 +1,230 @@
+#include <malloc.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "ragwortyoke/clock.h"
+#include "ragwortyoke/flow.h"
+#include "ragwortyoke/request.h"
+
+/* Memory of a flow: alone, and with the request state of a session that has
+   one observation and the deduplication record of one POST.  */
+
+#define TOKEN_BYTES 4
+#define CALLER_IP 0x64400000
+#define IDLE_US (86400 * RGY_US_PER_S)
+#define PORTS 60000
+
+static const unsigned sizes_[] = { 10000, 100000, 400000 };
+
+static size_t
+heap_bytes_ (void)
+{
+  struct mallinfo2 m = mallinfo2 ();
+
+  return m.uordblks + m.hblkhd;
+}
+
+struct run_
+{
+  struct rgy_request_engine *engine;
+  struct rgy_flow_table *table;
+  struct rgy_actions *actions;
+  GByteArray *answer; /* Last datagram to the caller.  */
+  unsigned established;
+};
+
+static void
+to_caller_ (struct rgy_flow *flow, struct rgy_bytes datagram, void *ctx)
+{
+  struct run_ *r = ctx;
+
+  (void)flow;
+  g_byte_array_set_size (r->answer, 0);
+  g_byte_array_append (r->answer, datagram.data, (guint)datagram.len);
+}
+
+static bool
+begin_ (struct rgy_flow *flow, void *ctx)
+{
+  (void)flow;
+  (void)ctx;
+  return true;
+}
+
+static void
+end_ (struct rgy_flow *flow, void *ctx)
+{
+  (void)flow;
+  (void)ctx;
+}
+
+static struct rgy_flow *
+open_flow_ (struct rgy_flow_table *table, unsigned i)
+{
+  struct rgy_flow_key key = rgy_flow_key_udp (
+      (struct rgy_endpoint){ .ip = CALLER_IP + i / PORTS,
+                             .port = (uint16_t)(1024 + i % PORTS) },
+      (struct rgy_endpoint){ .ip = 0x7f0a0001, .port = 5683 });
+  struct rgy_flow *flow;
+
+  if (rgy_flow_table_open (table, &key, RGY_US_PER_S, &flow) != RGY_OK)
+    g_error ("flow %u not opened", i);
+  return flow;
+}
+
+static void
+from_caller_ (struct run_ *r, struct rgy_flow *flow, uint8_t code,
+              uint16_t message_id, uint32_t token,
+              const struct rgy_coap_option *options, size_t option_count)
+{
+  struct rgy_coap_header h
+      = { .type = RGY_COAP_CON,
+          .code = code,
+          .message_id = message_id,
+          .token = { .data = (const uint8_t *)&token, .len = TOKEN_BYTES } };
+  GByteArray *bytes
+      = rgy_coap_build (&h, options, option_count, (struct rgy_bytes){ 0 });
+
+  rgy_request_engine_from_caller (
+      r->engine, flow,
+      (struct rgy_bytes){ .data = bytes->data, .len = bytes->len },
+      RGY_US_PER_S, r->actions);
+  g_byte_array_unref (bytes);
+}
+
+/* The backend server answers each request that was delivered.  */
+static void
+answer_ (struct run_ *r, struct rgy_flow *flow)
+{
+  GPtrArray *answers
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)g_byte_array_unref);
+  struct rgy_coap_uint room;
+  struct rgy_coap_option observe
+      = rgy_coap_uint_option (RGY_COAP_OPTION_OBSERVE, 1, &room);
+  struct rgy_coap_view view;
+  struct rgy_action action;
+  size_t i;
+
+  for (i = 0; i < rgy_actions_get_count (r->actions); i++)
+    {
+      struct rgy_coap_header h = { .type = RGY_COAP_ACK };
+
+      action = rgy_actions_get (r->actions, i);
+      if (action.kind != RGY_ACTION_DELIVER
+          || rgy_coap_parse (action.u.flow.data, &view) != RGY_OK)
+        continue;
+      h.code = view.has_observe ? RGY_COAP_CODE (2, 5) : RGY_COAP_CODE (2, 4);
+      h.message_id = view.message_id;
+      h.token = view.token;
+      g_ptr_array_add (answers,
+                       rgy_coap_build (&h, &observe, view.has_observe ? 1 : 0,
+                                       (struct rgy_bytes){ 0 }));
+    }
+  rgy_actions_clear (r->actions);
+  for (i = 0; i < answers->len; i++)
+    {
+      const GByteArray *a = answers->pdata[i];
+
+      rgy_request_engine_from_backend (
+          r->engine, flow,
+          (struct rgy_bytes){ .data = a->data, .len = a->len }, RGY_US_PER_S,
+          r->actions);
+    }
+  rgy_actions_clear (r->actions);
+  g_ptr_array_unref (answers);
+}
+
+/* Registers an observation, then posts a record: the first POST is answered
+   with an Echo value, which the second one carries.  */
+static void
+add_session_ (struct run_ *r, struct rgy_flow *flow)
+{
+  struct rgy_coap_option observe = { .number = RGY_COAP_OPTION_OBSERVE };
+  struct rgy_coap_option echo = { .number = RGY_COAP_OPTION_ECHO };
+  struct rgy_coap_view view;
+  uint8_t value[64];
+
+  from_caller_ (r, flow, RGY_COAP_CODE (0, 1), 1, 1, &observe, 1);
+  answer_ (r, flow);
+  from_caller_ (r, flow, RGY_COAP_CODE (0, 2), 2, 2, NULL, 0);
+  rgy_actions_clear (r->actions);
+  if (rgy_coap_parse (
+          (struct rgy_bytes){ .data = r->answer->data, .len = r->answer->len },
+          &view)
+          != RGY_OK
+      || !view.has_echo || view.echo.len > sizeof value)
+    g_error ("no Echo value");
+  memcpy (value, view.echo.data, view.echo.len);
+  echo.value = (struct rgy_bytes){ .data = value, .len = view.echo.len };
+  from_caller_ (r, flow, RGY_COAP_CODE (0, 2), 3, 3, &echo, 1);
+  answer_ (r, flow);
+  if (rgy_request_engine_get_observations (flow) == 1
+      && rgy_request_engine_get_outstanding (flow) == 0)
+    r->established++;
+}
+
+static bool
+forget_ (struct rgy_flow *flow, void *ctx)
+{
+  rgy_request_engine_forget (((struct run_ *)ctx)->engine, flow);
+  return true;
+}
+
+static void
+measure_ (unsigned count)
+{
+  struct rgy_counters *counters = rgy_counters_new ();
+  struct rgy_request_settings settings
+      = { .epoch = 1,
+          .deadline_ms = 2000,
+          .admission = { .slots = 1024, .queue_length = 16 },
+          .echo_required = true,
+          .counters = counters };
+  struct run_ r = { .engine = rgy_request_engine_new (&settings),
+                    .actions = rgy_actions_new (),
+                    .answer = g_byte_array_new () };
+  struct rgy_request_hooks hooks = { .to_caller = to_caller_,
+                                     .begin_request = begin_,
+                                     .end_request = end_,
+                                     .ctx = &r };
+  struct rgy_flow **flows = g_new (struct rgy_flow *, count);
+  size_t empty;
+  size_t flow_bytes;
+  size_t session_bytes;
+  unsigned i;
+
+  rgy_request_engine_set_hooks (r.engine, &hooks);
+  empty = heap_bytes_ ();
+  r.table = rgy_flow_table_new (count, IDLE_US);
+  for (i = 0; i < count; i++)
+    flows[i] = open_flow_ (r.table, i);
+  flow_bytes = heap_bytes_ () - empty;
+  for (i = 0; i < count; i++)
+    add_session_ (&r, flows[i]);
+  session_bytes = heap_bytes_ () - empty - flow_bytes;
+  printf ("%6u flows: %.0f B a flow; with %u observations and as many "
+          "deduplication records %.0f B more, %.0f B together, %.1f MB\n",
+          count, (double)flow_bytes / count, r.established,
+          (double)session_bytes / count,
+          (double)(flow_bytes + session_bytes) / count,
+          (double)(flow_bytes + session_bytes) / 1e6);
+  rgy_flow_table_foreach (r.table, forget_, &r);
+  rgy_flow_table_delete (r.table);
+  g_free (flows);
+  g_byte_array_unref (r.answer);
+  rgy_actions_delete (r.actions);
+  rgy_request_engine_delete (r.engine);
+  rgy_counters_delete (counters);
+}
+
+int
+main (void)
+{
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (sizes_); i++)
+    measure_ (sizes_[i]);
+  return 0;
+}
