Report a balancer's demand only when it has changed

Cause: every balancer with a byte limit published its record, with the demand of up to 16 customers, every 2 s to the whole fleet. The bytes grow with the square of the fleet and filled the gossip at 40 balancers.

Change: a report is sent when a customer is new or its demand has changed by a factor of 2, and at most every 0.5 s for each balancer of the fleet (2 s at up to 4, 230 s at 460). Until then the last report stands, for the own share too: otherwise all shares would grow when the demand of all rises.

Conclusion: with an even spray nothing is reported. At full size a balancer whose demand differs from the others' gets its share within 4 minutes, not 5 s; that is the price of the budget.

--- a/include/ragwortyoke/limit.h
+++ b/include/ragwortyoke/limit.h
@@ -41,6 +41,15 @@
 uint64_t rgy_rate_limit_get_demand (struct rgy_rate_limit *limit,
                                     int64_t now_us);
 
+/** Smoothed own demand a second, without publishing it.  */
+uint64_t rgy_rate_limit_peek_demand (struct rgy_rate_limit *limit,
+                                     int64_t now_us);
+
+/** The report sent last still stands.  To be called at least every
+    RGY_LIMIT_REPORT_MAX_AGE_US while the others hold that report; the own
+    share would otherwise follow a demand that they do not know.  */
+void rgy_rate_limit_keep_demand (struct rgy_rate_limit *limit, int64_t now_us);
+
 /** Demand that another instance has published.  An instance that publishes
     nothing for this limit must be noted with 0 when its report arrives;
     otherwise it counts as the mean after RGY_LIMIT_REPORT_MAX_AGE_US.  */
--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -809,17 +809,91 @@
     b->record_changed = true;
 }
 
+static const struct rgy_demand *
+find_reported_ (const struct rgy_balancer *b, const struct rgy_name *customer)
+{
+  size_t i;
+
+  for (i = 0; i < b->self.demand_count; i++)
+    if (rgy_name_equal (&b->self.demand[i].customer, customer))
+      return &b->self.demand[i];
+  return NULL;
+}
+
+enum report_need_
+{
+  REPORT_STANDS, /* The last report is near enough.  */
+  REPORT_DUE,    /* Demand has changed by a factor of 2.  */
+  REPORT_NOW     /* A customer is not in the report: the others would take its
+                    demand here for 0.  */
+};
+
+static enum report_need_
+check_report_ (struct rgy_balancer *b, int64_t now_us)
+{
+  enum report_need_ need = REPORT_STANDS;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->limits);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const struct rgy_demand *old = find_reported_ (b, key);
+      uint64_t now_per_s = rgy_rate_limit_peek_demand (value, now_us);
+
+      if (old == NULL)
+        {
+          if (b->self.demand_count < RGY_DEMAND_MAX)
+            return REPORT_NOW;
+        }
+      else if (MAX (now_per_s, old->bytes_per_s) >= RGY_DEMAND_MIN_BYTES
+               && (now_per_s > 2 * old->bytes_per_s
+                   || old->bytes_per_s > 2 * now_per_s))
+        need = REPORT_DUE;
+    }
+  return need;
+}
+
+/* Each report is sent to the whole fleet, so that the bytes grow with its
+   square unless the reports get rarer.  */
+static int64_t
+report_interval_us_ (const struct rgy_balancer *b)
+{
+  int64_t members = g_hash_table_size (b->bb->balancers);
+
+  return MAX (RGY_DEMAND_INTERVAL_US, members * RGY_DEMAND_SPREAD_US);
+}
+
 static void
-publish_record_ (struct rgy_balancer *b, int64_t now_us)
+follow_demand_ (struct rgy_balancer *b, int64_t now_us)
 {
-  follow_config_ (b, now_us);
-  if (now_us >= b->next_demand_us && g_hash_table_size (b->limits) > 0)
+  enum report_need_ need;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now_us < b->next_demand_us || g_hash_table_size (b->limits) == 0)
+    return;
+  b->next_demand_us = now_us + RGY_DEMAND_INTERVAL_US;
+  need = check_report_ (b, now_us);
+  if (need == REPORT_NOW
+      || (need == REPORT_DUE && now_us >= b->next_report_us))
     {
-      b->next_demand_us = now_us + RGY_DEMAND_INTERVAL_US;
+      b->next_report_us = now_us + report_interval_us_ (b);
       collect_demand_ (b, now_us);
-      note_demand_of_others_ (b, now_us);
       b->record_changed = true;
     }
+  g_hash_table_iter_init (&iter, b->limits);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    rgy_rate_limit_keep_demand (value, now_us);
+  note_demand_of_others_ (b, now_us);
+}
+
+static void
+publish_record_ (struct rgy_balancer *b, int64_t now_us)
+{
+  follow_config_ (b, now_us);
+  follow_demand_ (b, now_us);
   if (!b->record_changed)
     return;
   b->record_changed = false;
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -18,6 +18,11 @@
 #define RGY_RECORD_INTERVAL_US INT64_C (1000000)
 /** Own demand is published at most this often.  */
 #define RGY_DEMAND_INTERVAL_US INT64_C (2000000)
+/** Reports of one balancer are this far apart for each balancer of the fleet:
+    230 s at 460.  */
+#define RGY_DEMAND_SPREAD_US INT64_C (500000)
+/** Changes of a demand below this are not reported.  */
+#define RGY_DEMAND_MIN_BYTES 1000
 /** Digests that differ for this long start a synchronisation.  */
 #define RGY_DIGEST_GRACE_US INT64_C (1000000)
 #define RGY_SYNC_INTERVAL_US INT64_C (1000000)
@@ -113,6 +118,7 @@
   int64_t next_rejoin_us;
   int64_t next_record_us;
   int64_t next_demand_us;
+  int64_t next_report_us;
   int64_t next_sync_us;
   int64_t next_store_us;
   int64_t digest_differs_since_us; /**< 0 when digests agree.  */
--- a/src/libragwortyoke/rate_limit.c
+++ b/src/libragwortyoke/rate_limit.c
@@ -214,6 +214,20 @@
   return (uint64_t)llround (limit->demand_per_s);
 }
 
+uint64_t
+rgy_rate_limit_peek_demand (struct rgy_rate_limit *limit, int64_t now_us)
+{
+  update_ (limit, now_us);
+  return (uint64_t)llround (limit->demand_per_s);
+}
+
+void
+rgy_rate_limit_keep_demand (struct rgy_rate_limit *limit, int64_t now_us)
+{
+  if (limit->published)
+    limit->published_us = now_us;
+}
+
 void
 rgy_rate_limit_note_demand (struct rgy_rate_limit *limit,
                             const struct rgy_name *instance,
--- a/src/test_gossip/test_gossip.c
+++ b/src/test_gossip/test_gossip.c
@@ -298,6 +298,29 @@
   fleet_delete (f);
 }
 
+/* Guards against reports of demand that every balancer sends to all others
+   although nothing has changed.  */
+static void
+test_even_demand_is_not_gossiped_ (void **state)
+{
+  struct fleet_settings s = make_settings_ (40);
+  uint64_t bytes = 0;
+  struct fleet *f;
+  unsigned i;
+
+  (void)state;
+  s.traffic = true;
+  f = fleet_new (&s);
+  fleet_run (f, 200 * FLEET_S);
+  fleet_reset_figures (f);
+  fleet_run (f, 60 * FLEET_S);
+  for (i = 0; i < s.balancers; i++)
+    bytes += fleet_get_balancer (f, i)->in.bytes[RGY_MSG_GOSSIP];
+  /* Five messages a second of 110 bytes without updates.  */
+  assert_true (bytes / s.balancers / 60 < 600);
+  fleet_delete (f);
+}
+
 int
 main (void)
 {
@@ -310,6 +333,7 @@
     cmocka_unit_test (test_change_is_published_once_),
     cmocka_unit_test (test_large_contract_spreads_within_six_seconds_),
     cmocka_unit_test (test_gossip_of_a_change_is_bounded_),
+    cmocka_unit_test (test_even_demand_is_not_gossiped_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/test_limit/test_rate.c
+++ b/src/test_limit/test_rate.c
@@ -366,6 +366,37 @@
   rgy_rate_limit_delete (limit);
 }
 
+/* Guards against a share that follows a demand unknown to the others: when the
+   demand of all rises at once, each would take nearly the whole rate.  */
+static void
+kept_report_bounds_the_share_ (void **state)
+{
+  struct rgy_rate_limit *limit = rgy_rate_limit_new (RATE, BURST_MS);
+  struct rgy_name other = name_ (1);
+  int64_t now_us = START_US;
+  unsigned i;
+
+  (void)state;
+  rgy_rate_limit_set_instances (limit, &other, 1);
+  for (i = 0; i < 10 * STEPS_PER_S; i++, now_us += STEP_MS * MS)
+    rgy_rate_limit_take (limit, 10, now_us);
+  rgy_rate_limit_note_demand (
+      limit, &other, rgy_rate_limit_get_demand (limit, now_us), now_us);
+  for (i = 0; i < 20 * STEPS_PER_S; i++, now_us += STEP_MS * MS)
+    {
+      rgy_rate_limit_take (limit, 100, now_us);
+      if (i % (2 * STEPS_PER_S) == 0)
+        {
+          rgy_rate_limit_keep_demand (limit, now_us);
+          rgy_rate_limit_note_demand (limit, &other, 1000, now_us);
+        }
+      assert_true (rgy_rate_limit_get_share (limit, now_us)
+                   <= RATE / 2 + RATE / 50);
+    }
+  assert_true (rgy_rate_limit_peek_demand (limit, now_us) > 5000);
+  rgy_rate_limit_delete (limit);
+}
+
 int
 run_rate_tests (void)
 {
@@ -376,6 +407,7 @@
     cmocka_unit_test (new_traffic_is_not_starved_),
     cmocka_unit_test (old_and_unknown_reports_are_replaced_),
     cmocka_unit_test (amount_above_the_burst_passes_and_is_paid_back_),
+    cmocka_unit_test (kept_report_bounds_the_share_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
