Forward for 3 s what still reaches a balancer in a failure domain that is out

The fabric withdraws the balancer only after it has seen it not ready; packets in between were dropped and cost their callers a retransmission. Agents forget the last balancer of each flow at an order, since it may be in that failure domain.

--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -443,11 +443,21 @@
   return true;
 }
 
+static bool
+forget_balancer_ (struct rgy_flow *flow, void *ctx)
+{
+  (void)ctx;
+  flow->last_balancer_us = 0;
+  return true;
+}
+
 static void
 follow_domain_order_ (struct rgy_agent *a)
 {
   bool out = rgy_domain_set_is_out (a->bb->domains, &a->settings.domain);
 
+  /* The last balancer of a flow may be in the failure domain.  */
+  rgy_flow_table_foreach (a->flows, forget_balancer_, a);
   if (out == a->out)
     return;
   a->out = out;
--- a/src/libragwortyoke/balancer_packet.c
+++ b/src/libragwortyoke/balancer_packet.c
@@ -168,10 +168,19 @@
   ++*b->c.forwarded;
 }
 
+/* The fabric withdraws a balancer some time after it has reported not ready;
+   until then its packets are forwarded to the other failure domains.  */
 static bool
-domain_is_out_ (const struct rgy_balancer *b)
+is_withdrawn_ (struct rgy_balancer *b, int64_t now_us)
 {
-  return rgy_domain_set_is_out (b->bb->domains, &b->settings.domain);
+  if (!rgy_domain_set_is_out (b->bb->domains, &b->settings.domain))
+    {
+      b->out_since_us = 0;
+      return false;
+    }
+  if (b->out_since_us == 0)
+    b->out_since_us = now_us;
+  return now_us - b->out_since_us >= RGY_WITHDRAW_US;
 }
 
 void
@@ -194,7 +203,7 @@
       ++*b->c.drop_malformed;
       return;
     }
-  if (domain_is_out_ (b))
+  if (is_withdrawn_ (b, now_us))
     {
       ++*b->c.drop_out;
       return;
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -31,6 +31,8 @@
 /** A balancer vouches for an agent that it heard within this time: more than
     the interval of heartbeats, less than the silence of a dead agent.  */
 #define RGY_VOUCH_US INT64_C (1500000)
+/** A balancer whose failure domain is out forwards for this long.  */
+#define RGY_WITHDRAW_US INT64_C (3000000)
 /** Balancers that monitor one member.  */
 #define RGY_MONITOR_COUNT 3
 /** Time for the monitored agents to report a change before those that have
@@ -141,6 +143,7 @@
   int64_t next_sync_us;
   int64_t next_store_us;
   int64_t digest_differs_since_us; /**< 0 when digests agree.  */
+  int64_t out_since_us;            /**< 0 while the domain is in.  */
   int64_t drain_until_us;          /**< 0 when not draining.  */
   bool eager;                      /**< Gossip soon: something is new.  */
   int64_t confirm_until_us; /**< 0 when no digest waits to be published.  */
