End flows that a contract change no longer covers

Cause: contracts were checked when a flow opened; after a caller's prefix or a service was withdrawn, balancers dropped the caller's packets but the agent went on to notify it until the session ended. Change: an agent ends the flows of the changed contract that are no longer covered.

--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -63,6 +63,9 @@
     .flows_given_up
     = rgy_counters_add (c, "flows_given_up_total", NULL,
                         "Flows ended because the failure domain is out."),
+    .flows_revoked
+    = rgy_counters_add (c, "flows_revoked_total", NULL,
+                        "Flows ended because their contract has changed."),
     .flows_expired = rgy_counters_add (c, "flows_expired_total", NULL,
                                        "Flows ended by the idle timeout."),
     .answers = rgy_counters_add (c, "agent_answers_total", NULL,
@@ -472,6 +475,40 @@
                             RGY_COLD_DOMAIN, a->now_us);
 }
 
+struct revocation_
+{
+  struct rgy_agent *a;
+  const struct rgy_name *customer;
+};
+
+static bool
+revoke_flow_ (struct rgy_flow *flow, void *ctx)
+{
+  struct revocation_ *r = ctx;
+  struct rgy_agent *a = r->a;
+  const struct rgy_contract *contract;
+
+  if (!rgy_name_equal (&flow->customer, r->customer)
+      || (rgy_agent_get_service (a, &contract, flow->key.u.udp.caller.ip)
+              != NULL
+          && rgy_name_equal (&contract->customer, &flow->customer)))
+    return true;
+  ++*a->c.flows_revoked;
+  rgy_request_engine_deregister (a->engine, flow, a->actions);
+  rgy_agent_close_flow (a, flow);
+  return true;
+}
+
+/* Ends the flows that the customer's contract no longer covers; a session
+   would otherwise go on to notify a caller that may not reach the service.  */
+static void
+revoke_flows_ (struct rgy_agent *a, const struct rgy_name *customer)
+{
+  struct revocation_ r = { .a = a, .customer = customer };
+
+  rgy_flow_table_foreach (a->flows, revoke_flow_, &r);
+}
+
 static bool
 concerns_group_ (const struct rgy_agent *a, const struct rgy_entry *entry)
 {
@@ -497,7 +534,10 @@
       a->next_heartbeat_us = 0;
     }
   if (entry->class == RGY_ENTRY_CONTRACT)
-    rgy_agent_prepare_usage (a);
+    {
+      rgy_agent_prepare_usage (a);
+      revoke_flows_ (a, &entry->key);
+    }
   if (entry->class == RGY_ENTRY_DOMAIN)
     follow_domain_order_ (a);
   if (entry->class == RGY_ENTRY_AGENT
--- a/src/libragwortyoke/include/private/agent_private.h
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -86,6 +86,7 @@
   uint64_t *flows_moved_out;
   uint64_t *flows_given_up;
   uint64_t *flows_expired;
+  uint64_t *flows_revoked;
   uint64_t *answers;
   uint64_t *answers_without_balancer;
   uint64_t *drop_wrong_service;
