Do not probe the backend server of a failure domain that is out

Cause: an agent whose failure domain is out sends nothing more to its backend server, but the health probe did not ask for that and went on every second. Change: no probe while the failure domain is out; a probe that is still pending is judged after the return, when the agent starts cold anyway. Conclusion: a failure domain that is out gets no packet from its agents.

--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -707,7 +707,7 @@
   uint16_t id;
   uint8_t ping[4] = { 0x40, 0, 0, 0 };
 
-  if (!rgy_agent_serves_requests (a))
+  if (a->out || !rgy_agent_serves_requests (a))
     return;
   if (rgy_health_tick (a->health, a->now_us) == RGY_HEALTH_FAILED)
     {
