Forget an observation without notification instead of sending a GET

Cause: an observation that was never notified cannot be ended by a Reset, so the agent sent GET with Observe 1. Admission did not count that request, and a drain sent one for each watch at once. Change: such an observation is only forgotten, as RFC 7641 section 3.6 allows; on an open flow its next notification is answered with a Reset. Conclusion: a drain loads a backend server only with requests that admission has counted.

--- a/src/libragwortyoke/observation.c
+++ b/src/libragwortyoke/observation.c
@@ -4,7 +4,6 @@
 
 #include "ragwortyoke/clock.h"
 
-#define CODE_GET 1
 #define CLASS_SUCCESS 2
 /* Observe values are 24 bits; one is newer when it is ahead by less than half
    of the space (RFC 7641 section 3.4).  */
@@ -376,36 +375,21 @@
 }
 
 /* A Reset to the last notification ends an observation without work for the
-   backend server; a GET with Observe 1 would take a slot.  */
+   backend server.  Without a notification the observation is only forgotten
+   (RFC 7641 section 3.6): a GET with Observe 1 would run beside the requests
+   that admission counts, and a drain sends one for each observation.  */
 void
 rgy_observation_deregister (struct rgy_session *session,
                             const struct rgy_observation *observation,
                             struct rgy_actions *actions)
 {
   const struct rgy_observation *o = observation;
-  struct rgy_coap_header header
-      = { .type = RGY_COAP_NON,
-          .code = CODE_GET,
-          .token = { .data = o->token, .len = sizeof o->token } };
-  struct rgy_coap_uint room;
-  struct rgy_coap_option changes[]
-      = { rgy_coap_uint_option (RGY_COAP_OPTION_OBSERVE, 1, &room),
-          { .number = RGY_COAP_OPTION_ECHO } };
-  GByteArray *out;
 
   if (o->recent_count > 0)
-    {
-      rgy_session_deliver_empty (
-          session, RGY_COAP_RST,
-          o->recent[(o->recent_count - 1) % RGY_RECENT_NOTIFICATIONS]
-              .backend_id,
-          actions);
-      return;
-    }
-  header.message_id = session->backend_id++;
-  out = rgy_coap_rewrite (&o->view, &header, changes, G_N_ELEMENTS (changes));
-  rgy_session_deliver (session, out, actions);
-  g_byte_array_unref (out);
+    rgy_session_deliver_empty (
+        session, RGY_COAP_RST,
+        o->recent[(o->recent_count - 1) % RGY_RECENT_NOTIFICATIONS].backend_id,
+        actions);
 }
 
 /* Timers.  */
