Refuse to write to a store with older contents

Cause: ragwortyokectl has no memory, so that it took a store that had come back empty for a sound one. The balancers refuse such a store, and as the contract in force had a higher revision than the one just written, they confirmed it: "contract put" ended with status 0 and changed nothing. A failure domain order written there never arrived. Change: a balancer's answer to /v1/confirm has the highest store revision among its contracts; ragwortyokectl asks for it before it reads the store and treats a store below it as down, so that contracts are refused with status 3 and orders go to the balancers directly. Conclusion: a change is not reported as in force when the store that holds it is refused.

--- a/src/libragwortyoke/balancer_status.c
+++ b/src/libragwortyoke/balancer_status.c
@@ -113,6 +113,26 @@
   return entry != NULL && entry->version.major >= revision;
 }
 
+static void
+note_newest_ (const struct rgy_entry *entry, void *ctx)
+{
+  uint64_t *newest = ctx;
+
+  *newest = MAX (*newest, entry->version.major);
+}
+
+/* Highest revision of the store that a contract here comes from: a store
+   below it has lost what is in force.  */
+static uint64_t
+get_store_revision_ (const struct rgy_balancer *b)
+{
+  uint64_t newest = 0;
+
+  rgy_replica_foreach (b->bb->replica, RGY_ENTRY_CONTRACT, note_newest_,
+                       &newest);
+  return newest;
+}
+
 /* A change is in force everywhere when all balancers publish this one's
    digest and none of them has an agent that lags behind.  */
 char *
@@ -144,6 +164,8 @@
       confirmed
           = confirmed && r->config_digest == digest && r->lagging_count == 0;
     }
-  return dump_ (json_pack ("{s:b, s:I, s:o}", "confirmed", confirmed,
-                           "revision", (json_int_t)known, "lagging", lagging));
+  return dump_ (json_pack ("{s:b, s:I, s:I, s:o}", "confirmed", confirmed,
+                           "revision", (json_int_t)known, "store_revision",
+                           (json_int_t)get_store_revision_ (b), "lagging",
+                           lagging));
 }
--- a/src/ragwortyokectl/ctl_domain.c
+++ b/src/ragwortyokectl/ctl_domain.c
@@ -11,9 +11,10 @@
 #define US_PER_S 1000000
 #define MAX_DIRECT_TRIES 3
 
-/* Highest order number that a balancer knows, or 0.  */
+/* Highest order number that a balancer knows, or 0.
+   @param store_revision  of the contracts in force there; may be NULL.  */
 static uint64_t
-ask_number_ (struct ctl *ctl, int64_t deadline_ms)
+ask_number_ (struct ctl *ctl, int64_t deadline_ms, uint64_t *store_revision)
 {
   char *path = g_strdup_printf ("/v1/confirm?domain=%s&number=1",
                                 ctl->settings->argument);
@@ -23,6 +24,8 @@
   if (ctl_balancer_call (ctl, path, NULL, NULL, deadline_ms, &answer)
       == RGY_OK)
     number = rgy_store_json_get_u64 (answer, "revision");
+  if (store_revision != NULL)
+    *store_revision = rgy_store_json_get_u64 (answer, "store_revision");
   json_decref (answer);
   g_free (path);
   return number;
@@ -43,7 +46,8 @@
   return order;
 }
 
-/* Writes the order to the store.  A conflict has been printed.  */
+/* Writes the order to the store.  A conflict has been printed.  A store with
+   older contents is as good as down: no balancer reads it.  */
 static int
 write_order_ (struct ctl *ctl, const char *id, struct rgy_domain_order *order)
 {
@@ -57,6 +61,7 @@
   struct rgy_domain_order stored = { 0 };
   struct rgy_check_error error;
   struct ctl_view view = { 0 };
+  uint64_t store_revision;
   enum rgy_outcome rc;
   uint64_t revision;
   uint64_t number;
@@ -64,16 +69,23 @@
   char *value;
   int status;
 
+  /* Before the read, which then cannot be behind another operator's change
+     that the balancer already has.  */
+  number = ask_number_ (ctl, deadline_ms, &store_revision);
   rc = ctl_store_read (ctl, ctl_plan_view (&change), deadline_ms, &answer);
   if (rc == RGY_OK && !ctl_view_parse (answer, &view))
     rc = RGY_ERR_INVALID;
   json_decref (answer);
+  if (rc == RGY_OK && ctl->seen.revision < store_revision)
+    rc = RGY_ERR_STALE;
   if (rc != RGY_OK)
-    return CTL_EXIT_UNAVAILABLE;
+    {
+      ctl_view_finish (&view);
+      return CTL_EXIT_UNAVAILABLE;
+    }
   if (view.subject.value != NULL)
     rgy_domain_order_parse (rgy_str_from_c (view.subject.value), &stored,
                             &error);
-  number = ask_number_ (ctl, deadline_ms);
   *order = order_new_ (ctl, id, MAX (number, stored.number) + 1);
   change.time_s = order->issued_s;
   value = rgy_domain_order_format (order);
@@ -100,19 +112,20 @@
   if (ctl->settings->operator_token == NULL
       || ctl->settings->balancers == NULL)
     {
-      fputs ("ragwortyokectl: the store does not answer, and the order cannot "
+      fputs ("ragwortyokectl: the store is not usable, and the order cannot "
              "go directly to the balancers because --operator-token or "
              "--balancers is not set\n",
              stderr);
       return CTL_EXIT_UNAVAILABLE;
     }
-  fputs ("ragwortyokectl: the store does not answer; sending the order "
+  fputs ("ragwortyokectl: the store is not usable; sending the order "
          "directly to the balancers\n",
          stderr);
   for (attempt = 0; attempt < MAX_DIRECT_TRIES && !accepted; attempt++)
     {
       if (order->number == 0 || attempt > 0)
-        *order = order_new_ (ctl, id, ask_number_ (ctl, deadline_ms) + 1);
+        *order
+            = order_new_ (ctl, id, ask_number_ (ctl, deadline_ms, NULL) + 1);
       text = rgy_domain_order_format (order);
       body = json_loads (text, 0, NULL);
       g_free (text);
--- a/src/ragwortyokectl/ctl_write.c
+++ b/src/ragwortyokectl/ctl_write.c
@@ -205,22 +205,52 @@
   return *value != NULL;
 }
 
+/* Highest store revision among the contracts that a balancer holds, or 0 when
+   none is named or answers.  */
+static uint64_t
+ask_store_revision_ (struct ctl *ctl, const struct ctl_change *change,
+                     int64_t deadline_ms)
+{
+  char *path
+      = g_strdup_printf ("/v1/confirm?customer=%s&revision=1", change->name);
+  uint64_t revision = 0;
+  json_t *answer;
+
+  if (ctl_balancer_call (ctl, path, NULL, NULL, deadline_ms, &answer)
+      == RGY_OK)
+    revision = rgy_store_json_get_u64 (answer, "store_revision");
+  json_decref (answer);
+  g_free (path);
+  return revision;
+}
+
 static int
 write_contract_ (struct ctl *ctl, const struct ctl_change *change,
                  uint64_t *revision)
 {
   int64_t deadline_ms = ctl_now_ms () + ctl->settings->timeout_ms;
   struct ctl_view view = { 0 };
+  uint64_t store_revision;
   enum rgy_outcome rc;
   json_t *answer;
   int status;
 
+  /* Before the read, which then cannot be behind another operator's change
+     that the balancer already has.  */
+  store_revision = ask_store_revision_ (ctl, change, deadline_ms);
   rc = ctl_store_read (ctl, ctl_plan_view (change), deadline_ms, &answer);
   if (rc == RGY_OK && !ctl_view_parse (answer, &view))
     rc = RGY_ERR_INVALID;
   json_decref (answer);
+  /* The balancers refuse such a store; a change in it would take effect
+     nowhere, or take back what is in force after a restart of all of them.  */
+  if (rc == RGY_OK && ctl->seen.revision < store_revision)
+    rc = RGY_ERR_STALE;
   if (rc != RGY_OK)
-    return ctl_store_failed (rc);
+    {
+      ctl_view_finish (&view);
+      return ctl_store_failed (rc);
+    }
   if (change->value == NULL && view.subject.key == NULL)
     {
       fprintf (stderr, "ragwortyokectl: there is no contract of %s\n",
