Make runs independent of the order in hash tables

Cause: balancers picked gossip and rejoin targets, sent probes and pushed entries in the order of a hash table, agents chose between equally fresh balancers in that order, and handovers of a dead target were sent again in it. That order depends on the GLib version and on earlier insertions. Change: these lists are sorted by name or ID; equally fresh balancers are taken by the lower name. The harness sorts the observers of a board.

--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -243,6 +243,16 @@
   return rgy_blackboard_balancer_is_usable (a->bb, &k->record);
 }
 
+/* The latest acknowledgement, and among equal ones the lower name.  */
+static bool
+is_better_ (const struct rgy_known_balancer *k,
+            const struct rgy_known_balancer *best)
+{
+  if (best == NULL || k->last_ack_us != best->last_ack_us)
+    return best == NULL || k->last_ack_us > best->last_ack_us;
+  return rgy_name_compare (&k->record.id, &best->record.id) < 0;
+}
+
 struct rgy_endpoint
 rgy_agent_choose_balancer (struct rgy_agent *a, const struct rgy_flow *flow)
 {
@@ -260,7 +270,7 @@
 
       if (is_usable_ (a, k) && k->last_ack_us != 0
           && a->now_us - k->last_ack_us <= RGY_BALANCER_FRESH_US
-          && (best == NULL || k->last_ack_us > best->last_ack_us))
+          && is_better_ (k, best))
         best = k;
     }
   return best == NULL ? (struct rgy_endpoint){ 0 } : best->record.endpoint;
--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -1,5 +1,6 @@
 #include "private/balancer_private.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /* Control plane of a balancer: gossip, synchronisation, its own record and
@@ -164,6 +165,12 @@
   return r->state != RGY_MEMBER_DEAD && r->state != RGY_MEMBER_LEFT;
 }
 
+static int
+compare_names_ (const void *a, const void *b)
+{
+  return rgy_name_compare (a, b);
+}
+
 size_t
 rgy_balancer_list_others (const struct rgy_balancer *b, struct rgy_name *names,
                           size_t max)
@@ -181,6 +188,7 @@
           && !rgy_name_equal (&r->id, &b->settings.id))
         names[n++] = r->id;
     }
+  qsort (names, n, sizeof names[0], compare_names_);
   return n;
 }
 
@@ -520,6 +528,15 @@
   return false;
 }
 
+static int
+compare_endpoints_ (const void *a, const void *b)
+{
+  uint64_t first = rgy_endpoint_pack (*(const struct rgy_endpoint *)a);
+  uint64_t second = rgy_endpoint_pack (*(const struct rgy_endpoint *)b);
+
+  return first < second ? -1 : first > second;
+}
+
 /* After a start at the same time, or a partition, there may be groups of
    balancers that know only of each other, or hold the others for dead.  Now
    and then one seed or dead balancer gets a message, so that such groups
@@ -550,6 +567,7 @@
           && !rgy_name_equal (&r->id, &b->settings.id))
         g_array_append_val (candidates, r->endpoint);
     }
+  g_array_sort (candidates, compare_endpoints_);
   if (candidates->len > 0)
     send_gossip_ (b,
                   g_array_index (candidates, struct rgy_endpoint,
--- a/src/libragwortyoke/balancer_monitor.c
+++ b/src/libragwortyoke/balancer_monitor.c
@@ -269,26 +269,48 @@
   g_free (names);
 }
 
+static int
+compare_name_pointers_ (const void *a, const void *b)
+{
+  return rgy_name_compare (*(const struct rgy_name *const *)a,
+                           *(const struct rgy_name *const *)b);
+}
+
+/* Names in TABLE that are watched, in the order of the names, so that a run
+   does not depend on the order in a hash table.  */
+static GPtrArray *
+list_watched_ (GHashTable *table, const struct rgy_liveness *liveness)
+{
+  GPtrArray *names = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, table);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (rgy_liveness_is_watched (liveness, key))
+      g_ptr_array_add (names, key);
+  g_ptr_array_sort (names, compare_name_pointers_);
+  return names;
+}
+
 /* Balancers that only gossip at random would be heard too rarely: each
    monitored one is probed every second.  */
 static void
 probe_balancers_ (struct rgy_balancer *b, int64_t now_us,
                   struct rgy_actions *actions)
 {
-  GHashTableIter iter;
-  gpointer value;
+  GPtrArray *names;
+  guint i;
 
   if (now_us < b->next_probe_us)
     return;
   b->next_probe_us = now_us + RGY_PROBE_INTERVAL_US;
-  g_hash_table_iter_init (&iter, b->bb->balancers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct rgy_balancer_record *r = value;
-
-      if (rgy_liveness_is_watched (b->balancers_liveness, &r->id))
-        send_probe_ (b, r->endpoint, now_us, actions);
-    }
+  names = list_watched_ (b->bb->balancers, b->balancers_liveness);
+  for (i = 0; i < names->len; i++)
+    send_probe_ (
+        b, rgy_blackboard_get_balancer (b->bb, names->pdata[i])->endpoint,
+        now_us, actions);
+  g_ptr_array_unref (names);
 }
 
 void
@@ -303,6 +325,14 @@
 
 /* Heartbeats of agents.  */
 
+static int
+compare_records_ (const void *a, const void *b)
+{
+  return rgy_name_compare (
+      &(*(const struct rgy_balancer_record *const *)a)->id,
+      &(*(const struct rgy_balancer_record *const *)b)->id);
+}
+
 /* Usable balancers; @return their number.  */
 static size_t
 list_usable_ (const struct rgy_balancer *b,
@@ -316,6 +346,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (rgy_blackboard_balancer_is_usable (b->bb, value))
       usable[n++] = value;
+  qsort (usable, n, sizeof (void *), compare_records_);
   return n;
 }
 
@@ -525,22 +556,19 @@
 rgy_balancer_push_fresh (struct rgy_balancer *b, struct rgy_actions *actions)
 {
   struct rgy_message *m;
-  GHashTableIter iter;
-  gpointer value;
+  GPtrArray *names;
+  guint i;
 
   if (b->fresh->len == 0)
     return;
   m = g_new0 (struct rgy_message, 1);
   m->kind = RGY_MSG_ENTRIES;
   m->u.entries.from = b->settings.id;
-  g_hash_table_iter_init (&iter, b->bb->agents);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct rgy_agent_record *r = value;
-
-      if (rgy_liveness_is_watched (b->agents_liveness, &r->id))
-        push_to_agent_ (b, r, m, actions);
-    }
+  names = list_watched_ (b->bb->agents, b->agents_liveness);
+  for (i = 0; i < names->len; i++)
+    push_to_agent_ (b, rgy_blackboard_get_agent (b->bb, names->pdata[i]), m,
+                    actions);
+  g_ptr_array_unref (names);
   g_ptr_array_set_size (b->fresh, 0);
   g_free (m);
 }
--- a/src/libragwortyoke/handover.c
+++ b/src/libragwortyoke/handover.c
@@ -312,24 +312,39 @@
     end_transfer_ (transfers, transfer);
 }
 
+/* By ID, so that the order does not depend on that of a hash table.  */
+static int
+compare_transfers_ (const void *a, const void *b)
+{
+  const struct transfer_ *first = *(struct transfer_ *const *)a;
+  const struct transfer_ *second = *(struct transfer_ *const *)b;
+
+  return first->id < second->id ? -1 : first->id > second->id;
+}
+
 void
 rgy_transfers_cancel_target (struct rgy_transfers *transfers,
                              const struct rgy_name *target)
 {
+  GPtrArray *found = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value = NULL;
+  guint i;
 
   g_hash_table_iter_init (&iter, transfers->by_flow);
   while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (rgy_name_equal (&((struct transfer_ *)value)->target, target))
+      g_ptr_array_add (found, value);
+  g_ptr_array_sort (found, compare_transfers_);
+  for (i = 0; i < found->len; i++)
     {
-      struct transfer_ *transfer = value;
+      struct transfer_ *transfer = found->pdata[i];
 
-      if (!rgy_name_equal (&transfer->target, target))
-        continue;
       transfer->target_died = true;
       transfer->due_us = INT64_MIN;
       enqueue_ (&transfers->urgent, transfer);
     }
+  g_ptr_array_unref (found);
 }
 
 size_t
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -146,7 +146,7 @@
 rgy_balancer_apply_pulled_entry (struct rgy_balancer *b,
                                  const struct rgy_entry *entry,
                                  struct rgy_actions *actions);
-/** Names of the usable or starting balancers but this one.  */
+/** Names of the usable or starting balancers but this one, sorted.  */
 size_t rgy_balancer_list_others (const struct rgy_balancer *b,
                                  struct rgy_name *names, size_t max);
 
--- a/tests/harness/backend.c
+++ b/tests/harness/backend.c
@@ -283,24 +283,33 @@
     g_byte_array_unref (answer);
 }
 
+static int
+compare_sockets_ (const void *a, const void *b)
+{
+  uint64_t first = *(const uint64_t *)a;
+  uint64_t second = *(const uint64_t *)b;
+
+  return first < second ? -1 : first > second;
+}
+
 void
 backend_bump (struct harness *h, struct node *node)
 {
   struct backend *b = &node->backend;
-  GHashTableIter iter;
-  gpointer key;
-  gpointer value;
+  GList *sockets;
+  GList *link;
   char board[32];
 
   b->version++;
   if (b->silent)
     return;
   g_snprintf (board, sizeof board, "%" G_GUINT64_FORMAT, b->version);
-  g_hash_table_iter_init (&iter, b->observers);
-  while (g_hash_table_iter_next (&iter, &key, &value))
+  sockets
+      = g_list_sort (g_hash_table_get_keys (b->observers), compare_sockets_);
+  for (link = sockets; link != NULL; link = link->next)
     {
-      struct observer *o = value;
-      uint64_t socket = *(uint64_t *)key;
+      struct observer *o = g_hash_table_lookup (b->observers, link->data);
+      uint64_t socket = *(uint64_t *)link->data;
       struct rgy_coap_header header
           = { .type = RGY_COAP_NON,
               .code = RGY_COAP_CODE (2, 5),
@@ -316,4 +325,5 @@
         answer_ (h, node, socket & ((UINT64_C (1) << 40) - 1),
                  rgy_coap_build (&header, &option, 1, text_bytes_ (board)));
     }
+  g_list_free (sockets);
 }
