--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -151,6 +151,7 @@
   a->bb->without_domain_orders = settings->without_domain_orders;
   a->bb->without_version_check = settings->without_version_check;
   a->wire = rgy_wire_new (settings->key);
+  a->message = g_new0 (struct rgy_message, 1);
   a->random = g_rand_new_with_seed_array (
       (const guint32 *)&a->settings.random_seed,
       sizeof a->settings.random_seed / sizeof (guint32));
@@ -206,6 +207,7 @@
   rgy_steering_delete (a->steering);
   rgy_flow_table_delete (a->flows);
   g_rand_free (a->random);
+  g_free (a->message);
   rgy_wire_delete (a->wire);
   rgy_blackboard_delete (a->bb);
   g_free (a);
@@ -303,6 +305,23 @@
   return a->now_us - k->last_seen_us > RGY_BALANCER_FORGET_US;
 }
 
+/* Refusals of new flows are counted here, those of requests by the engine.  */
+static void
+fill_refused_ (const struct rgy_agent *a, uint64_t *refused)
+{
+  char label[64];
+  size_t i;
+
+  for (i = 0; i < RGY_REFUSAL_REASON_COUNT; i++)
+    {
+      g_snprintf (label, sizeof label, "reason=\"%s\"",
+                  rgy_refusal_reason_string[i]);
+      refused[i]
+          = rgy_counters_get (a->counters, "agent_refused_total", label)
+            + rgy_counters_get (a->counters, "requests_not_run_total", label);
+    }
+}
+
 static void
 send_heartbeat_ (struct rgy_agent *a, struct rgy_endpoint to)
 {
@@ -323,6 +342,7 @@
     .running = rgy_admission_get_running (admission),
     .limit = rgy_admission_get_limit (admission),
   };
+  fill_refused_ (a, m.u.heartbeat.refused);
   rgy_agent_send_message (a, to, &m);
 }
 
@@ -565,6 +585,7 @@
   size_t i;
 
   a->next_peer_state_us = a->now_us + RGY_PEER_STATE_INTERVAL_US;
+  a->sent_us = a->now_us;
   a->sent_sequence = rgy_steering_get_sequence (a->steering);
   m = g_new0 (struct rgy_message, 1);
   m->kind = RGY_MSG_PEER_STATE;
@@ -584,6 +605,8 @@
       rgy_steering_age_passed (a->steering);
     }
   if (a->now_us >= a->next_peer_state_us
+      || (a->settle_deadline_us != 0 && !rgy_steering_is_settled (a->steering)
+          && a->now_us >= a->sent_us + RGY_SETTLE_RETRY_US)
       || rgy_steering_get_sequence (a->steering) != a->sent_sequence)
     rgy_agent_send_peer_state (a);
 }
@@ -738,7 +761,7 @@
                          struct rgy_bytes datagram, int64_t now_us,
                          struct rgy_actions *actions)
 {
-  struct rgy_message *m = g_new (struct rgy_message, 1);
+  struct rgy_message *m = a->message;
   enum rgy_outcome rc = rgy_wire_decode (a->wire, datagram, m);
 
   a->now_us = now_us;
@@ -756,7 +779,6 @@
     }
   else
     ++*(rc == RGY_ERR_AUTH ? a->c.bad_tag : a->c.bad_message);
-  g_free (m);
 }
 
 /* Time.  */
--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -95,6 +95,7 @@
   b->bb->without_domain_orders = settings->without_domain_orders;
   b->bb->without_version_check = settings->without_version_check;
   b->wire = rgy_wire_new (settings->key);
+  b->message = g_new0 (struct rgy_message, 1);
   b->random = g_rand_new_with_seed_array (
       (const guint32 *)&b->settings.random_seed,
       sizeof b->settings.random_seed / sizeof (guint32));
@@ -107,6 +108,8 @@
   b->balancers_liveness = rgy_liveness_new (&rgy_liveness_defaults);
   b->monitored
       = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free, NULL);
+  b->loads = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free,
+                                    g_free);
   b->lagging
       = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free, NULL);
   b->fresh = g_ptr_array_new_with_free_func (fresh_entry_free_);
@@ -136,6 +139,7 @@
   g_array_unref (b->announcements);
   g_ptr_array_unref (b->fresh);
   g_hash_table_unref (b->lagging);
+  g_hash_table_unref (b->loads);
   g_hash_table_unref (b->monitored);
   rgy_liveness_delete (b->balancers_liveness);
   rgy_liveness_delete (b->agents_liveness);
@@ -143,6 +147,7 @@
   g_hash_table_unref (b->tables);
   g_byte_array_unref (b->packet);
   g_rand_free (b->random);
+  g_free (b->message);
   rgy_wire_delete (b->wire);
   rgy_blackboard_delete (b->bb);
   g_free (b);
@@ -405,6 +410,10 @@
 
 /* Gossip.  */
 
+/* Sends of one update by each balancer.  Each balancer sends and receives two
+   datagrams a round, so that log2 (n) + 2 sends miss a balancer with a
+   probability of exp (-10); a synchronisation repairs that.  Three times
+   log2 (n), which needs no repair, took nearly three times the bytes.  */
 static unsigned
 transmissions_ (size_t members)
 {
@@ -415,7 +424,7 @@
       bits++;
       members /= 2;
     }
-  return 3 * bits;
+  return MAX (bits + 2, RGY_MIN_TRANSMISSIONS);
 }
 
 static void
@@ -629,20 +638,28 @@
 
 static void
 handle_probe_ (struct rgy_balancer *b, struct rgy_endpoint from,
-               const struct rgy_probe_message *probe,
+               const struct rgy_probe_message *probe, int64_t now_us,
                struct rgy_actions *actions)
 {
   struct rgy_message m = { .kind = RGY_MSG_PROBE_ACK };
 
+  if (probe->subject.len > 0
+      && !rgy_liveness_is_reached (b->agents_liveness, &probe->subject,
+                                   now_us - RGY_VOUCH_US))
+    return;
   m.u.probe = (struct rgy_probe_message){ .from = b->settings.id,
-                                          .nonce = probe->nonce };
+                                          .nonce = probe->nonce,
+                                          .subject = probe->subject };
   rgy_balancer_send_message (b, from, &m, actions);
 }
 
 static void
-handle_probe_ack_ (struct rgy_balancer *b, const struct rgy_name *from,
+handle_probe_ack_ (struct rgy_balancer *b, const struct rgy_probe_message *ack,
                    int64_t now_us)
 {
+  const struct rgy_name *from = &ack->from;
+
+  rgy_liveness_vouch (b->agents_liveness, &ack->subject, now_us);
   if (rgy_liveness_is_watched (b->agents_liveness, from))
     rgy_liveness_heard (b->agents_liveness, from, now_us);
   if (rgy_liveness_is_watched (b->balancers_liveness, from))
@@ -671,10 +688,10 @@
       apply_entries_ (b, &m->u.entries, actions);
       break;
     case RGY_MSG_PROBE:
-      handle_probe_ (b, from, &m->u.probe, actions);
+      handle_probe_ (b, from, &m->u.probe, now_us, actions);
       break;
     case RGY_MSG_PROBE_ACK:
-      handle_probe_ack_ (b, &m->u.probe.from, now_us);
+      handle_probe_ack_ (b, &m->u.probe, now_us);
       break;
     case RGY_MSG_DATA:
     case RGY_MSG_HEARTBEAT_ACK:
@@ -695,7 +712,7 @@
                             struct rgy_bytes datagram, int64_t now_us,
                             struct rgy_actions *actions)
 {
-  struct rgy_message *m = g_new (struct rgy_message, 1);
+  struct rgy_message *m = b->message;
   enum rgy_outcome rc = rgy_wire_decode (b->wire, datagram, m);
 
   if (rc == RGY_OK)
@@ -709,7 +726,6 @@
     }
   else
     ++*(rc == RGY_ERR_AUTH ? b->c.bad_tag : b->c.bad_message);
-  g_free (m);
 }
 
 /* Own record.  */
@@ -826,17 +842,91 @@
     b->record_changed = true;
 }
 
+static const struct rgy_demand *
+find_reported_ (const struct rgy_balancer *b, const struct rgy_name *customer)
+{
+  size_t i;
+
+  for (i = 0; i < b->self.demand_count; i++)
+    if (rgy_name_equal (&b->self.demand[i].customer, customer))
+      return &b->self.demand[i];
+  return NULL;
+}
+
+enum report_need_
+{
+  REPORT_STANDS, /* The last report is near enough.  */
+  REPORT_DUE,    /* Demand has changed by a factor of 2.  */
+  REPORT_NOW     /* A customer is not in the report: the others would take its
+                    demand here for 0.  */
+};
+
+static enum report_need_
+check_report_ (struct rgy_balancer *b, int64_t now_us)
+{
+  enum report_need_ need = REPORT_STANDS;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->limits);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const struct rgy_demand *old = find_reported_ (b, key);
+      uint64_t now_per_s = rgy_rate_limit_peek_demand (value, now_us);
+
+      if (old == NULL)
+        {
+          if (b->self.demand_count < RGY_DEMAND_MAX)
+            return REPORT_NOW;
+        }
+      else if (MAX (now_per_s, old->bytes_per_s) >= RGY_DEMAND_MIN_BYTES
+               && (now_per_s > 2 * old->bytes_per_s
+                   || old->bytes_per_s > 2 * now_per_s))
+        need = REPORT_DUE;
+    }
+  return need;
+}
+
+/* Each report is sent to the whole fleet, so that the bytes grow with its
+   square unless the reports get rarer.  */
+static int64_t
+report_interval_us_ (const struct rgy_balancer *b)
+{
+  int64_t members = g_hash_table_size (b->bb->balancers);
+
+  return MAX (RGY_DEMAND_INTERVAL_US, members * RGY_DEMAND_SPREAD_US);
+}
+
 static void
-publish_record_ (struct rgy_balancer *b, int64_t now_us)
+follow_demand_ (struct rgy_balancer *b, int64_t now_us)
 {
-  follow_config_ (b, now_us);
-  if (now_us >= b->next_demand_us && g_hash_table_size (b->limits) > 0)
+  enum report_need_ need;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now_us < b->next_demand_us || g_hash_table_size (b->limits) == 0)
+    return;
+  b->next_demand_us = now_us + RGY_DEMAND_INTERVAL_US;
+  need = check_report_ (b, now_us);
+  if (need == REPORT_NOW
+      || (need == REPORT_DUE && now_us >= b->next_report_us))
     {
-      b->next_demand_us = now_us + RGY_DEMAND_INTERVAL_US;
+      b->next_report_us = now_us + report_interval_us_ (b);
       collect_demand_ (b, now_us);
-      note_demand_of_others_ (b, now_us);
       b->record_changed = true;
     }
+  g_hash_table_iter_init (&iter, b->limits);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    rgy_rate_limit_keep_demand (value, now_us);
+  note_demand_of_others_ (b, now_us);
+}
+
+static void
+publish_record_ (struct rgy_balancer *b, int64_t now_us)
+{
+  follow_config_ (b, now_us);
+  follow_demand_ (b, now_us);
   if (!b->record_changed)
     return;
   b->record_changed = false;
--- a/src/libragwortyoke/include/private/agent_private.h
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -29,6 +29,9 @@
 /** Flows that were passed on are remembered for one to two of these, so that
     the peer has sent its state at least twice.  */
 #define RGY_PASSED_AGE_US INT64_C (1000000)
+/** While peers have not acknowledged a change, their acknowledgement is asked
+    for this often: lost datagrams must not use up RGY_SETTLE_TIMEOUT_US.  */
+#define RGY_SETTLE_RETRY_US INT64_C (100000)
 #define RGY_SYNC_RETRY_US INT64_C (1000000)
 #define RGY_HEARTBEAT_TARGETS 3
 /** An agent that no balancer acknowledges for this long looks for others in
@@ -134,10 +137,14 @@
   struct rgy_actions *actions;
   int64_t now_us;
 
+  struct rgy_message *message; /**< Scratch for decoding.  */
+  enum rgy_protocol protocol;  /**< Of the own service.  */
+  uint64_t protocol_changes;   /**< Contract changes it follows from.  */
   uint64_t group_changes;
   uint64_t domain_changes;
   uint64_t sent_sequence; /**< Of the last PEER_STATE.  */
   int64_t settle_deadline_us;
+  int64_t sent_us; /**< Last PEER_STATE.  */
   int64_t next_age_us;
   int64_t next_heartbeat_us;
   int64_t next_peer_state_us;
@@ -173,7 +180,7 @@
 void rgy_agent_send_answer (struct rgy_agent *a, struct rgy_endpoint caller,
                             struct rgy_bytes payload,
                             struct rgy_endpoint balancer);
-bool rgy_agent_serves_requests (const struct rgy_agent *a);
+bool rgy_agent_serves_requests (struct rgy_agent *a);
 /** Close a flow and everything that belongs to it.  */
 void rgy_agent_close_flow (struct rgy_agent *a, struct rgy_flow *flow);
 
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -12,16 +12,25 @@
 #include "ragwortyoke/steering.h"
 
 #define RGY_GOSSIP_INTERVAL_US INT64_C (200000)
+#define RGY_MIN_TRANSMISSIONS 6
 #define RGY_PROBE_INTERVAL_US INT64_C (1000000)
 /** A balancer that is dead or unknown here is tried this often.  */
 #define RGY_REJOIN_INTERVAL_US INT64_C (5000000)
 #define RGY_RECORD_INTERVAL_US INT64_C (1000000)
 /** Own demand is published at most this often.  */
 #define RGY_DEMAND_INTERVAL_US INT64_C (2000000)
+/** Reports of one balancer are this far apart for each balancer of the fleet:
+    230 s at 460.  */
+#define RGY_DEMAND_SPREAD_US INT64_C (500000)
+/** Changes of a demand below this are not reported.  */
+#define RGY_DEMAND_MIN_BYTES 1000
 /** Digests that differ for this long start a synchronisation.  */
 #define RGY_DIGEST_GRACE_US INT64_C (1000000)
 #define RGY_SYNC_INTERVAL_US INT64_C (1000000)
 #define RGY_STORE_INTERVAL_US INT64_C (2000000)
+/** A balancer vouches for an agent that it heard within this time: more than
+    the interval of heartbeats, less than the silence of a dead agent.  */
+#define RGY_VOUCH_US INT64_C (1500000)
 /** Balancers that monitor one member.  */
 #define RGY_MONITOR_COUNT 3
 /** Time for the monitored agents to report a change before those that have
@@ -61,6 +70,15 @@
   unsigned sends;
 };
 
+/** What an agent last reported in a heartbeat.  */
+struct rgy_agent_load
+{
+  uint32_t flows;
+  uint32_t running;
+  uint32_t limit;
+  uint64_t refused[RGY_REFUSAL_REASON_COUNT];
+};
+
 struct rgy_balancer_counters
 {
   uint64_t *packets_in;
@@ -92,6 +110,7 @@
   struct rgy_counters *counters;
   struct rgy_balancer_counters c;
   struct rgy_wire *wire;
+  struct rgy_message *message; /**< Scratch for decoding.  */
   GRand *random;
   struct rgy_balancer_record self;
   GByteArray *packet; /**< Scratch for egress datagrams.  */
@@ -101,6 +120,7 @@
 
   struct rgy_liveness *agents_liveness;
   struct rgy_liveness *balancers_liveness;
+  GHashTable *loads;   /**< Monitored agents to struct rgy_agent_load.  */
   GHashTable *lagging; /**< Set of agent names.  */
   uint64_t monitored_agent_changes;
   uint64_t monitored_balancer_changes;
@@ -117,6 +137,7 @@
   int64_t next_rejoin_us;
   int64_t next_record_us;
   int64_t next_demand_us;
+  int64_t next_report_us;
   int64_t next_sync_us;
   int64_t next_store_us;
   int64_t digest_differs_since_us; /**< 0 when digests agree.  */
--- a/src/libragwortyoke/wire_encode.c
+++ b/src/libragwortyoke/wire_encode.c
@@ -66,11 +66,16 @@
 static void
 pack_heartbeat_ (msgpack_packer *pk, const struct rgy_heartbeat_message *m)
 {
+  size_t i;
+
   pack_record_bytes_ (pk, rgy_agent_record_encode (&m->record));
   pack_digests_ (pk, &m->digests);
   msgpack_pack_uint32 (pk, m->flows);
   msgpack_pack_uint32 (pk, m->running);
   msgpack_pack_uint32 (pk, m->limit);
+  msgpack_pack_array (pk, RGY_REFUSAL_REASON_COUNT);
+  for (i = 0; i < RGY_REFUSAL_REASON_COUNT; i++)
+    msgpack_pack_uint64 (pk, m->refused[i]);
 }
 
 static void
@@ -144,15 +149,15 @@
     case RGY_MSG_ANSWER:
     case RGY_MSG_HANDOVER:
     case RGY_MSG_HANDOVER_ACK:
+    case RGY_MSG_PROBE:
+    case RGY_MSG_PROBE_ACK:
       return 4;
     case RGY_MSG_HEARTBEAT:
-      return 6;
+      return 7;
     case RGY_MSG_HEARTBEAT_ACK:
       return 7;
     case RGY_MSG_ENTRIES:
     case RGY_MSG_SYNC_REPLY:
-    case RGY_MSG_PROBE:
-    case RGY_MSG_PROBE_ACK:
       return 3;
     case RGY_MSG_GOSSIP:
     case RGY_MSG_GOSSIP_ACK:
@@ -222,6 +227,7 @@
     case RGY_MSG_PROBE_ACK:
       rgy_pack_name (pk, &message->u.probe.from);
       msgpack_pack_uint64 (pk, message->u.probe.nonce);
+      rgy_pack_name (pk, &message->u.probe.subject);
       break;
     case RGY_MSG_SYNC_REQUEST:
       pack_sync_request_ (pk, &message->u.sync_request);
--- a/src/test_wire/test_wire.c
+++ b/src/test_wire/test_wire.c
@@ -138,6 +138,7 @@
 assert_heartbeats_equal_ (const struct rgy_heartbeat_message *a,
                           const struct rgy_heartbeat_message *b)
 {
+  assert_memory_equal (a->refused, b->refused, sizeof a->refused);
   assert_names_equal_ (&a->record.id, &b->record.id);
   assert_int_equal (a->record.epoch, b->record.epoch);
   assert_int_equal (a->record.sequence, b->record.sequence);
@@ -297,6 +298,7 @@
     case RGY_MSG_PROBE_ACK:
       assert_names_equal_ (&a->u.probe.from, &b->u.probe.from);
       assert_int_equal (a->u.probe.nonce, b->u.probe.nonce);
+      assert_names_equal_ (&a->u.probe.subject, &b->u.probe.subject);
       break;
     case RGY_MSG_SYNC_REQUEST:
       assert_names_equal_ (&a->u.sync_request.from, &b->u.sync_request.from);
