Carry the restart of a trail between agents

The flag that a packet's search has been started anew was neither written nor read, so that the next agent took it from uninitialised memory: a packet could be dropped without a restart, or be restarted by one agent after the other. Found by libFuzzer on fuzz_agent; the round trip of test_wire now compares the flag.

--- a/src/libragwortyoke/wire_encode.c
+++ b/src/libragwortyoke/wire_encode.c
@@ -54,6 +54,7 @@
   rgy_pack_endpoint (pk, m->balancer);
   rgy_pack_bool (pk, m->trail.overflow);
   rgy_pack_bool (pk, m->trail.search);
+  rgy_pack_bool (pk, m->trail.restarted);
   msgpack_pack_uint64 (pk, m->trail.origin);
   msgpack_pack_uint64 (pk, m->trail.origin_sequence);
   msgpack_pack_array (pk, m->trail.count);
@@ -136,7 +137,7 @@
   switch (kind)
     {
     case RGY_MSG_DATA:
-      return 13;
+      return 14;
     case RGY_MSG_PEER_STATE_ACK:
       return 5;
     case RGY_MSG_ANSWER:
--- a/src/test_wire/message_samples.c
+++ b/src/test_wire/message_samples.c
@@ -46,6 +46,7 @@
   m->balancer = endpoint_ (3);
   m->trail.overflow = true;
   m->trail.search = true;
+  m->trail.restarted = true;
   m->trail.origin = RGY_MAX_HOPS;
   m->trail.origin_sequence = 77;
   m->trail.count = RGY_MAX_HOPS;
--- a/src/test_wire/test_wire.c
+++ b/src/test_wire/test_wire.c
@@ -125,6 +125,7 @@
   assert_endpoints_equal_ (a->balancer, b->balancer);
   assert_int_equal (a->trail.overflow, b->trail.overflow);
   assert_int_equal (a->trail.search, b->trail.search);
+  assert_int_equal (a->trail.restarted, b->trail.restarted);
   assert_int_equal (a->trail.origin, b->trail.origin);
   assert_int_equal (a->trail.origin_sequence, b->trail.origin_sequence);
   assert_int_equal (a->trail.count, b->trail.count);
@@ -521,6 +522,7 @@
   msgpack_pack_uint64 (pk, 0);
   msgpack_pack_false (pk);
   msgpack_pack_false (pk);
+  msgpack_pack_false (pk);
   msgpack_pack_uint64 (pk, 0);
   msgpack_pack_uint64 (pk, 0);
   msgpack_pack_array (pk, count);
@@ -619,7 +621,7 @@
   } lists[] = {
     { RGY_MSG_ENTRIES, 3, RGY_WIRE_MAX_ENTRIES, pack_entries_ },
     { RGY_MSG_SYNC_REPLY, 3, RGY_WIRE_MAX_ENTRIES, pack_entries_ },
-    { RGY_MSG_DATA, 13, RGY_MAX_HOPS, pack_trail_ },
+    { RGY_MSG_DATA, 14, RGY_MAX_HOPS, pack_trail_ },
     { RGY_MSG_HEARTBEAT_ACK, 7, RGY_WIRE_MAX_SAMPLE, pack_sample_ },
     { RGY_MSG_PEER_STATE, 7, RGY_WIRE_MAX_USAGE, pack_usage_ },
     { RGY_MSG_PEER_STATE, 7, RGY_BUCKET_WORDS, pack_may_hold_ },
