Let only balancers whose failure domain is in monitor agents

Cause: a change now counts every monitored agent as lagging until its next heartbeat, but agents send no heartbeats to balancers in a failure domain that is out; these balancers listed their agents as lagging for good and no change was confirmed while a failure domain was out. Change: monitors are chosen among the balancers whose failure domain is in, and chosen again after an order.

--- a/src/libragwortyoke/balancer_monitor.c
+++ b/src/libragwortyoke/balancer_monitor.c
@@ -263,41 +263,78 @@
   return hash;
 }
 
+/* Agents send heartbeats only to balancers whose failure domain is in; the
+   others must not count them as lagging or silent.  */
+static size_t
+list_agent_monitors_ (const struct rgy_balancer *b,
+                      const struct rgy_name *names, size_t count,
+                      struct rgy_name *monitors)
+{
+  size_t kept = 0;
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      const struct rgy_balancer_record *r
+          = rgy_blackboard_get_balancer (b->bb, &names[i]);
+      const struct rgy_name *domain
+          = r == NULL ? &b->settings.domain : &r->domain;
+
+      if (!rgy_domain_set_is_out (b->bb->domains, domain))
+        monitors[kept++] = names[i];
+    }
+  return kept;
+}
+
 static void
-update_watches_ (struct rgy_balancer *b, int64_t now_us)
+watch_members_ (struct rgy_balancer *b, bool agents_changed, int64_t now_us)
 {
-  bool agents_changed
-      = b->monitored_agent_changes != b->bb->changes[RGY_ENTRY_AGENT];
-  bool balancers_changed
-      = b->monitored_balancer_changes != b->bb->changes[RGY_ENTRY_BALANCER];
-  size_t max;
-  struct rgy_name *names;
+  size_t max = g_hash_table_size (b->bb->balancers);
+  struct rgy_name *names = g_new (struct rgy_name, max + 1);
+  struct rgy_name *monitors = g_new (struct rgy_name, max + 1);
+  size_t n = rgy_balancer_list_others (b, names, max);
+  size_t monitor_count;
   uint64_t set;
-  size_t n;
 
-  if (!agents_changed && !balancers_changed)
-    return;
-  b->monitored_agent_changes = b->bb->changes[RGY_ENTRY_AGENT];
-  b->monitored_balancer_changes = b->bb->changes[RGY_ENTRY_BALANCER];
-  max = g_hash_table_size (b->bb->balancers);
-  names = g_new (struct rgy_name, max + 1);
-  n = rgy_balancer_list_others (b, names, max);
   names[n++] = b->settings.id;
+  monitor_count = list_agent_monitors_ (b, names, n, monitors);
+  /* Most changes of balancers' records leave the sets as they are.  */
   set = hash_names_ (names, n);
-  /* Most changes of balancers' records leave the set as it is.  */
-  if (set != b->monitored_set)
+  if (set != b->member_set)
     {
-      b->monitored_set = set;
-      g_hash_table_remove_all (b->monitored);
+      b->member_set = set;
       watch_balancers_ (b, names, n, now_us);
       b->reader = rgy_balancer_choose_reader (b, names, n);
+    }
+  set = hash_names_ (monitors, monitor_count);
+  if (set != b->monitor_set)
+    {
+      b->monitor_set = set;
+      g_hash_table_remove_all (b->monitored);
       agents_changed = true;
     }
   if (agents_changed)
-    watch_agents_ (b, names, n, now_us);
+    watch_agents_ (b, monitors, monitor_count, now_us);
+  g_free (monitors);
   g_free (names);
 }
 
+static void
+update_watches_ (struct rgy_balancer *b, int64_t now_us)
+{
+  const uint64_t *changes = b->bb->changes;
+  bool agents_changed = b->monitored_agent_changes != changes[RGY_ENTRY_AGENT];
+
+  if (!agents_changed
+      && b->monitored_balancer_changes == changes[RGY_ENTRY_BALANCER]
+      && b->monitored_domain_changes == changes[RGY_ENTRY_DOMAIN])
+    return;
+  b->monitored_agent_changes = changes[RGY_ENTRY_AGENT];
+  b->monitored_balancer_changes = changes[RGY_ENTRY_BALANCER];
+  b->monitored_domain_changes = changes[RGY_ENTRY_DOMAIN];
+  watch_members_ (b, agents_changed, now_us);
+}
+
 static int
 compare_name_pointers_ (const void *a, const void *b)
 {
