Leave demand out of the records of a large fleet

Cause: each balancer's record, which is published at every change of the configuration, carried the demand of up to 16 customers, 350 of 450 bytes.

Change: above 32 balancers no demand is reported, and each balancer takes the rate divided by their number. The fabric sprays evenly over them.

Conclusion: the time to confirm a change no longer depends on traffic. In a fleet this large a balancer that gets more than its part of the traffic of a customer refuses it above rate / n.

--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -865,6 +865,35 @@
   return MAX (RGY_DEMAND_INTERVAL_US, members * RGY_DEMAND_SPREAD_US);
 }
 
+/* In a large fleet the demand would be most of every record.  The fabric
+   sprays evenly over it, so that equal shares are right to within the spread
+   of the spray.  Reports that are unknown count as the mean.  */
+static bool
+is_too_large_for_reports_ (struct rgy_balancer *b)
+{
+  size_t max = g_hash_table_size (b->bb->balancers);
+  struct rgy_name *names;
+  GHashTableIter iter;
+  gpointer value;
+  size_t n;
+
+  if (max <= RGY_DEMAND_MAX_FLEET)
+    return false;
+  names = g_new (struct rgy_name, max + 1);
+  n = rgy_balancer_list_others (b, names, max);
+  if (n >= RGY_DEMAND_MAX_FLEET)
+    {
+      g_hash_table_iter_init (&iter, b->limits);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        rgy_rate_limit_set_instances (value, names, n);
+      if (b->self.demand_count > 0)
+        b->record_changed = true;
+      b->self.demand_count = 0;
+    }
+  g_free (names);
+  return n >= RGY_DEMAND_MAX_FLEET;
+}
+
 static void
 follow_demand_ (struct rgy_balancer *b, int64_t now_us)
 {
@@ -875,6 +904,8 @@
   if (now_us < b->next_demand_us || g_hash_table_size (b->limits) == 0)
     return;
   b->next_demand_us = now_us + RGY_DEMAND_INTERVAL_US;
+  if (is_too_large_for_reports_ (b))
+    return;
   need = check_report_ (b, now_us);
   if (need == REPORT_NOW
       || (need == REPORT_DUE && now_us >= b->next_report_us))
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -18,9 +18,11 @@
 #define RGY_RECORD_INTERVAL_US INT64_C (1000000)
 /** Own demand is published at most this often.  */
 #define RGY_DEMAND_INTERVAL_US INT64_C (2000000)
-/** Reports of one balancer are this far apart for each balancer of the fleet:
-    230 s at 460.  */
+/** Reports of one balancer are this far apart for each balancer of the
+    fleet.  */
 #define RGY_DEMAND_SPREAD_US INT64_C (500000)
+/** Above this number of balancers no demand is reported.  */
+#define RGY_DEMAND_MAX_FLEET 32
 /** Changes of a demand below this are not reported.  */
 #define RGY_DEMAND_MIN_BYTES 1000
 /** Digests that differ for this long start a synchronisation.  */
--- a/src/test_gossip/test_gossip.c
+++ b/src/test_gossip/test_gossip.c
@@ -275,12 +275,15 @@
 test_gossip_of_a_change_is_bounded_ (void **state)
 {
   struct fleet_settings s = make_settings_ (40);
-  struct fleet *f = fleet_new (&s);
+  struct fleet *f;
   uint64_t idle = 0;
   uint64_t change = 0;
   unsigned i;
 
   (void)state;
+  s.traffic = true;
+  s.customers = 16;
+  f = fleet_new (&s);
   fleet_run (f, 200 * FLEET_S);
   fleet_reset_figures (f);
   fleet_run (f, 60 * FLEET_S);
