Gossip an update 7 times at every size

Cause: log2 (n) + 2 sends gave every balancer 11 copies of each record at 460 balancers; the records that confirm a change are the largest part of the gossip.

Change: 7 sends. A balancer misses an update with a probability of exp (-7) and pulls it by synchronisation.

Conclusion: the copies of an update no longer grow with the fleet.

--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -394,23 +394,6 @@
 
 /* Gossip.  */
 
-/* Sends of one update by each balancer.  Each balancer sends and receives two
-   datagrams a round, so that log2 (n) + 2 sends miss a balancer with a
-   probability of exp (-10); a synchronisation repairs that.  Three times
-   log2 (n), which needs no repair, took nearly three times the bytes.  */
-static unsigned
-transmissions_ (size_t members)
-{
-  unsigned bits = 1;
-
-  while (members > 1)
-    {
-      bits++;
-      members /= 2;
-    }
-  return MAX (bits + 2, RGY_MIN_TRANSMISSIONS);
-}
-
 static void
 get_digests_ (const struct rgy_balancer *b, struct rgy_digests *digests)
 {
@@ -452,7 +435,6 @@
               enum rgy_message_kind kind, struct rgy_actions *actions)
 {
   struct rgy_message *m = g_new0 (struct rgy_message, 1);
-  size_t members = rgy_replica_get_count (b->bb->replica, RGY_ENTRY_BALANCER);
   struct rgy_announcement taken[MAX_ANNOUNCEMENTS];
   size_t announced;
 
@@ -461,11 +443,11 @@
   m->u.gossip.sync = b->settings.sync;
   get_digests_ (b, &m->u.gossip.digests);
   m->u.gossip.entries.from = b->settings.id;
-  announced = take_announcements_ (b, transmissions_ (members), taken,
+  announced = take_announcements_ (b, RGY_TRANSMISSIONS, taken,
                                    m->u.gossip.entries.entries);
   m->u.gossip.entries.count
       = announced
-        + rgy_replica_take_updates (b->bb->replica, transmissions_ (members),
+        + rgy_replica_take_updates (b->bb->replica, RGY_TRANSMISSIONS,
                                     GOSSIP_ENTRY_BYTES
                                         - announced * ANNOUNCEMENT_BYTES,
                                     m->u.gossip.entries.entries + announced,
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -11,7 +11,11 @@
 #include "ragwortyoke/steering.h"
 
 #define RGY_GOSSIP_INTERVAL_US INT64_C (200000)
-#define RGY_MIN_TRANSMISSIONS 6
+/** Sends of one update by each balancer, in GOSSIP and GOSSIP_ACK together.
+    So many miss a balancer with a probability of exp (-7), whatever the size
+    of the fleet; a synchronisation repairs that.  3 * log2 (n) sends, which
+    need no repair, took four times the bytes at 460 balancers.  */
+#define RGY_TRANSMISSIONS 7
 #define RGY_PROBE_INTERVAL_US INT64_C (1000000)
 /** A balancer that is dead or unknown here is tried this often.  */
 #define RGY_REJOIN_INTERVAL_US INT64_C (5000000)
