--- a/include/ragwortyoke/agent.h
+++ b/include/ragwortyoke/agent.h
@@ -10,6 +10,7 @@
 #include "ragwortyoke/action.h"
 #include "ragwortyoke/blackboard.h"
 #include "ragwortyoke/counter.h"
+#include "ragwortyoke/flow.h"
 #include "ragwortyoke/request.h"
 #include "ragwortyoke/wire.h"
 
@@ -85,6 +86,8 @@
 const struct rgy_blackboard *
 rgy_agent_get_blackboard (const struct rgy_agent *agent);
 size_t rgy_agent_get_flow_count (const struct rgy_agent *agent);
+bool rgy_agent_holds_flow (const struct rgy_agent *agent,
+                           const struct rgy_flow_key *key);
 const struct rgy_admission *
 rgy_agent_get_admission (const struct rgy_agent *agent);
 /** JSON of GET /v1/status; free with g_free().  */
--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -903,6 +903,13 @@
   return rgy_flow_table_get_count (a->flows);
 }
 
+bool
+rgy_agent_holds_flow (const struct rgy_agent *a,
+                      const struct rgy_flow_key *key)
+{
+  return rgy_flow_table_find (a->flows, key) != NULL;
+}
+
 const struct rgy_admission *
 rgy_agent_get_admission (const struct rgy_agent *a)
 {
--- a/tests/harness/backend.c
+++ b/tests/harness/backend.c
@@ -11,6 +11,7 @@
 #define COLD_LIMIT 1
 #define WARM_AFTER 8
 #define LOOPBACK_DELAY_US 50
+#define SHED_GRACE_US H_MS
 
 struct observer
 {
@@ -50,8 +51,8 @@
 }
 
 static void
-answer_ (struct harness *h, struct node *node, uint64_t flow_id,
-         GByteArray *datagram)
+answer_later_ (struct harness *h, struct node *node, uint64_t flow_id,
+               GByteArray *datagram, int64_t delay_us)
 {
   h_push (
       h,
@@ -59,10 +60,17 @@
                       .node = node,
                       .flow_id = flow_id,
                       .data = g_bytes_new (datagram->data, datagram->len) },
-      LOOPBACK_DELAY_US);
+      LOOPBACK_DELAY_US + delay_us);
   g_byte_array_unref (datagram);
 }
 
+static void
+answer_ (struct harness *h, struct node *node, uint64_t flow_id,
+         GByteArray *datagram)
+{
+  answer_later_ (h, node, flow_id, datagram, 0);
+}
+
 static struct rgy_bytes
 text_bytes_ (const char *text)
 {
@@ -93,6 +101,27 @@
   return b->cold ? b->cold_limit : b->slots;
 }
 
+/* A 5.03 tells the agent that the server is cold; what comes above the limit
+   later than SHED_GRACE_US after the first one is a fault of the agent.  */
+static bool
+sheds_ (struct harness *h, struct node *node)
+{
+  struct backend *b = &node->backend;
+
+  if (b->shedding)
+    return true;
+  if (!b->cold_sheds || !b->cold || b->running < get_limit_ (b))
+    return false;
+  if (b->shed_us == 0)
+    b->shed_us = h->now_us;
+  else if (h->now_us > b->shed_us + SHED_GRACE_US)
+    {
+      b->violations++;
+      h_trace (h, "%s: overload after it answered 5.03", node->id.data);
+    }
+  return true;
+}
+
 static void
 begin_work_ (struct harness *h, struct node *node, uint64_t flow_id,
              struct rgy_bytes datagram)
@@ -100,6 +129,7 @@
   struct backend *b = &node->backend;
 
   b->running++;
+  b->last_begun_us = h->now_us;
   b->highest_running = MAX (b->highest_running, b->running);
   if (b->running > get_limit_ (b))
     {
@@ -138,10 +168,14 @@
   char text[64];
 
   g_snprintf (text, sizeof text, "{\"running\":%u,\"slots\":%u}",
-              node->backend.running, node->backend.slots);
-  answer_ (
+              node->backend.says_full ? node->backend.slots
+              : node->backend.deaf    ? 0
+                                      : node->backend.running,
+              node->backend.slots);
+  answer_later_ (
       h, node, RGY_PROBE_FLOW_ID,
-      build_answer_ (view, RGY_COAP_CODE (2, 5), NULL, text_bytes_ (text)));
+      build_answer_ (view, RGY_COAP_CODE (2, 5), NULL, text_bytes_ (text)),
+      node->backend.ping_us);
 }
 
 void
@@ -159,8 +193,9 @@
   switch (rgy_coap_classify (&view))
     {
     case RGY_MESSAGE_PING:
-      answer_ (h, node, flow_id,
-               rgy_coap_build_empty (RGY_COAP_RST, view.message_id));
+      answer_later_ (h, node, flow_id,
+                     rgy_coap_build_empty (RGY_COAP_RST, view.message_id),
+                     b->ping_us);
       return;
     case RGY_MESSAGE_RESET:
       g_hash_table_remove (b->observers, &socket);
@@ -184,6 +219,8 @@
       answer_load_ (h, node, &view);
       return;
     }
+  if (b->deaf)
+    return;
   if (!is_for_service_ (node, view.payload))
     b->wrong_service++;
   key = message_key_ (node, flow_id, view.message_id);
@@ -201,7 +238,7 @@
     }
   g_hash_table_insert (b->answered, g_memdup2 (&key, sizeof key),
                        g_bytes_new (NULL, 0));
-  if (b->shedding)
+  if (sheds_ (h, node))
     {
       answer_ (h, node, flow_id,
                build_answer_ (&view, RGY_COAP_CODE (5, 3), NULL,
@@ -212,13 +249,15 @@
 }
 
 static void
-count_record_ (struct harness *h, struct node *node, struct rgy_bytes payload)
+count_record_ (struct harness *h, struct node *node, uint64_t flow_id,
+               struct rgy_bytes payload)
 {
   struct backend *b = &node->backend;
   char *id = g_strndup ((const char *)payload.data, payload.len);
   unsigned n = GPOINTER_TO_UINT (g_hash_table_lookup (b->records, id));
 
   b->executions++;
+  h_trace (h, "%s: flow %u executes %s", node->id.data, (unsigned)flow_id, id);
   if (n > 0 || h_count_executions (h, id) > 0)
     h_trace (h, "%s: record %s executed again", node->id.data, id);
   g_hash_table_replace (b->records, id, GUINT_TO_POINTER (n + 1));
@@ -260,7 +299,7 @@
   switch (rgy_coap_classify (&view))
     {
     case RGY_MESSAGE_NON_IDEMPOTENT:
-      count_record_ (h, node, view.payload);
+      count_record_ (h, node, flow_id, view.payload);
       answer = build_answer_ (&view, RGY_COAP_CODE (2, 4), NULL, view.payload);
       break;
     case RGY_MESSAGE_OBSERVE:
--- a/tests/harness/caller.c
+++ b/tests/harness/caller.c
@@ -99,6 +99,20 @@
   return &c->stats;
 }
 
+bool
+harness_is_busy (const struct caller *c)
+{
+  return c->busy;
+}
+
+bool
+harness_is_held (const struct node *agent, const struct caller *c)
+{
+  struct rgy_flow_key key = rgy_flow_key_udp (c->endpoint, c->service);
+
+  return agent->agent != NULL && rgy_agent_holds_flow (agent->agent, &key);
+}
+
 struct rgy_endpoint
 caller_get_endpoint (const struct caller *c)
 {
@@ -120,6 +134,10 @@
 
   c->resend_us = h->now_us + (ACK_TIMEOUT_US << c->transmissions);
   c->transmissions++;
+  if (c->kind != CALLER_WATCH)
+    h_trace (h, "caller %s: sends message %u, Echo %02x%02x", c->id,
+             c->message_id, c->echo_len > 0 ? c->echo[6] : 0,
+             c->echo_len > 0 ? c->echo[7] : 0);
   h_from_caller (h, c->endpoint, c->service, c->datagram);
 }
 
@@ -222,6 +240,7 @@
   memcpy (text, view->payload.data, MIN (view->payload.len, sizeof text - 1));
   version = g_ascii_strtoull (text, NULL, 10);
   c->heard_us = c->harness->now_us;
+  c->stats.heard_us = c->heard_us;
   c->counted_stale = false;
   if (version < c->version)
     {
@@ -363,7 +382,10 @@
       if (c->datagram == NULL)
         build_ (c);
       else if (c->transmissions > MAX_RETRANSMIT)
-        end_unknown_ (c, "no answer");
+        {
+          c->stats.no_answer++;
+          end_unknown_ (c, "no answer");
+        }
       else
         transmit_ (c);
     }
@@ -400,6 +422,7 @@
   sum->not_run += s->not_run;
   sum->false_not_run += s->false_not_run;
   sum->unknown += s->unknown;
+  sum->no_answer += s->no_answer;
   sum->crossed += s->crossed;
   sum->registrations += s->registrations;
   sum->notifications += s->notifications;
--- a/tests/harness/harness.c
+++ b/tests/harness/harness.c
@@ -9,12 +9,14 @@
 #define LOCAL_DELAY_US 250
 #define LOOPBACK_DELAY_US 50
 #define STORE_DELAY_US (5 * H_MS)
+#define STORE_DELAY_STEPS 3
 #define STORE_POLL_US (100 * H_MS)
 #define BACKLOG_MAX 500
 #define PERCENT 100
 #define BALANCER_IP 0x7f010000
 #define AGENT_IP 0x7f020000
 #define INTERNAL_PORT 7000
+#define REORDER_MAX_US (60 * H_MS)
 #define DRAIN_US (5 * H_S)
 #define IDLE_TIMEOUT_US (86400 * H_S)
 #define FIRST_EPOCH 1000000
@@ -121,6 +123,17 @@
                                                (gint32)spread + 1);
 }
 
+/* Delay of a datagram on a network path, on which it may be overtaken.  */
+static int64_t
+path_delay_ (struct harness *h, int64_t delay_us)
+{
+  int64_t late = h_chance (h, h->settings.reorder_percent)
+                     ? g_rand_int_range (h->random, 0, REORDER_MAX_US)
+                     : 0;
+
+  return h_jitter (h, delay_us) + late;
+}
+
 void
 h_trace (struct harness *h, const char *format, ...)
 {
@@ -180,12 +193,13 @@
   if (h_chance (h, h->settings.duplicate_percent))
     copies++;
   while (copies-- > 0)
-    h_push (h,
-            (struct event){ .kind = EVENT_INSTANCE,
-                            .node = target,
-                            .from = from->endpoint,
-                            .data = h_bytes (data) },
-            h_jitter (h, far ? h->settings.domain_delay_us : LOCAL_DELAY_US));
+    h_push (
+        h,
+        (struct event){ .kind = EVENT_INSTANCE,
+                        .node = target,
+                        .from = from->endpoint,
+                        .data = h_bytes (data) },
+        path_delay_ (h, far ? h->settings.domain_delay_us : LOCAL_DELAY_US));
 }
 
 static void
@@ -233,7 +247,7 @@
                 (struct event){ .kind = EVENT_TO_CALLER,
                                 .caller = c,
                                 .data = h_bytes (payload) },
-                h_jitter (h, h->settings.client_delay_us));
+                path_delay_ (h, h->settings.client_delay_us));
     }
 }
 
@@ -244,6 +258,8 @@
   struct node *ready[H_MAX_NODES];
   uint8_t header[RGY_PROXY_HEADER_BYTES];
   GByteArray *packet;
+  unsigned copies = 1;
+  GBytes *data;
   gint32 n = 0;
   guint i;
 
@@ -257,15 +273,20 @@
     }
   if (n == 0)
     return;
+  if (h_chance (h, h->settings.duplicate_percent))
+    copies++;
   rgy_proxy_write (header, caller, service);
   packet = g_byte_array_new ();
   g_byte_array_append (packet, header, sizeof header);
   g_byte_array_append (packet, datagram->data, datagram->len);
-  h_push (h,
-          (struct event){ .kind = EVENT_FABRIC,
-                          .node = ready[g_rand_int_range (h->random, 0, n)],
-                          .data = g_byte_array_free_to_bytes (packet) },
-          h_jitter (h, h->settings.client_delay_us));
+  data = g_byte_array_free_to_bytes (packet);
+  while (copies-- > 0)
+    h_push (h,
+            (struct event){ .kind = EVENT_FABRIC,
+                            .node = ready[g_rand_int_range (h->random, 0, n)],
+                            .data = g_bytes_ref (data) },
+            path_delay_ (h, h->settings.client_delay_us));
+  g_bytes_unref (data);
 }
 
 static void
@@ -323,13 +344,35 @@
 
 /* Store.  */
 
+/* Newest write of the same key that a reader sees.  */
+static bool
+is_seen_ (const struct harness *h, guint index, int64_t delay_us)
+{
+  const struct store_record *r = g_ptr_array_index (h->store, index);
+  guint i;
+
+  if (r->written_us + delay_us > h->now_us)
+    return false;
+  for (i = index + 1; i < h->store->len; i++)
+    {
+      const struct store_record *later = g_ptr_array_index (h->store, i);
+
+      if (later->class == r->class && rgy_name_equal (&later->key, &r->key)
+          && later->written_us + delay_us <= h->now_us)
+        return false;
+    }
+  return true;
+}
+
 static void
 offer_store_ (struct harness *h, struct node *node)
 {
+  int64_t delay_us;
   guint i;
 
   if (h->store_down || !rgy_balancer_is_reader (node->balancer))
     return;
+  delay_us = h->store_delay_us * (node->domain + 1) / STORE_DELAY_STEPS;
   for (i = 0; i < h->store->len; i++)
     {
       const struct store_record *r = g_ptr_array_index (h->store, i);
@@ -339,7 +382,8 @@
                                  .value = { .data = (const uint8_t *)r->json,
                                             .len = strlen (r->json) } };
 
-      rgy_balancer_from_store (node->balancer, &entry, h->actions);
+      if (is_seen_ (h, i, delay_us))
+        rgy_balancer_from_store (node->balancer, &entry, h->actions);
     }
   run_actions_ (h, node);
 }
@@ -350,21 +394,12 @@
             const char *json)
 {
   struct store_record *r = g_new0 (struct store_record, 1);
-  guint i;
-
-  for (i = 0; i < h->store->len; i++)
-    {
-      const struct store_record *old = g_ptr_array_index (h->store, i);
 
-      if (old->class == class && rgy_name_equal (&old->key, key))
-        {
-          g_ptr_array_remove_index (h->store, i);
-          break;
-        }
-    }
-  *r = (struct store_record){
-    .class = class, .key = *key, .version = version, .json = g_strdup (json)
-  };
+  *r = (struct store_record){ .class = class,
+                              .key = *key,
+                              .version = version,
+                              .json = g_strdup (json),
+                              .written_us = h->now_us };
   g_ptr_array_add (h->store, r);
 }
 
@@ -383,48 +418,72 @@
   return h->store_revision;
 }
 
-static char *
-make_order_ (struct harness *h, unsigned domain, bool out,
-             struct rgy_domain_order *order)
+struct rgy_domain_order
+harness_make_order (struct harness *h, unsigned domain, bool out)
 {
-  *order = (struct rgy_domain_order){ .domain = h->domains[domain],
-                                      .out = out,
-                                      .number = ++h->next_order_number,
-                                      .id = h->next_order_number * 7919,
-                                      .operator_name
-                                      = rgy_name_from_c ("operator") };
-  return rgy_domain_order_format (order);
+  h->next_order_number++;
+  return (struct rgy_domain_order){ .domain = h->domains[domain],
+                                    .out = out,
+                                    .number = h->next_order_number,
+                                    .id = h->next_order_number * 7919,
+                                    .operator_name
+                                    = rgy_name_from_c ("operator") };
 }
 
-uint64_t
-harness_order_domain (struct harness *h, unsigned domain, bool out)
+void
+harness_put_order (struct harness *h, const struct rgy_domain_order *order)
 {
-  struct rgy_domain_order order;
-  char *json = make_order_ (h, domain, out, &order);
+  char *json = rgy_domain_order_format (order);
 
   h->store_revision++;
-  store_put_ (h, RGY_ENTRY_DOMAIN, &order.domain,
-              (struct rgy_version){ .major = order.number, .minor = order.id },
-              json);
-  h_trace (h, "order %s %s", order.domain.data, out ? "out" : "in");
+  store_put_ (
+      h, RGY_ENTRY_DOMAIN, &order->domain,
+      (struct rgy_version){ .major = order->number, .minor = order->id },
+      json);
+  h_trace (h, "order %s %s", order->domain.data, order->out ? "out" : "in");
   g_free (json);
-  return order.number;
 }
 
-uint64_t
-harness_order_domain_directly (struct harness *h, unsigned domain, bool out,
-                               struct node *balancer)
+void
+harness_give_order (struct harness *h, const struct rgy_domain_order *order,
+                    struct node *balancer)
 {
-  struct rgy_domain_order order;
-  char *json = make_order_ (h, domain, out, &order);
+  char *json = rgy_domain_order_format (order);
 
+  h_trace (h, "order %s %s to %s", order->domain.data,
+           order->out ? "out" : "in", balancer->id.data);
   rgy_balancer_from_operator (balancer->balancer, rgy_str_from_c (json),
                               h->now_us, h->actions);
   run_actions_ (h, balancer);
   g_free (json);
+}
+
+uint64_t
+harness_order_domain (struct harness *h, unsigned domain, bool out)
+{
+  struct rgy_domain_order order = harness_make_order (h, domain, out);
+
+  harness_put_order (h, &order);
   return order.number;
 }
 
+uint64_t
+harness_order_domain_directly (struct harness *h, unsigned domain, bool out,
+                               struct node *balancer)
+{
+  struct rgy_domain_order order = harness_make_order (h, domain, out);
+
+  harness_give_order (h, &order, balancer);
+  return order.number;
+}
+
+void
+harness_set_store_delay (struct harness *h, int64_t delay_us)
+{
+  h->store_delay_us = delay_us;
+  h_trace (h, "store delay %" G_GINT64_FORMAT " ms", delay_us / H_MS);
+}
+
 void
 harness_set_store_down (struct harness *h, bool down)
 {
@@ -442,6 +501,7 @@
   node->alive = true;
   node->left = false;
   node->frozen = false;
+  node->started_us = h->now_us;
   if (node->kind == NODE_BALANCER)
     {
       node->balancer_settings.epoch = node->epoch;
@@ -663,6 +723,14 @@
   h->settings.loss_percent = percent;
 }
 
+void
+harness_set_disorder (struct harness *h, unsigned reorder_percent,
+                      unsigned duplicate_percent)
+{
+  h->settings.reorder_percent = reorder_percent;
+  h->settings.duplicate_percent = duplicate_percent;
+}
+
 void
 harness_drain (struct harness *h, struct node *node)
 {
@@ -679,6 +747,7 @@
 {
   agent->backend.cold = true;
   agent->backend.completed = 0;
+  agent->backend.shed_us = 0;
 }
 
 void
@@ -736,9 +805,8 @@
 }
 
 static bool
-is_data_ (const struct harness *h, GBytes *data)
+is_data_ (GBytes *data)
 {
-  (void)h;
   /* The kind follows the tag and the array header.  */
   return g_bytes_get_size (data) > RGY_WIRE_TAG_BYTES + 1
          && h_view (data).data[RGY_WIRE_TAG_BYTES + 1] == RGY_MSG_DATA;
@@ -755,13 +823,10 @@
       tick_ (h, node);
       break;
     case EVENT_FABRIC:
-      node->last_packet_us = h->now_us;
       rgy_balancer_from_fabric (node->balancer, h_view (e->data), h->now_us,
                                 h->actions);
       break;
     case EVENT_INSTANCE:
-      if (node->kind == NODE_AGENT && is_data_ (h, e->data))
-        node->last_packet_us = h->now_us;
       if (node->kind == NODE_BALANCER)
         rgy_balancer_from_instance (node->balancer, e->from, h_view (e->data),
                                     h->now_us, h->actions);
@@ -813,6 +878,10 @@
     }
   if (!e->node->alive || e->incarnation != e->node->incarnation)
     return false;
+  if (e->kind == EVENT_FABRIC
+      || (e->kind == EVENT_INSTANCE && e->node->kind == NODE_AGENT
+          && is_data_ (e->data)))
+    e->node->last_packet_us = h->now_us;
   if (e->node->frozen)
     {
       if (e->node->backlog.length >= BACKLOG_MAX && e->kind != EVENT_TICK)
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -32,6 +32,7 @@
   unsigned jitter_percent;
   unsigned loss_percent; /**< Between failure domains.  */
   unsigned duplicate_percent;
+  unsigned reorder_percent; /**< Datagrams that arrive up to 60 ms late.  */
   FILE *trace; /**< One line for each event of interest, or NULL.  */
   /* Baselines.  */
   bool modulo_steering;
@@ -55,8 +56,14 @@
   unsigned warm_after; /**< Completions until it is warm.  */
   int64_t work_us;
   bool cold;
-  bool silent;   /**< Answers nothing.  */
-  bool shedding; /**< Answers 5.03.  */
+  bool silent;     /**< Answers nothing.  */
+  bool shedding;   /**< Answers 5.03.  */
+  bool cold_sheds; /**< Answers 5.03 above its limit while it is cold.  */
+  bool deaf;       /**< Ignores requests; health and load say all is well.  */
+  bool says_full;  /**< Its load endpoint says that all slots are in use.  */
+  int64_t ping_us; /**< Extra delay of its health and load endpoints.  */
+  int64_t shed_us; /**< First 5.03 since it became cold, or 0.  */
+  int64_t last_begun_us; /**< Start of its last execution.  */
   unsigned running;
   unsigned completed;
   unsigned highest_running;
@@ -87,7 +94,8 @@
   struct rgy_balancer_settings balancer_settings;
   struct backend backend;
   GQueue backlog;         /**< Datagrams that arrived while it was frozen.  */
-  int64_t last_packet_us; /**< Last datagram of a caller that it got.  */
+  int64_t last_packet_us; /**< Last datagram of a caller that reached it.  */
+  int64_t started_us;
 };
 
 enum caller_kind
@@ -106,11 +114,13 @@
   uint64_t not_run;       /**< Ended by a refusal.  */
   uint64_t false_not_run; /**< "not-run" for a record that was executed.  */
   uint64_t unknown;       /**< Ended with an unknown outcome.  */
+  uint64_t no_answer;     /**< Of these, after the last retransmission.  */
   uint64_t crossed;       /**< Answers that belong to another request.  */
   uint64_t registrations;
   uint64_t notifications;
   uint64_t regressions; /**< Board versions that went back.  */
   uint64_t stale;       /**< Times that a watch lagged for over 5 s.  */
+  int64_t heard_us;     /**< Last news of a watch; not summed.  */
 };
 
 struct caller;
@@ -137,6 +147,9 @@
 /** Stop sending new requests.  */
 void harness_stop_caller (struct caller *caller);
 const struct caller_stats *harness_get_stats (const struct caller *caller);
+bool harness_is_busy (const struct caller *caller);
+/** True when the agent holds the caller's flow.  */
+bool harness_is_held (const struct node *agent, const struct caller *caller);
 struct harness_totals
 {
   struct caller_stats sum[CALLER_GET + 1]; /**< By kind.  */
@@ -161,6 +174,18 @@
 /** Give the order to one balancer directly.  */
 uint64_t harness_order_domain_directly (struct harness *h, unsigned domain,
                                         bool out, struct node *balancer);
+/** Next order; it takes effect only when it is given.  */
+struct rgy_domain_order harness_make_order (struct harness *h, unsigned domain,
+                                            bool out);
+/** Put an order in the store.  */
+void harness_put_order (struct harness *h,
+                        const struct rgy_domain_order *order);
+/** Give an order to a balancer.  */
+void harness_give_order (struct harness *h,
+                         const struct rgy_domain_order *order,
+                         struct node *balancer);
+/** Readers see writes this late, each by another third of it.  */
+void harness_set_store_delay (struct harness *h, int64_t delay_us);
 void harness_set_store_down (struct harness *h, bool down);
 
 /* Faults.  */
@@ -174,6 +199,8 @@
 void harness_cut (struct harness *h, struct node *from, struct node *to,
                   bool cut);
 void harness_set_loss (struct harness *h, unsigned percent);
+void harness_set_disorder (struct harness *h, unsigned reorder_percent,
+                           unsigned duplicate_percent);
 void harness_drain (struct harness *h, struct node *node);
 void harness_make_cold (struct node *agent);
 
--- a/tests/harness/harness_private.h
+++ b/tests/harness/harness_private.h
@@ -38,6 +38,7 @@
   struct rgy_name key;
   struct rgy_version version;
   char *json;
+  int64_t written_us;
 };
 
 struct harness
@@ -57,6 +58,7 @@
   uint64_t store_revision;
   uint64_t next_order_number;
   bool store_down;
+  int64_t store_delay_us;
   uint8_t key[RGY_WIRE_KEY_BYTES];
 };
 
