Monitor agents only from balancers in service

Cause: agents send heartbeats to balancers in service. A balancer whose failure domain was out went on as a monitor: it took its agents for silent every 2 s, switched cut protection on and off, and published them as lagging behind the order. With other monitors now answering for these agents they never became dead, so that no balancer ever confirmed an order that takes a failure domain out, and ragwortyokectl waited until its timeout.

Change: a balancer whose failure domain is out monitors no agents, and the monitors of an agent are chosen among the balancers in service.

--- a/src/libragwortyoke/balancer_monitor.c
+++ b/src/libragwortyoke/balancer_monitor.c
@@ -193,6 +193,8 @@
 watch_agents_ (struct rgy_balancer *b, const struct rgy_name *names,
                size_t count, int64_t now_us)
 {
+  bool in_service
+      = !rgy_domain_set_is_out (b->bb->domains, &b->settings.domain);
   GHashTableIter iter;
   gpointer value;
 
@@ -201,6 +203,7 @@
     {
       const struct rgy_agent_record *r = value;
       bool wanted = r->state != RGY_MEMBER_LEFT && r->state != RGY_MEMBER_DEAD
+                    && in_service
                     && is_agent_monitor_ (b, &r->id, names, count);
       bool watched = rgy_liveness_is_watched (b->agents_liveness, &r->id);
 
@@ -263,6 +266,24 @@
   return hash;
 }
 
+/* Agents send heartbeats to usable balancers only; others would take them for
+   silent and for lagging.  Keeps the usable ones of NAMES in their order, and
+   this balancer, which is the last, in any case.
+   @return how many are left.  */
+static size_t
+keep_usable_ (const struct rgy_balancer *b, struct rgy_name *names, size_t n)
+{
+  size_t kept = 0;
+  size_t i;
+
+  for (i = 0; i + 1 < n; i++)
+    if (rgy_blackboard_balancer_is_usable (
+            b->bb, rgy_blackboard_get_balancer (b->bb, &names[i])))
+      names[kept++] = names[i];
+  names[kept++] = b->settings.id;
+  return kept;
+}
+
 static void
 update_watches_ (struct rgy_balancer *b, int64_t now_us)
 {
@@ -275,15 +296,17 @@
   uint64_t set;
   size_t n;
 
-  if (!agents_changed && !balancers_changed)
+  if (!agents_changed && !balancers_changed
+      && b->monitored_domain_changes == b->bb->changes[RGY_ENTRY_DOMAIN])
     return;
+  b->monitored_domain_changes = b->bb->changes[RGY_ENTRY_DOMAIN];
   b->monitored_agent_changes = b->bb->changes[RGY_ENTRY_AGENT];
   b->monitored_balancer_changes = b->bb->changes[RGY_ENTRY_BALANCER];
   max = g_hash_table_size (b->bb->balancers);
   names = g_new (struct rgy_name, max + 1);
   n = rgy_balancer_list_others (b, names, max);
   names[n++] = b->settings.id;
-  set = hash_names_ (names, n);
+  set = hash_names_ (names, n) + (b->bb->changes[RGY_ENTRY_DOMAIN] << 1);
   /* Most changes of balancers' records leave the set as it is.  */
   if (set != b->monitored_set)
     {
@@ -294,7 +317,7 @@
       agents_changed = true;
     }
   if (agents_changed)
-    watch_agents_ (b, names, n, now_us);
+    watch_agents_ (b, names, keep_usable_ (b, names, n), now_us);
   g_free (names);
 }
 
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -126,6 +126,7 @@
   GHashTable *lagging; /**< Set of agent names.  */
   uint64_t monitored_agent_changes;
   uint64_t monitored_balancer_changes;
+  uint64_t monitored_domain_changes;
   uint64_t monitored_set; /**< Hash of the balancers it was chosen among.  */
   GHashTable *monitored;  /**< Agent name to whether it is monitored here.  */
 
