--- a/src/test_fault_matrix/checks.c
+++ b/src/test_fault_matrix/checks.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "matrix.h"
 
 /* Bounds of sections 1.2 and 3 of the design.  */
@@ -260,9 +262,41 @@
     check_count_ (r, 9, unknown, "requests interrupted");
 }
 
+/* After the faults, each balancer in service says that the last change is in
+   force everywhere.  */
+static void
+check_confirmed_ (struct run *r)
+{
+  struct rgy_name customer;
+  unsigned i;
+
+  if (r->revision == 0 && r->order_us == 0)
+    return;
+  deployment_get_customer (r->d, &customer);
+  for (i = 0; i < harness_get_node_count (r->d->h); i++)
+    {
+      const struct node *node = harness_get_node_at (r->d->h, i);
+      char *text;
+
+      if (node->kind != NODE_BALANCER || !node->alive
+          || !rgy_balancer_is_ready (node->balancer))
+        continue;
+      text = r->order_us != 0
+                 ? rgy_balancer_format_confirm (
+                     node->balancer, &r->order.domain, true, r->order.number)
+                 : rgy_balancer_format_confirm (node->balancer, &customer,
+                                                false, r->revision);
+      if (strstr (text, "true") == NULL)
+        run_fail (r, 10, "%s does not confirm the change: %s", node->id.data,
+                  text);
+      g_free (text);
+    }
+}
+
 void
 check_state (struct run *r)
 {
+  check_confirmed_ (r);
   if (r->drain_us != 0 && r->subject->started_us < r->drain_us
       && fault_get_reachable_us (r, r->subject) == 0 && !r->subject->left)
     run_fail (r, 9, "%s has not left", r->subject->id.data);
--- a/tests/harness/deployment.c
+++ b/tests/harness/deployment.c
@@ -39,6 +39,12 @@
       .client_delay_us = 1 * H_MS },
 };
 
+void
+deployment_get_customer (const struct deployment *d, struct rgy_name *customer)
+{
+  *customer = rgy_name_from_c (shapes_[d->kind].customer);
+}
+
 char *
 deployment_make_contract (const struct deployment *d,
                           unsigned requests_in_flight)
--- a/tests/harness/deployment.h
+++ b/tests/harness/deployment.h
@@ -70,6 +70,8 @@
 unsigned deployment_count_reached (const struct deployment *d, unsigned domain,
                                    int64_t after_us);
 
+void deployment_get_customer (const struct deployment *d,
+                              struct rgy_name *customer);
 /** Contract of the customer with limits for the desk service.  */
 char *deployment_make_contract (const struct deployment *d,
                                 unsigned requests_in_flight);
