--- a/tests/harness/caller.c
+++ b/tests/harness/caller.c
@@ -99,6 +99,20 @@
   return &c->stats;
 }
 
+bool
+harness_is_busy (const struct caller *c)
+{
+  return c->busy;
+}
+
+bool
+harness_is_held (const struct node *agent, const struct caller *c)
+{
+  struct rgy_flow_key key = rgy_flow_key_udp (c->endpoint, c->service);
+
+  return agent->agent != NULL && rgy_agent_holds_flow (agent->agent, &key);
+}
+
 struct rgy_endpoint
 caller_get_endpoint (const struct caller *c)
 {
@@ -222,6 +236,7 @@
   memcpy (text, view->payload.data, MIN (view->payload.len, sizeof text - 1));
   version = g_ascii_strtoull (text, NULL, 10);
   c->heard_us = c->harness->now_us;
+  c->stats.heard_us = c->heard_us;
   c->counted_stale = false;
   if (version < c->version)
     {
@@ -363,7 +378,10 @@
       if (c->datagram == NULL)
         build_ (c);
       else if (c->transmissions > MAX_RETRANSMIT)
-        end_unknown_ (c, "no answer");
+        {
+          c->stats.no_answer++;
+          end_unknown_ (c, "no answer");
+        }
       else
         transmit_ (c);
     }
@@ -400,6 +418,7 @@
   sum->not_run += s->not_run;
   sum->false_not_run += s->false_not_run;
   sum->unknown += s->unknown;
+  sum->no_answer += s->no_answer;
   sum->crossed += s->crossed;
   sum->registrations += s->registrations;
   sum->notifications += s->notifications;
