--- a/include/ragwortyoke/wire.h
+++ b/include/ragwortyoke/wire.h
@@ -15,6 +15,7 @@
 #include "ragwortyoke/member.h"
 #include "ragwortyoke/outcome.h"
 #include "ragwortyoke/replica.h"
+#include "ragwortyoke/request.h"
 #include "ragwortyoke/steering.h"
 #include "ragwortyoke/str.h"
 
@@ -81,6 +82,7 @@
   uint32_t flows;
   uint32_t running;
   uint32_t limit; /**< Admission limit in slots.  */
+  uint64_t refused[RGY_REFUSAL_REASON_COUNT]; /**< Since the start.  */
 };
 
 struct rgy_heartbeat_ack_message
@@ -124,7 +126,8 @@
   uint64_t epoch;
   uint64_t sequence;
   struct rgy_bucket_set may_hold;
-  bool can_accept; /**< Warm and below its connection limit.  */
+  bool can_accept; /**< No queue and below its connection limit.  */
+  uint32_t flows;
   struct rgy_usage usage[RGY_WIRE_MAX_USAGE];
   size_t usage_count;
 };
@@ -155,6 +158,9 @@
 {
   struct rgy_name from;
   uint64_t nonce;
+  /** Agent that the receiver is asked about; answered only by a balancer that
+      is in contact with it.  Empty when the receiver itself is asked.  */
+  struct rgy_name subject;
 };
 
 /** Sub-digests of the classes wanted.  */
--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -21,8 +21,15 @@
 {
   struct rgy_agent *a = ctx;
 
-  return rgy_count_limit_take (
-      rgy_agent_get_usage (a, &flow->customer)->requests, a->now_us);
+  struct rgy_count_limit *requests
+      = rgy_agent_get_usage (a, &flow->customer)->requests;
+
+  if (a->settings.without_contract_limits)
+    {
+      rgy_count_limit_force (requests);
+      return true;
+    }
+  return rgy_count_limit_take (requests, a->now_us);
 }
 
 static void
@@ -56,6 +63,9 @@
     .flows_given_up
     = rgy_counters_add (c, "flows_given_up_total", NULL,
                         "Flows ended because the failure domain is out."),
+    .flows_revoked
+    = rgy_counters_add (c, "flows_revoked_total", NULL,
+                        "Flows ended because their contract has changed."),
     .flows_expired = rgy_counters_add (c, "flows_expired_total", NULL,
                                        "Flows ended by the idle timeout."),
     .answers = rgy_counters_add (c, "agent_answers_total", NULL,
@@ -109,13 +119,18 @@
 static struct rgy_request_engine *
 new_engine_ (const struct rgy_agent_settings *s, struct rgy_counters *counters)
 {
+  /* Agents that start at the same moment may have the same epoch, and all of
+     them have the same key: without the name, one would take the Echo values
+     of another for its own.  */
   struct rgy_request_settings rs
-      = { .epoch = s->epoch,
+      = { .epoch = rgy_name_hash (&s->id, s->epoch),
           .deadline_ms = s->deadline_ms,
           .admission = { .slots = s->slots,
                          .queue_length = s->queue_length,
                          .cold_start = !s->without_cold_start },
           .echo_required = !s->without_echo,
+          .without_answer_matching = s->without_answer_matching,
+          .without_outcome_unknown = s->without_outcome_unknown,
           .counters = counters };
 
   memcpy (rs.echo_key, s->key, sizeof rs.echo_key);
@@ -136,7 +151,10 @@
   a->counters = counters;
   register_counters_ (a);
   a->bb = rgy_blackboard_new (counters);
+  a->bb->without_domain_orders = settings->without_domain_orders;
+  a->bb->without_version_check = settings->without_version_check;
   a->wire = rgy_wire_new (settings->key);
+  a->message = g_new0 (struct rgy_message, 1);
   a->random = g_rand_new_with_seed_array (
       (const guint32 *)&a->settings.random_seed,
       sizeof a->settings.random_seed / sizeof (guint32));
@@ -192,6 +210,7 @@
   rgy_steering_delete (a->steering);
   rgy_flow_table_delete (a->flows);
   g_rand_free (a->random);
+  g_free (a->message);
   rgy_wire_delete (a->wire);
   rgy_blackboard_delete (a->bb);
   g_free (a);
@@ -279,6 +298,23 @@
   return a->now_us - k->last_seen_us > RGY_BALANCER_FORGET_US;
 }
 
+/* Refusals of new flows are counted here, those of requests by the engine.  */
+static void
+fill_refused_ (const struct rgy_agent *a, uint64_t *refused)
+{
+  char label[64];
+  size_t i;
+
+  for (i = 0; i < RGY_REFUSAL_REASON_COUNT; i++)
+    {
+      g_snprintf (label, sizeof label, "reason=\"%s\"",
+                  rgy_refusal_reason_string[i]);
+      refused[i]
+          = rgy_counters_get (a->counters, "agent_refused_total", label)
+            + rgy_counters_get (a->counters, "requests_not_run_total", label);
+    }
+}
+
 static void
 send_heartbeat_ (struct rgy_agent *a, struct rgy_endpoint to)
 {
@@ -299,6 +335,7 @@
     .running = rgy_admission_get_running (admission),
     .limit = rgy_admission_get_limit (admission),
   };
+  fill_refused_ (a, m.u.heartbeat.refused);
   rgy_agent_send_message (a, to, &m);
 }
 
@@ -338,6 +375,30 @@
   g_free (names);
 }
 
+void
+rgy_agent_note_rollup (struct rgy_agent *a, struct rgy_str json)
+{
+  struct rgy_rollup rollup;
+
+  if (rgy_rollup_parse (json, &rollup) == RGY_OK)
+    rgy_rollup_add_seeds (&rollup, a->settings.seeds, &a->settings.seed_count,
+                          RGY_AGENT_MAX_SEEDS);
+}
+
+static void
+look_for_balancers_ (struct rgy_agent *a)
+{
+  if (a->last_ack_us == 0)
+    a->last_ack_us = a->now_us;
+  if (a->now_us - a->last_ack_us < RGY_LOST_BALANCERS_US
+      || a->now_us < a->next_store_read_us)
+    return;
+  a->next_store_read_us
+      = a->now_us + RGY_STORE_READ_INTERVAL_US
+        + g_rand_int_range (a->random, 0, (gint32)RGY_STORE_READ_INTERVAL_US);
+  rgy_actions_read_store (a->actions);
+}
+
 /* Own record.  */
 
 static void
@@ -385,11 +446,21 @@
   return true;
 }
 
+static bool
+forget_balancer_ (struct rgy_flow *flow, void *ctx)
+{
+  (void)ctx;
+  flow->last_balancer_us = 0;
+  return true;
+}
+
 static void
 follow_domain_order_ (struct rgy_agent *a)
 {
   bool out = rgy_domain_set_is_out (a->bb->domains, &a->settings.domain);
 
+  /* The last balancer of a flow may be in the failure domain.  */
+  rgy_flow_table_foreach (a->flows, forget_balancer_, a);
   if (out == a->out)
     return;
   a->out = out;
@@ -404,6 +475,40 @@
                             RGY_COLD_DOMAIN, a->now_us);
 }
 
+struct revocation_
+{
+  struct rgy_agent *a;
+  const struct rgy_name *customer;
+};
+
+static bool
+revoke_flow_ (struct rgy_flow *flow, void *ctx)
+{
+  struct revocation_ *r = ctx;
+  struct rgy_agent *a = r->a;
+  const struct rgy_contract *contract;
+
+  if (!rgy_name_equal (&flow->customer, r->customer)
+      || (rgy_agent_get_service (a, &contract, flow->key.u.udp.caller.ip)
+              != NULL
+          && rgy_name_equal (&contract->customer, &flow->customer)))
+    return true;
+  ++*a->c.flows_revoked;
+  rgy_request_engine_deregister (a->engine, flow, a->actions);
+  rgy_agent_close_flow (a, flow);
+  return true;
+}
+
+/* Ends the flows that the customer's contract no longer covers; a session
+   would otherwise go on to notify a caller that may not reach the service.  */
+static void
+revoke_flows_ (struct rgy_agent *a, const struct rgy_name *customer)
+{
+  struct revocation_ r = { .a = a, .customer = customer };
+
+  rgy_flow_table_foreach (a->flows, revoke_flow_, &r);
+}
+
 static bool
 concerns_group_ (const struct rgy_agent *a, const struct rgy_entry *entry)
 {
@@ -423,9 +528,16 @@
       || rgy_blackboard_apply (a->bb, entry) != RGY_OK)
     return;
   if (entry->class == RGY_ENTRY_CONTRACT || entry->class == RGY_ENTRY_DOMAIN)
-    ++*a->c.config_changes;
+    {
+      ++*a->c.config_changes;
+      /* The balancers wait for the new digest.  */
+      a->next_heartbeat_us = 0;
+    }
   if (entry->class == RGY_ENTRY_CONTRACT)
-    rgy_agent_prepare_usage (a);
+    {
+      rgy_agent_prepare_usage (a);
+      revoke_flows_ (a, &entry->key);
+    }
   if (entry->class == RGY_ENTRY_DOMAIN)
     follow_domain_order_ (a);
   if (entry->class == RGY_ENTRY_AGENT
@@ -457,6 +569,7 @@
   for (i = 0; i < m->sample_count; i++)
     learn_balancer_ (a, &m->sample[i]);
   k = g_hash_table_lookup (a->balancers, &m->balancer);
+  a->last_ack_us = a->now_us;
   if (k != NULL)
     {
       k->last_ack_us = a->now_us;
@@ -501,6 +614,7 @@
       = a->self.state == RGY_MEMBER_READY && !a->out
         && rgy_admission_get_queued (admission) == 0
         && rgy_flow_table_get_count (a->flows) < a->settings.connections;
+  p->flows = (uint32_t)rgy_flow_table_get_count (a->flows);
   p->usage_count = rgy_agent_fill_usage (a, p->usage);
 }
 
@@ -511,6 +625,7 @@
   size_t i;
 
   a->next_peer_state_us = a->now_us + RGY_PEER_STATE_INTERVAL_US;
+  a->sent_us = a->now_us;
   a->sent_sequence = rgy_steering_get_sequence (a->steering);
   m = g_new0 (struct rgy_message, 1);
   m->kind = RGY_MSG_PEER_STATE;
@@ -524,7 +639,14 @@
 static void
 peer_state_tick_ (struct rgy_agent *a)
 {
+  if (a->now_us >= a->next_age_us)
+    {
+      a->next_age_us = a->now_us + RGY_PASSED_AGE_US;
+      rgy_steering_age_passed (a->steering);
+    }
   if (a->now_us >= a->next_peer_state_us
+      || (a->settle_deadline_us != 0 && !rgy_steering_is_settled (a->steering)
+          && a->now_us >= a->sent_us + RGY_SETTLE_RETRY_US)
       || rgy_steering_get_sequence (a->steering) != a->sent_sequence)
     rgy_agent_send_peer_state (a);
 }
@@ -544,6 +666,7 @@
     }
   peer->epoch = m->epoch;
   peer->can_accept = m->can_accept;
+  peer->flows = m->flows;
   rgy_agent_note_peer_usage (a, m);
   if (rgy_steering_note_state (a->steering, &m->from, m->epoch, m->sequence,
                                &m->may_hold)
@@ -678,7 +801,7 @@
                          struct rgy_bytes datagram, int64_t now_us,
                          struct rgy_actions *actions)
 {
-  struct rgy_message *m = g_new (struct rgy_message, 1);
+  struct rgy_message *m = a->message;
   enum rgy_outcome rc = rgy_wire_decode (a->wire, datagram, m);
 
   a->now_us = now_us;
@@ -696,35 +819,10 @@
     }
   else
     ++*(rc == RGY_ERR_AUTH ? a->c.bad_tag : a->c.bad_message);
-  g_free (m);
 }
 
 /* Time.  */
 
-static void
-probe_backend_ (struct rgy_agent *a)
-{
-  uint16_t id;
-  uint8_t ping[4] = { 0x40, 0, 0, 0 };
-
-  if (a->out || !rgy_agent_serves_requests (a))
-    return;
-  if (rgy_health_tick (a->health, a->now_us) == RGY_HEALTH_FAILED)
-    {
-      rgy_admission_set_cold (rgy_request_engine_get_admission (a->engine),
-                              RGY_COLD_PROBE, a->now_us);
-      rgy_actions_log (a->actions, "backend server: unhealthy");
-    }
-  rgy_admission_set_ceiling (rgy_request_engine_get_admission (a->engine),
-                             rgy_health_get_ceiling (a->health, a->now_us));
-  if (!rgy_health_probe_due (a->health, a->now_us, &id))
-    return;
-  ping[2] = (uint8_t)(id >> 8);
-  ping[3] = (uint8_t)id;
-  rgy_actions_deliver (a->actions, RGY_PROBE_FLOW_ID,
-                       (struct rgy_bytes){ .data = ping, .len = sizeof ping });
-}
-
 static void
 expire_flows_ (struct rgy_agent *a)
 {
@@ -793,7 +891,7 @@
   update_group_ (a);
   settle_tick_ (a);
   peer_state_tick_ (a);
-  probe_backend_ (a);
+  rgy_agent_probe_tick (a);
   rgy_request_engine_tick (a->engine, now_us, actions);
   expire_flows_ (a);
   rgy_agent_handover_tick (a);
@@ -803,6 +901,7 @@
     {
       a->next_heartbeat_us = now_us + RGY_HEARTBEAT_INTERVAL_US;
       send_heartbeats_ (a);
+      look_for_balancers_ (a);
     }
   *a->c.flows = rgy_flow_table_get_count (a->flows);
   *a->c.limit = rgy_admission_get_limit (admission);
@@ -818,7 +917,8 @@
   if (rgy_drain_get_stage (a->drain) != RGY_DRAIN_NONE)
     return;
   rgy_drain_start (a->drain, now_us);
-  set_state_ (a, RGY_MEMBER_DRAINING);
+  if (!a->settings.without_drain_announcement)
+    set_state_ (a, RGY_MEMBER_DRAINING);
   publish_record_ (a);
   update_group_ (a);
   peer_state_tick_ (a);
--- a/src/libragwortyoke/agent_packet.c
+++ b/src/libragwortyoke/agent_packet.c
@@ -2,21 +2,6 @@
 
 /* The path of one packet through an agent, in both directions.  */
 
-static bool
-find_any_service_ (const struct rgy_contract *c, struct rgy_endpoint address,
-                   enum rgy_protocol *protocol)
-{
-  size_t i;
-
-  for (i = 0; i < c->service_count; i++)
-    if (rgy_endpoint_equal (c->services[i].address, address))
-      {
-        *protocol = c->services[i].protocol;
-        return true;
-      }
-  return false;
-}
-
 struct protocol_search_
 {
   struct rgy_endpoint address;
@@ -27,19 +12,28 @@
 search_protocol_ (const struct rgy_contract *contract, void *ctx)
 {
   struct protocol_search_ *search = ctx;
+  size_t i;
 
-  find_any_service_ (contract, search->address, &search->protocol);
+  for (i = 0; i < contract->service_count; i++)
+    if (rgy_endpoint_equal (contract->services[i].address, search->address))
+      search->protocol = contract->services[i].protocol;
 }
 
-/* The protocol of the own service follows from the contracts.  */
+/* The protocol of the own service follows from the contracts.  It is asked
+   for with every packet, so it is searched only after a change.  */
 bool
-rgy_agent_serves_requests (const struct rgy_agent *a)
+rgy_agent_serves_requests (struct rgy_agent *a)
 {
   struct protocol_search_ search
       = { .address = a->settings.service, .protocol = RGY_PROTOCOL_UDP };
 
-  rgy_contract_set_foreach (a->bb->contracts, search_protocol_, &search);
-  return search.protocol == RGY_PROTOCOL_COAP;
+  if (a->protocol_changes != a->bb->changes[RGY_ENTRY_CONTRACT])
+    {
+      rgy_contract_set_foreach (a->bb->contracts, search_protocol_, &search);
+      a->protocol = search.protocol;
+      a->protocol_changes = a->bb->changes[RGY_ENTRY_CONTRACT];
+    }
+  return a->protocol == RGY_PROTOCOL_COAP;
 }
 
 void
@@ -119,6 +113,8 @@
   rgy_steering_decide_overflow (a->steering, bucket, &m->trail, &decision);
   if (decision.kind != RGY_STEER_FORWARD)
     return false;
+  /* The caller's next packet may be here before the peer's bitmap.  */
+  rgy_steering_note_passed (a->steering, bucket, &decision.next);
   forward_ (a, m, &decision);
   return true;
 }
@@ -134,7 +130,7 @@
 
 /* Acknowledgements, resets and responses cannot begin a flow.  */
 static bool
-may_begin_flow_ (const struct rgy_agent *a, struct rgy_bytes payload)
+may_begin_flow_ (struct rgy_agent *a, struct rgy_bytes payload)
 {
   struct rgy_coap_view view;
 
@@ -159,7 +155,7 @@
 }
 
 static bool
-is_overloaded_ (const struct rgy_agent *a)
+is_overloaded_ (struct rgy_agent *a)
 {
   const struct rgy_admission *admission
       = rgy_request_engine_get_admission (a->engine);
@@ -203,7 +199,8 @@
     }
   /* When all agents are overloaded, the last one that is asked queues the
      request.  */
-  if (is_overloaded_ (a) && pass_on_ (a, m, bucket))
+  if ((is_overloaded_ (a) || rgy_agent_is_above_bound (a))
+      && pass_on_ (a, m, bucket))
     return;
   usage = rgy_agent_get_usage (a, &contract->customer);
   if (!rgy_rate_limit_take (usage->new_flows, 1, a->now_us)
@@ -253,6 +250,22 @@
     }
 }
 
+/* A balancer may learn of an order before or after this agent does; the packet
+   goes to the agent that holds the flow or may open it.  */
+static void
+handle_out_ (struct rgy_agent *a, struct rgy_data_message *m, unsigned bucket)
+{
+  struct rgy_steer_decision decision;
+
+  rgy_steering_decide (a->steering, bucket, &m->trail, &decision);
+  if (decision.restart)
+    rgy_agent_send_peer_state (a);
+  if (decision.kind == RGY_STEER_FORWARD)
+    forward_ (a, m, &decision);
+  else
+    refuse_ (a, m, RGY_REFUSAL_FAILURE_DOMAIN_OUT, a->c.refused_out);
+}
+
 void
 rgy_agent_handle_data (struct rgy_agent *a, struct rgy_data_message *m)
 {
@@ -260,14 +273,15 @@
   struct rgy_flow *flow;
 
   ++*a->c.packets_in;
-  if (!rgy_endpoint_equal (m->service, a->settings.service))
+  if (!rgy_endpoint_equal (m->service, a->settings.service)
+      && !a->settings.without_service_check)
     {
       ++*a->c.drop_wrong_service;
       return;
     }
   if (a->out)
     {
-      refuse_ (a, m, RGY_REFUSAL_FAILURE_DOMAIN_OUT, a->c.refused_out);
+      handle_out_ (a, m, rgy_flow_key_bucket (&key));
       return;
     }
   if (m->view
@@ -298,41 +312,25 @@
   rgy_actions_send (a->actions, balancer, rgy_wire_encode (a->wire, &m));
 }
 
-static void
-note_health_ (struct rgy_agent *a, enum rgy_health_change change)
-{
-  struct rgy_admission *admission
-      = rgy_request_engine_get_admission (a->engine);
-
-  if (change == RGY_HEALTH_UNCHANGED)
-    return;
-  rgy_admission_set_cold (admission, RGY_COLD_PROBE, a->now_us);
-  rgy_actions_log (a->actions, "backend server: %s",
-                   change == RGY_HEALTH_FAILED ? "unhealthy" : "healthy");
-}
-
 void
 rgy_agent_from_backend (struct rgy_agent *a, uint64_t flow_id,
                         struct rgy_bytes datagram, int64_t now_us,
                         struct rgy_actions *actions)
 {
   struct rgy_flow *flow;
-  struct rgy_coap_view view;
 
   a->now_us = now_us;
   a->actions = actions;
   if (flow_id == RGY_PROBE_FLOW_ID)
     {
-      if (rgy_coap_parse (datagram, &view) == RGY_OK)
-        note_health_ (
-            a, rgy_health_note_answer (a->health, view.message_id, now_us));
+      rgy_agent_handle_probe_answer (a, datagram);
       return;
     }
   flow = rgy_flow_table_find_id (a->flows, flow_id);
   if (flow == NULL || a->out)
     return;
   rgy_flow_table_touch (a->flows, flow, now_us);
-  note_health_ (a, rgy_health_note_work (a->health, now_us));
+  rgy_agent_note_health (a, rgy_health_note_work (a->health, now_us));
   if (rgy_agent_serves_requests (a))
     rgy_request_engine_from_backend (a->engine, flow, datagram, now_us,
                                      actions);
@@ -349,7 +347,7 @@
 
   a->now_us = now_us;
   a->actions = actions;
-  note_health_ (a, rgy_health_note_refused (a->health, now_us));
+  rgy_agent_note_health (a, rgy_health_note_refused (a->health, now_us));
   rgy_admission_set_cold (rgy_request_engine_get_admission (a->engine),
                           RGY_COLD_REFUSED, now_us);
   flow = rgy_flow_table_find_id (a->flows, flow_id);
--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -91,7 +91,10 @@
   b->counters = counters;
   register_counters_ (b);
   b->bb = rgy_blackboard_new (counters);
+  b->bb->without_domain_orders = settings->without_domain_orders;
+  b->bb->without_version_check = settings->without_version_check;
   b->wire = rgy_wire_new (settings->key);
+  b->message = g_new0 (struct rgy_message, 1);
   b->random = g_rand_new_with_seed_array (
       (const guint32 *)&b->settings.random_seed,
       sizeof b->settings.random_seed / sizeof (guint32));
@@ -102,9 +105,15 @@
                                      limit_free_);
   b->agents_liveness = rgy_liveness_new (&rgy_liveness_defaults);
   b->balancers_liveness = rgy_liveness_new (&rgy_liveness_defaults);
+  b->monitored
+      = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free, NULL);
+  b->loads = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free,
+                                    g_free);
   b->lagging
       = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free, NULL);
   b->fresh = g_ptr_array_new_with_free_func (fresh_entry_free_);
+  b->announcements
+      = g_array_new (FALSE, FALSE, sizeof (struct rgy_announcement));
   b->stored_orders = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal,
                                             g_free, g_free);
   b->self = (struct rgy_balancer_record){ .id = settings->id,
@@ -124,15 +133,20 @@
 {
   if (b == NULL)
     return;
+  g_free (b->stored_rollup);
   g_hash_table_unref (b->stored_orders);
+  g_array_unref (b->announcements);
   g_ptr_array_unref (b->fresh);
   g_hash_table_unref (b->lagging);
+  g_hash_table_unref (b->loads);
+  g_hash_table_unref (b->monitored);
   rgy_liveness_delete (b->balancers_liveness);
   rgy_liveness_delete (b->agents_liveness);
   g_hash_table_unref (b->limits);
   g_hash_table_unref (b->tables);
   g_byte_array_unref (b->packet);
   g_rand_free (b->random);
+  g_free (b->message);
   rgy_wire_delete (b->wire);
   rgy_blackboard_delete (b->bb);
   g_free (b);
@@ -177,6 +191,39 @@
 
 /* Entries.  */
 
+/* Room left in a datagram after tag, names and digests.  */
+#define GOSSIP_ENTRY_BYTES (RGY_WIRE_DATAGRAM_BYTES - 200)
+/* Key and version of an entry in a datagram.  */
+#define ENTRY_OVERHEAD_BYTES 32
+#define ANNOUNCEMENT_BYTES (RGY_NAME_MAX_BYTES + ENTRY_OVERHEAD_BYTES)
+#define MAX_ANNOUNCEMENTS 4
+
+static void
+announce_if_large_ (struct rgy_balancer *b, const struct rgy_entry *entry)
+{
+  struct rgy_announcement a = { .entry = *entry };
+  guint i;
+
+  for (i = 0; i < b->announcements->len; i++)
+    {
+      const struct rgy_entry *old
+          = &g_array_index (b->announcements, struct rgy_announcement, i)
+                 .entry;
+
+      if (old->class == entry->class
+          && rgy_name_equal (&old->key, &entry->key))
+        {
+          g_array_remove_index (b->announcements, i);
+          break;
+        }
+    }
+  if (entry->key.len + entry->value.len + ENTRY_OVERHEAD_BYTES
+      <= GOSSIP_ENTRY_BYTES)
+    return;
+  a.entry.value = (struct rgy_bytes){ 0 };
+  g_array_append_val (b->announcements, a);
+}
+
 static void
 remember_fresh_ (struct rgy_balancer *b, const struct rgy_entry *entry)
 {
@@ -237,6 +284,20 @@
   b->record_changed = true;
 }
 
+static void
+follow_entry_ (struct rgy_balancer *b, const struct rgy_entry *entry,
+               struct rgy_actions *actions)
+{
+  refute_if_self_ (b, entry);
+  remember_fresh_ (b, entry);
+  log_change_ (b, entry, actions);
+  if (entry->class == RGY_ENTRY_CONTRACT || entry->class == RGY_ENTRY_DOMAIN)
+    {
+      ++*b->c.config_changes;
+      b->config_changed = true;
+    }
+}
+
 enum rgy_outcome
 rgy_balancer_apply_entry (struct rgy_balancer *b,
                           const struct rgy_entry *entry,
@@ -246,26 +307,54 @@
 
   if (rc != RGY_OK)
     return rc;
-  refute_if_self_ (b, entry);
-  remember_fresh_ (b, entry);
-  log_change_ (b, entry, actions);
-  if (entry->class == RGY_ENTRY_CONTRACT || entry->class == RGY_ENTRY_DOMAIN)
-    {
-      ++*b->c.config_changes;
-      b->record_changed = true;
-    }
+  follow_entry_ (b, entry, actions);
+  announce_if_large_ (b, entry);
   b->eager = true;
   return RGY_OK;
 }
 
-static void
+enum rgy_outcome
+rgy_balancer_apply_pulled_entry (struct rgy_balancer *b,
+                                 const struct rgy_entry *entry,
+                                 struct rgy_actions *actions)
+{
+  enum rgy_outcome rc = rgy_blackboard_apply_unqueued (b->bb, entry);
+
+  if (rc == RGY_OK)
+    follow_entry_ (b, entry, actions);
+  return rc;
+}
+
+static bool
+is_announcement_ (const struct rgy_entry *entry)
+{
+  return !entry->deleted && entry->value.len == 0;
+}
+
+static bool
+is_lacking_ (const struct rgy_balancer *b, const struct rgy_entry *entry)
+{
+  const struct rgy_entry *known
+      = rgy_replica_get (b->bb->replica, entry->class, &entry->key);
+
+  return known == NULL
+         || rgy_version_compare (known->version, entry->version) < 0;
+}
+
+/* @return true when an entry is announced that is lacking here.  */
+static bool
 apply_entries_ (struct rgy_balancer *b, const struct rgy_entries_message *m,
                 struct rgy_actions *actions)
 {
+  bool lacking = false;
   size_t i;
 
   for (i = 0; i < m->count; i++)
-    rgy_balancer_apply_entry (b, m->entries[i], actions);
+    if (is_announcement_ (m->entries[i]))
+      lacking |= is_lacking_ (b, m->entries[i]);
+    else
+      rgy_balancer_apply_entry (b, m->entries[i], actions);
+  return lacking;
 }
 
 enum rgy_outcome
@@ -281,7 +370,11 @@
                             number);
     }
   b->synced = true;
-  return rgy_balancer_apply_entry (b, entry, actions);
+  if (b->joined)
+    return rgy_balancer_apply_entry (b, entry, actions);
+  /* A balancer that starts reads everything; peers that lack an entry pull
+     it.  */
+  return rgy_balancer_apply_pulled_entry (b, entry, actions);
 }
 
 enum rgy_outcome
@@ -309,6 +402,10 @@
 
 /* Gossip.  */
 
+/* Sends of one update by each balancer.  Each balancer sends and receives two
+   datagrams a round, so that log2 (n) + 2 sends miss a balancer with a
+   probability of exp (-10); a synchronisation repairs that.  Three times
+   log2 (n), which needs no repair, took nearly three times the bytes.  */
 static unsigned
 transmissions_ (size_t members)
 {
@@ -319,7 +416,7 @@
       bits++;
       members /= 2;
     }
-  return 3 * bits;
+  return MAX (bits + 2, RGY_MIN_TRANSMISSIONS);
 }
 
 static void
@@ -332,8 +429,31 @@
         = rgy_replica_get_digest (b->bb->replica, (enum rgy_entry_class)c);
 }
 
-/* Room left in a datagram after tag, names and digests.  */
-#define GOSSIP_ENTRY_BYTES (RGY_WIRE_DATAGRAM_BYTES - 200)
+/* Puts the announcements that are due in front of the updates.  */
+static size_t
+take_announcements_ (struct rgy_balancer *b, unsigned transmissions,
+                     struct rgy_announcement *taken,
+                     const struct rgy_entry **entries)
+{
+  size_t count = 0;
+  guint i = 0;
+
+  while (i < b->announcements->len && count < MAX_ANNOUNCEMENTS)
+    {
+      struct rgy_announcement *a
+          = &g_array_index (b->announcements, struct rgy_announcement, i);
+
+      a->sends++;
+      taken[count] = *a;
+      entries[count] = &taken[count].entry;
+      count++;
+      if (a->sends < transmissions)
+        i++;
+      else
+        g_array_remove_index (b->announcements, i);
+    }
+  return count;
+}
 
 static void
 send_gossip_ (struct rgy_balancer *b, struct rgy_endpoint to,
@@ -341,15 +461,23 @@
 {
   struct rgy_message *m = g_new0 (struct rgy_message, 1);
   size_t members = rgy_replica_get_count (b->bb->replica, RGY_ENTRY_BALANCER);
+  struct rgy_announcement taken[MAX_ANNOUNCEMENTS];
+  size_t announced;
 
   m->kind = kind;
   m->u.gossip.from = b->settings.id;
   m->u.gossip.sync = b->settings.sync;
   get_digests_ (b, &m->u.gossip.digests);
   m->u.gossip.entries.from = b->settings.id;
-  m->u.gossip.entries.count = rgy_replica_take_updates (
-      b->bb->replica, transmissions_ (members), GOSSIP_ENTRY_BYTES,
-      m->u.gossip.entries.entries, RGY_WIRE_MAX_ENTRIES);
+  announced = take_announcements_ (b, transmissions_ (members), taken,
+                                   m->u.gossip.entries.entries);
+  m->u.gossip.entries.count
+      = announced
+        + rgy_replica_take_updates (b->bb->replica, transmissions_ (members),
+                                    GOSSIP_ENTRY_BYTES
+                                        - announced * ANNOUNCEMENT_BYTES,
+                                    m->u.gossip.entries.entries + announced,
+                                    RGY_WIRE_MAX_ENTRIES - announced);
   rgy_balancer_send_message (b, to, m, actions);
   g_free (m);
 }
@@ -383,11 +511,71 @@
   g_free (names);
 }
 
+static bool
+is_live_endpoint_ (const struct rgy_balancer *b, struct rgy_endpoint endpoint)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->bb->balancers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_balancer_record *r = value;
+
+      if (is_member_of_cluster_ (r)
+          && rgy_endpoint_equal (r->endpoint, endpoint))
+        return true;
+    }
+  return false;
+}
+
+/* After a start at the same time, or a partition, there may be groups of
+   balancers that know only of each other, or hold the others for dead.  Now
+   and then one seed or dead balancer gets a message, so that such groups
+   join.  Costs nothing when all are live.  */
+static void
+rejoin_tick_ (struct rgy_balancer *b, int64_t now_us,
+              struct rgy_actions *actions)
+{
+  GArray *candidates;
+  GHashTableIter iter;
+  gpointer value;
+  size_t i;
+
+  if (now_us < b->next_rejoin_us)
+    return;
+  b->next_rejoin_us = now_us + RGY_REJOIN_INTERVAL_US;
+  candidates = g_array_new (FALSE, FALSE, sizeof (struct rgy_endpoint));
+  for (i = 0; i < b->settings.seed_count; i++)
+    if (!rgy_endpoint_equal (b->settings.seeds[i], b->settings.endpoint)
+        && !is_live_endpoint_ (b, b->settings.seeds[i]))
+      g_array_append_val (candidates, b->settings.seeds[i]);
+  g_hash_table_iter_init (&iter, b->bb->balancers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct rgy_balancer_record *r = value;
+
+      if (r->state == RGY_MEMBER_DEAD
+          && !rgy_name_equal (&r->id, &b->settings.id))
+        g_array_append_val (candidates, r->endpoint);
+    }
+  if (candidates->len > 0)
+    send_gossip_ (b,
+                  g_array_index (candidates, struct rgy_endpoint,
+                                 g_rand_int_range (b->random, 0,
+                                                   (gint32)candidates->len)),
+                  RGY_MSG_GOSSIP, actions);
+  g_array_unref (candidates);
+}
+
 /* Digests of two balancers differ for a moment after every change; only a
-   difference that lasts starts a synchronisation.  */
+   difference that lasts starts a synchronisation.  It starts at once with a
+   balancer that has announced an entry lacking here, and with one that is
+   unknown or dead here: the next message comes from a peer of the own group,
+   whose digests agree.  */
 static void
 compare_digests_ (struct rgy_balancer *b, const struct rgy_gossip_message *m,
-                  int64_t now_us, struct rgy_actions *actions)
+                  bool at_once, int64_t now_us, struct rgy_actions *actions)
 {
   struct rgy_digests own;
 
@@ -396,12 +584,13 @@
     {
       b->digest_differs_since_us = 0;
       b->synced = true;
+      b->joined = true;
       return;
     }
   if (b->digest_differs_since_us == 0)
     b->digest_differs_since_us = now_us;
   if (now_us < b->next_sync_us
-      || (b->synced
+      || (b->synced && !at_once
           && now_us - b->digest_differs_since_us < RGY_DIGEST_GRACE_US))
     return;
   b->next_sync_us = now_us + RGY_SYNC_INTERVAL_US;
@@ -414,11 +603,15 @@
                 struct rgy_actions *actions)
 {
   const struct rgy_gossip_message *m = &message->u.gossip;
+  const struct rgy_balancer_record *sender
+      = rgy_blackboard_get_balancer (b->bb, &m->from);
+  bool is_stranger = sender == NULL || !is_member_of_cluster_ (sender);
+  bool lacking;
 
   if (rgy_liveness_is_watched (b->balancers_liveness, &m->from))
     rgy_liveness_heard (b->balancers_liveness, &m->from, now_us);
-  apply_entries_ (b, &m->entries, actions);
-  compare_digests_ (b, m, now_us, actions);
+  lacking = apply_entries_ (b, &m->entries, actions);
+  compare_digests_ (b, m, is_stranger || lacking, now_us, actions);
   if (message->kind == RGY_MSG_GOSSIP)
     send_gossip_ (b, from, RGY_MSG_GOSSIP_ACK, actions);
 }
@@ -427,20 +620,28 @@
 
 static void
 handle_probe_ (struct rgy_balancer *b, struct rgy_endpoint from,
-               const struct rgy_probe_message *probe,
+               const struct rgy_probe_message *probe, int64_t now_us,
                struct rgy_actions *actions)
 {
   struct rgy_message m = { .kind = RGY_MSG_PROBE_ACK };
 
+  if (probe->subject.len > 0
+      && !rgy_liveness_is_reached (b->agents_liveness, &probe->subject,
+                                   now_us - RGY_VOUCH_US))
+    return;
   m.u.probe = (struct rgy_probe_message){ .from = b->settings.id,
-                                          .nonce = probe->nonce };
+                                          .nonce = probe->nonce,
+                                          .subject = probe->subject };
   rgy_balancer_send_message (b, from, &m, actions);
 }
 
 static void
-handle_probe_ack_ (struct rgy_balancer *b, const struct rgy_name *from,
+handle_probe_ack_ (struct rgy_balancer *b, const struct rgy_probe_message *ack,
                    int64_t now_us)
 {
+  const struct rgy_name *from = &ack->from;
+
+  rgy_liveness_vouch (b->agents_liveness, &ack->subject, now_us);
   if (rgy_liveness_is_watched (b->agents_liveness, from))
     rgy_liveness_heard (b->agents_liveness, from, now_us);
   if (rgy_liveness_is_watched (b->balancers_liveness, from))
@@ -469,10 +670,10 @@
       apply_entries_ (b, &m->u.entries, actions);
       break;
     case RGY_MSG_PROBE:
-      handle_probe_ (b, from, &m->u.probe, actions);
+      handle_probe_ (b, from, &m->u.probe, now_us, actions);
       break;
     case RGY_MSG_PROBE_ACK:
-      handle_probe_ack_ (b, &m->u.probe.from, now_us);
+      handle_probe_ack_ (b, &m->u.probe, now_us);
       break;
     case RGY_MSG_DATA:
     case RGY_MSG_HEARTBEAT_ACK:
@@ -493,7 +694,7 @@
                             struct rgy_bytes datagram, int64_t now_us,
                             struct rgy_actions *actions)
 {
-  struct rgy_message *m = g_new (struct rgy_message, 1);
+  struct rgy_message *m = b->message;
   enum rgy_outcome rc = rgy_wire_decode (b->wire, datagram, m);
 
   if (rc == RGY_OK)
@@ -507,7 +708,6 @@
     }
   else
     ++*(rc == RGY_ERR_AUTH ? b->c.bad_tag : b->c.bad_message);
-  g_free (m);
 }
 
 /* Own record.  */
@@ -600,95 +800,123 @@
     b->self.lagging[n] = (struct rgy_name){ 0 };
 }
 
+/* The new digest is published together with the agents that lack the change,
+   or a moment later without any: one publication for each change instead of
+   three, and none that says too early that all agents have it.  */
 static void
-publish_record_ (struct rgy_balancer *b, int64_t now_us)
+follow_config_ (struct rgy_balancer *b, int64_t now_us)
 {
-  if (now_us >= b->next_demand_us && g_hash_table_size (b->limits) > 0)
+  guint lagging;
+
+  if (b->config_changed)
     {
-      b->next_demand_us = now_us + RGY_DEMAND_INTERVAL_US;
-      collect_demand_ (b, now_us);
-      note_demand_of_others_ (b, now_us);
-      b->record_changed = true;
+      b->config_changed = false;
+      b->confirm_until_us = now_us + RGY_CONFIRM_WAIT_US;
+      rgy_balancer_suspect_lag (b);
     }
-  if (!b->record_changed)
+  lagging = g_hash_table_size (b->lagging);
+  if (b->confirm_until_us == 0
+      || (now_us < b->confirm_until_us && lagging > 0))
     return;
-  b->record_changed = false;
-  b->self.sequence = (b->self.sequence | 1) + 1;
-  b->self.config_digest = rgy_blackboard_get_config_digest (b->bb);
-  collect_lagging_ (b);
-  rgy_blackboard_apply_balancer (b->bb, &b->self);
-  b->eager = true;
+  b->confirm_until_us = 0;
+  if (lagging > 0 || lagging != b->self.lagging_count
+      || b->self.config_digest != rgy_blackboard_get_config_digest (b->bb))
+    b->record_changed = true;
 }
 
-/* Store.  */
-
-bool
-rgy_balancer_is_reader (const struct rgy_balancer *b)
+static const struct rgy_demand *
+find_reported_ (const struct rgy_balancer *b, const struct rgy_name *customer)
 {
-  size_t max = g_hash_table_size (b->bb->balancers);
-  struct rgy_name *names = g_new (struct rgy_name, max + 1);
-  size_t chosen[RGY_READER_COUNT];
-  size_t n = rgy_balancer_list_others (b, names, max);
-  size_t kept = 0;
-  size_t count;
   size_t i;
-  bool reader = false;
-
-  for (i = 0; i < n; i++)
-    if (rgy_name_equal (
-            &rgy_blackboard_get_balancer (b->bb, &names[i])->domain,
-            &b->settings.domain))
-      names[kept++] = names[i];
-  names[kept++] = b->settings.id;
-  count = rgy_member_choose (&b->settings.domain, names, kept,
-                             RGY_READER_COUNT, chosen);
-  for (i = 0; i < count; i++)
-    reader |= rgy_name_equal (&names[chosen[i]], &b->settings.id);
-  g_free (names);
-  return reader;
+
+  for (i = 0; i < b->self.demand_count; i++)
+    if (rgy_name_equal (&b->self.demand[i].customer, customer))
+      return &b->self.demand[i];
+  return NULL;
+}
+
+enum report_need_
+{
+  REPORT_STANDS, /* The last report is near enough.  */
+  REPORT_DUE,    /* Demand has changed by a factor of 2.  */
+  REPORT_NOW     /* A customer is not in the report: the others would take its
+                    demand here for 0.  */
+};
+
+static enum report_need_
+check_report_ (struct rgy_balancer *b, int64_t now_us)
+{
+  enum report_need_ need = REPORT_STANDS;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, b->limits);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const struct rgy_demand *old = find_reported_ (b, key);
+      uint64_t now_per_s = rgy_rate_limit_peek_demand (value, now_us);
+
+      if (old == NULL)
+        {
+          if (b->self.demand_count < RGY_DEMAND_MAX)
+            return REPORT_NOW;
+        }
+      else if (MAX (now_per_s, old->bytes_per_s) >= RGY_DEMAND_MIN_BYTES
+               && (now_per_s > 2 * old->bytes_per_s
+                   || old->bytes_per_s > 2 * now_per_s))
+        need = REPORT_DUE;
+    }
+  return need;
+}
+
+/* Each report is sent to the whole fleet, so that the bytes grow with its
+   square unless the reports get rarer.  */
+static int64_t
+report_interval_us_ (const struct rgy_balancer *b)
+{
+  int64_t members = g_hash_table_size (b->bb->balancers);
+
+  return MAX (RGY_DEMAND_INTERVAL_US, members * RGY_DEMAND_SPREAD_US);
 }
 
-/* Writes domain orders that reached the balancers directly, during a store
-   outage, into the store.  */
 static void
-store_order_ (const struct rgy_domain_order *order, void *ctx)
-{
-  struct
-  {
-    struct rgy_balancer *b;
-    struct rgy_actions *actions;
-  } *c = ctx;
-  const uint64_t *stored
-      = g_hash_table_lookup (c->b->stored_orders, &order->domain);
-  char *json;
-  char *key;
-
-  if (stored != NULL && *stored >= order->number)
+follow_demand_ (struct rgy_balancer *b, int64_t now_us)
+{
+  enum report_need_ need;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now_us < b->next_demand_us || g_hash_table_size (b->limits) == 0)
     return;
-  json = rgy_domain_order_format (order);
-  key = g_strdup_printf ("domains/%s", order->domain.data);
-  rgy_actions_store (c->actions, rgy_str_from_c (key),
-                     (struct rgy_bytes){ .data = (const uint8_t *)json,
-                                         .len = strlen (json) });
-  g_free (key);
-  g_free (json);
+  b->next_demand_us = now_us + RGY_DEMAND_INTERVAL_US;
+  need = check_report_ (b, now_us);
+  if (need == REPORT_NOW
+      || (need == REPORT_DUE && now_us >= b->next_report_us))
+    {
+      b->next_report_us = now_us + report_interval_us_ (b);
+      collect_demand_ (b, now_us);
+      b->record_changed = true;
+    }
+  g_hash_table_iter_init (&iter, b->limits);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    rgy_rate_limit_keep_demand (value, now_us);
+  note_demand_of_others_ (b, now_us);
 }
 
 static void
-reconcile_store_ (struct rgy_balancer *b, int64_t now_us,
-                  struct rgy_actions *actions)
+publish_record_ (struct rgy_balancer *b, int64_t now_us)
 {
-  struct
-  {
-    struct rgy_balancer *b;
-    struct rgy_actions *actions;
-  } ctx = { .b = b, .actions = actions };
-
-  if (now_us < b->next_store_us)
+  follow_config_ (b, now_us);
+  follow_demand_ (b, now_us);
+  if (!b->record_changed)
     return;
-  b->next_store_us = now_us + RGY_STORE_INTERVAL_US;
-  if (rgy_balancer_is_reader (b))
-    rgy_domain_set_foreach (b->bb->domains, store_order_, &ctx);
+  b->record_changed = false;
+  b->self.sequence = (b->self.sequence | 1) + 1;
+  b->self.config_digest = rgy_blackboard_get_config_digest (b->bb);
+  collect_lagging_ (b);
+  rgy_blackboard_apply_balancer (b->bb, &b->self);
+  b->eager = true;
 }
 
 /* Time.  */
@@ -707,15 +935,31 @@
   rgy_actions_exit (actions);
 }
 
+/* Packets that come before the agents are known would be refused.  Agents are
+   known when a peer holds the same entries, or when each had the time to send
+   two heartbeats.  */
+static void
+warm_up_tick_ (struct rgy_balancer *b, int64_t now_us)
+{
+  if (b->knows_agents)
+    return;
+  if (b->started_us == 0)
+    b->started_us = now_us;
+  b->knows_agents = (b->joined && g_hash_table_size (b->bb->agents) > 0)
+                    || now_us - b->started_us >= RGY_WARM_UP_US;
+}
+
 void
 rgy_balancer_tick (struct rgy_balancer *b, int64_t now_us,
                    struct rgy_actions *actions)
 {
+  warm_up_tick_ (b, now_us);
   rgy_balancer_monitor_tick (b, now_us, actions);
   publish_record_ (b, now_us);
   rgy_balancer_push_fresh (b, actions);
   gossip_tick_ (b, now_us, actions);
-  reconcile_store_ (b, now_us, actions);
+  rejoin_tick_ (b, now_us, actions);
+  rgy_balancer_store_tick (b, now_us, actions);
   drain_tick_ (b, now_us, actions);
   *b->c.agents = g_hash_table_size (b->bb->agents);
   *b->c.balancers = g_hash_table_size (b->bb->balancers);
@@ -738,8 +982,8 @@
 bool
 rgy_balancer_is_ready (const struct rgy_balancer *b)
 {
-  return b->self.state == RGY_MEMBER_READY && b->synced && !b->cut
-         && rgy_contract_set_get_count (b->bb->contracts) > 0
+  return b->self.state == RGY_MEMBER_READY && b->synced && b->knows_agents
+         && !b->cut && rgy_contract_set_get_count (b->bb->contracts) > 0
          && !rgy_domain_set_is_out (b->bb->domains, &b->settings.domain);
 }
 
--- a/src/libragwortyoke/balancer_monitor.c
+++ b/src/libragwortyoke/balancer_monitor.c
@@ -1,5 +1,7 @@
 #include "private/balancer_private.h"
 
+#include <string.h>
+
 /* Liveness of the members that this balancer monitors, and the delivery of
    changes to the agents among them.  */
 
@@ -15,17 +17,42 @@
                    cut ? "on" : "off");
 }
 
+/* @param subject agent that the receiver is asked about, or NULL.  */
 static void
-send_probe_ (struct rgy_balancer *b, struct rgy_endpoint to, int64_t now_us,
+send_probe_ (struct rgy_balancer *b, struct rgy_endpoint to,
+             const struct rgy_name *subject, int64_t now_us,
              struct rgy_actions *actions)
 {
   struct rgy_message m = { .kind = RGY_MSG_PROBE };
 
   m.u.probe = (struct rgy_probe_message){ .from = b->settings.id,
                                           .nonce = (uint64_t)now_us };
+  if (subject != NULL)
+    m.u.probe.subject = *subject;
   rgy_balancer_send_message (b, to, &m, actions);
 }
 
+/* Asks the agent, and its other monitors whether they are in contact with it:
+   one silent connection does not make it dead.  */
+static void
+probe_agent_ (struct rgy_balancer *b, const struct rgy_agent_record *agent,
+              int64_t now_us, struct rgy_actions *actions)
+{
+  size_t max = g_hash_table_size (b->bb->balancers);
+  struct rgy_name *names = g_new (struct rgy_name, max + 1);
+  size_t chosen[RGY_MONITOR_COUNT];
+  size_t n = rgy_balancer_list_others (b, names, max);
+  size_t i;
+
+  send_probe_ (b, agent->endpoint, NULL, now_us, actions);
+  n = rgy_member_choose (&agent->id, names, n, RGY_MONITOR_COUNT, chosen);
+  for (i = 0; i < n; i++)
+    send_probe_ (
+        b, rgy_blackboard_get_balancer (b->bb, &names[chosen[i]])->endpoint,
+        &agent->id, now_us, actions);
+  g_free (names);
+}
+
 /* A declaration of death takes the next odd sequence number, so that the
    member can refute it with the next even one.  */
 static void
@@ -88,10 +115,11 @@
       case RGY_LIVENESS_PROBE:
         r = rgy_blackboard_get_agent (b->bb, &event.id);
         if (r != NULL)
-          send_probe_ (b, r->endpoint, now_us, actions);
+          probe_agent_ (b, r, now_us, actions);
         break;
       case RGY_LIVENESS_DEAD:
         declare_agent_dead_ (b, &event.id, actions);
+        g_hash_table_remove (b->loads, &event.id);
         if (g_hash_table_remove (b->lagging, &event.id))
           b->record_changed = true;
         break;
@@ -115,7 +143,7 @@
       case RGY_LIVENESS_PROBE:
         r = rgy_blackboard_get_balancer (b->bb, &event.id);
         if (r != NULL)
-          send_probe_ (b, r->endpoint, now_us, actions);
+          send_probe_ (b, r->endpoint, NULL, now_us, actions);
         break;
       case RGY_LIVENESS_DEAD:
         declare_balancer_dead_ (b, &event.id, actions);
@@ -128,7 +156,7 @@
 }
 
 /* True when this balancer is one of the monitors of SUBJECT among the
-   members NAMES, which end with this balancer.  */
+   members NAMES.  */
 static bool
 is_monitor_ (const struct rgy_balancer *b, const struct rgy_name *subject,
              const struct rgy_name *names, size_t count)
@@ -144,6 +172,23 @@
   return false;
 }
 
+/* The choice among 460 balancers for each of 3,400 agents takes tens of
+   milliseconds, so it is kept until the set of balancers changes.  */
+static bool
+is_agent_monitor_ (struct rgy_balancer *b, const struct rgy_name *agent,
+                   const struct rgy_name *names, size_t count)
+{
+  gpointer known;
+  bool monitored;
+
+  if (g_hash_table_lookup_extended (b->monitored, agent, NULL, &known))
+    return GPOINTER_TO_INT (known) != 0;
+  monitored = is_monitor_ (b, agent, names, count);
+  g_hash_table_insert (b->monitored, g_memdup2 (agent, sizeof *agent),
+                       GINT_TO_POINTER (monitored));
+  return monitored;
+}
+
 static void
 watch_agents_ (struct rgy_balancer *b, const struct rgy_name *names,
                size_t count, int64_t now_us)
@@ -156,7 +201,7 @@
     {
       const struct rgy_agent_record *r = value;
       bool wanted = r->state != RGY_MEMBER_LEFT && r->state != RGY_MEMBER_DEAD
-                    && is_monitor_ (b, &r->id, names, count);
+                    && is_agent_monitor_ (b, &r->id, names, count);
       bool watched = rgy_liveness_is_watched (b->agents_liveness, &r->id);
 
       if (wanted && !watched)
@@ -164,6 +209,7 @@
       else if (!wanted && watched)
         {
           rgy_liveness_remove (b->agents_liveness, &r->id);
+          g_hash_table_remove (b->loads, &r->id);
           if (g_hash_table_remove (b->lagging, &r->id))
             b->record_changed = true;
         }
@@ -206,15 +252,30 @@
     }
 }
 
+static uint64_t
+hash_names_ (const struct rgy_name *names, size_t count)
+{
+  uint64_t hash = count;
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    hash ^= rgy_name_hash (&names[i], 0);
+  return hash;
+}
+
 static void
 update_watches_ (struct rgy_balancer *b, int64_t now_us)
 {
+  bool agents_changed
+      = b->monitored_agent_changes != b->bb->changes[RGY_ENTRY_AGENT];
+  bool balancers_changed
+      = b->monitored_balancer_changes != b->bb->changes[RGY_ENTRY_BALANCER];
   size_t max;
   struct rgy_name *names;
+  uint64_t set;
   size_t n;
 
-  if (b->monitored_agent_changes == b->bb->changes[RGY_ENTRY_AGENT]
-      && b->monitored_balancer_changes == b->bb->changes[RGY_ENTRY_BALANCER])
+  if (!agents_changed && !balancers_changed)
     return;
   b->monitored_agent_changes = b->bb->changes[RGY_ENTRY_AGENT];
   b->monitored_balancer_changes = b->bb->changes[RGY_ENTRY_BALANCER];
@@ -222,8 +283,18 @@
   names = g_new (struct rgy_name, max + 1);
   n = rgy_balancer_list_others (b, names, max);
   names[n++] = b->settings.id;
-  watch_agents_ (b, names, n, now_us);
-  watch_balancers_ (b, names, n, now_us);
+  set = hash_names_ (names, n);
+  /* Most changes of balancers' records leave the set as it is.  */
+  if (set != b->monitored_set)
+    {
+      b->monitored_set = set;
+      g_hash_table_remove_all (b->monitored);
+      watch_balancers_ (b, names, n, now_us);
+      b->reader = rgy_balancer_choose_reader (b, names, n);
+      agents_changed = true;
+    }
+  if (agents_changed)
+    watch_agents_ (b, names, n, now_us);
   g_free (names);
 }
 
@@ -245,7 +316,7 @@
       const struct rgy_balancer_record *r = value;
 
       if (rgy_liveness_is_watched (b->balancers_liveness, &r->id))
-        send_probe_ (b, r->endpoint, now_us, actions);
+        send_probe_ (b, r->endpoint, NULL, now_us, actions);
     }
 }
 
@@ -261,36 +332,95 @@
 
 /* Heartbeats of agents.  */
 
+/* Usable balancers; @return their number.  */
 static size_t
-fill_sample_ (struct rgy_balancer *b, struct rgy_balancer_record *sample)
+list_usable_ (const struct rgy_balancer *b,
+              const struct rgy_balancer_record **usable)
 {
-  size_t max = g_hash_table_size (b->bb->balancers);
-  const struct rgy_balancer_record **usable
-      = g_new (const struct rgy_balancer_record *, max + 1);
   GHashTableIter iter;
   gpointer value;
   size_t n = 0;
-  size_t count = 0;
-  size_t pick;
 
   g_hash_table_iter_init (&iter, b->bb->balancers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (rgy_blackboard_balancer_is_usable (b->bb, value))
       usable[n++] = value;
-  while (n > 0 && count < RGY_WIRE_MAX_SAMPLE)
+  return n;
+}
+
+/* Moves the monitors of AGENT to the front.  @return their number.  */
+static size_t
+put_monitors_first_ (const struct rgy_name *agent,
+                     const struct rgy_balancer_record **usable, size_t n)
+{
+  struct rgy_name *names = g_new (struct rgy_name, n + 1);
+  const struct rgy_balancer_record *monitors[RGY_MONITOR_COUNT];
+  size_t chosen[RGY_MONITOR_COUNT];
+  size_t count;
+  size_t i;
+  size_t k;
+
+  for (i = 0; i < n; i++)
+    names[i] = usable[i]->id;
+  count = rgy_member_choose (agent, names, n, RGY_MONITOR_COUNT, chosen);
+  for (i = 0; i < count; i++)
+    monitors[i] = usable[chosen[i]];
+  for (i = 0; i < count; i++)
+    for (k = i; k < n; k++)
+      if (usable[k] == monitors[i])
+        {
+          usable[k] = usable[i];
+          usable[i] = monitors[i];
+        }
+  g_free (names);
+  return count;
+}
+
+/* An agent that sends its heartbeats to the right balancers needs a sample
+   only now and then, to know others when these die.  A sample in every
+   acknowledgement was 14 kB/s of the control traffic of a balancer.  */
+static bool
+needs_sample_ (struct rgy_balancer *b, const struct rgy_agent_record *agent)
+{
+  return g_hash_table_size (b->bb->balancers) <= RGY_WIRE_MAX_SAMPLE
+         || agent->state == RGY_MEMBER_STARTING
+         || !rgy_liveness_is_watched (b->agents_liveness, &agent->id)
+         || g_rand_int_range (b->random, 0, RGY_SAMPLE_PERIOD) == 0;
+}
+
+/* The sample holds the monitors of the agent and others at random.  */
+static size_t
+fill_sample_ (struct rgy_balancer *b, const struct rgy_agent_record *agent,
+              struct rgy_balancer_record *sample)
+{
+  const struct rgy_balancer_record **usable;
+  size_t monitors;
+  size_t count;
+  size_t pick;
+  size_t n;
+
+  if (!needs_sample_ (b, agent))
+    return 0;
+  usable = g_new (const struct rgy_balancer_record *,
+                  g_hash_table_size (b->bb->balancers) + 1);
+  n = list_usable_ (b, usable);
+  monitors = put_monitors_first_ (&agent->id, usable, n);
+  for (count = 0; count < MIN (n, RGY_WIRE_MAX_SAMPLE); count++)
     {
-      pick = (size_t)g_rand_int_range (b->random, 0, (gint32)n);
+      pick = count < monitors ? count
+                              : (size_t)g_rand_int_range (
+                                  b->random, (gint32)count, (gint32)n);
       sample[count] = *usable[pick];
       sample[count].demand_count = 0;
-      count++;
-      usable[pick] = usable[--n];
+      usable[pick] = usable[count];
     }
   g_free (usable);
   return count;
 }
 
 static void
-note_digests_ (struct rgy_balancer *b, const struct rgy_heartbeat_message *m)
+note_digests_ (struct rgy_balancer *b, const struct rgy_heartbeat_message *m,
+               int64_t now_us)
 {
   const struct rgy_name *id = &m->record.id;
   bool lags
@@ -305,7 +435,21 @@
     g_hash_table_add (b->lagging, g_memdup2 (id, sizeof *id));
   else
     g_hash_table_remove (b->lagging, id);
-  b->record_changed = true;
+  /* An agent may also be ahead: the change has reached it first.  */
+  if (b->confirm_until_us == 0)
+    b->confirm_until_us = now_us + RGY_CONFIRM_WAIT_US;
+}
+
+void
+rgy_balancer_suspect_lag (struct rgy_balancer *b)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, b->bb->agents);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (rgy_liveness_is_watched (b->agents_liveness, key))
+      g_hash_table_add (b->lagging, g_memdup2 (key, sizeof (struct rgy_name)));
 }
 
 static void
@@ -324,6 +468,18 @@
   g_byte_array_unref (bytes);
 }
 
+static void
+note_load_ (struct rgy_balancer *b, const struct rgy_heartbeat_message *m)
+{
+  struct rgy_agent_load load
+      = { .flows = m->flows, .running = m->running, .limit = m->limit };
+
+  memcpy (load.refused, m->refused, sizeof load.refused);
+  g_hash_table_replace (b->loads,
+                        g_memdup2 (&m->record.id, sizeof m->record.id),
+                        g_memdup2 (&load, sizeof load));
+}
+
 void
 rgy_balancer_handle_heartbeat (struct rgy_balancer *b,
                                struct rgy_endpoint from,
@@ -337,7 +493,8 @@
   if (rgy_liveness_is_watched (b->agents_liveness, &m->record.id))
     {
       rgy_liveness_heard (b->agents_liveness, &m->record.id, now_us);
-      note_digests_ (b, m);
+      note_digests_ (b, m, now_us);
+      note_load_ (b, m);
     }
   known = rgy_blackboard_get_agent (b->bb, &m->record.id);
   ack->kind = RGY_MSG_HEARTBEAT_ACK;
@@ -355,7 +512,7 @@
     .agent_sequence = known == NULL ? 0 : known->sequence,
   };
   ack->u.heartbeat_ack.sample_count
-      = fill_sample_ (b, ack->u.heartbeat_ack.sample);
+      = fill_sample_ (b, &m->record, ack->u.heartbeat_ack.sample);
   rgy_balancer_send_message (b, from, ack, actions);
   g_free (ack);
 }
--- a/src/libragwortyoke/balancer_sync.c
+++ b/src/libragwortyoke/balancer_sync.c
@@ -10,6 +10,7 @@
   struct rgy_bytes bytes;
   size_t c;
 
+  b->initial_pull = !b->joined;
   m->kind = RGY_MSG_SYNC_REQUEST;
   m->u.sync_request.from = b->settings.id;
   for (c = 0; c < RGY_ENTRY_CLASS_COUNT; c++)
@@ -121,8 +122,13 @@
   if (rc == RGY_OK)
     {
       for (i = 0; i < m->u.entries.count; i++)
-        rgy_balancer_apply_entry (b, m->u.entries.entries[i], actions);
+        if (b->initial_pull)
+          rgy_balancer_apply_pulled_entry (b, m->u.entries.entries[i],
+                                           actions);
+        else
+          rgy_balancer_apply_entry (b, m->u.entries.entries[i], actions);
       b->synced = true;
+      b->joined = true;
     }
   g_free (m);
   return rc;
--- a/src/libragwortyoke/include/private/agent_private.h
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -13,6 +13,7 @@
 #include "ragwortyoke/handover.h"
 #include "ragwortyoke/health.h"
 #include "ragwortyoke/limit.h"
+#include "ragwortyoke/rollup.h"
 #include "ragwortyoke/steering.h"
 
 #define RGY_HEARTBEAT_INTERVAL_US INT64_C (1000000)
@@ -25,10 +26,22 @@
 #define RGY_BALANCER_FORGET_US INT64_C (60000000)
 /** Wait for the acknowledgements of peers after a change of the group.  */
 #define RGY_SETTLE_TIMEOUT_US INT64_C (1000000)
+/** Flows that were passed on are remembered for one to two of these, so that
+    the peer has sent its state at least twice.  */
+#define RGY_PASSED_AGE_US INT64_C (1000000)
+/** While peers have not acknowledged a change, their acknowledgement is asked
+    for this often: lost datagrams must not use up RGY_SETTLE_TIMEOUT_US.  */
+#define RGY_SETTLE_RETRY_US INT64_C (100000)
 #define RGY_SYNC_RETRY_US INT64_C (1000000)
 #define RGY_HEARTBEAT_TARGETS 3
+/** An agent that no balancer acknowledges for this long looks for others in
+    the store.  */
+#define RGY_LOST_BALANCERS_US INT64_C (5000000)
+/** Between such reads, plus up to as much as jitter: the whole fleet may look
+    at once.  */
+#define RGY_STORE_READ_INTERVAL_US INT64_C (30000000)
 #define RGY_MAX_TRANSFERS 200
-/** Observations moved to the owner of their bucket a second.  */
+/** Observations that a ready agent hands over a second.  */
 #define RGY_REBALANCE_PER_SECOND 20
 /** A peer that refused a flow is not asked again for this long.  */
 #define RGY_REBALANCE_PAUSE_US INT64_C (5000000)
@@ -59,6 +72,7 @@
 {
   uint64_t epoch;
   bool can_accept;
+  size_t flows; /**< Reported, plus those on their way to it.  */
   int64_t refused_until_us;
 };
 
@@ -72,6 +86,7 @@
   uint64_t *flows_moved_out;
   uint64_t *flows_given_up;
   uint64_t *flows_expired;
+  uint64_t *flows_revoked;
   uint64_t *answers;
   uint64_t *answers_without_balancer;
   uint64_t *drop_wrong_service;
@@ -123,15 +138,25 @@
   struct rgy_actions *actions;
   int64_t now_us;
 
+  struct rgy_message *message; /**< Scratch for decoding.  */
+  enum rgy_protocol protocol;  /**< Of the own service.  */
+  uint64_t protocol_changes;   /**< Contract changes it follows from.  */
   uint64_t group_changes;
   uint64_t domain_changes;
   uint64_t sent_sequence; /**< Of the last PEER_STATE.  */
   int64_t settle_deadline_us;
+  int64_t sent_us; /**< Last PEER_STATE.  */
+  int64_t next_age_us;
   int64_t next_heartbeat_us;
   int64_t next_peer_state_us;
   int64_t next_sync_us;
   int64_t next_rebalance_us;
   int64_t ready_since_us;
+  int64_t next_load_us;
+  uint16_t load_id;
+  unsigned running_peak[2]; /**< Of this and of the last interval.  */
+  int64_t last_ack_us;      /**< Of any balancer.  */
+  int64_t next_store_read_us;
   int64_t last_digest_match_us;
   bool synced;
   bool out; /**< The own failure domain is out of service.  */
@@ -156,20 +181,41 @@
 void rgy_agent_send_answer (struct rgy_agent *a, struct rgy_endpoint caller,
                             struct rgy_bytes payload,
                             struct rgy_endpoint balancer);
-bool rgy_agent_serves_requests (const struct rgy_agent *a);
+bool rgy_agent_serves_requests (struct rgy_agent *a);
 /** Close a flow and everything that belongs to it.  */
 void rgy_agent_close_flow (struct rgy_agent *a, struct rgy_flow *flow);
 
+/* agent_probe.c */
+void rgy_agent_probe_tick (struct rgy_agent *a);
+void rgy_agent_handle_probe_answer (struct rgy_agent *a,
+                                    struct rgy_bytes datagram);
+void rgy_agent_note_health (struct rgy_agent *a,
+                            enum rgy_health_change change);
+
 /* agent_usage.c */
 struct rgy_customer_usage *
 rgy_agent_get_usage (struct rgy_agent *a, const struct rgy_name *customer);
-void rgy_agent_usage_free (void *usage);
+void rgy_agent_usage_free (void *data);
 void rgy_agent_note_peer_usage (struct rgy_agent *a,
                                 const struct rgy_peer_state_message *m);
-size_t rgy_agent_fill_usage (struct rgy_agent *a, struct rgy_usage *usage);
+size_t rgy_agent_fill_usage (struct rgy_agent *a, struct rgy_usage *out);
 void rgy_agent_update_usage_instances (struct rgy_agent *a);
 void rgy_agent_prepare_usage (struct rgy_agent *a);
 
+/* agent_balance.c */
+/** True when this agent holds so many more flows than the mean of its group
+    that a new one should go to another agent.  */
+bool rgy_agent_is_above_bound (const struct rgy_agent *a);
+/** Flows that this agent should give away for an even share.  */
+size_t rgy_agent_get_surplus (const struct rgy_agent *a);
+/** Agent below the mean to which a flow may move: the owner of the bucket if
+    possible, else the one with the fewest flows.  @return NULL for none.  */
+const struct rgy_name *rgy_agent_choose_lighter (const struct rgy_agent *a,
+                                                 unsigned bucket);
+/** True when the peer takes flows as far as is known.  */
+bool rgy_agent_can_take (const struct rgy_agent *a,
+                         const struct rgy_name *peer);
+
 /* agent_handover.c */
 void rgy_agent_handover_tick (struct rgy_agent *a);
 void rgy_agent_handle_handover (struct rgy_agent *a, struct rgy_endpoint from,
--- a/src/libragwortyoke/observation.c
+++ b/src/libragwortyoke/observation.c
@@ -157,6 +157,18 @@
   return shifted;
 }
 
+void
+rgy_observation_skip (struct rgy_observation *observation, uint32_t sequence)
+{
+  struct rgy_observation *o = observation;
+
+  if (o->notified && !is_newer_ (sequence, o->last_sequence))
+    return;
+  o->offset = (o->offset + sequence - o->last_sequence) & SEQUENCE_MASK;
+  o->last_sequence = sequence;
+  o->notified = true;
+}
+
 /* Builds a message of the observation for the caller.  */
 static GByteArray *
 build_ (const struct rgy_observation *o, const struct rgy_coap_view *view,
@@ -221,6 +233,22 @@
     o->registered = false;
 }
 
+/* A retransmission carries the newest state (RFC 7641 section 4.5.2).  A
+   confirmable notification of the backend server is retransmitted by it.  */
+static void
+renew_confirmable_ (struct rgy_session *session, struct rgy_observation *o,
+                    const struct rgy_coap_view *view)
+{
+  if (o->confirmable == NULL)
+    return;
+  drop_confirmable_ (o);
+  if (view->type == RGY_COAP_CON)
+    return;
+  o->confirmable_id = session->caller_id++;
+  o->confirmable = build_ (o, view, RGY_COAP_CON, o->confirmable_id, true,
+                           o->last_sequence);
+}
+
 void
 rgy_observation_notify (struct rgy_session *session,
                         struct rgy_observation *observation,
@@ -258,6 +286,7 @@
                                         .caller_id = session->caller_id++,
                                         .sequence = sequence };
   forward_ (session, o, view, ids);
+  renew_confirmable_ (session, o, view);
 }
 
 /* Registrations by the engine.  */
--- a/tests/harness/harness.c
+++ b/tests/harness/harness.c
@@ -125,14 +125,16 @@
 h_trace (struct harness *h, const char *format, ...)
 {
   va_list ap;
+  char *text;
 
   if (h->settings.trace == NULL)
     return;
-  fprintf (h->settings.trace, "%10.3f ", (double)h->now_us / (double)H_MS);
   va_start (ap, format);
-  vfprintf (h->settings.trace, format, ap);
+  text = g_strdup_vprintf (format, ap);
   va_end (ap);
-  fputc ('\n', h->settings.trace);
+  fprintf (h->settings.trace, "%10.3f %s\n", (double)h->now_us / (double)H_MS,
+           text);
+  g_free (text);
 }
 
 /* Network.  */
@@ -299,6 +301,7 @@
       h_trace (h, "%s: exit", node->id.data);
       break;
     case RGY_ACTION_STORE:
+    case RGY_ACTION_READ_STORE:
     case RGY_ACTION_CLOSE_FLOW:
       break;
     }
@@ -365,18 +368,26 @@
   g_ptr_array_add (h->store, r);
 }
 
-uint64_t
-harness_put_contract (struct harness *h, const char *json)
+void
+harness_restore_contract (struct harness *h, const char *json,
+                          uint64_t revision)
 {
   struct rgy_check_error error;
   struct rgy_contract *c = rgy_contract_parse (rgy_str_from_c (json), &error);
 
   if (c == NULL)
     g_error ("contract: %s", error.text);
-  h->store_revision++;
   store_put_ (h, RGY_ENTRY_CONTRACT, &c->customer,
-              (struct rgy_version){ .major = h->store_revision }, json);
+              (struct rgy_version){ .major = revision }, json);
   rgy_contract_delete (c);
+  h_trace (h, "contract revision %" G_GUINT64_FORMAT, revision);
+}
+
+uint64_t
+harness_put_contract (struct harness *h, const char *json)
+{
+  h->store_revision++;
+  harness_restore_contract (h, json, h->store_revision);
   return h->store_revision;
 }
 
@@ -534,7 +545,9 @@
     .random_seed = h->settings.seed * 1000 + h->nodes->len,
     .drain_us = DRAIN_US,
     .steering = h->settings.modulo_steering ? RGY_BALANCER_STEER_MODULO
-                                            : RGY_BALANCER_STEER_TABLE
+                                            : RGY_BALANCER_STEER_TABLE,
+    .without_domain_orders = h->settings.without_domain_orders,
+    .without_version_check = h->settings.without_version_check,
   };
   memcpy (s->key, h->key, sizeof s->key);
   s->seed_count = fill_seeds_ (h, s->seeds);
@@ -566,6 +579,13 @@
     .without_cold_start = h->settings.without_cold_start,
     .without_echo = h->settings.without_echo,
     .without_handover = h->settings.without_handover,
+    .without_service_check = h->settings.without_service_check,
+    .without_answer_matching = h->settings.without_answer_matching,
+    .without_outcome_unknown = h->settings.without_outcome_unknown,
+    .without_contract_limits = h->settings.without_contract_limits,
+    .without_drain_announcement = h->settings.without_drain_announcement,
+    .without_domain_orders = h->settings.without_domain_orders,
+    .without_version_check = h->settings.without_version_check,
   };
   memcpy (s->key, h->key, sizeof s->key);
   s->seed_count = fill_seeds_ (h, s->seeds);
@@ -791,6 +811,8 @@
 static bool
 handle_ (struct harness *h, struct event *e)
 {
+  if (h->trace_wire != NULL)
+    trace_event (h, e);
   switch (e->kind)
     {
     case EVENT_TO_CALLER:
@@ -902,5 +924,6 @@
   g_hash_table_unref (h->cuts);
   rgy_actions_delete (h->actions);
   g_rand_free (h->random);
+  rgy_wire_delete (h->trace_wire);
   g_free (h);
 }
