Monitor agents only from balancers that they send heartbeats to

Cause: agents send no heartbeats to balancers in a failure domain that is out, but such a balancer went on to count itself among the monitors of the agents. Since a change is confirmed only when the agents have reported it, the balancer published them as lagging for as long as the order stood, and "domain out" as well as every later change ended as not confirmed. Change: the monitors of an agent are chosen among the balancers whose failure domain is in; the choice is made again when an order changes it.

--- a/src/libragwortyoke/balancer_monitor.c
+++ b/src/libragwortyoke/balancer_monitor.c
@@ -32,6 +32,30 @@
   rgy_balancer_send_message (b, to, &m, actions);
 }
 
+/* Agents send no heartbeats to balancers in a failure domain that is out:
+   these monitor no agent, and others take their place.
+   @return number of names kept.  */
+static size_t
+keep_agent_monitors_ (const struct rgy_balancer *b, struct rgy_name *names,
+                      size_t count)
+{
+  const struct rgy_balancer_record *r;
+  const struct rgy_name *domain;
+  size_t kept = 0;
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      r = rgy_blackboard_get_balancer (b->bb, &names[i]);
+      domain = rgy_name_equal (&names[i], &b->settings.id)
+                   ? &b->settings.domain
+                   : &r->domain;
+      if (!rgy_domain_set_is_out (b->bb->domains, domain))
+        names[kept++] = names[i];
+    }
+  return kept;
+}
+
 /* Asks the agent, and its other monitors whether they are in contact with it:
    one silent connection does not make it dead.  */
 static void
@@ -45,6 +69,7 @@
   size_t i;
 
   send_probe_ (b, agent->endpoint, NULL, now_us, actions);
+  n = keep_agent_monitors_ (b, names, n);
   n = rgy_member_choose (&agent->id, names, n, RGY_MONITOR_COUNT, chosen);
   for (i = 0; i < n; i++)
     send_probe_ (
@@ -266,6 +291,8 @@
 static void
 update_watches_ (struct rgy_balancer *b, int64_t now_us)
 {
+  bool domains_changed
+      = b->monitored_domain_changes != b->bb->changes[RGY_ENTRY_DOMAIN];
   bool agents_changed
       = b->monitored_agent_changes != b->bb->changes[RGY_ENTRY_AGENT];
   bool balancers_changed
@@ -275,8 +302,9 @@
   uint64_t set;
   size_t n;
 
-  if (!agents_changed && !balancers_changed)
+  if (!agents_changed && !balancers_changed && !domains_changed)
     return;
+  b->monitored_domain_changes = b->bb->changes[RGY_ENTRY_DOMAIN];
   b->monitored_agent_changes = b->bb->changes[RGY_ENTRY_AGENT];
   b->monitored_balancer_changes = b->bb->changes[RGY_ENTRY_BALANCER];
   max = g_hash_table_size (b->bb->balancers);
@@ -288,9 +316,15 @@
   if (set != b->monitored_set)
     {
       b->monitored_set = set;
-      g_hash_table_remove_all (b->monitored);
       watch_balancers_ (b, names, n, now_us);
       b->reader = rgy_balancer_choose_reader (b, names, n);
+    }
+  n = keep_agent_monitors_ (b, names, n);
+  set = hash_names_ (names, n);
+  if (set != b->agent_monitor_set)
+    {
+      b->agent_monitor_set = set;
+      g_hash_table_remove_all (b->monitored);
       agents_changed = true;
     }
   if (agents_changed)
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -126,8 +126,10 @@
   GHashTable *lagging; /**< Set of agent names.  */
   uint64_t monitored_agent_changes;
   uint64_t monitored_balancer_changes;
-  uint64_t monitored_set; /**< Hash of the balancers it was chosen among.  */
-  GHashTable *monitored;  /**< Agent name to whether it is monitored here.  */
+  uint64_t monitored_domain_changes;
+  uint64_t monitored_set;     /**< Hash of the balancers in the cluster.  */
+  uint64_t agent_monitor_set; /**< Hash of those that may monitor agents.  */
+  GHashTable *monitored; /**< Agent name to whether it is monitored here.  */
 
   GPtrArray *fresh;      /**< Owned entries to push to monitored agents.  */
   char *stored_rollup;   /**< Of the own failure domain, as last seen.  */
