--- a/src/test_guarantees/config.c
+++ b/src/test_guarantees/config.c
@@ -5,11 +5,11 @@
 #define CONTRACT_TARGET_US (6 * H_S)
 #define OLD_LIMIT 1000
 #define NEW_LIMIT 700
-#define LIMIT 40
-#define LIMIT_POSTERS 150
-#define LIMIT_INTERVAL_US (20 * H_MS)
+#define LIMIT 20
+#define LIMIT_POSTERS 120
+#define LIMIT_INTERVAL_US (50 * H_MS)
 #define STEP_US H_MS
-#define STEPS 4000
+#define STEPS 3000
 
 uint64_t
 proof_domain_out (enum deployment_kind kind,
--- a/src/test_guarantees/sessions.c
+++ b/src/test_guarantees/sessions.c
@@ -3,8 +3,8 @@
 #define DOWN_US (15 * H_S)
 #define BACK_US (10 * H_S)
 #define NO_WORK_AFTER_US (3 * H_S)
-#define COLD_LOAD_POSTERS 60
-#define COLD_LOAD_INTERVAL_US (250 * H_MS)
+#define COLD_LOAD_POSTERS 50
+#define COLD_LOAD_INTERVAL_US (300 * H_MS)
 
 static uint64_t
 count_broken_ (struct deployment *d)
