Count the acknowledgement of an earlier confirmable notification

Cause: after a handover the engine sends the state confirmably. A notification that comes before the acknowledgement renews the state and with it the message ID, and the acknowledgement of the earlier ID was dropped. Change: the IDs of all transmissions are kept, and the acknowledgement or Reset of any of them counts. Conclusion: the newer states are notified as usual; the confirmable one need only show that the caller is there.

--- a/src/libragwortyoke/include/private/request_private.h
+++ b/src/libragwortyoke/include/private/request_private.h
@@ -19,6 +19,8 @@
 #define RGY_ECHO_MAC_BYTES 16
 #define RGY_ECHO_BYTES (RGY_ECHO_EPOCH_BYTES + RGY_ECHO_MAC_BYTES)
 #define RGY_RECENT_NOTIFICATIONS 8
+/** MAX_RETRANSMIT of RFC 7252 and the first transmission.  */
+#define RGY_CONFIRMABLE_ATTEMPTS 5
 
 struct rgy_session;
 
@@ -142,6 +144,8 @@
   GByteArray *confirmable;     /**< Notification sent by the engine, not yet
                                   acknowledged.  */
   uint16_t confirmable_id;
+  /** IDs it was sent with; the state in it, and so the ID, is renewed.  */
+  uint16_t confirmable_sent[RGY_CONFIRMABLE_ATTEMPTS];
   unsigned confirmable_attempts;
   int64_t confirmable_due_us;
 };
--- a/src/libragwortyoke/observation.c
+++ b/src/libragwortyoke/observation.c
@@ -9,9 +9,8 @@
    of the space (RFC 7641 section 3.4).  */
 #define SEQUENCE_MASK 0xffffff
 #define SEQUENCE_HALF (1 << 23)
-/* RFC 7252: ACK_TIMEOUT and MAX_RETRANSMIT.  */
+/* RFC 7252: ACK_TIMEOUT.  */
 #define ACK_TIMEOUT_US (2 * RGY_US_PER_S)
-#define MAX_RETRANSMIT 4
 /* Pause before a registration that the backend server refused is tried
    again.  */
 #define REFUSED_RETRY_US RGY_US_PER_S
@@ -233,6 +232,29 @@
     o->registered = false;
 }
 
+static void
+transmit_confirmable_ (struct rgy_session *session, struct rgy_observation *o,
+                       int64_t now_us)
+{
+  rgy_session_send (session, o->confirmable);
+  o->confirmable_sent[o->confirmable_attempts] = o->confirmable_id;
+  o->confirmable_due_us = now_us + (ACK_TIMEOUT_US << o->confirmable_attempts);
+  o->confirmable_attempts++;
+}
+
+/* An answer to an earlier transmission counts although the state, and with it
+   the ID, has been renewed since: the caller is there.  */
+static bool
+is_confirmable_id_ (const struct rgy_observation *o, uint16_t message_id)
+{
+  unsigned i;
+
+  for (i = 0; o->confirmable != NULL && i < o->confirmable_attempts; i++)
+    if (o->confirmable_sent[i] == message_id)
+      return true;
+  return false;
+}
+
 /* A retransmission carries the newest state (RFC 7641 section 4.5.2).  A
    confirmable notification of the backend server is retransmitted by it.  */
 static void
@@ -302,9 +324,8 @@
   o->confirmable_id = session->caller_id++;
   o->confirmable
       = build_ (o, answer, RGY_COAP_CON, o->confirmable_id, true, sequence);
-  o->confirmable_attempts = 1;
-  o->confirmable_due_us = now_us + ACK_TIMEOUT_US;
-  rgy_session_send (session, o->confirmable);
+  o->confirmable_attempts = 0;
+  transmit_confirmable_ (session, o, now_us);
   rgy_session_attend (session);
 }
 
@@ -364,7 +385,7 @@
       struct rgy_observation *o = session->observations[i];
       const struct rgy_notification_ids *ids;
 
-      if (o->confirmable != NULL && o->confirmable_id == message_id)
+      if (is_confirmable_id_ (o, message_id))
         {
           drop_confirmable_ (o);
           return true;
@@ -390,7 +411,7 @@
     {
       struct rgy_observation *o = session->observations[i];
 
-      if ((o->confirmable == NULL || o->confirmable_id != message_id)
+      if (!is_confirmable_id_ (o, message_id)
           && find_recent_ (o, message_id, true) == NULL)
         continue;
       if (o->request != NULL)
@@ -430,11 +451,9 @@
 {
   if (o->confirmable == NULL || o->confirmable_due_us > now_us)
     return true;
-  if (o->confirmable_attempts > MAX_RETRANSMIT)
+  if (o->confirmable_attempts >= RGY_CONFIRMABLE_ATTEMPTS)
     return false;
-  rgy_session_send (session, o->confirmable);
-  o->confirmable_due_us = now_us + (ACK_TIMEOUT_US << o->confirmable_attempts);
-  o->confirmable_attempts++;
+  transmit_confirmable_ (session, o, now_us);
   return true;
 }
 
--- a/src/test_request/main.c
+++ b/src/test_request/main.c
@@ -28,6 +28,7 @@
     cmocka_unit_test (notifications_pass_through),
     cmocka_unit_test (observe_sequence_increases_across_handovers),
     cmocka_unit_test (observation_is_registered_until_it_succeeds),
+    cmocka_unit_test (acknowledgement_crossing_a_notification_counts),
     cmocka_unit_test (end_of_an_observation_reaches_the_backend_server),
     cmocka_unit_test (observations_of_a_flow_are_bounded),
     cmocka_unit_test (failed_registration_leaves_no_observation),
--- a/src/test_request/observations.c
+++ b/src/test_request/observations.c
@@ -243,6 +243,50 @@
   agent_delete (b);
 }
 
+/* Guards against the end of a live observation: a notification renews the
+   state in the confirmable one, and the acknowledgement of what was sent
+   before is still on its way.  */
+void
+acknowledgement_crossing_a_notification_counts (void **state)
+{
+  struct agent *a = agent_new (1, false);
+  struct agent *b = agent_new (2, false);
+  struct rgy_flow flow = flow_make (1);
+  struct rgy_flow moved = flow_make (1);
+  struct rgy_handover_state handover;
+  struct rgy_coap_view registration;
+  GByteArray *keep;
+  uint16_t id;
+  int64_t now_us;
+
+  (void)state;
+  observe_ (a, &flow, 1, "watch", 0, 0);
+  tell_ (a, &flow, &last_to_backend (a)->view, RGY_COAP_ACK, 0, 1, 0);
+  assert_int_equal (rgy_request_engine_export (a->engine, &flow, 0, &handover),
+                    RGY_OK);
+  assert_int_equal (
+      rgy_request_engine_import (b->engine, &moved, &handover, 0, b->actions),
+      RGY_OK);
+  agent_collect (b);
+  rgy_request_engine_forget (a->engine, &flow);
+  keep = copy_registration_ (b, &registration);
+  tell_ (b, &moved, &registration, RGY_COAP_ACK, 0, 5, 0);
+  assert_int_equal (last_to_caller (b)->view.type, RGY_COAP_CON);
+  id = last_to_caller (b)->view.message_id;
+  tell_ (b, &moved, &registration, RGY_COAP_NON, 50, 6, MS);
+  empty_from_caller_ (b, &moved, RGY_COAP_ACK, id, 2 * MS);
+  forget_messages (b);
+  for (now_us = MS; now_us < 100 * RGY_US_PER_S; now_us += RGY_US_PER_S)
+    agent_tick (b, now_us);
+  assert_int_equal (b->to_caller->len, 0);
+  assert_int_equal (b->to_backend->len, 0);
+  assert_int_equal (rgy_request_engine_get_observations (&moved), 1);
+  g_byte_array_unref (keep);
+  rgy_request_engine_forget (b->engine, &moved);
+  agent_delete (a);
+  agent_delete (b);
+}
+
 /* Guards against observations that the backend server keeps after the caller
    has ended them, and against ones kept here.  */
 void
--- a/src/test_request/tests.h
+++ b/src/test_request/tests.h
@@ -25,6 +25,7 @@
 void notifications_pass_through (void **state);
 void observe_sequence_increases_across_handovers (void **state);
 void observation_is_registered_until_it_succeeds (void **state);
+void acknowledgement_crossing_a_notification_counts (void **state);
 void end_of_an_observation_reaches_the_backend_server (void **state);
 void observations_of_a_flow_are_bounded (void **state);
 void failed_registration_leaves_no_observation (void **state);
