Send copies of a new flow's datagram the same way

Cause: an agent passes a new flow on when it holds more than its share or is overloaded. That depends on the moment, and on the trail of the packet: a copy duplicated by the network took another way than the first, and two agents opened the flow (4 of 600 flows with 5% duplicates).

--- a/src/libragwortyoke/agent_control.c
+++ b/src/libragwortyoke/agent_control.c
@@ -169,6 +169,7 @@
   a->drain = rgy_drain_new (settings->drain_timeout_us, RGY_LINGER_US);
   a->transfers = rgy_transfers_new ();
   a->receipts = rgy_receipts_new ();
+  a->passed = rgy_passed_new ();
   a->balancers
       = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, NULL, g_free);
   a->usage = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free,
@@ -203,6 +204,7 @@
   rgy_request_engine_delete (a->engine);
   g_hash_table_unref (a->usage);
   g_hash_table_unref (a->balancers);
+  rgy_passed_delete (a->passed);
   rgy_receipts_delete (a->receipts);
   rgy_transfers_delete (a->transfers);
   rgy_drain_delete (a->drain);
--- a/src/libragwortyoke/agent_packet.c
+++ b/src/libragwortyoke/agent_packet.c
@@ -108,13 +108,37 @@
 static bool
 pass_on_ (struct rgy_agent *a, struct rgy_data_message *m, unsigned bucket)
 {
+  struct rgy_flow_key key = rgy_flow_key_udp (m->caller, m->service);
   struct rgy_steer_decision decision;
 
   rgy_steering_decide_overflow (a->steering, bucket, &m->trail, &decision);
   if (decision.kind != RGY_STEER_FORWARD)
     return false;
-  /* The caller's next packet may be here before the peer's bitmap.  */
-  rgy_steering_note_passed (a->steering, bucket, &decision.next);
+  rgy_passed_note (a->passed, &key, &decision.next, a->now_us);
+  forward_ (a, m, &decision);
+  return true;
+}
+
+/* Sends a copy of a datagram the way the first one went.
+   @return false when the flow has not been passed on a moment ago.  */
+static bool
+follow_passed_ (struct rgy_agent *a, struct rgy_data_message *m,
+                const struct rgy_flow_key *key, unsigned bucket)
+{
+  const struct rgy_name *target = rgy_passed_find (a->passed, key, a->now_us);
+  const struct rgy_agent_record *r
+      = target == NULL ? NULL : rgy_blackboard_get_agent (a->bb, target);
+  struct rgy_steer_decision decision;
+
+  if (r == NULL || !rgy_blackboard_agent_is_eligible (a->bb, r))
+    return false;
+  rgy_steering_decide_overflow (a->steering, bucket, &m->trail, &decision);
+  if (decision.kind != RGY_STEER_FORWARD)
+    {
+      ++*a->c.drop_hop_limit;
+      return true;
+    }
+  decision.next = *target;
   forward_ (a, m, &decision);
   return true;
 }
@@ -197,6 +221,8 @@
       overflow_ (a, m, bucket, RGY_REFUSAL_OVERLOAD, a->c.refused_overload);
       return;
     }
+  if (follow_passed_ (a, m, key, bucket))
+    return;
   /* When all agents are overloaded, the last one that is asked queues the
      request.  */
   if ((is_overloaded_ (a) || rgy_agent_is_above_bound (a))
--- a/src/libragwortyoke/include/private/agent_private.h
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -127,6 +127,7 @@
   struct rgy_drain *drain;
   struct rgy_transfers *transfers;
   struct rgy_receipts *receipts;
+  struct rgy_passed *passed;
   GHashTable *balancers; /**< Name to struct rgy_known_balancer.  */
   GHashTable *usage;     /**< Customer to struct rgy_customer_usage.  */
   GHashTable *peers;     /**< Agent to struct rgy_peer.  */
@@ -216,6 +217,18 @@
 bool rgy_agent_can_take (const struct rgy_agent *a,
                          const struct rgy_name *peer);
 
+/* agent_passed.c */
+struct rgy_passed *rgy_passed_new (void);
+void rgy_passed_delete (struct rgy_passed *passed);
+/** A new flow was passed on to @p target.  The first target stays.  */
+void rgy_passed_note (struct rgy_passed *passed,
+                      const struct rgy_flow_key *key,
+                      const struct rgy_name *target, int64_t now_us);
+/** Agent to which a new flow was passed on a moment ago, or NULL.  */
+const struct rgy_name *rgy_passed_find (struct rgy_passed *passed,
+                                        const struct rgy_flow_key *key,
+                                        int64_t now_us);
+
 /* agent_handover.c */
 void rgy_agent_handover_tick (struct rgy_agent *a);
 void rgy_agent_handle_handover (struct rgy_agent *a, struct rgy_endpoint from,
