--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -410,23 +410,6 @@
 
 /* Gossip.  */
 
-/* Sends of one update by each balancer.  Each balancer sends and receives two
-   datagrams a round, so that log2 (n) + 2 sends miss a balancer with a
-   probability of exp (-10); a synchronisation repairs that.  Three times
-   log2 (n), which needs no repair, took nearly three times the bytes.  */
-static unsigned
-transmissions_ (size_t members)
-{
-  unsigned bits = 1;
-
-  while (members > 1)
-    {
-      bits++;
-      members /= 2;
-    }
-  return MAX (bits + 2, RGY_MIN_TRANSMISSIONS);
-}
-
 static void
 get_digests_ (const struct rgy_balancer *b, struct rgy_digests *digests)
 {
@@ -468,7 +451,6 @@
               enum rgy_message_kind kind, struct rgy_actions *actions)
 {
   struct rgy_message *m = g_new0 (struct rgy_message, 1);
-  size_t members = rgy_replica_get_count (b->bb->replica, RGY_ENTRY_BALANCER);
   struct rgy_announcement taken[MAX_ANNOUNCEMENTS];
   size_t announced;
 
@@ -477,11 +459,11 @@
   m->u.gossip.sync = b->settings.sync;
   get_digests_ (b, &m->u.gossip.digests);
   m->u.gossip.entries.from = b->settings.id;
-  announced = take_announcements_ (b, transmissions_ (members), taken,
+  announced = take_announcements_ (b, RGY_TRANSMISSIONS, taken,
                                    m->u.gossip.entries.entries);
   m->u.gossip.entries.count
       = announced
-        + rgy_replica_take_updates (b->bb->replica, transmissions_ (members),
+        + rgy_replica_take_updates (b->bb->replica, RGY_TRANSMISSIONS,
                                     GOSSIP_ENTRY_BYTES
                                         - announced * ANNOUNCEMENT_BYTES,
                                     m->u.gossip.entries.entries + announced,
@@ -898,6 +880,35 @@
   return MAX (RGY_DEMAND_INTERVAL_US, members * RGY_DEMAND_SPREAD_US);
 }
 
+/* In a large fleet the demand would be most of every record.  The fabric
+   sprays evenly over it, so that equal shares are right to within the spread
+   of the spray.  Reports that are unknown count as the mean.  */
+static bool
+is_too_large_for_reports_ (struct rgy_balancer *b)
+{
+  size_t max = g_hash_table_size (b->bb->balancers);
+  struct rgy_name *names;
+  GHashTableIter iter;
+  gpointer value;
+  size_t n;
+
+  if (max <= RGY_DEMAND_MAX_FLEET)
+    return false;
+  names = g_new (struct rgy_name, max + 1);
+  n = rgy_balancer_list_others (b, names, max);
+  if (n >= RGY_DEMAND_MAX_FLEET)
+    {
+      g_hash_table_iter_init (&iter, b->limits);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        rgy_rate_limit_set_instances (value, names, n);
+      if (b->self.demand_count > 0)
+        b->record_changed = true;
+      b->self.demand_count = 0;
+    }
+  g_free (names);
+  return n >= RGY_DEMAND_MAX_FLEET;
+}
+
 static void
 follow_demand_ (struct rgy_balancer *b, int64_t now_us)
 {
@@ -908,6 +919,8 @@
   if (now_us < b->next_demand_us || g_hash_table_size (b->limits) == 0)
     return;
   b->next_demand_us = now_us + RGY_DEMAND_INTERVAL_US;
+  if (is_too_large_for_reports_ (b))
+    return;
   need = check_report_ (b, now_us);
   if (need == REPORT_NOW
       || (need == REPORT_DUE && now_us >= b->next_report_us))
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -12,16 +12,22 @@
 #include "ragwortyoke/steering.h"
 
 #define RGY_GOSSIP_INTERVAL_US INT64_C (200000)
-#define RGY_MIN_TRANSMISSIONS 6
+/** Sends of one update by each balancer, in GOSSIP and GOSSIP_ACK together.
+    So many miss a balancer with a probability of exp (-7), whatever the size
+    of the fleet; a synchronisation repairs that.  3 * log2 (n) sends, which
+    need no repair, took four times the bytes at 460 balancers.  */
+#define RGY_TRANSMISSIONS 7
 #define RGY_PROBE_INTERVAL_US INT64_C (1000000)
 /** A balancer that is dead or unknown here is tried this often.  */
 #define RGY_REJOIN_INTERVAL_US INT64_C (5000000)
 #define RGY_RECORD_INTERVAL_US INT64_C (1000000)
 /** Own demand is published at most this often.  */
 #define RGY_DEMAND_INTERVAL_US INT64_C (2000000)
-/** Reports of one balancer are this far apart for each balancer of the fleet:
-    230 s at 460.  */
+/** Reports of one balancer are this far apart for each balancer of the
+    fleet.  */
 #define RGY_DEMAND_SPREAD_US INT64_C (500000)
+/** Above this number of balancers no demand is reported.  */
+#define RGY_DEMAND_MAX_FLEET 32
 /** Changes of a demand below this are not reported.  */
 #define RGY_DEMAND_MIN_BYTES 1000
 /** Digests that differ for this long start a synchronisation.  */
@@ -126,8 +132,10 @@
   GHashTable *lagging; /**< Set of agent names.  */
   uint64_t monitored_agent_changes;
   uint64_t monitored_balancer_changes;
-  uint64_t monitored_set; /**< Hash of the balancers it was chosen among.  */
-  GHashTable *monitored;  /**< Agent name to whether it is monitored here.  */
+  uint64_t monitored_domain_changes;
+  uint64_t member_set;   /**< Hash of the live balancers.  */
+  uint64_t monitor_set;  /**< Hash of those that may monitor agents.  */
+  GHashTable *monitored; /**< Agent name to whether it is monitored here.  */
 
   GPtrArray *fresh;      /**< Owned entries to push to monitored agents.  */
   char *stored_rollup;   /**< Of the own failure domain, as last seen.  */
