--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -101,8 +101,9 @@
   struct rgy_balancer_settings balancer_settings;
   struct backend backend;
   GQueue backlog;         /**< Datagrams that arrived while it was frozen.  */
-  int64_t last_packet_us; /**< Last datagram of a caller that it or its
-                             backend server got.  */
+  int64_t last_packet_us; /**< Last datagram of a caller that reached it or
+                             its backend server.  */
+  int64_t started_us;
   int64_t started_us;
 };
 
