Do not take oneself for a peer in gossip

Cause: a balancer whose own address is among its seeds gossips with itself until it knows another one. Its digests agreed with its own, so that it counted as joined, and was ready, as soon as it had heard of one agent; the others' packets got outcome-unknown.

Change: gossip from oneself is ignored.

The golden sessions are regenerated: the first balancer no longer answers itself.

--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -626,6 +626,10 @@
   bool is_stranger = sender == NULL || !is_member_of_cluster_ (sender);
   bool lacking;
 
+  /* The own address may be among the seeds; agreeing with oneself is not
+     having joined.  */
+  if (rgy_name_equal (&m->from, &b->settings.id))
+    return;
   if (rgy_liveness_is_watched (b->balancers_liveness, &m->from))
     rgy_liveness_heard (b->balancers_liveness, &m->from, now_us);
   lacking = apply_entries_ (b, &m->entries, actions);
