Pass over known red cells by name and seed

A contract that no reader has seen, and an order that only the store could carry across a cut, cannot reach anybody before the store is back; their 6 s begin then.

--- a/src/test_fault_matrix/checks.c
+++ b/src/test_fault_matrix/checks.c
@@ -67,9 +67,10 @@
 is_overdue_ (const struct run *r, const struct node *node, int64_t since_us)
 {
   int64_t reachable_us = fault_get_reachable_us (r, node);
-  int64_t from_us = MAX (MAX (since_us, node->started_us), reachable_us);
+  int64_t from_us = MAX (MAX (since_us, node->started_us),
+                         MAX (reachable_us, fault_get_store_us (r)));
 
-  if (since_us == 0 || reachable_us == INT64_MAX)
+  if (since_us == 0 || from_us == INT64_MAX)
     return false;
   return harness_now_us (r->d->h) > from_us + CONFIG_BOUND_US;
 }
--- a/src/test_fault_matrix/faults.c
+++ b/src/test_fault_matrix/faults.c
@@ -434,3 +434,24 @@
     }
   return last_us;
 }
+
+int64_t
+fault_get_store_us (const struct run *r)
+{
+  bool direct = r->step == STEP_DOMAIN_OUT || r->step == STEP_DOMAIN_BACK;
+  bool apart = fault_has (r, FAULT_CUT_DOMAIN)
+               || fault_has (r, FAULT_CUT_BALANCER)
+               || fault_has (r, FAULT_CUT_BALANCER_ONE_WAY)
+               || fault_has (r, FAULT_UNEVEN_UPDATES);
+  size_t i;
+
+  for (i = 0; i < r->fault_count; i++)
+    {
+      const struct active_fault *f = &r->faults[i];
+
+      if (f->fault == FAULT_STORE_DOWN && f->begun
+          && (!direct || apart || fault_has (r, FAULT_OPERATORS_RACE)))
+        return f->ended ? f->end_us : INT64_MAX;
+    }
+  return 0;
+}
--- a/src/test_fault_matrix/main.c
+++ b/src/test_fault_matrix/main.c
@@ -37,7 +37,7 @@
         { "shard", 0, 0, G_OPTION_ARG_STRING, &options_.shard,
           "Run the Ith of N parts", "I/N" },
         { "known-red", 0, 0, G_OPTION_ARG_FILENAME, &options_.known_red,
-          "Pass over the cells named in lines \"cell: NAME\"", "FILE" },
+          "Pass over cells named in lines \"cell: NAME seed N\"", "FILE" },
         { "trace", 0, 0, G_OPTION_ARG_NONE, &options_.trace,
           "Print what happens to standard error", NULL },
         { "list", 0, 0, G_OPTION_ARG_NONE, &options_.list, "List the cells",
@@ -227,23 +227,20 @@
 /* Selection.  */
 
 static bool
-is_known_red_ (const char *name, const char *red)
+is_known_red_ (const char *name, uint64_t seed, const char *red)
 {
   char **lines;
+  char *wanted;
   bool found = false;
   size_t i;
 
   if (red == NULL)
     return false;
+  wanted = g_strdup_printf ("cell: %s seed %" G_GUINT64_FORMAT, name, seed);
   lines = g_strsplit (red, "\n", -1);
   for (i = 0; lines[i] != NULL && !found; i++)
-    if (g_str_has_prefix (lines[i], "cell:"))
-      {
-        char **words = g_strsplit_set (g_strstrip (lines[i] + 5), " \t", 2);
-
-        found = words[0] != NULL && strcmp (words[0], name) == 0;
-        g_strfreev (words);
-      }
+    found = strcmp (g_strstrip (lines[i]), wanted) == 0;
+  g_free (wanted);
   g_strfreev (lines);
   return found;
 }
@@ -262,9 +259,10 @@
 {
   char *name = make_name_ (cell->fault, second, cell->step);
 
-  if (is_known_red_ (name, red))
+  if (is_known_red_ (name, seed, red))
     {
-      printf ("passed over (KNOWN-RED.txt): %s\n", name);
+      printf ("passed over (KNOWN-RED.txt): %s seed %" G_GUINT64_FORMAT "\n",
+              name, seed);
       t->passed_over++;
     }
   else if (run_cell_ (cell->fault, second, cell->step, cell->point, seed))
--- a/src/test_fault_matrix/matrix.h
+++ b/src/test_fault_matrix/matrix.h
@@ -139,6 +139,10 @@
 /** End of the last fault that keeps a node from hearing of a change; 0 when
     there is none, INT64_MAX while it lasts.  */
 int64_t fault_get_reachable_us (const struct run *r, const struct node *node);
+/** End of a store outage that keeps a change from some processes: a contract
+    that no reader has seen, or an order while balancers are cut off from each
+    other; 0 when there is none, INT64_MAX while it lasts.  */
+int64_t fault_get_store_us (const struct run *r);
 bool fault_is_active (const struct run *r, enum fault fault);
 bool fault_has (const struct run *r, enum fault fault);
 
