Synchronise with a peer that differs although others agree

Cause: the time since which digests differ was cleared by any peer that agreed. Of three balancers, two that had lost the third's record on a cut agreed with each other every few hundred milliseconds, so that neither pulled from the third: 25 s after the cut both still named it as lagging.

Change: one peer at a time is observed as well until it agrees; one that has differed for 3 s is synchronised with. In a fleet of 460 a given peer is met about every 46 s, so that this adds at most about one pull a minute.

The cost in a large fleet was not measured.

--- a/src/libragwortyoke/balancer_control.c
+++ b/src/libragwortyoke/balancer_control.c
@@ -586,6 +586,29 @@
   g_array_unref (candidates);
 }
 
+/* Agreement with one peer says nothing of another one: of three balancers, two
+   that agree would never ask the third for what they lack.  One peer at a time
+   is observed until it agrees.
+   @return true when it has differed for too long.  */
+static bool
+differs_for_long_ (struct rgy_balancer *b, const struct rgy_name *peer,
+                   bool agrees, int64_t now_us)
+{
+  int64_t since_us = b->differing_since_us;
+
+  if (since_us == 0 || now_us - since_us > RGY_DIFFERING_FORGET_US)
+    {
+      b->differing = *peer;
+      b->differing_since_us = agrees ? 0 : now_us;
+      return false;
+    }
+  if (!rgy_name_equal (&b->differing, peer)
+      || (!agrees && now_us - since_us < RGY_DIFFERING_US))
+    return false;
+  b->differing_since_us = 0;
+  return !agrees;
+}
+
 /* Digests of two balancers differ for a moment after every change; only a
    difference that lasts starts a synchronisation.  It starts at once with a
    balancer that has announced an entry lacking here, and with one that is
@@ -596,9 +619,13 @@
                   bool at_once, int64_t now_us, struct rgy_actions *actions)
 {
   struct rgy_digests own;
+  bool agrees;
 
   get_digests_ (b, &own);
-  if (memcmp (&own, &m->digests, sizeof own) == 0)
+  agrees = memcmp (&own, &m->digests, sizeof own) == 0;
+  if (differs_for_long_ (b, &m->from, agrees, now_us))
+    at_once = true;
+  if (agrees)
     {
       b->digest_differs_since_us = 0;
       b->synced = true;
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -26,6 +26,10 @@
 #define RGY_DEMAND_MIN_BYTES 1000
 /** Digests that differ for this long start a synchronisation.  */
 #define RGY_DIGEST_GRACE_US INT64_C (1000000)
+/** A peer that has differed for this long is synchronised with, whatever other
+    peers say.  In a large fleet a peer is met again only after a minute.  */
+#define RGY_DIFFERING_US INT64_C (3000000)
+#define RGY_DIFFERING_FORGET_US INT64_C (120000000)
 #define RGY_SYNC_INTERVAL_US INT64_C (1000000)
 #define RGY_STORE_INTERVAL_US INT64_C (2000000)
 /** A balancer vouches for an agent that it heard within this time: more than
@@ -144,6 +148,8 @@
   int64_t next_sync_us;
   int64_t next_store_us;
   int64_t digest_differs_since_us; /**< 0 when digests agree.  */
+  struct rgy_name differing;       /**< Peer whose digests differ.  */
+  int64_t differing_since_us;      /**< 0 when there is none.  */
   int64_t out_since_us;            /**< 0 while the domain is in.  */
   int64_t drain_until_us;          /**< 0 when not draining.  */
   bool eager;                      /**< Gossip soon: something is new.  */
