--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -104,7 +104,6 @@
   int64_t last_packet_us; /**< Last datagram of a caller that reached it or
                              its backend server.  */
   int64_t started_us;
-  int64_t started_us;
 };
 
 enum caller_kind
