--- /dev/null
+++ b/src/libragwortyoke/agent.c
@@ -0,0 +1,480 @@
+#include "private/agent_private.h"
+
+#include <string.h>
+
+/* Life of an agent: creation, messages, time and drain.  */
+
+/* Control plane of an agent: heartbeats to balancers, state exchange with
+   the peers of its service, configuration, drain.  */
+
+/* Hooks of the request engine.  */
+
+static void
+to_caller_ (struct rgy_flow *flow, struct rgy_bytes datagram, void *ctx)
+{
+  struct rgy_agent *a = ctx;
+
+  rgy_agent_send_answer (a, flow->key.u.udp.caller, datagram,
+                         rgy_agent_choose_balancer (a, flow));
+}
+
+static bool
+begin_request_ (struct rgy_flow *flow, void *ctx)
+{
+  struct rgy_agent *a = ctx;
+
+  struct rgy_count_limit *requests
+      = rgy_agent_get_usage (a, &flow->customer)->requests;
+
+  if (a->settings.without_contract_limits)
+    {
+      rgy_count_limit_force (requests);
+      return true;
+    }
+  return rgy_count_limit_take (requests, a->now_us);
+}
+
+static void
+end_request_ (struct rgy_flow *flow, void *ctx)
+{
+  struct rgy_agent *a = ctx;
+
+  rgy_count_limit_release (rgy_agent_get_usage (a, &flow->customer)->requests);
+}
+
+static void
+register_counters_ (struct rgy_agent *a)
+{
+  struct rgy_counters *c = a->counters;
+  static const char dropped[] = "Packets that were dropped.";
+  static const char refused[] = "New flows and requests that were refused.";
+
+  a->c = (struct rgy_agent_counters){
+    .packets_in = rgy_counters_add (c, "agent_packets_in_total", NULL,
+                                    "Packets from balancers and peers."),
+    .delivered = rgy_counters_add (c, "agent_delivered_total", NULL,
+                                   "Packets on flows held here."),
+    .forwarded = rgy_counters_add (c, "agent_forwarded_total", NULL,
+                                   "Packets passed on to a peer."),
+    .flows_opened
+    = rgy_counters_add (c, "flows_opened_total", NULL, "Flows opened."),
+    .flows_moved_in = rgy_counters_add (c, "flows_moved_in_total", NULL,
+                                        "Flows taken over from a peer."),
+    .flows_moved_out = rgy_counters_add (c, "flows_moved_out_total", NULL,
+                                         "Flows handed over to a peer."),
+    .flows_given_up
+    = rgy_counters_add (c, "flows_given_up_total", NULL,
+                        "Flows ended because the failure domain is out."),
+    .flows_revoked
+    = rgy_counters_add (c, "flows_revoked_total", NULL,
+                        "Flows ended because their contract has changed."),
+    .flows_expired = rgy_counters_add (c, "flows_expired_total", NULL,
+                                       "Flows ended by the idle timeout."),
+    .answers = rgy_counters_add (c, "agent_answers_total", NULL,
+                                 "Responses sent to balancers."),
+    .answers_without_balancer
+    = rgy_counters_add (c, "agent_answers_dropped_total", NULL,
+                        "Responses dropped for lack of a live balancer."),
+    .drop_wrong_service = rgy_counters_add (
+        c, "agent_dropped_total", "reason=\"wrong-service\"", dropped),
+    .drop_unknown_caller = rgy_counters_add (
+        c, "agent_dropped_total", "reason=\"unknown-caller\"", dropped),
+    .drop_no_agent = rgy_counters_add (
+        c, "agent_dropped_total", "reason=\"no-backend-server\"", dropped),
+    .drop_hop_limit = rgy_counters_add (c, "agent_dropped_total",
+                                        "reason=\"hop-limit\"", dropped),
+    .drop_not_held = rgy_counters_add (c, "agent_dropped_total",
+                                       "reason=\"not-held\"", dropped),
+    .refused_limit = rgy_counters_add (c, "agent_refused_total",
+                                       "reason=\"contract-limit\"", refused),
+    .refused_overload = rgy_counters_add (c, "agent_refused_total",
+                                          "reason=\"overload\"", refused),
+    .refused_out = rgy_counters_add (c, "agent_refused_total",
+                                     "reason=\"failure-domain-out\"", refused),
+    .refused_draining = rgy_counters_add (c, "agent_refused_total",
+                                          "reason=\"draining\"", refused),
+    .view_mismatch
+    = rgy_counters_add (c, "steer_view_mismatch_total", NULL,
+                        "Packets steered with another set of agents."),
+    .bad_tag = rgy_counters_add (c, "bad_tag_total", NULL,
+                                 "Internal datagrams with a wrong tag."),
+    .bad_message
+    = rgy_counters_add (c, "bad_message_total", NULL,
+                        "Internal datagrams that could not be read."),
+    .control_in = rgy_counters_add (c, "control_messages_in_total", NULL,
+                                    "Control messages received."),
+    .control_bytes_in = rgy_counters_add (c, "control_bytes_in_total", NULL,
+                                          "Control bytes received."),
+    .control_bytes_out = rgy_counters_add (c, "control_bytes_out_total", NULL,
+                                           "Control bytes sent."),
+    .config_changes
+    = rgy_counters_add (c, "config_changes_total", NULL,
+                        "Contracts and domain orders put in force."),
+    .flows = rgy_counters_add_gauge (c, "flows", NULL, "Open flows."),
+    .limit = rgy_counters_add_gauge (c, "admission_limit", NULL,
+                                     "Requests that may be in execution."),
+    .running = rgy_counters_add_gauge (c, "admission_running", NULL,
+                                       "Requests in execution."),
+  };
+}
+
+static struct rgy_request_engine *
+new_engine_ (const struct rgy_agent_settings *s, struct rgy_counters *counters)
+{
+  /* Agents that start at the same moment may have the same epoch, and all of
+     them have the same key: without the name, one would take the Echo values
+     of another for its own.  */
+  struct rgy_request_settings rs
+      = { .epoch = rgy_name_hash (&s->id, s->epoch),
+          .deadline_ms = s->deadline_ms,
+          .admission = { .slots = s->slots,
+                         .queue_length = s->queue_length,
+                         .cold_start = !s->without_cold_start },
+          .echo_required = !s->without_echo,
+          .without_answer_matching = s->without_answer_matching,
+          .without_outcome_unknown = s->without_outcome_unknown,
+          .counters = counters };
+
+  memcpy (rs.echo_key, s->key, sizeof rs.echo_key);
+  return rgy_request_engine_new (&rs);
+}
+
+struct rgy_agent *
+rgy_agent_new (const struct rgy_agent_settings *settings,
+               struct rgy_counters *counters)
+{
+  struct rgy_agent *a = g_new0 (struct rgy_agent, 1);
+  struct rgy_request_hooks hooks = { .to_caller = to_caller_,
+                                     .begin_request = begin_request_,
+                                     .end_request = end_request_,
+                                     .ctx = a };
+
+  a->settings = *settings;
+  a->counters = counters;
+  register_counters_ (a);
+  a->bb = rgy_blackboard_new (counters);
+  a->bb->without_domain_orders = settings->without_domain_orders;
+  a->bb->without_version_check = settings->without_version_check;
+  a->wire = rgy_wire_new (settings->key);
+  a->message = g_new0 (struct rgy_message, 1);
+  a->random = g_rand_new_with_seed_array (
+      (const guint32 *)&a->settings.random_seed,
+      sizeof a->settings.random_seed / sizeof (guint32));
+  a->flows
+      = rgy_flow_table_new (settings->connections, settings->idle_timeout_us);
+  a->steering
+      = rgy_steering_new (&settings->id, rgy_service_seed (settings->service));
+  rgy_steering_set_chain_enabled (a->steering, !settings->without_chain);
+  a->engine = new_engine_ (settings, counters);
+  rgy_request_engine_set_hooks (a->engine, &hooks);
+  a->health = rgy_health_new (&rgy_health_defaults, settings->slots);
+  a->drain = rgy_drain_new (settings->drain_timeout_us, RGY_LINGER_US);
+  a->transfers = rgy_transfers_new ();
+  a->receipts = rgy_receipts_new ();
+  a->passed = rgy_passed_new ();
+  a->balancers
+      = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, NULL, g_free);
+  a->usage = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free,
+                                    rgy_agent_usage_free);
+  a->peers = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free,
+                                    g_free);
+  a->self = (struct rgy_agent_record){ .id = settings->id,
+                                       .epoch = settings->epoch,
+                                       .state = RGY_MEMBER_STARTING,
+                                       .domain = settings->domain,
+                                       .endpoint = settings->endpoint,
+                                       .service = settings->service };
+  a->group_changes = UINT64_MAX;
+  a->record_changed = true;
+  return a;
+}
+
+static bool
+forget_session_ (struct rgy_flow *flow, void *ctx)
+{
+  rgy_request_engine_forget (((struct rgy_agent *)ctx)->engine, flow);
+  return true;
+}
+
+void
+rgy_agent_delete (struct rgy_agent *a)
+{
+  if (a == NULL)
+    return;
+  rgy_flow_table_foreach (a->flows, forget_session_, a);
+  g_hash_table_unref (a->peers);
+  rgy_request_engine_delete (a->engine);
+  g_hash_table_unref (a->usage);
+  g_hash_table_unref (a->balancers);
+  rgy_passed_delete (a->passed);
+  rgy_receipts_delete (a->receipts);
+  rgy_transfers_delete (a->transfers);
+  rgy_drain_delete (a->drain);
+  rgy_health_delete (a->health);
+  rgy_steering_delete (a->steering);
+  rgy_flow_table_delete (a->flows);
+  g_rand_free (a->random);
+  g_free (a->message);
+  rgy_wire_delete (a->wire);
+  rgy_blackboard_delete (a->bb);
+  g_free (a);
+}
+
+static void
+set_state_ (struct rgy_agent *a, enum rgy_member_state state)
+{
+  if (a->self.state == state)
+    return;
+  a->self.state = state;
+  a->record_changed = true;
+  if (state == RGY_MEMBER_READY)
+    a->ready_since_us = a->now_us;
+  rgy_actions_log (a->actions, "state: %s", rgy_member_state_string[state]);
+}
+
+static void
+publish_record_ (struct rgy_agent *a)
+{
+  GByteArray *bytes;
+  char *key;
+
+  if (!a->record_changed)
+    return;
+  a->record_changed = false;
+  a->self.sequence = (a->self.sequence | 1) + 1;
+  rgy_blackboard_apply_agent (a->bb, &a->self);
+  bytes = rgy_agent_record_encode (&a->self);
+  key = g_strdup_printf ("agents/%s", a->settings.id.data);
+  rgy_actions_store (
+      a->actions, rgy_str_from_c (key),
+      (struct rgy_bytes){ .data = bytes->data, .len = bytes->len });
+  g_free (key);
+  g_byte_array_unref (bytes);
+  a->next_heartbeat_us = 0;
+}
+
+void
+rgy_agent_send_message (struct rgy_agent *a, struct rgy_endpoint to,
+                        const struct rgy_message *message)
+{
+  struct rgy_bytes bytes = rgy_wire_encode (a->wire, message);
+
+  *a->c.control_bytes_out += bytes.len;
+  rgy_actions_send (a->actions, to, bytes);
+}
+
+static void
+answer_probe_ (struct rgy_agent *a, struct rgy_endpoint from,
+               const struct rgy_probe_message *probe)
+{
+  struct rgy_message m = { .kind = RGY_MSG_PROBE_ACK };
+
+  m.u.probe = (struct rgy_probe_message){ .from = a->settings.id,
+                                          .nonce = probe->nonce };
+  rgy_agent_send_message (a, from, &m);
+}
+
+static void
+dispatch_ (struct rgy_agent *a, struct rgy_endpoint from,
+           struct rgy_message *m)
+{
+  switch (m->kind)
+    {
+    case RGY_MSG_DATA:
+      rgy_agent_handle_data (a, &m->u.data);
+      break;
+    case RGY_MSG_HEARTBEAT_ACK:
+      rgy_agent_handle_heartbeat_ack (a, &m->u.heartbeat_ack);
+      break;
+    case RGY_MSG_ENTRIES:
+      rgy_agent_apply_entries (a, &m->u.entries);
+      break;
+    case RGY_MSG_PEER_STATE:
+      rgy_agent_handle_peer_state (a, from, &m->u.peer_state);
+      break;
+    case RGY_MSG_PEER_STATE_ACK:
+      if (m->u.peer_state_ack.epoch == a->self.epoch)
+        rgy_steering_note_answer (a->steering, &m->u.peer_state_ack.from,
+                                  m->u.peer_state_ack.sequence,
+                                  m->u.peer_state_ack.own_sequence);
+      break;
+    case RGY_MSG_HANDOVER:
+      rgy_agent_handle_handover (a, from, &m->u.handover);
+      break;
+    case RGY_MSG_HANDOVER_ACK:
+      rgy_agent_handle_handover_ack (a, &m->u.handover_ack);
+      break;
+    case RGY_MSG_PROBE:
+      answer_probe_ (a, from, &m->u.probe);
+      break;
+    case RGY_MSG_PROBE_ACK:
+    case RGY_MSG_ANSWER:
+    case RGY_MSG_HEARTBEAT:
+    case RGY_MSG_GOSSIP:
+    case RGY_MSG_GOSSIP_ACK:
+    case RGY_MSG_SYNC_REQUEST:
+    case RGY_MSG_SYNC_REPLY:
+    case RGY_MSG_KIND_COUNT:
+      ++*a->c.bad_message;
+      break;
+    }
+}
+
+void
+rgy_agent_from_instance (struct rgy_agent *a, struct rgy_endpoint from,
+                         struct rgy_bytes datagram, int64_t now_us,
+                         struct rgy_actions *actions)
+{
+  struct rgy_message *m = a->message;
+  enum rgy_outcome rc = rgy_wire_decode (a->wire, datagram, m);
+
+  a->now_us = now_us;
+  a->actions = actions;
+  if (rc == RGY_OK)
+    {
+      if (m->kind != RGY_MSG_DATA)
+        {
+          ++*a->c.control_in;
+          *a->c.control_bytes_in += datagram.len;
+        }
+      rgy_agent_update_group (a);
+      dispatch_ (a, from, m);
+      rgy_agent_publish_held (a);
+    }
+  else
+    ++*(rc == RGY_ERR_AUTH ? a->c.bad_tag : a->c.bad_message);
+}
+
+static void
+expire_flows_ (struct rgy_agent *a)
+{
+  struct rgy_flow *flow;
+
+  while ((flow = rgy_flow_table_get_expired (a->flows, a->now_us)) != NULL)
+    {
+      if (rgy_request_engine_get_observations (flow) > 0)
+        {
+          /* An observation may be silent for longer than a flow.  */
+          rgy_flow_table_touch (a->flows, flow, a->now_us);
+          continue;
+        }
+      ++*a->c.flows_expired;
+      rgy_agent_close_flow (a, flow);
+    }
+}
+
+static void
+start_tick_ (struct rgy_agent *a)
+{
+  if (a->self.state == RGY_MEMBER_STARTING && a->synced)
+    set_state_ (a, RGY_MEMBER_READY);
+}
+
+static void
+drain_tick_ (struct rgy_agent *a)
+{
+  const struct rgy_admission *admission
+      = rgy_request_engine_get_admission (a->engine);
+  struct rgy_drain_work work
+      = { .flows = rgy_flow_table_get_count (a->flows),
+          .running = rgy_admission_get_running (admission),
+          .queued = rgy_admission_get_queued (admission),
+          .transfers = rgy_transfers_get_count (a->transfers) };
+  enum rgy_drain_stage stage;
+
+  if (!rgy_drain_tick (a->drain, &work, a->now_us))
+    return;
+  stage = rgy_drain_get_stage (a->drain);
+  rgy_actions_log (a->actions, "drain: %s, %zu flows held",
+                   rgy_drain_stage_string[stage], work.flows);
+  if (stage != RGY_DRAIN_DONE)
+    return;
+  if (rgy_drain_is_forced (a->drain))
+    *a->c.flows_given_up += work.flows;
+  set_state_ (a, RGY_MEMBER_LEFT);
+  publish_record_ (a);
+  rgy_agent_send_heartbeats (a);
+  rgy_actions_exit (a->actions);
+}
+
+void
+rgy_agent_tick (struct rgy_agent *a, int64_t now_us,
+                struct rgy_actions *actions)
+{
+  const struct rgy_admission *admission
+      = rgy_request_engine_get_admission (a->engine);
+
+  if (a->self.state == RGY_MEMBER_LEFT)
+    return;
+  a->now_us = now_us;
+  a->actions = actions;
+  start_tick_ (a);
+  publish_record_ (a);
+  rgy_agent_update_group (a);
+  rgy_agent_settle_tick (a);
+  rgy_agent_peer_state_tick (a);
+  rgy_agent_probe_tick (a);
+  rgy_request_engine_tick (a->engine, now_us, actions);
+  expire_flows_ (a);
+  rgy_agent_handover_tick (a);
+  rgy_agent_publish_held (a);
+  drain_tick_ (a);
+  if (now_us >= a->next_heartbeat_us)
+    {
+      a->next_heartbeat_us = now_us + RGY_HEARTBEAT_INTERVAL_US;
+      rgy_agent_send_heartbeats (a);
+      rgy_agent_look_for_balancers (a);
+    }
+  *a->c.flows = rgy_flow_table_get_count (a->flows);
+  *a->c.limit = rgy_admission_get_limit (admission);
+  *a->c.running = rgy_admission_get_running (admission);
+}
+
+void
+rgy_agent_start_drain (struct rgy_agent *a, int64_t now_us,
+                       struct rgy_actions *actions)
+{
+  a->now_us = now_us;
+  a->actions = actions;
+  if (rgy_drain_get_stage (a->drain) != RGY_DRAIN_NONE)
+    return;
+  rgy_drain_start (a->drain, now_us);
+  if (!a->settings.without_drain_announcement)
+    set_state_ (a, RGY_MEMBER_DRAINING);
+  publish_record_ (a);
+  rgy_agent_update_group (a);
+  rgy_agent_peer_state_tick (a);
+  rgy_agent_send_heartbeats (a);
+}
+
+bool
+rgy_agent_is_ready (const struct rgy_agent *a)
+{
+  return a->self.state == RGY_MEMBER_READY && !a->out
+         && a->now_us - a->ready_since_us >= RGY_READY_DELAY_US;
+}
+
+const struct rgy_blackboard *
+rgy_agent_get_blackboard (const struct rgy_agent *a)
+{
+  return a->bb;
+}
+
+size_t
+rgy_agent_get_flow_count (const struct rgy_agent *a)
+{
+  return rgy_flow_table_get_count (a->flows);
+}
+
+bool
+rgy_agent_holds_flow (const struct rgy_agent *a,
+                      const struct rgy_flow_key *key)
+{
+  return rgy_flow_table_find (a->flows, key) != NULL;
+}
+
+const struct rgy_admission *
+rgy_agent_get_admission (const struct rgy_agent *a)
+{
+  return rgy_request_engine_get_admission (a->engine);
+}
--- a/src/libragwortyoke/include/private/agent_private.h
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -164,18 +164,41 @@
   bool record_changed;
 };
 
-/* agent_control.c */
+/* agent.c */
 void rgy_agent_send_message (struct rgy_agent *a, struct rgy_endpoint to,
                              const struct rgy_message *message);
+
+/* agent_balancers.c */
+/** A balancer through which an answer may go, or an unset endpoint.  */
+struct rgy_endpoint rgy_agent_choose_balancer (struct rgy_agent *a,
+                                               const struct rgy_flow *flow);
+void rgy_agent_send_heartbeats (struct rgy_agent *a);
+void
+rgy_agent_handle_heartbeat_ack (struct rgy_agent *a,
+                                const struct rgy_heartbeat_ack_message *m);
+/** Read the store when no balancer has answered for long.  */
+void rgy_agent_look_for_balancers (struct rgy_agent *a);
+
+/* agent_config.c */
 const struct rgy_contract_service *
 rgy_agent_get_service (const struct rgy_agent *a,
                        const struct rgy_contract **contract,
                        uint32_t caller_ip);
+void rgy_agent_apply_entries (struct rgy_agent *a,
+                              const struct rgy_entries_message *m);
+
+/* agent_peers.c */
 /** Send the state of this agent to all peers.  */
 void rgy_agent_send_peer_state (struct rgy_agent *a);
-/** A balancer through which an answer may go, or an unset endpoint.  */
-struct rgy_endpoint rgy_agent_choose_balancer (struct rgy_agent *a,
-                                               const struct rgy_flow *flow);
+void rgy_agent_peer_state_tick (struct rgy_agent *a);
+void rgy_agent_handle_peer_state (struct rgy_agent *a,
+                                  struct rgy_endpoint from,
+                                  const struct rgy_peer_state_message *m);
+/** Follow changes of the group: bucket table, claims, limits.  */
+void rgy_agent_update_group (struct rgy_agent *a);
+/** Send the state when the buckets with flows have changed.  */
+void rgy_agent_publish_held (struct rgy_agent *a);
+void rgy_agent_settle_tick (struct rgy_agent *a);
 
 /* agent_packet.c */
 void rgy_agent_handle_data (struct rgy_agent *a, struct rgy_data_message *m);
