--- /dev/null
+++ b/src/libragwortyoke/balancer.c
@@ -0,0 +1,363 @@
+#include "private/balancer_private.h"
+
+#include <string.h>
+
+/* Life of a balancer: creation, messages, time and drain.  */
+
+/* Control plane of a balancer: gossip, synchronisation, its own record and
+   its dealings with the store.  */
+
+static void
+table_free_ (gpointer data)
+{
+  struct rgy_service_table *t = data;
+
+  rgy_bucket_table_delete (t->table);
+  g_free (t);
+}
+
+static void
+limit_free_ (gpointer data)
+{
+  rgy_rate_limit_delete (data);
+}
+
+static void
+fresh_entry_free_ (gpointer data)
+{
+  struct rgy_fresh_entry *copy = data;
+
+  g_bytes_unref (copy->value);
+  g_free (copy);
+}
+
+static void
+register_counters_ (struct rgy_balancer *b)
+{
+  struct rgy_counters *c = b->counters;
+  static const char dropped[] = "Packets from the fabric that were dropped.";
+
+  b->c = (struct rgy_balancer_counters){
+    .packets_in = rgy_counters_add (c, "balancer_packets_in_total", NULL,
+                                    "Packets from the fabric."),
+    .bytes_in = rgy_counters_add (c, "balancer_bytes_in_total", NULL,
+                                  "Bytes from the fabric."),
+    .forwarded = rgy_counters_add (c, "balancer_forwarded_total", NULL,
+                                   "Packets sent to agents."),
+    .answers = rgy_counters_add (c, "balancer_answers_total", NULL,
+                                 "Responses sent to the fabric."),
+    .drop_malformed = rgy_counters_add (c, "balancer_dropped_total",
+                                        "reason=\"malformed\"", dropped),
+    .drop_unknown_service = rgy_counters_add (
+        c, "balancer_dropped_total", "reason=\"unknown-service\"", dropped),
+    .drop_unknown_caller = rgy_counters_add (
+        c, "balancer_dropped_total", "reason=\"unknown-caller\"", dropped),
+    .drop_limit = rgy_counters_add (c, "balancer_dropped_total",
+                                    "reason=\"contract-limit\"", dropped),
+    .drop_no_backend = rgy_counters_add (
+        c, "balancer_dropped_total", "reason=\"no-backend-server\"", dropped),
+    .drop_out = rgy_counters_add (c, "balancer_dropped_total",
+                                  "reason=\"failure-domain-out\"", dropped),
+    .bad_tag = rgy_counters_add (c, "bad_tag_total", NULL,
+                                 "Internal datagrams with a wrong tag."),
+    .bad_message
+    = rgy_counters_add (c, "bad_message_total", NULL,
+                        "Internal datagrams that could not be read."),
+    .control_in = rgy_counters_add (c, "control_messages_in_total", NULL,
+                                    "Control messages received."),
+    .control_bytes_in = rgy_counters_add (c, "control_bytes_in_total", NULL,
+                                          "Control bytes received."),
+    .control_bytes_out = rgy_counters_add (c, "control_bytes_out_total", NULL,
+                                           "Control bytes sent."),
+    .cuts = rgy_counters_add (c, "cut_protection_total", NULL,
+                              "Times that cut protection was switched on."),
+    .declared_dead = rgy_counters_add (c, "declared_dead_total", NULL,
+                                       "Members declared dead here."),
+    .config_changes
+    = rgy_counters_add (c, "config_changes_total", NULL,
+                        "Contracts and domain orders put in force."),
+    .agents = rgy_counters_add_gauge (c, "known_agents", NULL,
+                                      "Agent records in the replica."),
+    .balancers = rgy_counters_add_gauge (c, "known_balancers", NULL,
+                                         "Balancer records in the replica."),
+  };
+}
+
+struct rgy_balancer *
+rgy_balancer_new (const struct rgy_balancer_settings *settings,
+                  struct rgy_counters *counters)
+{
+  struct rgy_balancer *b = g_new0 (struct rgy_balancer, 1);
+
+  b->settings = *settings;
+  b->counters = counters;
+  register_counters_ (b);
+  b->bb = rgy_blackboard_new (counters);
+  b->bb->without_domain_orders = settings->without_domain_orders;
+  b->bb->without_version_check = settings->without_version_check;
+  b->wire = rgy_wire_new (settings->key);
+  b->message = g_new0 (struct rgy_message, 1);
+  b->random = g_rand_new_with_seed_array (
+      (const guint32 *)&b->settings.random_seed,
+      sizeof b->settings.random_seed / sizeof (guint32));
+  b->packet = g_byte_array_new ();
+  b->tables = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
+                                     table_free_);
+  b->limits = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free,
+                                     limit_free_);
+  b->agents_liveness = rgy_liveness_new (&rgy_liveness_defaults);
+  b->balancers_liveness = rgy_liveness_new (&rgy_liveness_defaults);
+  b->monitored
+      = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free, NULL);
+  b->loads = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free,
+                                    g_free);
+  b->lagging
+      = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal, g_free, NULL);
+  b->fresh = g_ptr_array_new_with_free_func (fresh_entry_free_);
+  b->announcements
+      = g_array_new (FALSE, FALSE, sizeof (struct rgy_announcement));
+  b->stored_orders = g_hash_table_new_full (rgy_name_ghash, rgy_name_gequal,
+                                            g_free, g_free);
+  b->self = (struct rgy_balancer_record){ .id = settings->id,
+                                          .epoch = settings->epoch,
+                                          .sequence = 0,
+                                          .state = RGY_MEMBER_READY,
+                                          .domain = settings->domain,
+                                          .endpoint = settings->endpoint,
+                                          .sync = settings->sync,
+                                          .http = settings->http };
+  b->record_changed = true;
+  return b;
+}
+
+void
+rgy_balancer_delete (struct rgy_balancer *b)
+{
+  if (b == NULL)
+    return;
+  g_free (b->stored_rollup);
+  g_hash_table_unref (b->stored_orders);
+  g_array_unref (b->announcements);
+  g_ptr_array_unref (b->fresh);
+  g_hash_table_unref (b->lagging);
+  g_hash_table_unref (b->loads);
+  g_hash_table_unref (b->monitored);
+  rgy_liveness_delete (b->balancers_liveness);
+  rgy_liveness_delete (b->agents_liveness);
+  g_hash_table_unref (b->limits);
+  g_hash_table_unref (b->tables);
+  g_byte_array_unref (b->packet);
+  g_rand_free (b->random);
+  g_free (b->message);
+  rgy_wire_delete (b->wire);
+  rgy_blackboard_delete (b->bb);
+  g_free (b);
+}
+
+void
+rgy_balancer_send_message (struct rgy_balancer *b, struct rgy_endpoint to,
+                           const struct rgy_message *message,
+                           struct rgy_actions *actions)
+{
+  struct rgy_bytes bytes = rgy_wire_encode (b->wire, message);
+
+  *b->c.control_bytes_out += bytes.len;
+  rgy_actions_send (actions, to, bytes);
+}
+
+bool
+rgy_balancer_is_in_cluster (const struct rgy_balancer_record *r)
+{
+  return r->state != RGY_MEMBER_DEAD && r->state != RGY_MEMBER_LEFT;
+}
+
+static int
+compare_names_ (const void *a, const void *b)
+{
+  return rgy_name_compare (a, b);
+}
+
+size_t
+rgy_balancer_list_others (const struct rgy_balancer *b, struct rgy_name *names,
+                          size_t max)
+{
+  GHashTableIter iter;
+  gpointer value;
+  size_t n = 0;
+
+  g_hash_table_iter_init (&iter, b->bb->balancers);
+  while (n < max && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_balancer_record *r = value;
+
+      if (rgy_balancer_is_in_cluster (r)
+          && !rgy_name_equal (&r->id, &b->settings.id))
+        names[n++] = r->id;
+    }
+  qsort (names, n, sizeof names[0], compare_names_);
+  return n;
+}
+
+static void
+handle_probe_ (struct rgy_balancer *b, struct rgy_endpoint from,
+               const struct rgy_probe_message *probe, int64_t now_us,
+               struct rgy_actions *actions)
+{
+  struct rgy_message m = { .kind = RGY_MSG_PROBE_ACK };
+
+  if (probe->subject.len > 0
+      && !rgy_liveness_is_reached (b->agents_liveness, &probe->subject,
+                                   now_us - RGY_VOUCH_US))
+    return;
+  m.u.probe = (struct rgy_probe_message){ .from = b->settings.id,
+                                          .nonce = probe->nonce,
+                                          .subject = probe->subject };
+  rgy_balancer_send_message (b, from, &m, actions);
+}
+
+static void
+handle_probe_ack_ (struct rgy_balancer *b, const struct rgy_probe_message *ack,
+                   int64_t now_us)
+{
+  const struct rgy_name *from = &ack->from;
+
+  rgy_liveness_vouch (b->agents_liveness, &ack->subject, now_us);
+  if (rgy_liveness_is_watched (b->agents_liveness, from))
+    rgy_liveness_heard (b->agents_liveness, from, now_us);
+  if (rgy_liveness_is_watched (b->balancers_liveness, from))
+    rgy_liveness_heard (b->balancers_liveness, from, now_us);
+}
+
+static void
+dispatch_ (struct rgy_balancer *b, struct rgy_endpoint from,
+           const struct rgy_message *m, int64_t now_us,
+           struct rgy_actions *actions)
+{
+  switch (m->kind)
+    {
+    case RGY_MSG_ANSWER:
+      rgy_balancer_handle_answer (b, &m->u.answer, actions);
+      break;
+    case RGY_MSG_HEARTBEAT:
+      rgy_balancer_handle_heartbeat (b, from, &m->u.heartbeat, now_us,
+                                     actions);
+      break;
+    case RGY_MSG_GOSSIP:
+    case RGY_MSG_GOSSIP_ACK:
+      rgy_balancer_handle_gossip (b, from, m, now_us, actions);
+      break;
+    case RGY_MSG_ENTRIES:
+      rgy_balancer_apply_entries (b, &m->u.entries, actions);
+      break;
+    case RGY_MSG_PROBE:
+      handle_probe_ (b, from, &m->u.probe, now_us, actions);
+      break;
+    case RGY_MSG_PROBE_ACK:
+      handle_probe_ack_ (b, &m->u.probe, now_us);
+      break;
+    case RGY_MSG_DATA:
+    case RGY_MSG_HEARTBEAT_ACK:
+    case RGY_MSG_PEER_STATE:
+    case RGY_MSG_PEER_STATE_ACK:
+    case RGY_MSG_HANDOVER:
+    case RGY_MSG_HANDOVER_ACK:
+    case RGY_MSG_SYNC_REQUEST:
+    case RGY_MSG_SYNC_REPLY:
+    case RGY_MSG_KIND_COUNT:
+      ++*b->c.bad_message;
+      break;
+    }
+}
+
+void
+rgy_balancer_from_instance (struct rgy_balancer *b, struct rgy_endpoint from,
+                            struct rgy_bytes datagram, int64_t now_us,
+                            struct rgy_actions *actions)
+{
+  struct rgy_message *m = b->message;
+  enum rgy_outcome rc = rgy_wire_decode (b->wire, datagram, m);
+
+  if (rc == RGY_OK)
+    {
+      if (m->kind != RGY_MSG_ANSWER)
+        {
+          ++*b->c.control_in;
+          *b->c.control_bytes_in += datagram.len;
+        }
+      dispatch_ (b, from, m, now_us, actions);
+    }
+  else
+    ++*(rc == RGY_ERR_AUTH ? b->c.bad_tag : b->c.bad_message);
+}
+
+static void
+drain_tick_ (struct rgy_balancer *b, int64_t now_us,
+             struct rgy_actions *actions)
+{
+  if (b->drain_until_us == 0 || now_us < b->drain_until_us
+      || b->self.state == RGY_MEMBER_LEFT)
+    return;
+  b->self.state = RGY_MEMBER_LEFT;
+  b->record_changed = true;
+  rgy_balancer_publish_record (b, now_us);
+  rgy_balancer_gossip_tick (b, now_us, actions);
+  rgy_actions_exit (actions);
+}
+
+/* Packets that come before the agents are known would be refused.  Agents are
+   known when a peer holds the same entries, or when each had the time to send
+   two heartbeats.  */
+static void
+warm_up_tick_ (struct rgy_balancer *b, int64_t now_us)
+{
+  if (b->knows_agents)
+    return;
+  if (b->started_us == 0)
+    b->started_us = now_us;
+  b->knows_agents = (b->joined && g_hash_table_size (b->bb->agents) > 0)
+                    || now_us - b->started_us >= RGY_WARM_UP_US;
+}
+
+void
+rgy_balancer_tick (struct rgy_balancer *b, int64_t now_us,
+                   struct rgy_actions *actions)
+{
+  warm_up_tick_ (b, now_us);
+  rgy_balancer_monitor_tick (b, now_us, actions);
+  rgy_balancer_publish_record (b, now_us);
+  rgy_balancer_push_fresh (b, actions);
+  rgy_balancer_gossip_tick (b, now_us, actions);
+  rgy_balancer_rejoin_tick (b, now_us, actions);
+  rgy_balancer_store_tick (b, now_us, actions);
+  drain_tick_ (b, now_us, actions);
+  *b->c.agents = g_hash_table_size (b->bb->agents);
+  *b->c.balancers = g_hash_table_size (b->bb->balancers);
+}
+
+void
+rgy_balancer_start_drain (struct rgy_balancer *b, int64_t now_us,
+                          struct rgy_actions *actions)
+{
+  if (b->drain_until_us != 0)
+    return;
+  b->drain_until_us = now_us + b->settings.drain_us;
+  b->self.state = RGY_MEMBER_DRAINING;
+  b->record_changed = true;
+  rgy_actions_log (actions, "draining");
+  rgy_balancer_publish_record (b, now_us);
+  rgy_balancer_gossip_tick (b, now_us, actions);
+}
+
+bool
+rgy_balancer_is_ready (const struct rgy_balancer *b)
+{
+  return b->self.state == RGY_MEMBER_READY && b->synced && b->knows_agents
+         && !b->cut && rgy_contract_set_get_count (b->bb->contracts) > 0
+         && !rgy_domain_set_is_out (b->bb->domains, &b->settings.domain);
+}
+
+const struct rgy_blackboard *
+rgy_balancer_get_blackboard (const struct rgy_balancer *b)
+{
+  return b->bb;
+}
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -43,6 +43,10 @@
 #define RGY_VOUCH_US INT64_C (1500000)
 /** A balancer whose failure domain is out forwards for this long.  */
 #define RGY_WITHDRAW_US INT64_C (3000000)
+/** Room left in a gossip datagram after tag, names and digests.  */
+#define RGY_GOSSIP_ENTRY_BYTES (RGY_WIRE_DATAGRAM_BYTES - 200)
+/** Key and version of an entry in a datagram.  */
+#define RGY_ENTRY_OVERHEAD_BYTES 32
 /** Balancers that monitor one member.  */
 #define RGY_MONITOR_COUNT 3
 /** Time for the monitored agents to report a change before those that have
@@ -172,10 +176,18 @@
   bool reader;        /**< Watches the store.  */
 };
 
-/* balancer_control.c */
+/* balancer.c */
 void rgy_balancer_send_message (struct rgy_balancer *b, struct rgy_endpoint to,
                                 const struct rgy_message *message,
                                 struct rgy_actions *actions);
+/** Names of the usable or starting balancers but this one, sorted.  */
+size_t rgy_balancer_list_others (const struct rgy_balancer *b,
+                                 struct rgy_name *names, size_t max);
+
+/** False for a balancer that is dead or has left.  */
+bool rgy_balancer_is_in_cluster (const struct rgy_balancer_record *r);
+
+/* balancer_entries.c */
 enum rgy_outcome rgy_balancer_apply_entry (struct rgy_balancer *b,
                                            const struct rgy_entry *entry,
                                            struct rgy_actions *actions);
@@ -184,13 +196,33 @@
 rgy_balancer_apply_pulled_entry (struct rgy_balancer *b,
                                  const struct rgy_entry *entry,
                                  struct rgy_actions *actions);
-/** Names of the usable or starting balancers but this one, sorted.  */
-size_t rgy_balancer_list_others (const struct rgy_balancer *b,
-                                 struct rgy_name *names, size_t max);
+/** @return true when an entry is announced that is not yet known here.  */
+bool rgy_balancer_apply_entries (struct rgy_balancer *b,
+                                 const struct rgy_entries_message *m,
+                                 struct rgy_actions *actions);
 
+/* balancer_gossip.c */
+void rgy_balancer_gossip_tick (struct rgy_balancer *b, int64_t now_us,
+                               struct rgy_actions *actions);
+/** Write to a balancer that is dead or unknown here, so that separate groups
+    join.  */
+void rgy_balancer_rejoin_tick (struct rgy_balancer *b, int64_t now_us,
+                               struct rgy_actions *actions);
+void rgy_balancer_handle_gossip (struct rgy_balancer *b,
+                                 struct rgy_endpoint from,
+                                 const struct rgy_message *message,
+                                 int64_t now_us, struct rgy_actions *actions);
+
+/* balancer_record.c */
+/** Publish the own record when it has changed.  */
+void rgy_balancer_publish_record (struct rgy_balancer *b, int64_t now_us);
+
+/* balancer_store.c */
 /** True when this balancer, the last of NAMES, should watch the store.  */
 bool rgy_balancer_choose_reader (const struct rgy_balancer *b,
                                  const struct rgy_name *names, size_t count);
+void rgy_balancer_store_tick (struct rgy_balancer *b, int64_t now_us,
+                              struct rgy_actions *actions);
 
 /* balancer_monitor.c */
 void rgy_balancer_monitor_tick (struct rgy_balancer *b, int64_t now_us,
@@ -205,10 +237,6 @@
 void rgy_balancer_push_fresh (struct rgy_balancer *b,
                               struct rgy_actions *actions);
 
-/* balancer_store.c */
-void rgy_balancer_store_tick (struct rgy_balancer *b, int64_t now_us,
-                              struct rgy_actions *actions);
-
 /* balancer_packet.c */
 void rgy_balancer_handle_answer (struct rgy_balancer *b,
                                  const struct rgy_answer_message *m,
