Share the internal link and register counters from tables

Both cores repeated the codec, the accounting of control messages and a register function of a hundred lines; the link and the tables replace them. No behaviour changes.

--- a/include/ragwortyoke/counter.h
+++ b/include/ragwortyoke/counter.h
@@ -7,6 +7,7 @@
  */
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 struct rgy_counters;
@@ -29,6 +30,20 @@
                                   const char *name, const char *label,
                                   const char *help);
 
+/** One counter of a set.  */
+struct rgy_counter_spec
+{
+  uint64_t **value; /**< Receives the address of the value.  */
+  const char *name;
+  const char *label; /**< Or NULL.  */
+  const char *help;
+  bool gauge;
+};
+
+/** Register a set of counters.  */
+void rgy_counters_add_all (struct rgy_counters *counters,
+                           const struct rgy_counter_spec *specs, size_t count);
+
 /** Value of a counter; 0 when it is not registered.  */
 uint64_t rgy_counters_get (const struct rgy_counters *counters,
                            const char *name, const char *label);
--- a/src/libragwortyoke/agent.c
+++ b/src/libragwortyoke/agent.c
@@ -45,77 +45,99 @@
 static void
 register_counters_ (struct rgy_agent *a)
 {
-  struct rgy_counters *c = a->counters;
   static const char dropped[] = "Packets that were dropped.";
   static const char refused[] = "New flows and requests that were refused.";
-
-  a->c = (struct rgy_agent_counters){
-    .packets_in = rgy_counters_add (c, "agent_packets_in_total", NULL,
-                                    "Packets from balancers and peers."),
-    .delivered = rgy_counters_add (c, "agent_delivered_total", NULL,
-                                   "Packets on flows held here."),
-    .forwarded = rgy_counters_add (c, "agent_forwarded_total", NULL,
-                                   "Packets passed on to a peer."),
-    .flows_opened
-    = rgy_counters_add (c, "flows_opened_total", NULL, "Flows opened."),
-    .flows_moved_in = rgy_counters_add (c, "flows_moved_in_total", NULL,
-                                        "Flows taken over from a peer."),
-    .flows_moved_out = rgy_counters_add (c, "flows_moved_out_total", NULL,
-                                         "Flows handed over to a peer."),
-    .flows_given_up
-    = rgy_counters_add (c, "flows_given_up_total", NULL,
-                        "Flows ended because the failure domain is out."),
-    .flows_revoked
-    = rgy_counters_add (c, "flows_revoked_total", NULL,
-                        "Flows ended because their contract has changed."),
-    .flows_expired = rgy_counters_add (c, "flows_expired_total", NULL,
-                                       "Flows ended by the idle timeout."),
-    .answers = rgy_counters_add (c, "agent_answers_total", NULL,
-                                 "Responses sent to balancers."),
-    .answers_without_balancer
-    = rgy_counters_add (c, "agent_answers_dropped_total", NULL,
-                        "Responses dropped for lack of a live balancer."),
-    .drop_wrong_service = rgy_counters_add (
-        c, "agent_dropped_total", "reason=\"wrong-service\"", dropped),
-    .drop_unknown_caller = rgy_counters_add (
-        c, "agent_dropped_total", "reason=\"unknown-caller\"", dropped),
-    .drop_no_agent = rgy_counters_add (
-        c, "agent_dropped_total", "reason=\"no-backend-server\"", dropped),
-    .drop_hop_limit = rgy_counters_add (c, "agent_dropped_total",
-                                        "reason=\"hop-limit\"", dropped),
-    .drop_not_held = rgy_counters_add (c, "agent_dropped_total",
-                                       "reason=\"not-held\"", dropped),
-    .refused_limit = rgy_counters_add (c, "agent_refused_total",
-                                       "reason=\"contract-limit\"", refused),
-    .refused_overload = rgy_counters_add (c, "agent_refused_total",
-                                          "reason=\"overload\"", refused),
-    .refused_out = rgy_counters_add (c, "agent_refused_total",
-                                     "reason=\"failure-domain-out\"", refused),
-    .refused_draining = rgy_counters_add (c, "agent_refused_total",
-                                          "reason=\"draining\"", refused),
-    .view_mismatch
-    = rgy_counters_add (c, "steer_view_mismatch_total", NULL,
-                        "Packets steered with another set of agents."),
-    .bad_tag = rgy_counters_add (c, "bad_tag_total", NULL,
-                                 "Internal datagrams with a wrong tag."),
-    .bad_message
-    = rgy_counters_add (c, "bad_message_total", NULL,
-                        "Internal datagrams that could not be read."),
-    .control_in = rgy_counters_add (c, "control_messages_in_total", NULL,
-                                    "Control messages received."),
-    .control_bytes_in = rgy_counters_add (c, "control_bytes_in_total", NULL,
-                                          "Control bytes received."),
-    .control_bytes_out = rgy_counters_add (c, "control_bytes_out_total", NULL,
-                                           "Control bytes sent."),
-    .config_changes
-    = rgy_counters_add (c, "config_changes_total", NULL,
-                        "Contracts and domain orders put in force."),
-    .flows = rgy_counters_add_gauge (c, "flows", NULL, "Open flows."),
-    .limit = rgy_counters_add_gauge (c, "admission_limit", NULL,
-                                     "Requests that may be in execution."),
-    .running = rgy_counters_add_gauge (c, "admission_running", NULL,
-                                       "Requests in execution."),
+  const struct rgy_counter_spec specs[] = {
+    { .value = &a->c.packets_in,
+      .name = "agent_packets_in_total",
+      .help = "Packets from balancers and peers." },
+    { .value = &a->c.delivered,
+      .name = "agent_delivered_total",
+      .help = "Packets on flows held here." },
+    { .value = &a->c.forwarded,
+      .name = "agent_forwarded_total",
+      .help = "Packets passed on to a peer." },
+    { .value = &a->c.flows_opened,
+      .name = "flows_opened_total",
+      .help = "Flows opened." },
+    { .value = &a->c.flows_moved_in,
+      .name = "flows_moved_in_total",
+      .help = "Flows taken over from a peer." },
+    { .value = &a->c.flows_moved_out,
+      .name = "flows_moved_out_total",
+      .help = "Flows handed over to a peer." },
+    { .value = &a->c.flows_given_up,
+      .name = "flows_given_up_total",
+      .help = "Flows ended because the failure domain is out." },
+    { .value = &a->c.flows_revoked,
+      .name = "flows_revoked_total",
+      .help = "Flows ended because their contract has changed." },
+    { .value = &a->c.flows_expired,
+      .name = "flows_expired_total",
+      .help = "Flows ended by the idle timeout." },
+    { .value = &a->c.answers,
+      .name = "agent_answers_total",
+      .help = "Responses sent to balancers." },
+    { .value = &a->c.answers_without_balancer,
+      .name = "agent_answers_dropped_total",
+      .help = "Responses dropped for lack of a live balancer." },
+    { .value = &a->c.drop_wrong_service,
+      .name = "agent_dropped_total",
+      .label = "reason=\"wrong-service\"",
+      .help = dropped },
+    { .value = &a->c.drop_unknown_caller,
+      .name = "agent_dropped_total",
+      .label = "reason=\"unknown-caller\"",
+      .help = dropped },
+    { .value = &a->c.drop_no_agent,
+      .name = "agent_dropped_total",
+      .label = "reason=\"no-backend-server\"",
+      .help = dropped },
+    { .value = &a->c.drop_hop_limit,
+      .name = "agent_dropped_total",
+      .label = "reason=\"hop-limit\"",
+      .help = dropped },
+    { .value = &a->c.drop_not_held,
+      .name = "agent_dropped_total",
+      .label = "reason=\"not-held\"",
+      .help = dropped },
+    { .value = &a->c.refused_limit,
+      .name = "agent_refused_total",
+      .label = "reason=\"contract-limit\"",
+      .help = refused },
+    { .value = &a->c.refused_overload,
+      .name = "agent_refused_total",
+      .label = "reason=\"overload\"",
+      .help = refused },
+    { .value = &a->c.refused_out,
+      .name = "agent_refused_total",
+      .label = "reason=\"failure-domain-out\"",
+      .help = refused },
+    { .value = &a->c.refused_draining,
+      .name = "agent_refused_total",
+      .label = "reason=\"draining\"",
+      .help = refused },
+    { .value = &a->c.view_mismatch,
+      .name = "steer_view_mismatch_total",
+      .help = "Packets steered with another set of agents." },
+    { .value = &a->c.config_changes,
+      .name = "config_changes_total",
+      .help = "Contracts and domain orders put in force." },
+    { .value = &a->c.flows,
+      .name = "flows",
+      .help = "Open flows.",
+      .gauge = true },
+    { .value = &a->c.limit,
+      .name = "admission_limit",
+      .help = "Requests that may be in execution.",
+      .gauge = true },
+    { .value = &a->c.running,
+      .name = "admission_running",
+      .help = "Requests in execution.",
+      .gauge = true },
   };
+
+  rgy_counters_add_all (a->counters, specs, G_N_ELEMENTS (specs));
 }
 
 static struct rgy_request_engine *
@@ -155,8 +177,7 @@
   a->bb = rgy_blackboard_new (counters);
   a->bb->without_domain_orders = settings->without_domain_orders;
   a->bb->without_version_check = settings->without_version_check;
-  a->wire = rgy_wire_new (settings->key);
-  a->message = g_new0 (struct rgy_message, 1);
+  rgy_link_init (&a->link, settings->key, counters);
   a->random = g_rand_new_with_seed_array (
       (const guint32 *)&a->settings.random_seed,
       sizeof a->settings.random_seed / sizeof (guint32));
@@ -214,8 +235,7 @@
   rgy_steering_delete (a->steering);
   rgy_flow_table_delete (a->flows);
   g_rand_free (a->random);
-  g_free (a->message);
-  rgy_wire_delete (a->wire);
+  rgy_link_finish (&a->link);
   rgy_blackboard_delete (a->bb);
   g_free (a);
 }
@@ -257,10 +277,7 @@
 rgy_agent_send_message (struct rgy_agent *a, struct rgy_endpoint to,
                         const struct rgy_message *message)
 {
-  struct rgy_bytes bytes = rgy_wire_encode (a->wire, message);
-
-  *a->c.control_bytes_out += bytes.len;
-  rgy_actions_send (a->actions, to, bytes);
+  rgy_link_send (&a->link, to, message, a->actions);
 }
 
 static void
@@ -315,7 +332,7 @@
     case RGY_MSG_SYNC_REQUEST:
     case RGY_MSG_SYNC_REPLY:
     case RGY_MSG_KIND_COUNT:
-      ++*a->c.bad_message;
+      ++*a->link.bad_message;
       break;
     }
 }
@@ -325,24 +342,15 @@
                          struct rgy_bytes datagram, int64_t now_us,
                          struct rgy_actions *actions)
 {
-  struct rgy_message *m = a->message;
-  enum rgy_outcome rc = rgy_wire_decode (a->wire, datagram, m);
+  struct rgy_message *m = rgy_link_receive (&a->link, datagram);
 
+  if (m == NULL)
+    return;
   a->now_us = now_us;
   a->actions = actions;
-  if (rc == RGY_OK)
-    {
-      if (m->kind != RGY_MSG_DATA)
-        {
-          ++*a->c.control_in;
-          *a->c.control_bytes_in += datagram.len;
-        }
-      rgy_agent_update_group (a);
-      dispatch_ (a, from, m);
-      rgy_agent_publish_held (a);
-    }
-  else
-    ++*(rc == RGY_ERR_AUTH ? a->c.bad_tag : a->c.bad_message);
+  rgy_agent_update_group (a);
+  dispatch_ (a, from, m);
+  rgy_agent_publish_held (a);
 }
 
 static void
--- a/src/libragwortyoke/agent_config.c
+++ b/src/libragwortyoke/agent_config.c
@@ -159,7 +159,7 @@
       rgy_replica_get_subdigests (a->bb->replica, classes[i],
                                   m->u.sync_request.subdigests[classes[i]]);
     }
-  bytes = rgy_wire_encode (a->wire, m);
+  bytes = rgy_wire_encode (a->link.wire, m);
   g_free (m);
   return bytes;
 }
@@ -169,7 +169,7 @@
                       int64_t now_us, struct rgy_actions *actions)
 {
   struct rgy_message *m = g_new0 (struct rgy_message, 1);
-  enum rgy_outcome rc = rgy_wire_decode (a->wire, frame, m);
+  enum rgy_outcome rc = rgy_wire_decode (a->link.wire, frame, m);
 
   a->now_us = now_us;
   a->actions = actions;
--- a/src/libragwortyoke/agent_handover.c
+++ b/src/libragwortyoke/agent_handover.c
@@ -198,7 +198,7 @@
 
   if (rgy_handover_state_decode (m->state, &state) != RGY_OK)
     {
-      ++*a->c.bad_message;
+      ++*a->link.bad_message;
       return;
     }
   if (rgy_receipts_find (a->receipts, &m->from, m->transfer_id, &state.key,
--- a/src/libragwortyoke/agent_packet.c
+++ b/src/libragwortyoke/agent_packet.c
@@ -80,7 +80,7 @@
   out.u.data = *m;
   ++*a->c.forwarded;
   rgy_actions_send (a->actions, next->endpoint,
-                    rgy_wire_encode (a->wire, &out));
+                    rgy_wire_encode (a->link.wire, &out));
 }
 
 static void
@@ -335,7 +335,7 @@
                                             .service = a->settings.service,
                                             .payload = payload };
   ++*a->c.answers;
-  rgy_actions_send (a->actions, balancer, rgy_wire_encode (a->wire, &m));
+  rgy_actions_send (a->actions, balancer, rgy_wire_encode (a->link.wire, &m));
 }
 
 void
--- a/src/libragwortyoke/balancer.c
+++ b/src/libragwortyoke/balancer.c
@@ -34,53 +34,64 @@
 static void
 register_counters_ (struct rgy_balancer *b)
 {
-  struct rgy_counters *c = b->counters;
   static const char dropped[] = "Packets from the fabric that were dropped.";
-
-  b->c = (struct rgy_balancer_counters){
-    .packets_in = rgy_counters_add (c, "balancer_packets_in_total", NULL,
-                                    "Packets from the fabric."),
-    .bytes_in = rgy_counters_add (c, "balancer_bytes_in_total", NULL,
-                                  "Bytes from the fabric."),
-    .forwarded = rgy_counters_add (c, "balancer_forwarded_total", NULL,
-                                   "Packets sent to agents."),
-    .answers = rgy_counters_add (c, "balancer_answers_total", NULL,
-                                 "Responses sent to the fabric."),
-    .drop_malformed = rgy_counters_add (c, "balancer_dropped_total",
-                                        "reason=\"malformed\"", dropped),
-    .drop_unknown_service = rgy_counters_add (
-        c, "balancer_dropped_total", "reason=\"unknown-service\"", dropped),
-    .drop_unknown_caller = rgy_counters_add (
-        c, "balancer_dropped_total", "reason=\"unknown-caller\"", dropped),
-    .drop_limit = rgy_counters_add (c, "balancer_dropped_total",
-                                    "reason=\"contract-limit\"", dropped),
-    .drop_no_backend = rgy_counters_add (
-        c, "balancer_dropped_total", "reason=\"no-backend-server\"", dropped),
-    .drop_out = rgy_counters_add (c, "balancer_dropped_total",
-                                  "reason=\"failure-domain-out\"", dropped),
-    .bad_tag = rgy_counters_add (c, "bad_tag_total", NULL,
-                                 "Internal datagrams with a wrong tag."),
-    .bad_message
-    = rgy_counters_add (c, "bad_message_total", NULL,
-                        "Internal datagrams that could not be read."),
-    .control_in = rgy_counters_add (c, "control_messages_in_total", NULL,
-                                    "Control messages received."),
-    .control_bytes_in = rgy_counters_add (c, "control_bytes_in_total", NULL,
-                                          "Control bytes received."),
-    .control_bytes_out = rgy_counters_add (c, "control_bytes_out_total", NULL,
-                                           "Control bytes sent."),
-    .cuts = rgy_counters_add (c, "cut_protection_total", NULL,
-                              "Times that cut protection was switched on."),
-    .declared_dead = rgy_counters_add (c, "declared_dead_total", NULL,
-                                       "Members declared dead here."),
-    .config_changes
-    = rgy_counters_add (c, "config_changes_total", NULL,
-                        "Contracts and domain orders put in force."),
-    .agents = rgy_counters_add_gauge (c, "known_agents", NULL,
-                                      "Agent records in the replica."),
-    .balancers = rgy_counters_add_gauge (c, "known_balancers", NULL,
-                                         "Balancer records in the replica."),
+  const struct rgy_counter_spec specs[] = {
+    { .value = &b->c.packets_in,
+      .name = "balancer_packets_in_total",
+      .help = "Packets from the fabric." },
+    { .value = &b->c.bytes_in,
+      .name = "balancer_bytes_in_total",
+      .help = "Bytes from the fabric." },
+    { .value = &b->c.forwarded,
+      .name = "balancer_forwarded_total",
+      .help = "Packets sent to agents." },
+    { .value = &b->c.answers,
+      .name = "balancer_answers_total",
+      .help = "Responses sent to the fabric." },
+    { .value = &b->c.drop_malformed,
+      .name = "balancer_dropped_total",
+      .label = "reason=\"malformed\"",
+      .help = dropped },
+    { .value = &b->c.drop_unknown_service,
+      .name = "balancer_dropped_total",
+      .label = "reason=\"unknown-service\"",
+      .help = dropped },
+    { .value = &b->c.drop_unknown_caller,
+      .name = "balancer_dropped_total",
+      .label = "reason=\"unknown-caller\"",
+      .help = dropped },
+    { .value = &b->c.drop_limit,
+      .name = "balancer_dropped_total",
+      .label = "reason=\"contract-limit\"",
+      .help = dropped },
+    { .value = &b->c.drop_no_backend,
+      .name = "balancer_dropped_total",
+      .label = "reason=\"no-backend-server\"",
+      .help = dropped },
+    { .value = &b->c.drop_out,
+      .name = "balancer_dropped_total",
+      .label = "reason=\"failure-domain-out\"",
+      .help = dropped },
+    { .value = &b->c.cuts,
+      .name = "cut_protection_total",
+      .help = "Times that cut protection was switched on." },
+    { .value = &b->c.declared_dead,
+      .name = "declared_dead_total",
+      .help = "Members declared dead here." },
+    { .value = &b->c.config_changes,
+      .name = "config_changes_total",
+      .help = "Contracts and domain orders put in force." },
+    { .value = &b->c.agents,
+      .name = "known_agents",
+      .help = "Agent records in the replica.",
+      .gauge = true },
+    { .value = &b->c.balancers,
+      .name = "known_balancers",
+      .help = "Balancer records in the replica.",
+      .gauge = true },
   };
+
+  rgy_counters_add_all (b->counters, specs, G_N_ELEMENTS (specs));
 }
 
 struct rgy_balancer *
@@ -95,8 +106,7 @@
   b->bb = rgy_blackboard_new (counters);
   b->bb->without_domain_orders = settings->without_domain_orders;
   b->bb->without_version_check = settings->without_version_check;
-  b->wire = rgy_wire_new (settings->key);
-  b->message = g_new0 (struct rgy_message, 1);
+  rgy_link_init (&b->link, settings->key, counters);
   b->random = g_rand_new_with_seed_array (
       (const guint32 *)&b->settings.random_seed,
       sizeof b->settings.random_seed / sizeof (guint32));
@@ -148,8 +158,7 @@
   g_hash_table_unref (b->tables);
   g_byte_array_unref (b->packet);
   g_rand_free (b->random);
-  g_free (b->message);
-  rgy_wire_delete (b->wire);
+  rgy_link_finish (&b->link);
   rgy_blackboard_delete (b->bb);
   g_free (b);
 }
@@ -159,10 +168,7 @@
                            const struct rgy_message *message,
                            struct rgy_actions *actions)
 {
-  struct rgy_bytes bytes = rgy_wire_encode (b->wire, message);
-
-  *b->c.control_bytes_out += bytes.len;
-  rgy_actions_send (actions, to, bytes);
+  rgy_link_send (&b->link, to, message, actions);
 }
 
 bool
@@ -264,7 +270,7 @@
     case RGY_MSG_SYNC_REQUEST:
     case RGY_MSG_SYNC_REPLY:
     case RGY_MSG_KIND_COUNT:
-      ++*b->c.bad_message;
+      ++*b->link.bad_message;
       break;
     }
 }
@@ -274,20 +280,10 @@
                             struct rgy_bytes datagram, int64_t now_us,
                             struct rgy_actions *actions)
 {
-  struct rgy_message *m = b->message;
-  enum rgy_outcome rc = rgy_wire_decode (b->wire, datagram, m);
+  struct rgy_message *m = rgy_link_receive (&b->link, datagram);
 
-  if (rc == RGY_OK)
-    {
-      if (m->kind != RGY_MSG_ANSWER)
-        {
-          ++*b->c.control_in;
-          *b->c.control_bytes_in += datagram.len;
-        }
-      dispatch_ (b, from, m, now_us, actions);
-    }
-  else
-    ++*(rc == RGY_ERR_AUTH ? b->c.bad_tag : b->c.bad_message);
+  if (m != NULL)
+    dispatch_ (b, from, m, now_us, actions);
 }
 
 static void
--- a/src/libragwortyoke/balancer_packet.c
+++ b/src/libragwortyoke/balancer_packet.c
@@ -164,7 +164,8 @@
                                    .view = view,
                                    .balancer = b->settings.endpoint,
                                    .payload = payload };
-  rgy_actions_send (actions, agent->endpoint, rgy_wire_encode (b->wire, &m));
+  rgy_actions_send (actions, agent->endpoint,
+                    rgy_wire_encode (b->link.wire, &m));
   ++*b->c.forwarded;
 }
 
--- a/src/libragwortyoke/balancer_sync.c
+++ b/src/libragwortyoke/balancer_sync.c
@@ -19,7 +19,7 @@
       rgy_replica_get_subdigests (b->bb->replica, (enum rgy_entry_class)c,
                                   m->u.sync_request.subdigests[c]);
     }
-  bytes = rgy_wire_encode (b->wire, m);
+  bytes = rgy_wire_encode (b->link.wire, m);
   g_free (m);
   return bytes;
 }
@@ -35,7 +35,8 @@
 static void
 flush_ (struct reply_ *reply)
 {
-  struct rgy_bytes bytes = rgy_wire_encode (reply->b->wire, reply->message);
+  struct rgy_bytes bytes
+      = rgy_wire_encode (reply->b->link.wire, reply->message);
   GByteArray *frame = g_byte_array_sized_new ((guint)bytes.len);
 
   g_byte_array_append (frame, bytes.data, (guint)bytes.len);
@@ -81,10 +82,10 @@
   struct reply_ reply = { .b = b, .frames = frames };
   size_t c;
 
-  if (rgy_wire_decode (b->wire, request, asked) != RGY_OK
+  if (rgy_wire_decode (b->link.wire, request, asked) != RGY_OK
       || asked->kind != RGY_MSG_SYNC_REQUEST)
     {
-      ++*b->c.bad_message;
+      ++*b->link.bad_message;
       g_free (asked);
       return;
     }
@@ -113,7 +114,7 @@
                          int64_t now_us, struct rgy_actions *actions)
 {
   struct rgy_message *m = g_new0 (struct rgy_message, 1);
-  enum rgy_outcome rc = rgy_wire_decode (b->wire, frame, m);
+  enum rgy_outcome rc = rgy_wire_decode (b->link.wire, frame, m);
   size_t i;
 
   (void)now_us;
--- a/src/libragwortyoke/counter.c
+++ b/src/libragwortyoke/counter.c
@@ -165,3 +165,17 @@
     format_family_ (text, g_ptr_array_index (counters->families, i));
   return g_string_free (text, FALSE);
 }
+
+void
+rgy_counters_add_all (struct rgy_counters *counters,
+                      const struct rgy_counter_spec *specs, size_t count)
+{
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    *specs[i].value
+        = specs[i].gauge ? rgy_counters_add_gauge (
+              counters, specs[i].name, specs[i].label, specs[i].help)
+                         : rgy_counters_add (counters, specs[i].name,
+                                             specs[i].label, specs[i].help);
+}
--- a/src/libragwortyoke/include/private/agent_private.h
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -6,6 +6,7 @@
  * State of an agent, shared by its source files.
  */
 
+#include "private/link.h"
 #include "ragwortyoke/agent.h"
 #include "ragwortyoke/clock.h"
 #include "ragwortyoke/drain.h"
@@ -99,11 +100,6 @@
   uint64_t *refused_out;
   uint64_t *refused_draining;
   uint64_t *view_mismatch;
-  uint64_t *bad_tag;
-  uint64_t *bad_message;
-  uint64_t *control_in;
-  uint64_t *control_bytes_in;
-  uint64_t *control_bytes_out;
   uint64_t *config_changes;
   uint64_t *flows;
   uint64_t *limit;
@@ -116,7 +112,7 @@
   struct rgy_blackboard *bb;
   struct rgy_counters *counters;
   struct rgy_agent_counters c;
-  struct rgy_wire *wire;
+  struct rgy_link link;
   GRand *random;
   struct rgy_agent_record self;
 
@@ -139,9 +135,8 @@
   struct rgy_actions *actions;
   int64_t now_us;
 
-  struct rgy_message *message; /**< Scratch for decoding.  */
-  enum rgy_protocol protocol;  /**< Of the own service.  */
-  uint64_t protocol_changes;   /**< Contract changes it follows from.  */
+  enum rgy_protocol protocol; /**< Of the own service.  */
+  uint64_t protocol_changes;  /**< Contract changes it follows from.  */
   uint64_t group_changes;
   uint64_t domain_changes;
   uint64_t sent_sequence; /**< Of the last PEER_STATE.  */
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -6,6 +6,7 @@
  * State of a balancer, shared by its source files.
  */
 
+#include "private/link.h"
 #include "ragwortyoke/balancer.h"
 #include "ragwortyoke/limit.h"
 #include "ragwortyoke/rollup.h"
@@ -107,11 +108,6 @@
   uint64_t *drop_limit;
   uint64_t *drop_no_backend;
   uint64_t *drop_out;
-  uint64_t *bad_tag;
-  uint64_t *bad_message;
-  uint64_t *control_in;
-  uint64_t *control_bytes_in;
-  uint64_t *control_bytes_out;
   uint64_t *cuts;
   uint64_t *declared_dead;
   uint64_t *config_changes;
@@ -125,8 +121,7 @@
   struct rgy_blackboard *bb;
   struct rgy_counters *counters;
   struct rgy_balancer_counters c;
-  struct rgy_wire *wire;
-  struct rgy_message *message; /**< Scratch for decoding.  */
+  struct rgy_link link;
   GRand *random;
   struct rgy_balancer_record self;
   GByteArray *packet; /**< Scratch for egress datagrams.  */
