Build refusals without a flow in one place

Two functions did it with different rules; the stricter one stays: a GET that is refused without its flow is outcome-unknown, because an agent that is gone may have delivered an earlier copy. The test expects that now, and that nothing but a request is refused.

--- a/include/ragwortyoke/request.h
+++ b/include/ragwortyoke/request.h
@@ -142,6 +142,9 @@
 
 /* Refusals.  */
 
+/** Time after which a caller may try again when no flow is open.  */
+#define RGY_REFUSAL_MAX_AGE_S 2
+
 enum rgy_refusal_reason
 {
   RGY_REFUSAL_CONTRACT_LIMIT,
@@ -166,22 +169,14 @@
 GByteArray *
 rgy_coap_build_outcome_unknown (const struct rgy_coap_view *request,
                                 const char *reason);
-/** Build the refusal of a request that is turned away without a lookup of
-    its flow.  A non-idempotent request with an Echo may have run at the agent
-    that holds the flow, so it gets "outcome-unknown: REASON"; any other gets
-    "not-run: REASON".  */
-GByteArray *rgy_coap_build_refusal (const struct rgy_coap_view *request,
-                                    enum rgy_refusal_reason reason,
-                                    uint32_t max_age_s);
-
 /** Build the refusal of a request about which nothing is known here.  It says
-    "not-run" only for a non-idempotent request without Echo, which no agent
-    delivers; an earlier copy of any other request may have been delivered by
-    an agent that is gone.
+    "not-run: REASON" only for a non-idempotent request without Echo, which no
+    agent delivers; an earlier copy of any other request may have been
+    delivered by an agent that is gone, so it gets "outcome-unknown: REASON".
     @return bytes as above, or NULL when @p message is not a request.  */
-GByteArray *
-rgy_coap_build_stateless_refusal (const struct rgy_coap_view *message,
-                                  enum rgy_refusal_reason reason);
+GByteArray *rgy_coap_build_refusal (const struct rgy_coap_view *message,
+                                    enum rgy_refusal_reason reason,
+                                    uint32_t max_age_s);
 
 /* Engine: all requests of one agent.  */
 
--- a/src/libragwortyoke/agent_packet.c
+++ b/src/libragwortyoke/agent_packet.c
@@ -94,7 +94,7 @@
   if (!rgy_agent_serves_requests (a)
       || rgy_coap_parse (m->payload, &view) != RGY_OK)
     return;
-  answer = rgy_coap_build_stateless_refusal (&view, reason);
+  answer = rgy_coap_build_refusal (&view, reason, RGY_REFUSAL_MAX_AGE_S);
   if (answer == NULL)
     return;
   rgy_agent_send_answer (
--- a/src/libragwortyoke/balancer_packet.c
+++ b/src/libragwortyoke/balancer_packet.c
@@ -139,7 +139,7 @@
   if (service->protocol != RGY_PROTOCOL_COAP
       || rgy_coap_parse (payload, &view) != RGY_OK)
     return;
-  answer = rgy_coap_build_stateless_refusal (&view, reason);
+  answer = rgy_coap_build_refusal (&view, reason, RGY_REFUSAL_MAX_AGE_S);
   if (answer == NULL)
     return;
   egress_ (b, caller, service->address,
--- a/src/libragwortyoke/refusal.c
+++ b/src/libragwortyoke/refusal.c
@@ -60,12 +60,25 @@
 }
 
 GByteArray *
-rgy_coap_build_refusal (const struct rgy_coap_view *request,
+rgy_coap_build_refusal (const struct rgy_coap_view *message,
                         enum rgy_refusal_reason reason, uint32_t max_age_s)
 {
-  if (request->has_echo
-      && rgy_coap_classify (request) == RGY_MESSAGE_NON_IDEMPOTENT)
-    return rgy_coap_build_outcome_unknown (request,
-                                           rgy_refusal_reason_string[reason]);
-  return rgy_coap_build_not_run (request, reason, max_age_s);
+  switch (rgy_coap_classify (message))
+    {
+    case RGY_MESSAGE_NON_IDEMPOTENT:
+      if (!message->has_echo)
+        return rgy_coap_build_not_run (message, reason, max_age_s);
+      break;
+    case RGY_MESSAGE_IDEMPOTENT:
+    case RGY_MESSAGE_OBSERVE:
+    case RGY_MESSAGE_OBSERVE_END:
+      break;
+    case RGY_MESSAGE_PING:
+    case RGY_MESSAGE_ACK:
+    case RGY_MESSAGE_RESET:
+    case RGY_MESSAGE_RESPONSE:
+      return NULL;
+    }
+  return rgy_coap_build_outcome_unknown (message,
+                                         rgy_refusal_reason_string[reason]);
 }
