Spread the writes of starting agents over 10 s

Cause: an agent wrote its record twice within its first second, so that a returning failure domain of 570 hosts made 570 lease grants and 1,140 puts in the seconds of its start; the store takes several hundred writes a second. Change: a record is written at a random time within 10 s, once for all changes until then; balancers learn of agents by heartbeats anyway.

--- a/src/libragwortyoke/agent.c
+++ b/src/libragwortyoke/agent.c
@@ -255,14 +255,30 @@
 static void
 publish_record_ (struct rgy_agent *a)
 {
-  GByteArray *bytes;
-  char *key;
-
   if (!a->record_changed)
     return;
   a->record_changed = false;
   a->self.sequence = (a->self.sequence | 1) + 1;
   rgy_blackboard_apply_agent (a->bb, &a->self);
+  a->next_heartbeat_us = 0;
+  if (a->store_write_us == 0)
+    a->store_write_us
+        = a->now_us
+          + g_rand_int_range (a->random, 0, (gint32)RGY_STORE_WRITE_SPREAD_US);
+}
+
+/* A failure domain that returns starts 570 agents at once.  Balancers learn of
+   an agent by its heartbeats; the record in the store may come later, and one
+   write then covers all changes until then.  */
+static void
+store_tick_ (struct rgy_agent *a)
+{
+  GByteArray *bytes;
+  char *key;
+
+  if (a->store_write_us == 0 || a->now_us < a->store_write_us)
+    return;
+  a->store_write_us = 0;
   bytes = rgy_agent_record_encode (&a->self);
   key = g_strdup_printf ("agents/%s", a->settings.id.data);
   rgy_actions_store (
@@ -270,7 +286,6 @@
       (struct rgy_bytes){ .data = bytes->data, .len = bytes->len });
   g_free (key);
   g_byte_array_unref (bytes);
-  a->next_heartbeat_us = 0;
 }
 
 void
@@ -418,6 +433,7 @@
   a->actions = actions;
   start_tick_ (a);
   publish_record_ (a);
+  store_tick_ (a);
   rgy_agent_update_group (a);
   rgy_agent_settle_tick (a);
   rgy_agent_peer_state_tick (a);
--- a/src/libragwortyoke/include/private/agent_private.h
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -41,6 +41,8 @@
 /** Between such reads, plus up to as much as jitter: the whole fleet may look
     at once.  */
 #define RGY_STORE_READ_INTERVAL_US INT64_C (30000000)
+/** The own record is written to the store within this time.  */
+#define RGY_STORE_WRITE_SPREAD_US INT64_C (10000000)
 #define RGY_MAX_TRANSFERS 200
 /** Observations that a ready agent hands over a second.  */
 #define RGY_REBALANCE_PER_SECOND 20
@@ -153,6 +155,7 @@
   unsigned running_peak[2]; /**< Of this and of the last interval.  */
   int64_t last_ack_us;      /**< Of any balancer.  */
   int64_t next_store_read_us;
+  int64_t store_write_us; /**< The record is written then; 0: never.  */
   int64_t last_digest_match_us;
   bool synced;
   bool out; /**< The own failure domain is out of service.  */
