--- a/src/test_fault_matrix/checks.c
+++ b/src/test_fault_matrix/checks.c
@@ -136,9 +136,17 @@
 static void
 check_out_ (struct run *r, unsigned index, const struct node *node)
 {
+  int64_t reachable_us = fault_get_reachable_us (r, node);
+
   if (r->step != STEP_DOMAIN_OUT || node->domain != OUT_DOMAIN
       || r->seen[index].late)
     return;
+  /* While the order cannot reach an agent, it goes on to probe its backend
+     server.  */
+  if (reachable_us == INT64_MAX
+      || (reachable_us != 0
+          && node->last_packet_us <= reachable_us + OUT_BOUND_US))
+    return;
   if (is_late_ (r, node->last_packet_us, r->order_us, OUT_BOUND_US))
     {
       r->seen[index].late = true;
