--- a/src/test_agent/test_agent.c
+++ b/src/test_agent/test_agent.c
@@ -71,7 +71,7 @@
 static void
 starts_are_spread_in_the_store_ (void **state)
 {
-  unsigned in_second[SPREAD_US / RGY_US_PER_S + 1] = { 0 };
+  unsigned in_second[SPREAD_US / RGY_US_PER_S + 2] = { 0 };
   unsigned total = 0;
   struct run_ run;
   unsigned most = 0;
