--- /dev/null
+++ b/src/libragwortyoke/balancer_push.c
@@ -0,0 +1,70 @@
+#include "private/balancer_private.h"
+
+#include <string.h>
+
+/* Delivery of new entries to the monitored agents.  */
+
+static bool
+concerns_ (const struct rgy_balancer *b, const struct rgy_entry *entry,
+           const struct rgy_agent_record *agent)
+{
+  const struct rgy_agent_record *subject;
+
+  if (entry->class != RGY_ENTRY_AGENT)
+    return true;
+  subject = rgy_blackboard_get_agent (b->bb, &entry->key);
+  return subject != NULL
+         && rgy_endpoint_equal (subject->service, agent->service);
+}
+
+static void
+push_to_agent_ (struct rgy_balancer *b, const struct rgy_agent_record *agent,
+                struct rgy_message *m, struct rgy_actions *actions)
+{
+  struct rgy_entries_message *e = &m->u.entries;
+  size_t bytes = 0;
+  guint i;
+
+  e->count = 0;
+  for (i = 0; i < b->fresh->len; i++)
+    {
+      struct rgy_fresh_entry *copy = g_ptr_array_index (b->fresh, i);
+      size_t size = copy->entry.value.len + copy->entry.key.len + 32;
+
+      if (!concerns_ (b, &copy->entry, agent)
+          || size > RGY_WIRE_DATAGRAM_BYTES - 100)
+        continue;
+      if (e->count == RGY_WIRE_MAX_ENTRIES
+          || bytes + size > RGY_WIRE_DATAGRAM_BYTES - 100)
+        {
+          rgy_balancer_send_message (b, agent->endpoint, m, actions);
+          e->count = 0;
+          bytes = 0;
+        }
+      e->entries[e->count++] = &copy->entry;
+      bytes += size;
+    }
+  if (e->count > 0)
+    rgy_balancer_send_message (b, agent->endpoint, m, actions);
+}
+
+void
+rgy_balancer_push_fresh (struct rgy_balancer *b, struct rgy_actions *actions)
+{
+  struct rgy_message *m;
+  GPtrArray *names;
+  guint i;
+
+  if (b->fresh->len == 0)
+    return;
+  m = g_new0 (struct rgy_message, 1);
+  m->kind = RGY_MSG_ENTRIES;
+  m->u.entries.from = b->settings.id;
+  names = rgy_balancer_list_watched (b->bb->agents, b->agents_liveness);
+  for (i = 0; i < names->len; i++)
+    push_to_agent_ (b, rgy_blackboard_get_agent (b->bb, names->pdata[i]), m,
+                    actions);
+  g_ptr_array_unref (names);
+  g_ptr_array_set_size (b->fresh, 0);
+  g_free (m);
+}
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -222,6 +222,12 @@
 /* balancer_monitor.c */
 void rgy_balancer_monitor_tick (struct rgy_balancer *b, int64_t now_us,
                                 struct rgy_actions *actions);
+/** Names in TABLE that are watched, in the order of the names, so that a run
+    does not depend on the order in a hash table.  Free the array.  */
+GPtrArray *rgy_balancer_list_watched (GHashTable *table,
+                                      const struct rgy_liveness *liveness);
+
+/* balancer_heartbeat.c */
 void rgy_balancer_handle_heartbeat (struct rgy_balancer *b,
                                     struct rgy_endpoint from,
                                     const struct rgy_heartbeat_message *m,
@@ -229,6 +235,8 @@
                                     struct rgy_actions *actions);
 /** Counts every monitored agent as lagging until its next heartbeat.  */
 void rgy_balancer_suspect_lag (struct rgy_balancer *b);
+
+/* balancer_push.c */
 void rgy_balancer_push_fresh (struct rgy_balancer *b,
                               struct rgy_actions *actions);
 
