Apply agents' records, sort names and register counters in one place each

The record of a heartbeat and a declaration of death were turned into entries by two copies of the same code; heartbeats encoded the record every second although it seldom differs from the known one. Three files had their own sort of names, and the request engine still registered its counters one by one.

--- a/include/ragwortyoke/str.h
+++ b/include/ragwortyoke/str.h
@@ -63,6 +63,9 @@
 /** Order of two names: negative, zero or positive as for memcmp.  */
 int rgy_name_compare (const struct rgy_name *a, const struct rgy_name *b);
 
+/** Sort names in place by rgy_name_compare().  */
+void rgy_name_sort (struct rgy_name *names, size_t count);
+
 bool rgy_name_equal (const struct rgy_name *a, const struct rgy_name *b);
 
 /** 64-bit hash of a name (xxh3).  */
--- a/src/libragwortyoke/balancer.c
+++ b/src/libragwortyoke/balancer.c
@@ -177,12 +177,6 @@
   return r->state != RGY_MEMBER_DEAD && r->state != RGY_MEMBER_LEFT;
 }
 
-static int
-compare_names_ (const void *a, const void *b)
-{
-  return rgy_name_compare (a, b);
-}
-
 size_t
 rgy_balancer_list_others (const struct rgy_balancer *b, struct rgy_name *names,
                           size_t max)
@@ -200,7 +194,7 @@
           && !rgy_name_equal (&r->id, &b->settings.id))
         names[n++] = r->id;
     }
-  qsort (names, n, sizeof names[0], compare_names_);
+  rgy_name_sort (names, n);
   return n;
 }
 
--- a/src/libragwortyoke/balancer_entries.c
+++ b/src/libragwortyoke/balancer_entries.c
@@ -119,6 +119,31 @@
   return RGY_OK;
 }
 
+void
+rgy_balancer_apply_agent_record (struct rgy_balancer *b,
+                                 const struct rgy_agent_record *record,
+                                 struct rgy_actions *actions)
+{
+  const struct rgy_agent_record *known
+      = rgy_blackboard_get_agent (b->bb, &record->id);
+  GByteArray *bytes;
+  struct rgy_entry entry;
+
+  /* Most heartbeats repeat what is known.  */
+  if (known != NULL && known->epoch == record->epoch
+      && known->sequence == record->sequence)
+    return;
+  bytes = rgy_agent_record_encode (record);
+  entry = (struct rgy_entry){
+    .class = RGY_ENTRY_AGENT,
+    .key = record->id,
+    .version = { .major = record->epoch, .minor = record->sequence },
+    .value = { .data = bytes->data, .len = bytes->len }
+  };
+  rgy_balancer_apply_entry (b, &entry, actions);
+  g_byte_array_unref (bytes);
+}
+
 enum rgy_outcome
 rgy_balancer_apply_pulled_entry (struct rgy_balancer *b,
                                  const struct rgy_entry *entry,
--- a/src/libragwortyoke/balancer_heartbeat.c
+++ b/src/libragwortyoke/balancer_heartbeat.c
@@ -131,22 +131,6 @@
       g_hash_table_add (b->lagging, g_memdup2 (key, sizeof (struct rgy_name)));
 }
 
-static void
-apply_heartbeat_record_ (struct rgy_balancer *b,
-                         const struct rgy_agent_record *record,
-                         struct rgy_actions *actions)
-{
-  GByteArray *bytes = rgy_agent_record_encode (record);
-  struct rgy_entry entry
-      = { .class = RGY_ENTRY_AGENT,
-          .key = record->id,
-          .version = { .major = record->epoch, .minor = record->sequence },
-          .value = { .data = bytes->data, .len = bytes->len } };
-
-  rgy_balancer_apply_entry (b, &entry, actions);
-  g_byte_array_unref (bytes);
-}
-
 static void
 note_load_ (struct rgy_balancer *b, const struct rgy_heartbeat_message *m)
 {
@@ -168,7 +152,7 @@
   struct rgy_message *ack = g_new0 (struct rgy_message, 1);
   const struct rgy_agent_record *known;
 
-  apply_heartbeat_record_ (b, &m->record, actions);
+  rgy_balancer_apply_agent_record (b, &m->record, actions);
   if (rgy_liveness_is_watched (b->agents_liveness, &m->record.id))
     {
       rgy_liveness_heard (b->agents_liveness, &m->record.id, now_us);
--- a/src/libragwortyoke/balancer_monitor.c
+++ b/src/libragwortyoke/balancer_monitor.c
@@ -63,8 +63,6 @@
 {
   const struct rgy_agent_record *known = rgy_blackboard_get_agent (b->bb, id);
   struct rgy_agent_record record;
-  GByteArray *bytes;
-  struct rgy_entry entry;
 
   if (known == NULL || known->state == RGY_MEMBER_LEFT
       || known->state == RGY_MEMBER_DEAD)
@@ -72,15 +70,7 @@
   record = *known;
   record.state = RGY_MEMBER_DEAD;
   record.sequence |= 1;
-  bytes = rgy_agent_record_encode (&record);
-  entry = (struct rgy_entry){
-    .class = RGY_ENTRY_AGENT,
-    .key = record.id,
-    .version = { .major = record.epoch, .minor = record.sequence },
-    .value = { .data = bytes->data, .len = bytes->len }
-  };
-  rgy_balancer_apply_entry (b, &entry, actions);
-  g_byte_array_unref (bytes);
+  rgy_balancer_apply_agent_record (b, &record, actions);
   ++*b->c.declared_dead;
 }
 
--- a/src/libragwortyoke/balancer_packet.c
+++ b/src/libragwortyoke/balancer_packet.c
@@ -25,12 +25,6 @@
   return t;
 }
 
-static int
-compare_names_ (const void *a, const void *b)
-{
-  return rgy_name_compare (a, b);
-}
-
 static void
 rebuild_table_ (struct rgy_balancer *b, struct rgy_service_table *t,
                 const struct rgy_group *group)
@@ -46,7 +40,7 @@
       if (rgy_blackboard_agent_is_eligible (b->bb, r))
         names[n++] = r->id;
     }
-  qsort (names, n, sizeof names[0], compare_names_);
+  rgy_name_sort (names, n);
   rgy_bucket_table_build (t->table, names, n, rgy_service_seed (t->service));
   t->group_changes = group->changes;
   t->domain_changes = b->bb->changes[RGY_ENTRY_DOMAIN];
--- a/src/libragwortyoke/balancer_store.c
+++ b/src/libragwortyoke/balancer_store.c
@@ -68,12 +68,6 @@
   g_free (json);
 }
 
-static int
-compare_names_ (const void *a, const void *b)
-{
-  return rgy_name_compare (a, b);
-}
-
 /* The first balancers of the failure domain by name, this one included.  */
 static void
 collect_rollup_ (const struct rgy_balancer *b, struct rgy_rollup *rollup)
@@ -84,7 +78,7 @@
   size_t i;
 
   names[n++] = b->settings.id;
-  qsort (names, n, sizeof names[0], compare_names_);
+  rgy_name_sort (names, n);
   rollup->count = 0;
   for (i = 0; i < n && rollup->count < RGY_ROLLUP_MAX; i++)
     {
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -186,6 +186,10 @@
 enum rgy_outcome rgy_balancer_apply_entry (struct rgy_balancer *b,
                                            const struct rgy_entry *entry,
                                            struct rgy_actions *actions);
+/** Apply a record that arrived outside the replica's entries.  */
+void rgy_balancer_apply_agent_record (struct rgy_balancer *b,
+                                      const struct rgy_agent_record *record,
+                                      struct rgy_actions *actions);
 /** Apply an entry of the initial pull; it is not gossiped.  */
 enum rgy_outcome
 rgy_balancer_apply_pulled_entry (struct rgy_balancer *b,
--- a/src/libragwortyoke/request_engine.c
+++ b/src/libragwortyoke/request_engine.c
@@ -16,47 +16,61 @@
 static void
 add_counters_ (struct rgy_request_counters *c, struct rgy_counters *counters)
 {
+  const struct rgy_counter_spec specs[] = {
+    { .value = &c->delivered,
+      .name = "requests_delivered_total",
+      .help = "Requests sent to the backend server." },
+    { .value = &c->retries,
+      .name = "request_retries_total",
+      .help = "Idempotent requests sent again." },
+    { .value = &c->answered,
+      .name = "requests_answered_total",
+      .help = "Answers of the backend server." },
+    { .value = &c->outcome_unknown,
+      .name = "requests_outcome_unknown_total",
+      .help = "Requests answered as outcome-unknown." },
+    { .value = &c->echo_challenges,
+      .name = "echo_challenges_total",
+      .help
+      = "Non-idempotent requests without Echo, answered with a fresh one." },
+    { .value = &c->echo_rejected,
+      .name = "echo_rejected_total",
+      .help = "Requests with an Echo of another agent or an earlier epoch." },
+    { .value = &c->absorbed,
+      .name = "requests_absorbed_total",
+      .help = "Duplicates of outstanding requests." },
+    { .value = &c->replayed,
+      .name = "requests_replayed_total",
+      .help = "Duplicates given a stored answer." },
+    { .value = &c->late,
+      .name = "answers_late_total",
+      .help = "Answers after the deadline, dropped." },
+    { .value = &c->unmatched,
+      .name = "answers_unmatched_total",
+      .help = "Messages that belong to no request." },
+    { .value = &c->malformed,
+      .name = "requests_malformed_total",
+      .help = "Datagrams that are not valid CoAP." },
+    { .value = &c->moving_dropped,
+      .name = "requests_moving_dropped_total",
+      .help = "Requests dropped while their flow was moving." },
+    { .value = &c->records_full,
+      .name = "requests_records_full_total",
+      .help = "Requests dropped for lack of a deduplication "
+              "record." },
+    { .value = &c->cancelled,
+      .name = "requests_cancelled_total",
+      .help = "Requests cancelled by the caller." },
+    { .value = &c->notifications,
+      .name = "notifications_total",
+      .help = "Notifications sent to callers." },
+    { .value = &c->notifications_stale,
+      .name = "notifications_stale_total",
+      .help = "Notifications dropped as older than the last." },
+  };
   int i;
 
-  c->delivered = rgy_counters_add (counters, "requests_delivered_total", NULL,
-                                   "Requests sent to the backend server.");
-  c->retries = rgy_counters_add (counters, "request_retries_total", NULL,
-                                 "Idempotent requests sent again.");
-  c->answered = rgy_counters_add (counters, "requests_answered_total", NULL,
-                                  "Answers of the backend server.");
-  c->outcome_unknown
-      = rgy_counters_add (counters, "requests_outcome_unknown_total", NULL,
-                          "Requests answered as outcome-unknown.");
-  c->echo_challenges = rgy_counters_add (
-      counters, "echo_challenges_total", NULL,
-      "Non-idempotent requests without Echo, answered with a fresh one.");
-  c->echo_rejected = rgy_counters_add (
-      counters, "echo_rejected_total", NULL,
-      "Requests with an Echo of another agent or an earlier epoch.");
-  c->absorbed = rgy_counters_add (counters, "requests_absorbed_total", NULL,
-                                  "Duplicates of outstanding requests.");
-  c->replayed = rgy_counters_add (counters, "requests_replayed_total", NULL,
-                                  "Duplicates given a stored answer.");
-  c->late = rgy_counters_add (counters, "answers_late_total", NULL,
-                              "Answers after the deadline, dropped.");
-  c->unmatched = rgy_counters_add (counters, "answers_unmatched_total", NULL,
-                                   "Messages that belong to no request.");
-  c->malformed = rgy_counters_add (counters, "requests_malformed_total", NULL,
-                                   "Datagrams that are not valid CoAP.");
-  c->moving_dropped
-      = rgy_counters_add (counters, "requests_moving_dropped_total", NULL,
-                          "Requests dropped while their flow was moving.");
-  c->records_full
-      = rgy_counters_add (counters, "requests_records_full_total", NULL,
-                          "Requests dropped for lack of a deduplication "
-                          "record.");
-  c->cancelled = rgy_counters_add (counters, "requests_cancelled_total", NULL,
-                                   "Requests cancelled by the caller.");
-  c->notifications = rgy_counters_add (counters, "notifications_total", NULL,
-                                       "Notifications sent to callers.");
-  c->notifications_stale
-      = rgy_counters_add (counters, "notifications_stale_total", NULL,
-                          "Notifications dropped as older than the last.");
+  rgy_counters_add_all (counters, specs, G_N_ELEMENTS (specs));
   for (i = 0; i < RGY_REFUSAL_REASON_COUNT; i++)
     {
       char *label
--- a/src/libragwortyoke/str.c
+++ b/src/libragwortyoke/str.c
@@ -1,6 +1,7 @@
 #include "ragwortyoke/str.h"
 
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -61,6 +62,18 @@
   return memcmp (a->data, b->data, sizeof a->data);
 }
 
+static int
+compare_names_ (const void *a, const void *b)
+{
+  return rgy_name_compare (a, b);
+}
+
+void
+rgy_name_sort (struct rgy_name *names, size_t count)
+{
+  qsort (names, count, sizeof names[0], compare_names_);
+}
+
 bool
 rgy_name_equal (const struct rgy_name *a, const struct rgy_name *b)
 {
