--- /dev/null
+++ b/include/ragwortyoke-io/http_client.h
@@ -0,0 +1,54 @@
+#ifndef RAGWORTYOKE_IO_HTTP_CLIENT_H
+#define RAGWORTYOKE_IO_HTTP_CLIENT_H
+
+/**
+ * @file
+ * HTTP/1.1 client for one server on a libuv loop: one kept-alive connection
+ * and one call at a time, each with a time limit.
+ */
+
+#include <uv.h>
+
+#include "ragwortyoke/address.h"
+#include "ragwortyoke/outcome.h"
+#include "ragwortyoke/str.h"
+
+struct rgy_http_client;
+
+/**
+ * Result of a call.
+ *
+ * @param outcome  RGY_OK with a complete response; RGY_ERR_TIMEOUT;
+ *                 RGY_ERR_UNAVAILABLE when the connection failed, in which case
+ *                 the server may still have executed the call;
+ *                 RGY_ERR_INVALID for a malformed or oversized response.
+ * @param status   HTTP status when @p outcome is RGY_OK.
+ * @param body     valid during the call.
+ */
+typedef void (*rgy_http_client_fn) (enum rgy_outcome outcome, unsigned status,
+                                    struct rgy_bytes body, void *ctx);
+
+/** @param loop    must outlive the client.
+    @param server  where to connect to, at the first call.  */
+struct rgy_http_client *rgy_http_client_new (uv_loop_t *loop,
+                                             struct rgy_endpoint server);
+
+/** Cancel the call in progress without its callback and close.  */
+void rgy_http_client_delete (struct rgy_http_client *client);
+
+/** True while a call is in progress.  */
+bool rgy_http_client_is_busy (const struct rgy_http_client *client);
+
+/**
+ * Begin a call; none may be in progress.
+ *
+ * @param target      path and query, already escaped.
+ * @param body        JSON; empty for none.  Copied.
+ * @param timeout_ms  limit for the whole call, with connecting.
+ */
+void rgy_http_client_call (struct rgy_http_client *client, const char *method,
+                           const char *target, struct rgy_bytes body,
+                           unsigned timeout_ms, rgy_http_client_fn fn,
+                           void *ctx);
+
+#endif
--- a/include/ragwortyoke-io/log.h
+++ b/include/ragwortyoke-io/log.h
@@ -12,6 +12,10 @@
 /** @param level  error, warning, info or debug.  */
 void rgy_log_init (const char *role, const char *id, const char *level);
 
+/** Write "key=value" lines to standard output instead, without blocking and at
+    a bounded rate; lines left out are counted in the next one.  */
+void rgy_log_to_standard_output (void);
+
 /** Log a change of state.  */
 void rgy_log_info (const char *format, ...)
     __attribute__ ((format (printf, 1, 2)));
--- a/include/ragwortyoke/flow.h
+++ b/include/ragwortyoke/flow.h
@@ -12,7 +12,15 @@
 /** Variants of a flow key.  */
 enum rgy_flow_key_kind
 {
-  RGY_FLOW_KEY_UDP /**< Caller and service endpoints of a datagram.  */
+  RGY_FLOW_KEY_UDP,    /**< Caller and service endpoints of a datagram.  */
+  RGY_FLOW_KEY_SEGMENT /**< The same two ends of a sequenced flow.  */
+};
+
+/** Both ends of a flow, as the caller sees them.  */
+struct rgy_flow_ends
+{
+  struct rgy_endpoint caller;
+  struct rgy_endpoint service;
 };
 
 struct rgy_flow_key
@@ -20,16 +28,15 @@
   enum rgy_flow_key_kind kind;
   union
   {
-    struct
-    {
-      struct rgy_endpoint caller;
-      struct rgy_endpoint service;
-    } udp;
+    struct rgy_flow_ends udp;
+    struct rgy_flow_ends segment;
   } u;
 };
 
 struct rgy_flow_key rgy_flow_key_udp (struct rgy_endpoint caller,
                                       struct rgy_endpoint service);
+struct rgy_flow_key rgy_flow_key_segment (struct rgy_endpoint caller,
+                                          struct rgy_endpoint service);
 bool rgy_flow_key_equal (const struct rgy_flow_key *a,
                          const struct rgy_flow_key *b);
 uint64_t rgy_flow_key_hash (const struct rgy_flow_key *key);
--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(gcc libc6-dev cmake ninja-build pkg-config clang-format clang-tidy clang
           libuv1-dev libzmq3-dev libcmocka-dev libglib2.0-dev libcoap3-dev
-          curl libcurl4-openssl-dev libmicrohttpd-dev libmsgpack-dev
+          curl libcurl4-openssl-dev libmicrohttpd-dev libhttp-parser-dev libmsgpack-dev
           libjansson-dev libxxhash-dev libsodium-dev)
 missing=()
 for p in "${packages[@]}"; do
--- a/src/libragwortyoke-io/http.c
+++ b/src/libragwortyoke-io/http.c
@@ -2,191 +2,419 @@
 
 #include <arpa/inet.h>
 #include <glib.h>
-#include <microhttpd.h>
+#include <http_parser.h>
 #include <netinet/in.h>
 #include <string.h>
 
 /* Operators' tools and scrapers need a handful; the bound keeps a client that
    opens connections from using up the process's descriptors.  */
 #define MAX_CONNECTIONS 64U
-#define CONNECTION_TIMEOUT_S 10U
+#define BACKLOG 64
+#define CONNECTION_TIMEOUT_MS 10000U
+#define CHECK_INTERVAL_MS 2000U
 /* A body over RGY_HTTP_MAX_BODY_BYTES is read and discarded up to this size,
    because a connection closed early is reset and the client may then not see
    the 413.  */
 #define MAX_DISCARD_BYTES ((size_t)1024 * 1024)
+#define READ_BYTES 16384
+#define MAX_TARGET_BYTES 4096
 
 struct rgy_http
 {
-  uv_poll_t poll;
-  uv_timer_t timer;
+  uv_loop_t *loop;
+  uv_tcp_t listener;
+  uv_timer_t timer; /* Closes connections that are idle.  */
   unsigned open_handles;
-  struct MHD_Daemon *daemon;
+  bool closing;
   rgy_http_fn handle;
   void *ctx;
+  GPtrArray *connections; /* struct connection_, borrowed.  */
 };
 
-/* State of one request while its body arrives.  */
-struct exchange_
+struct connection_
 {
+  uv_tcp_t tcp;
+  struct rgy_http *http;
+  http_parser parser;
+  GString *target;
+  GString *authorization;
+  GString *header_name;
   GByteArray *body;
-  size_t received; /* Bytes, with the discarded ones.  */
+  size_t received; /* Bytes of the body, with the discarded ones.  */
+  bool last;       /* Close after the response.  */
+  bool closing;
+  uint64_t active_ms;
+};
+
+/* A response on its way out.  */
+struct write_
+{
+  uv_write_t request;
+  struct connection_ *connection;
+  char *text;
+  bool last;
+};
+
+static char read_buffer_[READ_BYTES];
+
+/* Closing.  */
+
+static void
+release_ (struct rgy_http *http)
+{
+  if (--http->open_handles > 0)
+    return;
+  g_ptr_array_unref (http->connections);
+  g_free (http);
+}
+
+static void
+on_connection_closed_ (uv_handle_t *handle)
+{
+  struct connection_ *c = handle->data;
+
+  g_string_free (c->target, TRUE);
+  g_string_free (c->authorization, TRUE);
+  g_string_free (c->header_name, TRUE);
+  g_byte_array_unref (c->body);
+  release_ (c->http);
+  g_free (c);
+}
+
+static void
+close_connection_ (struct connection_ *c)
+{
+  if (c->closing)
+    return;
+  c->closing = true;
+  g_ptr_array_remove_fast (c->http->connections, c);
+  uv_close ((uv_handle_t *)&c->tcp, on_connection_closed_);
+}
+
+/* Responses.  */
+
+static void
+on_shut_down_ (uv_shutdown_t *request, int status)
+{
+  (void)status;
+  g_free (request);
+}
+
+static void
+on_written_ (uv_write_t *request, int status)
+{
+  struct write_ *write = request->data;
+  struct connection_ *c = write->connection;
+
+  if (status != 0)
+    close_connection_ (c);
+  else if (write->last && !c->closing)
+    {
+      /* The client reads the response and closes; closing here with unread
+         bytes would reset the connection.  */
+      uv_shutdown_t *shutdown = g_new0 (uv_shutdown_t, 1);
+
+      if (uv_shutdown (shutdown, (uv_stream_t *)&c->tcp, on_shut_down_) != 0)
+        {
+          g_free (shutdown);
+          close_connection_ (c);
+        }
+    }
+  g_free (write->text);
+  g_free (write);
+}
+
+/* Takes ownership of BODY.  */
+static void
+respond_ (struct connection_ *c, unsigned status, const char *content_type,
+          char *body, bool last)
+{
+  GString *text = g_string_new (NULL);
+  struct write_ *write = g_new0 (struct write_, 1);
+  size_t len = body == NULL ? 0 : strlen (body);
+  uv_buf_t buf;
+
+  g_string_append_printf (
+      text, "HTTP/1.1 %u %s\r\n", status,
+      http_status_str ((enum http_status)status));
+  if (status != HTTP_STATUS_NO_CONTENT)
+    g_string_append_printf (text, "Content-Length: %zu\r\n", len);
+  if (content_type != NULL)
+    g_string_append_printf (text, "Content-Type: %s\r\n", content_type);
+  if (status == HTTP_STATUS_UNAUTHORIZED)
+    g_string_append (text, "WWW-Authenticate: Bearer\r\n");
+  if (last)
+    g_string_append (text, "Connection: close\r\n");
+  g_string_append (text, "\r\n");
+  if (body != NULL)
+    g_string_append_len (text, body, (gssize)len);
+  g_free (body);
+  buf.len = text->len;
+  write->connection = c;
+  write->last = last;
+  write->text = g_string_free (text, FALSE);
+  write->request.data = write;
+  buf.base = write->text;
+  c->last = c->last || last;
+  if (uv_write (&write->request, (uv_stream_t *)&c->tcp, &buf, 1, on_written_)
+      == 0)
+    return;
+  g_free (write->text);
+  g_free (write);
+  close_connection_ (c);
+}
+
+static void
+respond_too_large_ (struct connection_ *c)
+{
+  respond_ (c, HTTP_STATUS_PAYLOAD_TOO_LARGE, "text/plain; charset=utf-8",
+            g_strdup_printf ("request body: at most %d bytes are allowed\n",
+                             RGY_HTTP_MAX_BODY_BYTES),
+            true);
+}
+
+/* Requests.  */
+
+struct query_
+{
+  GHashTable *values;
 };
 
 const char *
 rgy_http_request_get_query (const struct rgy_http_request *request,
                             const char *name)
 {
-  return MHD_lookup_connection_value (request->query, MHD_GET_ARGUMENT_KIND,
-                                      name);
+  const struct query_ *query = request->query;
+
+  return query->values == NULL ? NULL
+                               : g_hash_table_lookup (query->values, name);
 }
 
-/* Queues a response; takes ownership of BODY.  */
-static enum MHD_Result
-respond_ (struct MHD_Connection *connection, unsigned status,
-          const char *content_type, char *body)
+static GHashTable *
+parse_query_ (const char *text)
 {
-  struct MHD_Response *response;
-  enum MHD_Result rc;
+  GHashTable *values
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  char **parts = g_strsplit (text, "&", -1);
+  char **part;
 
-  if (body == NULL)
-    body = g_strdup ("");
-  response = MHD_create_response_from_buffer_with_free_callback (strlen (body),
-                                                                 body, g_free);
-  if (response == NULL)
+  for (part = parts; *part != NULL; part++)
     {
-      g_free (body);
-      return MHD_NO;
+      char **pair = g_strsplit (*part, "=", 2);
+      char *name = pair[0] == NULL ? NULL : g_uri_unescape_string (pair[0], "");
+      char *value = name == NULL || pair[1] == NULL
+                        ? NULL
+                        : g_uri_unescape_string (pair[1], "");
+
+      if (value != NULL)
+        g_hash_table_replace (values, name, value);
+      else
+        g_free (name);
+      g_strfreev (pair);
     }
-  if (content_type != NULL)
-    MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
-                             content_type);
-  if (status == MHD_HTTP_UNAUTHORIZED)
-    MHD_add_response_header (response, MHD_HTTP_HEADER_WWW_AUTHENTICATE,
-                             "Bearer");
-  rc = MHD_queue_response (connection, status, response);
-  MHD_destroy_response (response);
-  return rc;
-}
-
-static enum MHD_Result
-respond_too_large_ (struct MHD_Connection *connection)
-{
-  return respond_ (connection, MHD_HTTP_CONTENT_TOO_LARGE,
-                   "text/plain; charset=utf-8",
-                   g_strdup_printf ("request body: at most %d bytes are "
-                                    "allowed\n",
-                                    RGY_HTTP_MAX_BODY_BYTES));
-}
-
-static enum MHD_Result
-start_exchange_ (struct MHD_Connection *connection, void **con_cls)
-{
-  const char *length_text = MHD_lookup_connection_value (
-      connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
-  struct exchange_ *exchange;
-
-  if (length_text != NULL
-      && g_ascii_strtoull (length_text, NULL, 10) > MAX_DISCARD_BYTES)
-    return respond_too_large_ (connection);
-  exchange = g_new0 (struct exchange_, 1);
-  exchange->body = g_byte_array_new ();
-  *con_cls = exchange;
-  return MHD_YES;
-}
-
-static enum MHD_Result
-receive_ (struct exchange_ *exchange, const char *data, size_t *len)
-{
-  exchange->received += *len;
-  if (exchange->received > MAX_DISCARD_BYTES)
-    return MHD_NO;
-  if (exchange->received <= RGY_HTTP_MAX_BODY_BYTES)
-    g_byte_array_append (exchange->body, (const guint8 *)data, (guint)*len);
-  *len = 0;
-  return MHD_YES;
-}
-
-static enum MHD_Result
-on_request_ (void *cls, struct MHD_Connection *connection, const char *url,
-             const char *method, const char *version, const char *upload_data,
-             size_t *upload_data_size, void **con_cls)
-{
-  struct rgy_http *http = cls;
-  struct exchange_ *exchange = *con_cls;
-  struct rgy_http_response response = { .status = MHD_HTTP_NOT_FOUND };
-  struct rgy_http_request request;
-
-  (void)version;
-  if (exchange == NULL)
-    return start_exchange_ (connection, con_cls);
-  if (*upload_data_size > 0)
-    return receive_ (exchange, upload_data, upload_data_size);
-  if (exchange->received > RGY_HTTP_MAX_BODY_BYTES)
-    return respond_too_large_ (connection);
-  request = (struct rgy_http_request){
-    .method = method,
-    .path = url,
-    .authorization = MHD_lookup_connection_value (
-        connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_AUTHORIZATION),
-    .body = { .data = exchange->body->data, .len = exchange->body->len },
-    .query = connection,
-  };
-  http->handle (&request, &response, http->ctx);
-  return respond_ (connection, response.status, response.content_type,
-                   response.body);
+  g_strfreev (parts);
+  return values;
 }
 
-static void
-on_completed_ (void *cls, struct MHD_Connection *connection, void **con_cls,
-               enum MHD_RequestTerminationCode code)
+static int
+on_message_begin_ (http_parser *parser)
 {
-  struct exchange_ *exchange = *con_cls;
+  struct connection_ *c = parser->data;
 
-  (void)cls;
-  (void)connection;
-  (void)code;
-  if (exchange == NULL)
-    return;
-  g_byte_array_unref (exchange->body);
-  g_free (exchange);
-  *con_cls = NULL;
+  g_string_truncate (c->target, 0);
+  g_string_truncate (c->authorization, 0);
+  g_string_truncate (c->header_name, 0);
+  g_byte_array_set_size (c->body, 0);
+  c->received = 0;
+  return 0;
+}
+
+static int
+on_url_ (http_parser *parser, const char *at, size_t len)
+{
+  struct connection_ *c = parser->data;
+
+  g_string_append_len (c->target, at, (gssize)len);
+  return c->target->len > MAX_TARGET_BYTES;
+}
+
+static int
+on_header_field_ (http_parser *parser, const char *at, size_t len)
+{
+  struct connection_ *c = parser->data;
+
+  /* A name that follows a value starts a new header.  */
+  if (c->header_name->len > 0
+      && c->header_name->str[c->header_name->len - 1] == ':')
+    g_string_truncate (c->header_name, 0);
+  g_string_append_len (c->header_name, at, (gssize)len);
+  return c->header_name->len > MAX_TARGET_BYTES;
+}
+
+static int
+on_header_value_ (http_parser *parser, const char *at, size_t len)
+{
+  struct connection_ *c = parser->data;
+
+  if (c->header_name->len == 0
+      || c->header_name->str[c->header_name->len - 1] != ':')
+    g_string_append_c (c->header_name, ':');
+  if (g_ascii_strcasecmp (c->header_name->str, "authorization:") == 0)
+    g_string_append_len (c->authorization, at, (gssize)len);
+  return c->authorization->len > MAX_TARGET_BYTES;
+}
+
+static int
+on_headers_complete_ (http_parser *parser)
+{
+  struct connection_ *c = parser->data;
+
+  if (parser->content_length != ULLONG_MAX
+      && parser->content_length > MAX_DISCARD_BYTES)
+    {
+      respond_too_large_ (c);
+      return -1;
+    }
+  return 0;
+}
+
+static int
+on_body_ (http_parser *parser, const char *at, size_t len)
+{
+  struct connection_ *c = parser->data;
+
+  c->received += len;
+  if (c->received > MAX_DISCARD_BYTES)
+    return -1;
+  if (c->received <= RGY_HTTP_MAX_BODY_BYTES)
+    g_byte_array_append (c->body, (const guint8 *)at, (guint)len);
+  return 0;
+}
+
+static int
+on_message_complete_ (http_parser *parser)
+{
+  struct connection_ *c = parser->data;
+  struct query_ query = { 0 };
+  struct rgy_http_response response = { .status = HTTP_STATUS_NOT_FOUND };
+  struct rgy_http_request request = {
+    .method = http_method_str ((enum http_method)parser->method),
+    .authorization = c->authorization->len > 0 ? c->authorization->str : NULL,
+    .body = { .data = c->body->data, .len = c->body->len },
+    .query = &query,
+  };
+  char *mark;
+  bool last = !http_should_keep_alive (parser);
+
+  if (c->received > RGY_HTTP_MAX_BODY_BYTES)
+    {
+      respond_too_large_ (c);
+      return 0;
+    }
+  mark = strchr (c->target->str, '?');
+  if (mark != NULL)
+    {
+      query.values = parse_query_ (mark + 1);
+      *mark = '\0';
+    }
+  request.path = c->target->str;
+  c->http->handle (&request, &response, c->http->ctx);
+  if (query.values != NULL)
+    g_hash_table_unref (query.values);
+  respond_ (c, response.status, response.content_type, response.body, last);
+  return 0;
 }
 
-static void on_timer_ (uv_timer_t *timer);
+static const http_parser_settings parser_settings_ = {
+  .on_message_begin = on_message_begin_,
+  .on_url = on_url_,
+  .on_header_field = on_header_field_,
+  .on_header_value = on_header_value_,
+  .on_headers_complete = on_headers_complete_,
+  .on_body = on_body_,
+  .on_message_complete = on_message_complete_,
+};
+
+static void
+allocate_ (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+  (void)handle;
+  (void)suggested;
+  *buf = uv_buf_init (read_buffer_, sizeof read_buffer_);
+}
 
 static void
-run_ (struct rgy_http *http)
+on_read_ (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
-  MHD_UNSIGNED_LONG_LONG timeout_ms = 0;
+  struct connection_ *c = stream->data;
+  size_t used;
 
-  MHD_run (http->daemon);
-  if (MHD_get_timeout (http->daemon, &timeout_ms) == MHD_YES)
-    uv_timer_start (&http->timer, on_timer_, timeout_ms, 0);
-  else
-    uv_timer_stop (&http->timer);
+  if (n < 0)
+    {
+      close_connection_ (c);
+      return;
+    }
+  c->active_ms = uv_now (c->http->loop);
+  if (c->last || c->closing)
+    return; /* Discarded: the response to come is the last one.  */
+  used = http_parser_execute (&c->parser, &parser_settings_, buf->base,
+                              (size_t)n);
+  if (used == (size_t)n || c->last || c->closing)
+    return;
+  respond_ (c, HTTP_STATUS_BAD_REQUEST, "text/plain; charset=utf-8",
+            g_strdup_printf (
+                "malformed request: %s\n",
+                http_errno_description (HTTP_PARSER_ERRNO (&c->parser))),
+            true);
 }
 
 static void
-on_timer_ (uv_timer_t *timer)
+on_connection_ (uv_stream_t *listener, int status)
 {
-  run_ (timer->data);
+  struct rgy_http *http = listener->data;
+  struct connection_ *c;
+
+  if (status != 0)
+    return;
+  c = g_new0 (struct connection_, 1);
+  c->http = http;
+  c->target = g_string_new (NULL);
+  c->authorization = g_string_new (NULL);
+  c->header_name = g_string_new (NULL);
+  c->body = g_byte_array_new ();
+  c->active_ms = uv_now (http->loop);
+  http_parser_init (&c->parser, HTTP_REQUEST);
+  c->parser.data = c;
+  uv_tcp_init (http->loop, &c->tcp);
+  c->tcp.data = c;
+  http->open_handles++;
+  g_ptr_array_add (http->connections, c);
+  if (uv_accept (listener, (uv_stream_t *)&c->tcp) != 0
+      || http->connections->len > MAX_CONNECTIONS
+      || uv_read_start ((uv_stream_t *)&c->tcp, allocate_, on_read_) != 0)
+    close_connection_ (c);
 }
 
 static void
-on_poll_ (uv_poll_t *poll, int status, int events)
+on_timer_ (uv_timer_t *timer)
 {
-  (void)status;
-  (void)events;
-  run_ (poll->data);
+  struct rgy_http *http = timer->data;
+  uint64_t now_ms = uv_now (http->loop);
+  guint i = http->connections->len;
+
+  while (i-- > 0)
+    {
+      struct connection_ *c = g_ptr_array_index (http->connections, i);
+
+      if (now_ms - c->active_ms > CONNECTION_TIMEOUT_MS)
+        close_connection_ (c);
+    }
 }
 
 static void
 on_closed_ (uv_handle_t *handle)
 {
-  struct rgy_http *http = handle->data;
-
-  if (--http->open_handles == 0)
-    g_free (http);
+  release_ (handle->data);
 }
 
 struct rgy_http *
@@ -197,56 +425,48 @@
                               .sin_port = htons (endpoint.port),
                               .sin_addr.s_addr = htonl (endpoint.ip) };
   struct rgy_http *http = g_new0 (struct rgy_http, 1);
-  const union MHD_DaemonInfo *info;
 
+  http->loop = loop;
   http->handle = handle;
   http->ctx = ctx;
-  http->daemon = MHD_start_daemon (
-      MHD_USE_EPOLL, endpoint.port, NULL, NULL, on_request_, http,
-      MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&addr,
-      MHD_OPTION_CONNECTION_LIMIT, MAX_CONNECTIONS,
-      MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_TIMEOUT_S,
-      MHD_OPTION_NOTIFY_COMPLETED, on_completed_, NULL, MHD_OPTION_END);
-  if (http->daemon == NULL)
-    goto fail;
-  info = MHD_get_daemon_info (http->daemon, MHD_DAEMON_INFO_EPOLL_FD);
-  if (info == NULL || uv_poll_init (loop, &http->poll, info->epoll_fd) != 0)
-    goto fail_daemon;
+  http->connections = g_ptr_array_new ();
+  uv_tcp_init (loop, &http->listener);
   uv_timer_init (loop, &http->timer);
-  http->open_handles = 2;
-  http->poll.data = http;
+  http->listener.data = http;
   http->timer.data = http;
-  if (uv_poll_start (&http->poll, UV_READABLE, on_poll_) != 0)
+  http->open_handles = 2;
+  if (uv_tcp_bind (&http->listener, (struct sockaddr *)&addr, 0) != 0
+      || uv_listen ((uv_stream_t *)&http->listener, BACKLOG, on_connection_)
+             != 0)
     {
       rgy_http_delete (http);
       return NULL;
     }
+  uv_timer_start (&http->timer, on_timer_, CHECK_INTERVAL_MS,
+                  CHECK_INTERVAL_MS);
   return http;
-
-fail_daemon:
-  MHD_stop_daemon (http->daemon);
-fail:
-  g_free (http);
-  return NULL;
 }
 
 uint16_t
 rgy_http_get_port (const struct rgy_http *http)
 {
-  const union MHD_DaemonInfo *info
-      = MHD_get_daemon_info (http->daemon, MHD_DAEMON_INFO_BIND_PORT);
+  struct sockaddr_in addr;
+  int len = sizeof addr;
 
-  return info == NULL ? 0 : info->port;
+  if (uv_tcp_getsockname (&http->listener, (struct sockaddr *)&addr, &len)
+      != 0)
+    return 0;
+  return ntohs (addr.sin_port);
 }
 
 void
 rgy_http_delete (struct rgy_http *http)
 {
-  if (http == NULL)
+  if (http == NULL || http->closing)
     return;
-  /* Before the daemon closes the descriptor that the handle watches.  */
-  uv_close ((uv_handle_t *)&http->poll, on_closed_);
+  http->closing = true;
+  while (http->connections->len > 0)
+    close_connection_ (g_ptr_array_index (http->connections, 0));
+  uv_close ((uv_handle_t *)&http->listener, on_closed_);
   uv_close ((uv_handle_t *)&http->timer, on_closed_);
-  MHD_stop_daemon (http->daemon);
-  http->daemon = NULL;
 }
--- a/src/libragwortyoke-io/log.c
+++ b/src/libragwortyoke-io/log.c
@@ -2,19 +2,82 @@
 
 #include "ragwortyoke-io/log.h"
 
+#include <fcntl.h>
 #include <glib.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 struct log_state_
 {
   char prefix[96];
   GLogLevelFlags most_verbose;
+  bool installed;     /* GLib accepts one writer for the process's life.  */
+  bool limited;       /* To standard output, at most LINES_PER_S.  */
+  gint64 second;      /* Of the steady clock.  */
+  unsigned in_second; /* Lines written in it.  */
+  unsigned left_out;  /* Lines since the last one that was written.  */
 };
 
+/* Bounds what a burst of decisions costs; what is left out is counted.  */
+#define LINES_PER_S 100
+#define LINE_BYTES 640
+
 static struct log_state_ log_ = { .most_verbose = G_LOG_LEVEL_INFO };
 
+/* Writes one line without blocking.  A reader that does not keep up loses
+   lines, which the next one tells.  */
+static void
+write_limited_ (const char *level, const char *message)
+{
+  gint64 second = g_get_monotonic_time () / G_USEC_PER_SEC;
+  gint64 now_ms = g_get_real_time () / 1000;
+  char line[LINE_BYTES];
+  int len;
+
+  if (second != log_.second)
+    {
+      log_.second = second;
+      log_.in_second = 0;
+    }
+  if (log_.in_second >= LINES_PER_S)
+    {
+      log_.left_out++;
+      return;
+    }
+  log_.in_second++;
+  len = g_snprintf (line, sizeof line, "ts_ms=%" G_GINT64_FORMAT
+                    " level=%s process=%s left_out=%u event=%s\n",
+                    now_ms, level, log_.prefix, log_.left_out, message);
+  if (len >= (int)sizeof line)
+    {
+      len = sizeof line - 1;
+      line[len - 1] = '\n';
+    }
+  if (write (STDOUT_FILENO, line, (size_t)len) == len)
+    log_.left_out = 0;
+  else
+    log_.left_out++;
+}
+
+static const char *
+level_name_ (GLogLevelFlags level)
+{
+  switch (level & G_LOG_LEVEL_MASK)
+    {
+    case G_LOG_LEVEL_CRITICAL:
+      return "error";
+    case G_LOG_LEVEL_WARNING:
+      return "warning";
+    case G_LOG_LEVEL_INFO:
+      return "info";
+    default:
+      return "debug";
+    }
+}
+
 static GLogWriterOutput
 writer_ (GLogLevelFlags level, const GLogField *fields, gsize n_fields,
          gpointer user_data)
@@ -30,6 +93,11 @@
   for (i = 0; i < n_fields; i++)
     if (strcmp (fields[i].key, "MESSAGE") == 0)
       message = fields[i].value;
+  if (log_.limited)
+    {
+      write_limited_ (level_name_ (level), message);
+      return G_LOG_WRITER_HANDLED;
+    }
   now = g_date_time_new_now_utc ();
   time_text = g_date_time_format (now, "%Y-%m-%dT%H:%M:%S.%fZ");
   fprintf (stderr, "%s %s%s\n", time_text, log_.prefix, message);
@@ -55,7 +123,21 @@
   for (i = 0; i < G_N_ELEMENTS (levels); i++)
     if (strcmp (levels[i].name, level) == 0)
       log_.most_verbose = levels[i].flags;
-  g_log_set_writer_func (writer_, NULL, NULL);
+  if (!log_.installed)
+    g_log_set_writer_func (writer_, NULL, NULL);
+  log_.installed = true;
+}
+
+void
+rgy_log_to_standard_output (void)
+{
+  char *end = strstr (log_.prefix, ": ");
+
+  if (end != NULL)
+    *end = '\0';
+  log_.limited = true;
+  (void)fcntl (STDOUT_FILENO, F_SETFL,
+               fcntl (STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
 }
 
 static void
--- a/src/libragwortyoke/echo.c
+++ b/src/libragwortyoke/echo.c
@@ -42,8 +42,11 @@
       put_be_ (out + 5, key->u.udp.caller.port, 2);
       put_be_ (out + 7, key->u.udp.service.ip, 4);
       put_be_ (out + 11, key->u.udp.service.port, 2);
+      return;
+    case RGY_FLOW_KEY_SEGMENT:
       break;
     }
+  g_assert_not_reached (); /* Request sessions exist for UDP flows only.  */
 }
 
 static void
--- a/src/libragwortyoke/flow.c
+++ b/src/libragwortyoke/flow.c
@@ -35,36 +35,46 @@
                                 = { .caller = caller, .service = service } };
 }
 
-bool
-rgy_flow_key_equal (const struct rgy_flow_key *a, const struct rgy_flow_key *b)
+struct rgy_flow_key
+rgy_flow_key_segment (struct rgy_endpoint caller, struct rgy_endpoint service)
 {
-  if (a->kind != b->kind)
-    return false;
-  switch (a->kind)
+  return (struct rgy_flow_key){ .kind = RGY_FLOW_KEY_SEGMENT,
+                                .u.segment
+                                = { .caller = caller, .service = service } };
+}
+
+/* The ends of a key; every kind so far has two.  */
+static const struct rgy_flow_ends *
+ends_ (const struct rgy_flow_key *key)
+{
+  switch (key->kind)
     {
     case RGY_FLOW_KEY_UDP:
-      return rgy_endpoint_equal (a->u.udp.caller, b->u.udp.caller)
-             && rgy_endpoint_equal (a->u.udp.service, b->u.udp.service);
+      return &key->u.udp;
+    case RGY_FLOW_KEY_SEGMENT:
+      return &key->u.segment;
     }
   abort ();
 }
 
+bool
+rgy_flow_key_equal (const struct rgy_flow_key *a, const struct rgy_flow_key *b)
+{
+  if (a->kind != b->kind)
+    return false;
+  return rgy_endpoint_equal (ends_ (a)->caller, ends_ (b)->caller)
+         && rgy_endpoint_equal (ends_ (a)->service, ends_ (b)->service);
+}
+
 uint64_t
 rgy_flow_key_hash (const struct rgy_flow_key *key)
 {
-  switch (key->kind)
-    {
-    case RGY_FLOW_KEY_UDP:
-      {
-        uint64_t in[2] = { rgy_endpoint_pack (key->u.udp.caller),
-                           rgy_endpoint_pack (key->u.udp.service) };
-
-        return rgy_hash_bytes ((struct rgy_bytes){ .data = (const uint8_t *)in,
-                                                   .len = sizeof in },
-                               (uint64_t)key->kind);
-      }
-    }
-  abort ();
+  uint64_t in[2] = { rgy_endpoint_pack (ends_ (key)->caller),
+                     rgy_endpoint_pack (ends_ (key)->service) };
+
+  return rgy_hash_bytes (
+      (struct rgy_bytes){ .data = (const uint8_t *)in, .len = sizeof in },
+      (uint64_t)key->kind);
 }
 
 unsigned
--- a/src/libragwortyoke/handover.c
+++ b/src/libragwortyoke/handover.c
@@ -26,6 +26,8 @@
       rgy_pack_endpoint (pk, key->u.udp.caller);
       rgy_pack_endpoint (pk, key->u.udp.service);
       return;
+    case RGY_FLOW_KEY_SEGMENT:
+      break; /* Only request sessions, over UDP, are handed over.  */
     }
   abort ();
 }
--- /dev/null
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -0,0 +1,208 @@
+#ifndef RAGWORTYOKE_PRIVATE_STREAM_BALANCER_PRIVATE_H
+#define RAGWORTYOKE_PRIVATE_STREAM_BALANCER_PRIVATE_H
+
+/**
+ * @file
+ * State of the balancer core for sequenced flows and functions shared by its
+ * files: stream_balancer.c (configuration), stream_balancer_open.c (new
+ * flows), stream_balancer_lookup.c (flows that moved), stream_balancer_member.c
+ * (agents and other balancers).
+ */
+
+#include <glib.h>
+
+#include "ragwortyoke/stream_balancer.h"
+
+/* Agents report every 400 ms; three may be lost on the way.  */
+#define AGENT_HEARD_US INT64_C (1500000)
+/* Silent for this long, an agent's machine is taken for lost.  */
+#define AGENT_LOST_US INT64_C (2000000)
+/* A restart that the agent has announced: the users' machines are back within
+   a few seconds.  */
+#define AGENT_RESTART_US INT64_C (6000000)
+#define AGENT_FORGET_US INT64_C (30000000)
+#define CUT_OFF_MEMORY_US INT64_C (8000000)
+/* Time in which a balancer that starts or was paused hears all agents.  */
+#define SETTLE_US INT64_C (2500000)
+#define STALL_US INT64_C (700000)
+#define STATUS_INTERVAL_US INT64_C (500000)
+#define PEER_FORGET_US INT64_C (60000000)
+/* Two ways between failure domains and a loaded machine.  */
+#define OPEN_RETRY_US INT64_C (80000)
+/* The caller repeats its first segment after 200 and 600 ms and gives up after
+   1.4 s.  */
+#define OPEN_GIVE_UP_US INT64_C (1300000)
+/* A new flow waits this long for agents that are about to be ready.  */
+#define OPEN_WAIT_US INT64_C (1000000)
+/* An agent that answered nothing is passed over for this long after
+   FAILURES_TO_EXCLUDE failures in a row.  */
+#define EXCLUDE_US INT64_C (1000000)
+#define FAILURES_TO_EXCLUDE 2
+#define LOOKUP_US INT64_C (120000)
+#define MAX_TRIED 16
+#define MAX_HELD 4
+#define MAX_PENDING 4096
+
+/** An agent and what it said last.  */
+struct rgy_known_agent
+{
+  uint32_t ip;
+  uint32_t tag; /**< Of its service.  */
+  struct rgy_stream_report report; /**< Without changes.  */
+  int64_t heard_us;
+  uint64_t changes_upto;
+  uint32_t placed; /**< New flows placed since the last report.  */
+  unsigned failures;
+  int64_t excluded_until_us;
+};
+
+struct rgy_stream_peer
+{
+  uint32_t ip;
+  int64_t heard_us;
+  uint64_t version; /**< Of its manifest.  */
+};
+
+/** Where a cached flow is.  */
+struct rgy_cached_flow
+{
+  uint32_t agent_ip;
+  bool confirmed; /**< By the agent, not only chosen here.  */
+};
+
+/** A new flow that no agent has taken yet.  The key comes first.  */
+struct rgy_pending_open
+{
+  struct rgy_flow_key key;
+  uint8_t *raw;
+  size_t raw_len;
+  int64_t began_us;
+  int64_t sent_us;
+  uint32_t current_ip; /**< Agent that has it; 0: waits.  */
+  uint32_t tried[MAX_TRIED];
+  size_t n_tried;
+};
+
+struct rgy_asked_agent
+{
+  uint32_t ip;
+  enum rgy_flow_held answer;
+  bool answered;
+  bool probing; /**< A segment was sent there to find out.  */
+};
+
+struct rgy_held_segment
+{
+  uint8_t *data;
+  size_t len;
+};
+
+/** A search for the agent of a flow.  The key comes first.  */
+struct rgy_lookup
+{
+  struct rgy_flow_key key;
+  GArray *asked; /**< struct rgy_asked_agent.  */
+  int64_t deadline_us;
+  uint32_t caller_ack;
+  struct rgy_held_segment held[MAX_HELD];
+  size_t n_held;
+};
+
+struct rgy_stream_balancer
+{
+  struct rgy_stream_balancer_settings settings;
+  struct rgy_stream_manifest *manifest;
+  struct rgy_stream_manifest *previous; /**< To know dropped routes.  */
+  struct rgy_domain_view view;
+  struct rgy_flow_table *flows; /**< Sessions are struct rgy_cached_flow.  */
+  GHashTable *agents;           /**< IP to struct rgy_known_agent, owned.  */
+  GArray *peers;                /**< struct rgy_stream_peer.  */
+  GHashTable *opens;            /**< Set of struct rgy_pending_open.  */
+  GHashTable *lookups;          /**< Set of struct rgy_lookup.  */
+  int64_t started_us;
+  int64_t ticked_us;
+  int64_t stalled_us; /**< End of the last pause; 0: none.  */
+  int64_t status_us;
+  bool stopping;
+
+  uint64_t *n_segments;
+  uint64_t *n_opens;
+  uint64_t *n_retries;
+  uint64_t *n_lookups;
+  uint64_t *n_found;
+  uint64_t *n_resets;
+  uint64_t *n_no_route;
+  uint64_t *n_dropped;
+  uint64_t *n_bad_messages;
+  uint64_t *n_foreign;
+};
+
+/* Agents.  */
+struct rgy_known_agent *
+rgy_stream_balancer_find_agent_ (const struct rgy_stream_balancer *b,
+                                 uint32_t ip);
+bool rgy_known_agent_is_heard_ (const struct rgy_known_agent *agent,
+                                int64_t now_us);
+bool rgy_known_agent_is_lost_ (const struct rgy_known_agent *agent,
+                               int64_t now_us);
+bool rgy_stream_balancer_is_cut_off_ (const struct rgy_stream_balancer *b,
+                                      int64_t now_us);
+bool rgy_stream_balancer_is_settled_ (const struct rgy_stream_balancer *b,
+                                      int64_t now_us);
+
+/* Members.  */
+void rgy_stream_balancer_send_status_ (struct rgy_stream_balancer *b,
+                                       bool wants_reply, int64_t now_us);
+void rgy_stream_balancer_greet_agents_ (struct rgy_stream_balancer *b,
+                                        int64_t now_us);
+void rgy_stream_balancer_expire_members_ (struct rgy_stream_balancer *b,
+                                          int64_t now_us);
+void rgy_stream_balancer_from_report_ (struct rgy_stream_balancer *b,
+                                       const struct rgy_stream_report *report,
+                                       uint32_t ip, int64_t now_us);
+void rgy_stream_balancer_from_status_ (struct rgy_stream_balancer *b,
+                                       const struct rgy_stream_status *status,
+                                       uint32_t ip, int64_t now_us);
+
+/* Cached flows.  */
+void rgy_stream_balancer_forget_ (struct rgy_stream_balancer *b,
+                                  struct rgy_flow *flow);
+/** Note where a flow is, and serve whoever waits for it.  */
+void rgy_stream_balancer_learn_ (struct rgy_stream_balancer *b,
+                                 const struct rgy_flow_key *key,
+                                 uint32_t agent_ip, bool confirmed,
+                                 int64_t now_us);
+void rgy_stream_balancer_send_ (struct rgy_stream_balancer *b,
+                                const struct rgy_flow_key *key,
+                                struct rgy_bytes raw, uint32_t agent_ip);
+
+/* New flows.  */
+void rgy_stream_balancer_open_ (struct rgy_stream_balancer *b,
+                                const struct rgy_segment *segment,
+                                int64_t now_us);
+void rgy_stream_balancer_retry_opens_ (struct rgy_stream_balancer *b,
+                                       int64_t now_us);
+void rgy_stream_balancer_taken_ (struct rgy_stream_balancer *b,
+                                 const struct rgy_flow_key *key, uint32_t ip,
+                                 int64_t now_us);
+void rgy_stream_balancer_refused_ (struct rgy_stream_balancer *b,
+                                   const struct rgy_flow_key *key, uint32_t ip,
+                                   enum rgy_stream_refusal reason,
+                                   int64_t now_us);
+
+/* Searches.  */
+void rgy_stream_balancer_look_up_ (struct rgy_stream_balancer *b,
+                                   const struct rgy_segment *segment,
+                                   uint32_t missed_ip, int64_t now_us);
+void rgy_stream_balancer_answered_ (struct rgy_stream_balancer *b,
+                                    const struct rgy_flow_key *key,
+                                    uint32_t ip, enum rgy_flow_held held,
+                                    int64_t now_us);
+void rgy_stream_balancer_end_lookups_ (struct rgy_stream_balancer *b,
+                                       int64_t now_us);
+/** Deliver what a search holds to the agent that has the flow.  */
+void rgy_stream_balancer_found_ (struct rgy_stream_balancer *b,
+                                 const struct rgy_flow_key *key,
+                                 uint32_t agent_ip);
+
+#endif
--- /dev/null
+++ b/src/libragwortyoke/stream_action.c
@@ -0,0 +1,73 @@
+#include "ragwortyoke/stream_action.h"
+
+#include <glib.h>
+#include <stdarg.h>
+#include <stdio.h>
+
+#include "ragwortyoke/stream_message.h"
+
+#define LOG_TEXT_BYTES 400
+
+const char *
+rgy_flow_key_format (const struct rgy_flow_key *key, char *text)
+{
+  char caller[RGY_ENDPOINT_TEXT_BYTES];
+  char service[RGY_ENDPOINT_TEXT_BYTES];
+
+  g_snprintf (text, RGY_FLOW_TEXT_BYTES, "%s>%s",
+              rgy_endpoint_format (key->u.segment.caller, caller),
+              rgy_endpoint_format (key->u.segment.service, service));
+  return text;
+}
+
+void
+rgy_stream_emit_segment (const struct rgy_stream_out *out,
+                         enum rgy_stream_action_kind kind, uint32_t ip,
+                         const struct rgy_flow_key *key, struct rgy_bytes raw,
+                         struct rgy_trail trail)
+{
+  struct rgy_stream_action action
+      = { .kind = kind,
+          .ip = ip,
+          .u.segment = { .raw = raw, .trail = trail, .key = *key } };
+
+  out->emit (out->ctx, &action);
+}
+
+void
+rgy_stream_emit_reset (const struct rgy_stream_out *out,
+                       const struct rgy_flow_key *key, uint32_t seq)
+{
+  struct rgy_stream_action action
+      = { .kind = RGY_STREAM_RESET, .u.reset = { .key = *key, .seq = seq } };
+
+  out->emit (out->ctx, &action);
+}
+
+void
+rgy_stream_emit_message (const struct rgy_stream_out *out, uint32_t ip,
+                         const struct rgy_stream_message *message)
+{
+  GByteArray *bytes = g_byte_array_new ();
+  struct rgy_stream_action action = { .kind = RGY_STREAM_MESSAGE, .ip = ip };
+
+  rgy_stream_message_encode (message, bytes);
+  action.u.message
+      = (struct rgy_bytes){ .data = bytes->data, .len = bytes->len };
+  out->emit (out->ctx, &action);
+  g_byte_array_unref (bytes);
+}
+
+void
+rgy_stream_emit_log (const struct rgy_stream_out *out, const char *format, ...)
+{
+  char text[LOG_TEXT_BYTES];
+  struct rgy_stream_action action = { .kind = RGY_STREAM_LOG };
+  va_list ap;
+
+  va_start (ap, format);
+  vsnprintf (text, sizeof text, format, ap);
+  va_end (ap);
+  action.u.log = text;
+  out->emit (out->ctx, &action);
+}
--- /dev/null
+++ b/src/libragwortyoke/stream_balancer.c
@@ -0,0 +1,288 @@
+#include "private/stream_balancer_private.h"
+
+#include <string.h>
+
+#include "ragwortyoke/clock.h"
+
+static void
+add_counters_ (struct rgy_stream_balancer *b, struct rgy_counters *counters)
+{
+  const struct rgy_counter_spec specs[] = {
+    { .value = &b->n_segments,
+      .name = "stream_segments_total",
+      .help = "Segments from the router." },
+    { .value = &b->n_opens,
+      .name = "stream_opens_total",
+      .help = "New flows offered to agents." },
+    { .value = &b->n_retries,
+      .name = "stream_open_retries_total",
+      .help = "New flows offered to one more agent." },
+    { .value = &b->n_lookups,
+      .name = "stream_lookups_total",
+      .help = "Flows searched among the agents." },
+    { .value = &b->n_found,
+      .name = "stream_lookups_found_total",
+      .help = "Searches that found the flow." },
+    { .value = &b->n_resets,
+      .name = "stream_resets_total",
+      .help = "Flows and new flows reset." },
+    { .value = &b->n_no_route,
+      .name = "stream_no_route_total",
+      .help = "Segments to an address without a route." },
+    { .value = &b->n_dropped,
+      .name = "stream_dropped_total",
+      .help = "Segments dropped for lack of room or certainty." },
+    { .value = &b->n_bad_messages,
+      .name = "stream_messages_invalid_total",
+      .help = "Control messages that could not be decoded." },
+    { .value = &b->n_foreign,
+      .name = "stream_foreign_total",
+      .help = "Messages and segments from unknown agents." },
+  };
+
+  rgy_counters_add_all (counters, specs, G_N_ELEMENTS (specs));
+}
+
+static void
+open_free_ (void *data)
+{
+  struct rgy_pending_open *open = data;
+
+  g_free (open->raw);
+  g_free (open);
+}
+
+static void
+lookup_free_ (void *data)
+{
+  struct rgy_lookup *lookup = data;
+  size_t i;
+
+  for (i = 0; i < lookup->n_held; i++)
+    g_free (lookup->held[i].data);
+  g_array_unref (lookup->asked);
+  g_free (lookup);
+}
+
+static guint
+hash_key_ (gconstpointer key)
+{
+  return (guint)rgy_flow_key_hash (key);
+}
+
+static gboolean
+equal_keys_ (gconstpointer a, gconstpointer b)
+{
+  return rgy_flow_key_equal (a, b);
+}
+
+struct rgy_stream_balancer *
+rgy_stream_balancer_new (const struct rgy_stream_balancer_settings *settings,
+                         struct rgy_counters *counters, int64_t now_us)
+{
+  struct rgy_stream_balancer *b = g_new0 (struct rgy_stream_balancer, 1);
+
+  b->settings = *settings;
+  b->started_us = now_us;
+  b->ticked_us = now_us;
+  b->flows = rgy_flow_table_new (settings->max_flows, settings->flow_ttl_us);
+  b->agents = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
+                                     g_free);
+  b->peers = g_array_new (FALSE, TRUE, sizeof (struct rgy_stream_peer));
+  /* The key is the first member of both values.  */
+  b->opens = g_hash_table_new_full (hash_key_, equal_keys_, NULL, open_free_);
+  b->lookups
+      = g_hash_table_new_full (hash_key_, equal_keys_, NULL, lookup_free_);
+  add_counters_ (b, counters);
+  return b;
+}
+
+static bool
+free_session_ (struct rgy_flow *flow, void *ctx)
+{
+  (void)ctx;
+  g_free (flow->session);
+  flow->session = NULL;
+  return true;
+}
+
+void
+rgy_stream_balancer_delete (struct rgy_stream_balancer *b)
+{
+  if (b == NULL)
+    return;
+  rgy_flow_table_foreach (b->flows, free_session_, NULL);
+  rgy_flow_table_delete (b->flows);
+  g_hash_table_unref (b->lookups);
+  g_hash_table_unref (b->opens);
+  g_hash_table_unref (b->agents);
+  g_array_unref (b->peers);
+  rgy_stream_manifest_delete (b->previous);
+  rgy_stream_manifest_delete (b->manifest);
+  g_free (b);
+}
+
+/* Configuration.  */
+
+enum rgy_outcome
+rgy_stream_balancer_set_manifest (struct rgy_stream_balancer *b,
+                                  struct rgy_stream_manifest *manifest,
+                                  int64_t now_us)
+{
+  uint64_t version = rgy_stream_manifest_get_version (manifest);
+
+  if (b->manifest != NULL && version <= rgy_stream_balancer_get_version (b))
+    {
+      rgy_stream_manifest_delete (manifest);
+      return RGY_ERR_STALE;
+    }
+  rgy_stream_emit_log (&b->settings.out,
+                       "manifest_applied version=%" G_GUINT64_FORMAT
+                       " before=%" G_GUINT64_FORMAT,
+                       version, rgy_stream_balancer_get_version (b));
+  rgy_stream_manifest_delete (b->previous);
+  b->previous = b->manifest;
+  b->manifest = manifest;
+  rgy_stream_balancer_send_status_ (b, false, now_us);
+  return RGY_OK;
+}
+
+uint64_t
+rgy_stream_balancer_get_version (const struct rgy_stream_balancer *b)
+{
+  return b->manifest == NULL ? 0
+                             : rgy_stream_manifest_get_version (b->manifest);
+}
+
+void
+rgy_stream_balancer_set_view (struct rgy_stream_balancer *b,
+                              const struct rgy_domain_view *view,
+                              int64_t now_us)
+{
+  bool same = view->n_out == b->view.n_out
+              && memcmp (view->out, b->view.out,
+                         view->n_out * sizeof view->out[0])
+                     == 0;
+
+  if (view->revision <= b->view.revision)
+    return;
+  b->view = *view;
+  if (same)
+    return;
+  rgy_stream_emit_log (&b->settings.out,
+                       "domains_out count=%zu first=%s revision=%" G_GUINT64_FORMAT,
+                       view->n_out, view->n_out > 0 ? view->out[0].data : "-",
+                       view->revision);
+  rgy_stream_balancer_send_status_ (b, false, now_us);
+  rgy_stream_balancer_greet_agents_ (b, now_us);
+}
+
+/* State of agents.  */
+
+struct rgy_known_agent *
+rgy_stream_balancer_find_agent_ (const struct rgy_stream_balancer *b,
+                                 uint32_t ip)
+{
+  return g_hash_table_lookup (b->agents, GUINT_TO_POINTER (ip));
+}
+
+bool
+rgy_known_agent_is_heard_ (const struct rgy_known_agent *agent, int64_t now_us)
+{
+  return agent->heard_us != 0 && now_us - agent->heard_us < AGENT_HEARD_US;
+}
+
+bool
+rgy_known_agent_is_lost_ (const struct rgy_known_agent *agent, int64_t now_us)
+{
+  int64_t limit_us = agent->report.restarting ? AGENT_RESTART_US : AGENT_LOST_US;
+
+  return agent->report.state == RGY_BACKEND_GONE
+         || now_us - agent->heard_us > limit_us;
+}
+
+size_t
+rgy_stream_balancer_count_agents (const struct rgy_stream_balancer *b,
+                                  int64_t now_us)
+{
+  GHashTableIter iter;
+  void *value;
+  size_t n = 0;
+
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (rgy_known_agent_is_heard_ (value, now_us))
+      n++;
+  return n;
+}
+
+/* True when most agents heard not long ago are silent: then it is this
+   process that is cut off.  */
+bool
+rgy_stream_balancer_is_cut_off_ (const struct rgy_stream_balancer *b,
+                                 int64_t now_us)
+{
+  GHashTableIter iter;
+  void *value;
+  size_t known = 0;
+  size_t heard = 0;
+
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_known_agent *agent = value;
+
+      if (agent->report.state == RGY_BACKEND_GONE
+          || now_us - agent->heard_us > CUT_OFF_MEMORY_US)
+        continue;
+      known++;
+      if (rgy_known_agent_is_heard_ (agent, now_us))
+        heard++;
+    }
+  return heard * 2 < known;
+}
+
+bool
+rgy_stream_balancer_is_settled_ (const struct rgy_stream_balancer *b,
+                                 int64_t now_us)
+{
+  return now_us - b->started_us > SETTLE_US && now_us - b->stalled_us > SETTLE_US
+         && !rgy_stream_balancer_is_cut_off_ (b, now_us);
+}
+
+bool
+rgy_stream_balancer_is_ready (const struct rgy_stream_balancer *b,
+                              int64_t now_us)
+{
+  return b->manifest != NULL && !b->stopping
+         && rgy_stream_balancer_count_agents (b, now_us) > 0
+         && !rgy_stream_balancer_is_cut_off_ (b, now_us);
+}
+
+void
+rgy_stream_balancer_stop (struct rgy_stream_balancer *b)
+{
+  b->stopping = true;
+}
+
+void
+rgy_stream_balancer_tick (struct rgy_stream_balancer *b, int64_t now_us)
+{
+  struct rgy_flow *expired;
+
+  if (now_us - b->ticked_us > STALL_US)
+    {
+      rgy_stream_emit_log (&b->settings.out,
+                           "process_paused ms=%" G_GINT64_FORMAT,
+                           (now_us - b->ticked_us) / RGY_US_PER_MS);
+      b->stalled_us = now_us;
+    }
+  b->ticked_us = now_us;
+  while ((expired = rgy_flow_table_get_expired (b->flows, now_us)) != NULL)
+    rgy_stream_balancer_forget_ (b, expired);
+  rgy_stream_balancer_retry_opens_ (b, now_us);
+  rgy_stream_balancer_end_lookups_ (b, now_us);
+  rgy_stream_balancer_expire_members_ (b, now_us);
+  if (now_us - b->status_us >= STATUS_INTERVAL_US)
+    rgy_stream_balancer_send_status_ (b, false, now_us);
+}
--- /dev/null
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -0,0 +1,290 @@
+#include "private/stream_balancer_private.h"
+
+#include "ragwortyoke/clock.h"
+
+static struct rgy_asked_agent *
+find_asked_ (struct rgy_lookup *lookup, uint32_t ip)
+{
+  guint i;
+
+  for (i = 0; i < lookup->asked->len; i++)
+    {
+      struct rgy_asked_agent *asked
+          = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
+
+      if (asked->ip == ip)
+        return asked;
+    }
+  return NULL;
+}
+
+static void
+hold_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
+       const struct rgy_segment *segment)
+{
+  if ((segment->flags & RGY_SEGMENT_ACK) != 0)
+    lookup->caller_ack = segment->ack;
+  if (lookup->n_held == MAX_HELD)
+    {
+      ++*b->n_dropped;
+      return;
+    }
+  lookup->held[lookup->n_held++] = (struct rgy_held_segment){
+    .data = g_memdup2 (segment->raw.data, segment->raw.len),
+    .len = segment->raw.len
+  };
+}
+
+static void
+query_ (struct rgy_stream_balancer *b, const struct rgy_flow_key *key,
+        uint32_t ip)
+{
+  struct rgy_stream_message message
+      = { .kind = RGY_STREAM_QUERY, .u.flow = { .key = *key } };
+
+  rgy_stream_emit_message (&b->settings.out, ip, &message);
+}
+
+static bool
+serves_route_ (const struct rgy_known_agent *agent,
+               const struct rgy_route *route)
+{
+  size_t i;
+
+  for (i = 0; i < route->n_targets; i++)
+    if (route->targets[i].tag == agent->tag)
+      return true;
+  return false;
+}
+
+/* Ends a search that found nothing.  The caller is told only when no agent is
+   left that might have the flow.  */
+static void
+give_up_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
+          bool certain, int64_t now_us)
+{
+  char text[RGY_FLOW_TEXT_BYTES];
+
+  certain = certain && rgy_stream_balancer_is_settled_ (b, now_us);
+  rgy_stream_emit_log (&b->settings.out,
+                       "flow_not_found flow=%s asked=%u certain=%d "
+                       "settled=%d outcome=%s",
+                       rgy_flow_key_format (&lookup->key, text),
+                       lookup->asked->len, certain,
+                       rgy_stream_balancer_is_settled_ (b, now_us),
+                       certain ? "reset" : "dropped");
+  if (certain)
+    {
+      ++*b->n_resets;
+      rgy_stream_emit_reset (&b->settings.out, &lookup->key,
+                             lookup->caller_ack);
+    }
+  else
+    *b->n_dropped += lookup->n_held;
+  g_hash_table_remove (b->lookups, &lookup->key);
+}
+
+/* Decides when every agent has said "no"; sends held segments to agents that
+   are unsure.  */
+static void
+check_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
+        int64_t now_us)
+{
+  bool all_no = true;
+  guint i;
+
+  for (i = 0; i < lookup->asked->len; i++)
+    {
+      const struct rgy_asked_agent *asked
+          = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
+
+      if (!asked->answered)
+        return;
+      if (asked->answer != RGY_HELD_NO)
+        all_no = false;
+    }
+  if (all_no)
+    {
+      give_up_ (b, lookup, true, now_us);
+      return;
+    }
+  for (i = 0; i < lookup->asked->len; i++)
+    {
+      struct rgy_asked_agent *asked
+          = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
+
+      if (asked->answer != RGY_HELD_UNSURE || asked->probing
+          || lookup->n_held == 0)
+        continue;
+      asked->probing = true;
+      lookup->deadline_us = now_us + LOOKUP_US;
+      rgy_stream_balancer_send_ (
+          b, &lookup->key,
+          (struct rgy_bytes){ .data = lookup->held[0].data,
+                              .len = lookup->held[0].len },
+          asked->ip);
+    }
+}
+
+void
+rgy_stream_balancer_look_up_ (struct rgy_stream_balancer *b,
+                              const struct rgy_segment *segment,
+                              uint32_t missed_ip, int64_t now_us)
+{
+  struct rgy_lookup *lookup = g_hash_table_lookup (b->lookups, &segment->key);
+  const struct rgy_route *route;
+  GHashTableIter iter;
+  void *value;
+
+  if (lookup != NULL)
+    {
+      struct rgy_asked_agent *asked = find_asked_ (lookup, missed_ip);
+
+      if (asked == NULL || !asked->probing)
+        hold_ (b, lookup, segment);
+      if (asked != NULL)
+        {
+          asked->answered = true;
+          asked->answer = RGY_HELD_NO;
+          check_ (b, lookup, now_us);
+        }
+      return;
+    }
+  route = b->manifest == NULL
+              ? NULL
+              : rgy_stream_manifest_find (b->manifest,
+                                          segment->key.u.segment.service);
+  if (route == NULL && b->previous != NULL
+      && rgy_stream_manifest_find (b->previous,
+                                   segment->key.u.segment.service)
+             != NULL)
+    {
+      /* The newest manifest dropped the route, and its flows with it.  */
+      ++*b->n_resets;
+      rgy_stream_emit_reset (&b->settings.out, &segment->key, segment->ack);
+      return;
+    }
+  if (route == NULL || g_hash_table_size (b->lookups) >= MAX_PENDING)
+    {
+      ++*(route == NULL ? b->n_no_route : b->n_dropped);
+      return;
+    }
+  ++*b->n_lookups;
+  lookup = g_new0 (struct rgy_lookup, 1);
+  lookup->key = segment->key;
+  lookup->asked = g_array_new (FALSE, TRUE, sizeof (struct rgy_asked_agent));
+  lookup->deadline_us = now_us + LOOKUP_US;
+  hold_ (b, lookup, segment);
+  g_hash_table_add (b->lookups, lookup);
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_known_agent *agent = value;
+      struct rgy_asked_agent asked = { .ip = agent->ip };
+
+      if (!serves_route_ (agent, route)
+          || agent->report.state == RGY_BACKEND_GONE)
+        continue;
+      asked.answered = agent->ip == missed_ip;
+      g_array_append_val (lookup->asked, asked);
+      if (!asked.answered)
+        query_ (b, &segment->key, agent->ip);
+    }
+  check_ (b, lookup, now_us);
+}
+
+void
+rgy_stream_balancer_answered_ (struct rgy_stream_balancer *b,
+                               const struct rgy_flow_key *key, uint32_t ip,
+                               enum rgy_flow_held held, int64_t now_us)
+{
+  struct rgy_lookup *lookup = g_hash_table_lookup (b->lookups, key);
+  struct rgy_asked_agent *asked
+      = lookup == NULL ? NULL : find_asked_ (lookup, ip);
+
+  if (asked == NULL)
+    return;
+  switch (held)
+    {
+    case RGY_HELD_YES:
+      ++*b->n_found;
+      if (asked->probing && lookup->n_held > 0)
+        {
+          /* It has the segment already.  */
+          g_free (lookup->held[0].data);
+          lookup->held[0] = lookup->held[--lookup->n_held];
+        }
+      rgy_stream_balancer_learn_ (b, key, ip, true, now_us);
+      return;
+    case RGY_HELD_NO:
+    case RGY_HELD_UNSURE:
+      asked->answered = true;
+      asked->answer = held;
+      check_ (b, lookup, now_us);
+      return;
+    case RGY_FLOW_HELD_COUNT:
+      return;
+    }
+}
+
+void
+rgy_stream_balancer_found_ (struct rgy_stream_balancer *b,
+                            const struct rgy_flow_key *key, uint32_t agent_ip)
+{
+  struct rgy_lookup *lookup = g_hash_table_lookup (b->lookups, key);
+  size_t i;
+
+  if (lookup == NULL)
+    return;
+  for (i = 0; i < lookup->n_held; i++)
+    rgy_stream_balancer_send_ (b, key,
+                               (struct rgy_bytes){ .data = lookup->held[i].data,
+                                                   .len = lookup->held[i].len },
+                               agent_ip);
+  g_hash_table_remove (b->lookups, key);
+}
+
+/* An agent that did not answer may still have the flow, unless its machine is
+   taken for lost.  */
+static bool
+is_certain_ (const struct rgy_stream_balancer *b,
+             const struct rgy_lookup *lookup, int64_t now_us)
+{
+  guint i;
+
+  for (i = 0; i < lookup->asked->len; i++)
+    {
+      const struct rgy_asked_agent *asked
+          = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
+      const struct rgy_known_agent *agent
+          = rgy_stream_balancer_find_agent_ (b, asked->ip);
+
+      if (asked->answered && asked->answer == RGY_HELD_NO)
+        continue;
+      if (agent != NULL && !rgy_known_agent_is_lost_ (agent, now_us))
+        return false;
+    }
+  return true;
+}
+
+void
+rgy_stream_balancer_end_lookups_ (struct rgy_stream_balancer *b,
+                                  int64_t now_us)
+{
+  GPtrArray *ended = g_ptr_array_new ();
+  GHashTableIter iter;
+  void *value;
+  guint i;
+
+  g_hash_table_iter_init (&iter, b->lookups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now_us >= ((struct rgy_lookup *)value)->deadline_us)
+      g_ptr_array_add (ended, value);
+  for (i = 0; i < ended->len; i++)
+    {
+      struct rgy_lookup *lookup = g_ptr_array_index (ended, i);
+
+      give_up_ (b, lookup, is_certain_ (b, lookup, now_us), now_us);
+    }
+  g_ptr_array_unref (ended);
+}
--- /dev/null
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -0,0 +1,316 @@
+#include "private/stream_balancer_private.h"
+
+#include <string.h>
+
+#include "ragwortyoke/clock.h"
+
+static void
+put_ip_ (GByteArray *list, uint32_t ip)
+{
+  uint8_t bytes[4] = { (uint8_t)(ip >> 24), (uint8_t)(ip >> 16),
+                       (uint8_t)(ip >> 8), (uint8_t)ip };
+
+  g_byte_array_append (list, bytes, sizeof bytes);
+}
+
+static uint32_t
+get_ip_ (const uint8_t *p)
+{
+  return (uint32_t)p[0] << 24 | (uint32_t)p[1] << 16 | (uint32_t)p[2] << 8
+         | p[3];
+}
+
+static uint64_t
+hash_ip_ (uint32_t ip)
+{
+  return rgy_hash_bytes (
+      (struct rgy_bytes){ .data = (const uint8_t *)&ip, .len = sizeof ip }, 0);
+}
+
+static struct rgy_stream_peer *
+find_peer_ (const struct rgy_stream_balancer *b, uint32_t ip)
+{
+  guint i;
+
+  for (i = 0; i < b->peers->len; i++)
+    {
+      struct rgy_stream_peer *peer
+          = &g_array_index (b->peers, struct rgy_stream_peer, i);
+
+      if (peer->ip == ip)
+        return peer;
+    }
+  return NULL;
+}
+
+/* This balancer and its peers.  */
+static GByteArray *
+list_balancers_ (const struct rgy_stream_balancer *b)
+{
+  GByteArray *list = g_byte_array_new ();
+  guint i;
+
+  put_ip_ (list, b->settings.own_ip);
+  for (i = 0; i < b->peers->len && i + 1 < RGY_STREAM_MAX_BALANCERS; i++)
+    put_ip_ (list, g_array_index (b->peers, struct rgy_stream_peer, i).ip);
+  return list;
+}
+
+static void
+send_status_to_ (struct rgy_stream_balancer *b, uint32_t ip, bool wants_reply,
+                 bool with_agents)
+{
+  GByteArray *balancers = list_balancers_ (b);
+  GByteArray *agents = g_byte_array_new ();
+  struct rgy_stream_message message
+      = { .kind = RGY_STREAM_STATUS,
+          .u.status
+          = { .incarnation = b->settings.incarnation,
+              .manifest_version = rgy_stream_balancer_get_version (b),
+              .wants_reply = wants_reply,
+              .view = b->view } };
+  GHashTableIter iter;
+  void *key;
+
+  if (with_agents)
+    {
+      g_hash_table_iter_init (&iter, b->agents);
+      while (g_hash_table_iter_next (&iter, &key, NULL))
+        put_ip_ (agents, GPOINTER_TO_UINT (key));
+    }
+  message.u.status.balancers
+      = (struct rgy_bytes){ .data = balancers->data, .len = balancers->len };
+  message.u.status.agents
+      = (struct rgy_bytes){ .data = agents->data, .len = agents->len };
+  rgy_stream_emit_message (&b->settings.out, ip, &message);
+  g_byte_array_unref (agents);
+  g_byte_array_unref (balancers);
+}
+
+void
+rgy_stream_balancer_send_status_ (struct rgy_stream_balancer *b,
+                                  bool wants_reply, int64_t now_us)
+{
+  guint i;
+
+  b->status_us = now_us;
+  for (i = 0; i < b->peers->len; i++)
+    send_status_to_ (b, g_array_index (b->peers, struct rgy_stream_peer, i).ip,
+                     wants_reply || b->manifest == NULL, false);
+}
+
+void
+rgy_stream_balancer_add_peer (struct rgy_stream_balancer *b, uint32_t ip,
+                              int64_t now_us)
+{
+  struct rgy_stream_peer peer = { .ip = ip, .heard_us = now_us };
+
+  if (ip == 0 || ip == b->settings.own_ip || find_peer_ (b, ip) != NULL
+      || b->peers->len + 1 >= RGY_STREAM_MAX_BALANCERS)
+    return;
+  g_array_append_val (b->peers, peer);
+  send_status_to_ (b, ip, true, false);
+}
+
+static void
+hello_ (struct rgy_stream_balancer *b, uint32_t ip)
+{
+  struct rgy_stream_message message = { .kind = RGY_STREAM_HELLO };
+
+  rgy_stream_emit_message (&b->settings.out, ip, &message);
+}
+
+/* Asks all agents for a report, so that they get the new view with its
+   acknowledgement at once.  */
+void
+rgy_stream_balancer_greet_agents_ (struct rgy_stream_balancer *b,
+                                   int64_t now_us)
+{
+  GHashTableIter iter;
+  void *key;
+
+  (void)now_us;
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    hello_ (b, GPOINTER_TO_UINT (key));
+}
+
+void
+rgy_stream_balancer_from_status_ (struct rgy_stream_balancer *b,
+                                  const struct rgy_stream_status *status,
+                                  uint32_t ip, int64_t now_us)
+{
+  struct rgy_stream_peer *peer;
+  size_t i;
+
+  rgy_stream_balancer_add_peer (b, ip, now_us);
+  peer = find_peer_ (b, ip);
+  if (peer == NULL)
+    return;
+  peer->heard_us = now_us;
+  peer->version = status->manifest_version;
+  if (status->wants_reply)
+    send_status_to_ (b, ip, false, true);
+  rgy_stream_balancer_set_view (b, &status->view, now_us);
+  if (status->manifest_version > rgy_stream_balancer_get_version (b))
+    {
+      struct rgy_stream_action action
+          = { .kind = RGY_STREAM_FETCH_MANIFEST, .ip = ip };
+
+      b->settings.out.emit (b->settings.out.ctx, &action);
+    }
+  for (i = 0; i + 4 <= status->balancers.len; i += 4)
+    rgy_stream_balancer_add_peer (b, get_ip_ (status->balancers.data + i),
+                                  now_us);
+  for (i = 0; i + 4 <= status->agents.len; i += 4)
+    {
+      uint32_t agent_ip = get_ip_ (status->agents.data + i);
+
+      if (rgy_stream_balancer_find_agent_ (b, agent_ip) == NULL)
+        hello_ (b, agent_ip);
+    }
+}
+
+/* Reports.  */
+
+static void
+acknowledge_ (struct rgy_stream_balancer *b,
+              const struct rgy_known_agent *agent)
+{
+  const struct rgy_stream_report *report = &agent->report;
+  GByteArray *balancers = list_balancers_ (b);
+  uint64_t hash = 0;
+  size_t i;
+  struct rgy_stream_message message
+      = { .kind = RGY_STREAM_REPORT_ACK,
+          .u.ack = { .balancer_incarnation = b->settings.incarnation,
+                     .agent_incarnation = report->incarnation,
+                     .seq = report->seq,
+                     .changes_upto = agent->changes_upto,
+                     .view = b->view,
+                     .cold_rate_milli
+                     = b->manifest == NULL
+                           ? 0
+                           : rgy_stream_manifest_get_cold_rate (
+                               b->manifest, &report->service) } };
+
+  for (i = 0; i + 4 <= balancers->len; i += 4)
+    hash ^= hash_ip_ (get_ip_ (balancers->data + i));
+  if (hash != report->balancers_hash)
+    message.u.ack.balancers
+        = (struct rgy_bytes){ .data = balancers->data, .len = balancers->len };
+  rgy_stream_emit_message (&b->settings.out, agent->ip, &message);
+  g_byte_array_unref (balancers);
+}
+
+static void
+apply_changes_ (struct rgy_stream_balancer *b, struct rgy_known_agent *agent,
+                const struct rgy_stream_report *report, int64_t now_us)
+{
+  size_t n = report->changes.len / RGY_FLOW_CHANGE_BYTES;
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    {
+      const uint8_t *at = report->changes.data + i * RGY_FLOW_CHANGE_BYTES;
+      struct rgy_flow_key key = rgy_flow_ends_decode (at);
+      struct rgy_flow *flow;
+
+      if (at[RGY_FLOW_ENDS_BYTES] != 0)
+        {
+          rgy_stream_balancer_learn_ (b, &key, agent->ip, true, now_us);
+          continue;
+        }
+      flow = rgy_flow_table_find (b->flows, &key);
+      if (flow != NULL
+          && ((struct rgy_cached_flow *)flow->session)->agent_ip == agent->ip
+          && ((struct rgy_cached_flow *)flow->session)->confirmed)
+        rgy_stream_balancer_forget_ (b, flow);
+    }
+  agent->changes_upto = MAX (agent->changes_upto, report->changes_from + n);
+}
+
+void
+rgy_stream_balancer_from_report_ (struct rgy_stream_balancer *b,
+                                  const struct rgy_stream_report *report,
+                                  uint32_t ip, int64_t now_us)
+{
+  struct rgy_known_agent *agent = rgy_stream_balancer_find_agent_ (b, ip);
+  bool first = agent == NULL;
+  enum rgy_backend_state was;
+
+  if (first)
+    {
+      agent = g_new0 (struct rgy_known_agent, 1);
+      agent->ip = ip;
+      g_hash_table_insert (b->agents, GUINT_TO_POINTER (ip), agent);
+    }
+  else if (report->incarnation == agent->report.incarnation
+           && report->seq <= agent->report.seq)
+    {
+      /* A late one; its flow changes still hold.  */
+      apply_changes_ (b, agent, report, now_us);
+      return;
+    }
+  was = agent->report.state;
+  if (first || report->incarnation != agent->report.incarnation)
+    {
+      agent->changes_upto = 0;
+      agent->failures = 0;
+      agent->excluded_until_us = 0;
+    }
+  if (first || was != report->state
+      || report->restarting != agent->report.restarting)
+    {
+      char text[RGY_ENDPOINT_TEXT_BYTES];
+
+      rgy_stream_emit_log (
+          &b->settings.out,
+          "agent_state agent=%s service=%s domain=%s state=%s restarting=%d "
+          "cold=%d open_flows=%u age_ms=%" G_GINT64_FORMAT,
+          rgy_endpoint_format ((struct rgy_endpoint){ .ip = ip }, text),
+          report->service.data, report->domain.data,
+          rgy_backend_state_string[report->state], report->restarting,
+          report->cold, report->open_flows,
+          first ? 0 : (now_us - agent->heard_us) / RGY_US_PER_MS);
+    }
+  agent->report = *report;
+  agent->report.changes = (struct rgy_bytes){ 0 };
+  agent->tag = rgy_service_tag (&report->service);
+  agent->heard_us = now_us;
+  agent->placed = 0;
+  apply_changes_ (b, agent, report, now_us);
+  acknowledge_ (b, agent);
+}
+
+void
+rgy_stream_balancer_expire_members_ (struct rgy_stream_balancer *b,
+                                     int64_t now_us)
+{
+  GHashTableIter iter;
+  void *value;
+  guint i;
+
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_known_agent *agent = value;
+
+      if (now_us - agent->heard_us > AGENT_FORGET_US)
+        {
+          char text[RGY_ENDPOINT_TEXT_BYTES];
+
+          rgy_stream_emit_log (
+              &b->settings.out, "agent_forgotten agent=%s",
+              rgy_endpoint_format ((struct rgy_endpoint){ .ip = agent->ip },
+                                   text));
+          g_hash_table_iter_remove (&iter);
+        }
+    }
+  for (i = 0; i < b->peers->len;)
+    if (now_us - g_array_index (b->peers, struct rgy_stream_peer, i).heard_us
+        > PEER_FORGET_US)
+      g_array_remove_index_fast (b->peers, i);
+    else
+      i++;
+}
--- /dev/null
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -0,0 +1,330 @@
+#include "private/stream_balancer_private.h"
+
+#include <string.h>
+
+#include "ragwortyoke/clock.h"
+#include "ragwortyoke/placement.h"
+
+#define MAX_CANDIDATES 512
+
+static bool
+was_tried_ (const struct rgy_pending_open *open, uint32_t ip)
+{
+  size_t i;
+
+  for (i = 0; i < open->n_tried; i++)
+    if (open->tried[i] == ip)
+      return true;
+  return false;
+}
+
+static bool
+takes_new_ (const struct rgy_stream_balancer *b,
+            const struct rgy_known_agent *agent, int64_t now_us)
+{
+  return rgy_known_agent_is_heard_ (agent, now_us)
+         && agent->report.state == RGY_BACKEND_READY
+         && !agent->report.restarting && agent->excluded_until_us <= now_us
+         && !rgy_domain_view_is_out (&b->view, &agent->report.domain);
+}
+
+/* The agent of one service that a new flow goes to; NULL when none is left.  */
+static struct rgy_known_agent *
+choose_of_service_ (struct rgy_stream_balancer *b,
+                    const struct rgy_pending_open *open, uint32_t tag,
+                    int64_t now_us)
+{
+  struct rgy_candidate candidates[MAX_CANDIDATES];
+  struct rgy_known_agent *agents[MAX_CANDIDATES];
+  uint32_t hash = (uint32_t)rgy_flow_key_hash (&open->key);
+  GHashTableIter iter;
+  void *value;
+  size_t n = 0;
+  size_t best;
+
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value) && n < MAX_CANDIDATES)
+    {
+      struct rgy_known_agent *agent = value;
+
+      if (agent->tag != tag || was_tried_ (open, agent->ip)
+          || !takes_new_ (b, agent, now_us))
+        continue;
+      candidates[n] = (struct rgy_candidate){
+        .slots = agent->report.slots,
+        .flows = agent->report.open_flows + agent->placed,
+        .latency_us = agent->report.latency_us,
+        .cold = agent->report.cold,
+        .same_domain
+        = rgy_name_equal (&agent->report.domain, &b->settings.domain),
+        .salt = (uint32_t)(agent->ip * 2654435761U) ^ hash
+      };
+      agents[n++] = agent;
+    }
+  best = rgy_placement_choose (candidates, n);
+  return best == n ? NULL : agents[best];
+}
+
+static struct rgy_known_agent *
+choose_ (struct rgy_stream_balancer *b, const struct rgy_pending_open *open,
+         const struct rgy_route *route, int64_t now_us)
+{
+  size_t first = rgy_route_choose (route, rgy_flow_key_hash (&open->key));
+  size_t i;
+
+  for (i = 0; i < route->n_targets; i++)
+    {
+      const struct rgy_route_target *target
+          = &route->targets[(first + i) % route->n_targets];
+      struct rgy_known_agent *agent;
+
+      if (target->weight == 0)
+        continue;
+      agent = choose_of_service_ (b, open, target->tag, now_us);
+      if (agent != NULL)
+        return agent;
+    }
+  return NULL;
+}
+
+static bool
+is_target_ (const struct rgy_route *route, uint32_t tag)
+{
+  size_t i;
+
+  for (i = 0; i < route->n_targets; i++)
+    if (route->targets[i].tag == tag && route->targets[i].weight > 0)
+      return true;
+  return false;
+}
+
+/* True when an agent may be ready within a moment: it has just started,
+   restarts, or is silent but not yet taken for lost.  */
+static bool
+may_recover_ (const struct rgy_stream_balancer *b,
+              const struct rgy_route *route, int64_t now_us)
+{
+  GHashTableIter iter;
+  void *value;
+
+  if (!rgy_stream_balancer_is_settled_ (b, now_us))
+    return true;
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_known_agent *agent = value;
+
+      if (is_target_ (route, agent->tag)
+          && !rgy_known_agent_is_lost_ (agent, now_us)
+          && agent->report.state != RGY_BACKEND_DRAINING
+          && !rgy_domain_view_is_out (&b->view, &agent->report.domain))
+        return true;
+    }
+  return false;
+}
+
+static void
+reject_ (struct rgy_stream_balancer *b, struct rgy_pending_open *open,
+         const char *why, int64_t now_us)
+{
+  char text[RGY_FLOW_TEXT_BYTES];
+
+  ++*b->n_resets;
+  rgy_stream_emit_log (&b->settings.out,
+                       "open_rejected flow=%s reason=%s tried=%zu "
+                       "waited_ms=%" G_GINT64_FORMAT
+                       " agents=%zu version=%" G_GUINT64_FORMAT,
+                       rgy_flow_key_format (&open->key, text), why,
+                       open->n_tried, (now_us - open->began_us) / RGY_US_PER_MS,
+                       rgy_stream_balancer_count_agents (b, now_us),
+                       rgy_stream_balancer_get_version (b));
+  rgy_stream_emit_reset (&b->settings.out, &open->key, 0);
+}
+
+/* Offers a new flow to the next agent.  Returns false when it is decided: the
+   caller has been told, or nothing can be done any more.  */
+static bool
+offer_ (struct rgy_stream_balancer *b, struct rgy_pending_open *open,
+        int64_t now_us)
+{
+  const struct rgy_route *route
+      = b->manifest == NULL ? NULL
+                            : rgy_stream_manifest_find (
+                                b->manifest, open->key.u.segment.service);
+  struct rgy_known_agent *agent;
+  struct rgy_trail trail;
+
+  open->current_ip = 0;
+  if (now_us - open->began_us > OPEN_GIVE_UP_US)
+    return false;
+  if (route == NULL)
+    {
+      if (b->manifest == NULL)
+        return now_us - open->began_us < OPEN_WAIT_US;
+      reject_ (b, open, "no-route", now_us);
+      return false;
+    }
+  agent = open->n_tried < MAX_TRIED ? choose_ (b, open, route, now_us) : NULL;
+  if (agent == NULL)
+    {
+      if (now_us - open->began_us < OPEN_WAIT_US
+          && may_recover_ (b, route, now_us))
+        {
+          open->n_tried = 0;
+          open->sent_us = now_us;
+          return true;
+        }
+      reject_ (b, open, "no-backend-server", now_us);
+      return false;
+    }
+  if (open->n_tried > 0)
+    ++*b->n_retries;
+  open->tried[open->n_tried++] = agent->ip;
+  open->current_ip = agent->ip;
+  open->sent_us = now_us;
+  agent->placed++;
+  rgy_stream_balancer_learn_ (b, &open->key, agent->ip, false, now_us);
+  trail = (struct rgy_trail){ .service_tag = agent->tag,
+                              .balancer_ip = b->settings.own_ip };
+  rgy_stream_emit_segment (
+      &b->settings.out, RGY_STREAM_TO_AGENT, agent->ip, &open->key,
+      (struct rgy_bytes){ .data = open->raw, .len = open->raw_len }, trail);
+  return true;
+}
+
+/* A copy of a first segment whose flow an agent has taken: the answer did not
+   reach the caller.  The first copy goes to the same agent, the second to
+   another one.  */
+static void
+repeat_ (struct rgy_stream_balancer *b, const struct rgy_segment *segment,
+         struct rgy_flow *flow)
+{
+  struct rgy_cached_flow *cached = flow->session;
+  const struct rgy_known_agent *agent
+      = rgy_stream_balancer_find_agent_ (b, cached->agent_ip);
+
+  rgy_stream_emit_segment (
+      &b->settings.out, RGY_STREAM_TO_AGENT, cached->agent_ip, &segment->key,
+      segment->raw,
+      (struct rgy_trail){ .service_tag = agent == NULL ? 0 : agent->tag,
+                          .balancer_ip = b->settings.own_ip });
+}
+
+void
+rgy_stream_balancer_open_ (struct rgy_stream_balancer *b,
+                           const struct rgy_segment *segment, int64_t now_us)
+{
+  struct rgy_pending_open *open
+      = g_hash_table_lookup (b->opens, &segment->key);
+  struct rgy_flow *flow;
+
+  if (open != NULL)
+    return; /* A copy; the timer offers the flow to others.  */
+  flow = rgy_flow_table_find (b->flows, &segment->key);
+  if (flow != NULL && ((struct rgy_cached_flow *)flow->session)->confirmed
+      && segment->ack < 2
+      && rgy_stream_balancer_find_agent_ (
+             b, ((struct rgy_cached_flow *)flow->session)->agent_ip)
+             != NULL)
+    {
+      repeat_ (b, segment, flow);
+      return;
+    }
+  if (g_hash_table_size (b->opens) >= MAX_PENDING)
+    {
+      ++*b->n_dropped;
+      return;
+    }
+  ++*b->n_opens;
+  open = g_new0 (struct rgy_pending_open, 1);
+  open->key = segment->key;
+  open->raw = g_memdup2 (segment->raw.data, segment->raw.len);
+  open->raw_len = segment->raw.len;
+  open->began_us = now_us;
+  if (flow != NULL)
+    open->tried[open->n_tried++]
+        = ((struct rgy_cached_flow *)flow->session)->agent_ip;
+  g_hash_table_add (b->opens, open);
+  if (!offer_ (b, open, now_us))
+    g_hash_table_remove (b->opens, &segment->key);
+}
+
+static void
+note_failure_ (struct rgy_stream_balancer *b, uint32_t ip, int64_t now_us)
+{
+  struct rgy_known_agent *agent = rgy_stream_balancer_find_agent_ (b, ip);
+
+  if (agent == NULL || ++agent->failures < FAILURES_TO_EXCLUDE)
+    return;
+  agent->failures = 0;
+  agent->excluded_until_us = now_us + EXCLUDE_US;
+}
+
+void
+rgy_stream_balancer_retry_opens_ (struct rgy_stream_balancer *b,
+                                  int64_t now_us)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, b->opens);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct rgy_pending_open *open = value;
+
+      if (now_us - open->sent_us < OPEN_RETRY_US
+          && (open->current_ip != 0
+              || now_us - open->sent_us < OPEN_RETRY_US / 2))
+        continue;
+      if (open->current_ip != 0)
+        note_failure_ (b, open->current_ip, now_us);
+      if (!offer_ (b, open, now_us))
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
+void
+rgy_stream_balancer_taken_ (struct rgy_stream_balancer *b,
+                            const struct rgy_flow_key *key, uint32_t ip,
+                            int64_t now_us)
+{
+  struct rgy_known_agent *agent = rgy_stream_balancer_find_agent_ (b, ip);
+
+  if (agent == NULL)
+    {
+      ++*b->n_foreign;
+      return;
+    }
+  agent->failures = 0;
+  agent->excluded_until_us = 0;
+  g_hash_table_remove (b->opens, key);
+  rgy_stream_balancer_learn_ (b, key, ip, true, now_us);
+}
+
+void
+rgy_stream_balancer_refused_ (struct rgy_stream_balancer *b,
+                              const struct rgy_flow_key *key, uint32_t ip,
+                              enum rgy_stream_refusal reason, int64_t now_us)
+{
+  struct rgy_pending_open *open = g_hash_table_lookup (b->opens, key);
+  struct rgy_known_agent *agent = rgy_stream_balancer_find_agent_ (b, ip);
+
+  if (agent != NULL)
+    switch (reason)
+      {
+      case RGY_REFUSED_SERVICE:
+      case RGY_REFUSED_STATE:
+      case RGY_REFUSED_DOMAIN:
+      case RGY_REFUSED_RESTARTING:
+      case RGY_REFUSED_COLD:
+        agent->excluded_until_us = now_us + OPEN_RETRY_US * 2;
+        break;
+      case RGY_REFUSED_FULL:
+      case RGY_STREAM_REFUSAL_COUNT:
+        break;
+      }
+  if (open == NULL || open->current_ip != ip)
+    return;
+  if (!offer_ (b, open, now_us))
+    g_hash_table_remove (b->opens, key);
+}
--- /dev/null
+++ b/src/libragwortyoke/stream_balancer_packet.c
@@ -0,0 +1,160 @@
+#include "private/stream_balancer_private.h"
+
+/* Cached flows.  */
+
+void
+rgy_stream_balancer_forget_ (struct rgy_stream_balancer *b,
+                             struct rgy_flow *flow)
+{
+  g_free (flow->session);
+  flow->session = NULL;
+  rgy_flow_table_close (b->flows, flow);
+}
+
+void
+rgy_stream_balancer_learn_ (struct rgy_stream_balancer *b,
+                            const struct rgy_flow_key *key, uint32_t agent_ip,
+                            bool confirmed, int64_t now_us)
+{
+  struct rgy_flow *flow = rgy_flow_table_find (b->flows, key);
+  struct rgy_cached_flow *cached;
+
+  if (flow == NULL)
+    {
+      if (rgy_flow_table_open (b->flows, key, now_us, &flow) != RGY_OK)
+        return;
+      flow->session = g_new0 (struct rgy_cached_flow, 1);
+    }
+  else
+    rgy_flow_table_touch (b->flows, flow, now_us);
+  cached = flow->session;
+  cached->agent_ip = agent_ip;
+  cached->confirmed = confirmed;
+  if (confirmed)
+    rgy_stream_balancer_found_ (b, key, agent_ip);
+}
+
+void
+rgy_stream_balancer_send_ (struct rgy_stream_balancer *b,
+                           const struct rgy_flow_key *key,
+                           struct rgy_bytes raw, uint32_t agent_ip)
+{
+  const struct rgy_known_agent *agent
+      = rgy_stream_balancer_find_agent_ (b, agent_ip);
+
+  rgy_stream_emit_segment (
+      &b->settings.out, RGY_STREAM_TO_AGENT, agent_ip, key, raw,
+      (struct rgy_trail){ .service_tag = agent == NULL ? 0 : agent->tag,
+                          .balancer_ip = b->settings.own_ip });
+}
+
+/* Segments.  */
+
+void
+rgy_stream_balancer_from_router (struct rgy_stream_balancer *b,
+                                 const struct rgy_segment *segment,
+                                 int64_t now_us)
+{
+  struct rgy_flow *flow;
+  const struct rgy_cached_flow *cached;
+  const struct rgy_known_agent *agent;
+
+  ++*b->n_segments;
+  if (rgy_segment_is_opening (segment))
+    {
+      rgy_stream_balancer_open_ (b, segment, now_us);
+      return;
+    }
+  flow = rgy_flow_table_find (b->flows, &segment->key);
+  if (flow == NULL)
+    {
+      rgy_stream_balancer_look_up_ (b, segment, 0, now_us);
+      return;
+    }
+  cached = flow->session;
+  agent = rgy_stream_balancer_find_agent_ (b, cached->agent_ip);
+  if (agent == NULL
+      || (rgy_known_agent_is_lost_ (agent, now_us)
+          && rgy_stream_balancer_is_settled_ (b, now_us)))
+    {
+      rgy_stream_balancer_forget_ (b, flow);
+      rgy_stream_balancer_look_up_ (b, segment, 0, now_us);
+      return;
+    }
+  rgy_flow_table_touch (b->flows, flow, now_us);
+  rgy_stream_balancer_send_ (b, &segment->key, segment->raw, agent->ip);
+}
+
+void
+rgy_stream_balancer_from_agent (struct rgy_stream_balancer *b,
+                                const struct rgy_segment *segment,
+                                uint32_t agent_ip, int64_t now_us)
+{
+  struct rgy_flow *flow;
+
+  if (segment->trail.mark != RGY_MARK_MISS
+      || rgy_stream_balancer_find_agent_ (b, agent_ip) == NULL)
+    {
+      ++*b->n_foreign;
+      return;
+    }
+  flow = rgy_flow_table_find (b->flows, &segment->key);
+  if (flow != NULL)
+    {
+      const struct rgy_cached_flow *cached = flow->session;
+
+      if (cached->agent_ip != agent_ip)
+        {
+          /* Learnt since the segment was sent.  */
+          rgy_stream_balancer_send_ (b, &segment->key, segment->raw,
+                                     cached->agent_ip);
+          return;
+        }
+      rgy_stream_balancer_forget_ (b, flow);
+    }
+  rgy_stream_balancer_look_up_ (b, segment, agent_ip, now_us);
+}
+
+/* Messages.  */
+
+enum rgy_outcome
+rgy_stream_balancer_from_message (struct rgy_stream_balancer *b,
+                                  struct rgy_bytes bytes, uint32_t from_ip,
+                                  int64_t now_us)
+{
+  struct rgy_stream_message message;
+  enum rgy_outcome rc = rgy_stream_message_decode (bytes, &message);
+
+  if (rc != RGY_OK)
+    {
+      ++*b->n_bad_messages;
+      return rc;
+    }
+  switch (message.kind)
+    {
+    case RGY_STREAM_REPORT:
+      rgy_stream_balancer_from_report_ (b, &message.u.report, from_ip, now_us);
+      return RGY_OK;
+    case RGY_STREAM_STATUS:
+      rgy_stream_balancer_from_status_ (b, &message.u.status, from_ip, now_us);
+      return RGY_OK;
+    case RGY_STREAM_TAKEN:
+      rgy_stream_balancer_taken_ (b, &message.u.flow.key, from_ip, now_us);
+      return RGY_OK;
+    case RGY_STREAM_REFUSED:
+      rgy_stream_balancer_refused_ (b, &message.u.flow.key, from_ip,
+                                    message.u.flow.reason, now_us);
+      return RGY_OK;
+    case RGY_STREAM_ANSWER:
+      rgy_stream_balancer_answered_ (b, &message.u.flow.key, from_ip,
+                                     message.u.flow.held, now_us);
+      return RGY_OK;
+    case RGY_STREAM_REPORT_ACK:
+    case RGY_STREAM_HELLO:
+    case RGY_STREAM_QUERY:
+    case RGY_STREAM_MESSAGE_KIND_COUNT:
+      break;
+    }
+  ++*b->n_bad_messages;
+  return RGY_ERR_UNSUPPORTED;
+}
--- /dev/null
+++ b/src/libragwortyoke/stream_manifest.c
@@ -0,0 +1,124 @@
+#include "ragwortyoke/stream_manifest.h"
+
+#include <glib.h>
+
+#include "ragwortyoke/segment.h"
+
+struct rgy_stream_manifest
+{
+  uint64_t version;
+  GHashTable *routes; /* Packed endpoint to struct rgy_route, both owned.  */
+  GArray *services;   /* struct rgy_stream_service.  */
+};
+
+struct rgy_stream_manifest *
+rgy_stream_manifest_new (uint64_t version)
+{
+  struct rgy_stream_manifest *manifest
+      = g_new0 (struct rgy_stream_manifest, 1);
+
+  manifest->version = version;
+  manifest->routes
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  manifest->services
+      = g_array_new (FALSE, TRUE, sizeof (struct rgy_stream_service));
+  return manifest;
+}
+
+void
+rgy_stream_manifest_delete (struct rgy_stream_manifest *manifest)
+{
+  if (manifest == NULL)
+    return;
+  g_hash_table_unref (manifest->routes);
+  g_array_unref (manifest->services);
+  g_free (manifest);
+}
+
+static gint64 *
+pack_ (struct rgy_endpoint address)
+{
+  gint64 *packed = g_new (gint64, 1);
+
+  *packed = (gint64)rgy_endpoint_pack (address);
+  return packed;
+}
+
+enum rgy_outcome
+rgy_stream_manifest_add_route (struct rgy_stream_manifest *manifest,
+                               const struct rgy_route *route)
+{
+  struct rgy_route *copy;
+  uint64_t total = 0;
+  size_t i;
+
+  if (rgy_stream_manifest_find (manifest, route->address) != NULL)
+    return RGY_ERR_CONFLICT;
+  for (i = 0; i < route->n_targets; i++)
+    total += route->targets[i].weight;
+  if (total == 0)
+    return RGY_ERR_INVALID;
+  copy = g_memdup2 (route, sizeof *route);
+  for (i = 0; i < copy->n_targets; i++)
+    copy->targets[i].tag = rgy_service_tag (&copy->targets[i].service);
+  g_hash_table_insert (manifest->routes, pack_ (copy->address), copy);
+  return RGY_OK;
+}
+
+void
+rgy_stream_manifest_add_service (struct rgy_stream_manifest *manifest,
+                                 const struct rgy_stream_service *service)
+{
+  g_array_append_val (manifest->services, *service);
+}
+
+uint64_t
+rgy_stream_manifest_get_version (const struct rgy_stream_manifest *manifest)
+{
+  return manifest->version;
+}
+
+const struct rgy_route *
+rgy_stream_manifest_find (const struct rgy_stream_manifest *manifest,
+                          struct rgy_endpoint address)
+{
+  gint64 packed = (gint64)rgy_endpoint_pack (address);
+
+  return g_hash_table_lookup (manifest->routes, &packed);
+}
+
+uint32_t
+rgy_stream_manifest_get_cold_rate (const struct rgy_stream_manifest *manifest,
+                                   const struct rgy_name *service)
+{
+  guint i;
+
+  for (i = 0; i < manifest->services->len; i++)
+    {
+      const struct rgy_stream_service *at
+          = &g_array_index (manifest->services, struct rgy_stream_service, i);
+
+      if (rgy_name_equal (&at->name, service))
+        return at->cold_rate_milli;
+    }
+  return 0;
+}
+
+size_t
+rgy_route_choose (const struct rgy_route *route, uint64_t flow_hash)
+{
+  uint64_t total = 0;
+  uint64_t point;
+  size_t i;
+
+  for (i = 0; i < route->n_targets; i++)
+    total += route->targets[i].weight;
+  point = flow_hash % total;
+  for (i = 0; i + 1 < route->n_targets; i++)
+    {
+      if (point < route->targets[i].weight)
+        break;
+      point -= route->targets[i].weight;
+    }
+  return i;
+}
--- /dev/null
+++ b/src/libragwortyoke/stream_message.c
@@ -0,0 +1,308 @@
+#include "ragwortyoke/stream_message.h"
+
+#include <stdlib.h>
+
+#include "private/msgpack_io.h"
+
+#define IP_BYTES 4
+#define MAX_AGENT_LIST_BYTES (8192 * IP_BYTES)
+
+const char *const rgy_backend_state_string[] = {
+  [RGY_BACKEND_UNKNOWN] = "unknown",   [RGY_BACKEND_READY] = "ready",
+  [RGY_BACKEND_DRAINING] = "draining", [RGY_BACKEND_SILENT] = "silent",
+  [RGY_BACKEND_GONE] = "gone",
+};
+
+const char *const rgy_stream_refusal_string[] = {
+  [RGY_REFUSED_SERVICE] = "wrong-service",
+  [RGY_REFUSED_STATE] = "backend-not-ready",
+  [RGY_REFUSED_DOMAIN] = "domain-out",
+  [RGY_REFUSED_COLD] = "cold",
+  [RGY_REFUSED_FULL] = "full",
+  [RGY_REFUSED_RESTARTING] = "agent-restarting",
+};
+
+bool
+rgy_domain_view_is_out (const struct rgy_domain_view *view,
+                        const struct rgy_name *domain)
+{
+  size_t i;
+
+  for (i = 0; i < view->n_out; i++)
+    if (rgy_name_equal (&view->out[i], domain))
+      return true;
+  return false;
+}
+
+/* Encoding.  */
+
+static void
+pack_view_ (msgpack_packer *pk, const struct rgy_domain_view *view)
+{
+  size_t i;
+
+  msgpack_pack_array (pk, view->n_out + 1);
+  msgpack_pack_uint64 (pk, view->revision);
+  for (i = 0; i < view->n_out; i++)
+    rgy_pack_name (pk, &view->out[i]);
+}
+
+static void
+pack_report_ (msgpack_packer *pk, const struct rgy_stream_report *r)
+{
+  msgpack_pack_array (pk, 16);
+  msgpack_pack_uint8 (pk, RGY_STREAM_REPORT);
+  msgpack_pack_uint64 (pk, r->incarnation);
+  msgpack_pack_uint64 (pk, r->seq);
+  rgy_pack_name (pk, &r->service);
+  rgy_pack_name (pk, &r->domain);
+  msgpack_pack_uint64 (pk, r->backend_id);
+  msgpack_pack_uint8 (pk, (uint8_t)r->state);
+  rgy_pack_bool (pk, r->restarting);
+  rgy_pack_bool (pk, r->complete);
+  rgy_pack_bool (pk, r->cold);
+  msgpack_pack_uint32 (pk, r->slots);
+  msgpack_pack_uint32 (pk, r->open_flows);
+  msgpack_pack_uint32 (pk, r->latency_us);
+  msgpack_pack_uint64 (pk, r->balancers_hash);
+  msgpack_pack_uint64 (pk, r->changes_from);
+  rgy_pack_bytes (pk, r->changes);
+}
+
+static void
+pack_ack_ (msgpack_packer *pk, const struct rgy_stream_report_ack *a)
+{
+  msgpack_pack_array (pk, 8);
+  msgpack_pack_uint8 (pk, RGY_STREAM_REPORT_ACK);
+  msgpack_pack_uint64 (pk, a->balancer_incarnation);
+  msgpack_pack_uint64 (pk, a->agent_incarnation);
+  msgpack_pack_uint64 (pk, a->seq);
+  msgpack_pack_uint64 (pk, a->changes_upto);
+  pack_view_ (pk, &a->view);
+  msgpack_pack_uint32 (pk, a->cold_rate_milli);
+  rgy_pack_bytes (pk, a->balancers);
+}
+
+static void
+pack_status_ (msgpack_packer *pk, const struct rgy_stream_status *s)
+{
+  msgpack_pack_array (pk, 7);
+  msgpack_pack_uint8 (pk, RGY_STREAM_STATUS);
+  msgpack_pack_uint64 (pk, s->incarnation);
+  msgpack_pack_uint64 (pk, s->manifest_version);
+  rgy_pack_bool (pk, s->wants_reply);
+  pack_view_ (pk, &s->view);
+  rgy_pack_bytes (pk, s->balancers);
+  rgy_pack_bytes (pk, s->agents);
+}
+
+static void
+pack_flow_ (msgpack_packer *pk, const struct rgy_stream_message *message,
+            int argument)
+{
+  uint8_t ends[RGY_FLOW_ENDS_BYTES];
+
+  rgy_flow_ends_encode (&message->u.flow.key, ends);
+  msgpack_pack_array (pk, 3);
+  msgpack_pack_uint8 (pk, (uint8_t)message->kind);
+  rgy_pack_bytes (pk,
+                  (struct rgy_bytes){ .data = ends, .len = sizeof ends });
+  msgpack_pack_uint8 (pk, (uint8_t)argument);
+}
+
+void
+rgy_stream_message_encode (const struct rgy_stream_message *message,
+                           GByteArray *out)
+{
+  msgpack_packer pk;
+
+  msgpack_packer_init (&pk, out, rgy_pack_append);
+  switch (message->kind)
+    {
+    case RGY_STREAM_REPORT:
+      pack_report_ (&pk, &message->u.report);
+      return;
+    case RGY_STREAM_REPORT_ACK:
+      pack_ack_ (&pk, &message->u.ack);
+      return;
+    case RGY_STREAM_STATUS:
+      pack_status_ (&pk, &message->u.status);
+      return;
+    case RGY_STREAM_HELLO:
+      msgpack_pack_array (&pk, 1);
+      msgpack_pack_uint8 (&pk, RGY_STREAM_HELLO);
+      return;
+    case RGY_STREAM_TAKEN:
+    case RGY_STREAM_QUERY:
+      pack_flow_ (&pk, message, 0);
+      return;
+    case RGY_STREAM_REFUSED:
+      pack_flow_ (&pk, message, (int)message->u.flow.reason);
+      return;
+    case RGY_STREAM_ANSWER:
+      pack_flow_ (&pk, message, (int)message->u.flow.held);
+      return;
+    case RGY_STREAM_MESSAGE_KIND_COUNT:
+      break;
+    }
+  abort ();
+}
+
+/* Decoding.  */
+
+static struct rgy_bytes
+read_records_ (struct rgy_reader *reader, size_t record_bytes, size_t max)
+{
+  struct rgy_bytes bytes = rgy_read_bytes (reader);
+
+  if (bytes.len % record_bytes != 0 || bytes.len / record_bytes > max)
+    rgy_reader_fail (reader, RGY_ERR_INVALID);
+  return bytes;
+}
+
+static void
+read_view_ (struct rgy_reader *reader, struct rgy_domain_view *view)
+{
+  struct rgy_reader items
+      = rgy_read_array_of (reader, 1, RGY_STREAM_MAX_DOMAINS + 1);
+  size_t i;
+
+  if (!rgy_reader_is_ok (&items))
+    {
+      rgy_reader_fail (reader, items.outcome);
+      return;
+    }
+  view->revision = rgy_read_u64 (&items);
+  view->n_out = items.count - 1;
+  for (i = 0; i < view->n_out; i++)
+    rgy_read_name (&items, &view->out[i]);
+  rgy_reader_fail (reader, items.outcome);
+}
+
+static void
+read_report_ (struct rgy_reader *reader, struct rgy_stream_report *r)
+{
+  r->incarnation = rgy_read_u64 (reader);
+  r->seq = rgy_read_u64 (reader);
+  rgy_read_name (reader, &r->service);
+  rgy_read_name (reader, &r->domain);
+  r->backend_id = rgy_read_u64 (reader);
+  r->state = (enum rgy_backend_state)rgy_read_max (
+      reader, RGY_BACKEND_STATE_COUNT - 1);
+  r->restarting = rgy_read_bool (reader);
+  r->complete = rgy_read_bool (reader);
+  r->cold = rgy_read_bool (reader);
+  r->slots = (uint32_t)rgy_read_max (reader, UINT32_MAX);
+  r->open_flows = (uint32_t)rgy_read_max (reader, UINT32_MAX);
+  r->latency_us = (uint32_t)rgy_read_max (reader, UINT32_MAX);
+  r->balancers_hash = rgy_read_u64 (reader);
+  r->changes_from = rgy_read_u64 (reader);
+  r->changes = read_records_ (reader, RGY_FLOW_CHANGE_BYTES,
+                              RGY_STREAM_MAX_CHANGES);
+}
+
+static void
+read_ack_ (struct rgy_reader *reader, struct rgy_stream_report_ack *a)
+{
+  a->balancer_incarnation = rgy_read_u64 (reader);
+  a->agent_incarnation = rgy_read_u64 (reader);
+  a->seq = rgy_read_u64 (reader);
+  a->changes_upto = rgy_read_u64 (reader);
+  read_view_ (reader, &a->view);
+  a->cold_rate_milli = (uint32_t)rgy_read_max (reader, UINT32_MAX);
+  a->balancers = read_records_ (reader, IP_BYTES, RGY_STREAM_MAX_BALANCERS);
+}
+
+static void
+read_status_ (struct rgy_reader *reader, struct rgy_stream_status *s)
+{
+  s->incarnation = rgy_read_u64 (reader);
+  s->manifest_version = rgy_read_u64 (reader);
+  s->wants_reply = rgy_read_bool (reader);
+  read_view_ (reader, &s->view);
+  s->balancers = read_records_ (reader, IP_BYTES, RGY_STREAM_MAX_BALANCERS);
+  s->agents = read_records_ (reader, IP_BYTES, MAX_AGENT_LIST_BYTES);
+}
+
+static void
+read_flow_ (struct rgy_reader *reader, struct rgy_stream_message *message)
+{
+  struct rgy_bytes ends = rgy_read_bytes (reader);
+  uint64_t argument;
+
+  if (ends.len != RGY_FLOW_ENDS_BYTES)
+    {
+      rgy_reader_fail (reader, RGY_ERR_INVALID);
+      return;
+    }
+  message->u.flow.key = rgy_flow_ends_decode (ends.data);
+  argument = rgy_read_max (reader, message->kind == RGY_STREAM_REFUSED
+                                       ? RGY_STREAM_REFUSAL_COUNT - 1
+                                       : RGY_FLOW_HELD_COUNT - 1);
+  if (message->kind == RGY_STREAM_REFUSED)
+    message->u.flow.reason = (enum rgy_stream_refusal)argument;
+  else
+    message->u.flow.held = (enum rgy_flow_held)argument;
+}
+
+enum rgy_outcome
+rgy_stream_message_decode (struct rgy_bytes bytes,
+                           struct rgy_stream_message *message)
+{
+  static const size_t n_fields[] = {
+    [RGY_STREAM_REPORT] = 16, [RGY_STREAM_REPORT_ACK] = 8,
+    [RGY_STREAM_STATUS] = 7,  [RGY_STREAM_HELLO] = 1,
+    [RGY_STREAM_TAKEN] = 3,   [RGY_STREAM_REFUSED] = 3,
+    [RGY_STREAM_QUERY] = 3,   [RGY_STREAM_ANSWER] = 3,
+  };
+  msgpack_zone zone;
+  msgpack_object object;
+  struct rgy_reader reader;
+  uint64_t kind;
+  enum rgy_outcome rc = RGY_ERR_INVALID;
+
+  if (!msgpack_zone_init (&zone, 1024))
+    return RGY_ERR_FULL;
+  if (!rgy_msgpack_unpack (bytes, &zone, &object))
+    goto out;
+  reader = rgy_reader_init (&object);
+  kind = rgy_read_u64 (&reader);
+  if (!rgy_reader_is_ok (&reader))
+    goto out;
+  if (kind >= RGY_STREAM_MESSAGE_KIND_COUNT)
+    {
+      rc = RGY_ERR_UNSUPPORTED;
+      goto out;
+    }
+  if (reader.count != n_fields[kind])
+    goto out;
+  *message = (struct rgy_stream_message){
+    .kind = (enum rgy_stream_message_kind)kind
+  };
+  switch (message->kind)
+    {
+    case RGY_STREAM_REPORT:
+      read_report_ (&reader, &message->u.report);
+      break;
+    case RGY_STREAM_REPORT_ACK:
+      read_ack_ (&reader, &message->u.ack);
+      break;
+    case RGY_STREAM_STATUS:
+      read_status_ (&reader, &message->u.status);
+      break;
+    case RGY_STREAM_HELLO:
+      break;
+    case RGY_STREAM_TAKEN:
+    case RGY_STREAM_REFUSED:
+    case RGY_STREAM_QUERY:
+    case RGY_STREAM_ANSWER:
+      read_flow_ (&reader, message);
+      break;
+    case RGY_STREAM_MESSAGE_KIND_COUNT:
+      abort ();
+    }
+  rc = reader.outcome;
+out:
+  msgpack_zone_destroy (&zone);
+  return rc;
+}
