Ignore empty reads in the HTTP client and endpoint

Cause: libuv calls back with 0 bytes for a read that would block, which http-parser takes for the end of the stream; the first large response of the store was rejected and balancers got the manifest late (CONFIG, no balancer ready).

--- a/src/libragwortyoke-io/http.c
+++ b/src/libragwortyoke-io/http.c
@@ -354,6 +354,10 @@
       close_connection_ (c);
       return;
     }
+  /* libuv reports 0 for a read that would block; to the parser it would be the
+     end of the stream.  */
+  if (n == 0)
+    return;
   c->active_ms = uv_now (c->http->loop);
   if (c->last || c->closing)
     return; /* Discarded: the response to come is the last one.  */
--- a/src/libragwortyoke-io/http_client.c
+++ b/src/libragwortyoke-io/http_client.c
@@ -130,7 +130,9 @@
   struct connection_ *c = stream->data;
   size_t used;
 
-  if (c->client == NULL)
+  /* libuv reports 0 for a read that would block; to the parser it would be the
+     end of the stream.  */
+  if (c->client == NULL || n == 0)
     return;
   if (n < 0)
     {
--- /dev/null
+++ b/src/test_http_client/test_http_client.c
@@ -0,0 +1,202 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+#include <uv.h>
+
+#include "ragwortyoke-io/http.h"
+#include "ragwortyoke-io/http_client.h"
+
+#define LOOPBACK 0x7f000001
+#define TIMEOUT_MS 20000
+#define LARGE_BYTES 200000
+
+/* Server, client and the result of the last call.  */
+struct fixture_
+{
+  uv_loop_t loop;
+  struct rgy_http *http;
+  struct rgy_http_client *client;
+  unsigned calls;
+  bool done;
+  enum rgy_outcome outcome;
+  unsigned status;
+  char *body;
+  unsigned chained; /* Calls that the callback begins.  */
+};
+
+static void
+handle_ (const struct rgy_http_request *request,
+         struct rgy_http_response *response, void *ctx)
+{
+  struct fixture_ *f = ctx;
+
+  f->calls++;
+  response->status = 200;
+  if (strcmp (request->path, "/large") == 0)
+    response->body = g_strnfill (LARGE_BYTES, 'x');
+  else if (strcmp (request->path, "/echo") == 0)
+    response->body = g_strndup ((const char *)request->body.data,
+                                request->body.len);
+  else
+    response->status = 404;
+}
+
+static int
+set_up_ (void **state)
+{
+  struct fixture_ *f = g_new0 (struct fixture_, 1);
+
+  uv_loop_init (&f->loop);
+  f->http = rgy_http_new (&f->loop, (struct rgy_endpoint){ .ip = LOOPBACK },
+                          handle_, f);
+  f->client = rgy_http_client_new (
+      &f->loop, (struct rgy_endpoint){ .ip = LOOPBACK,
+                                       .port = rgy_http_get_port (f->http) });
+  *state = f;
+  return f->http == NULL;
+}
+
+static int
+tear_down_ (void **state)
+{
+  struct fixture_ *f = *state;
+  int rc;
+
+  rgy_http_client_delete (f->client);
+  rgy_http_delete (f->http);
+  uv_run (&f->loop, UV_RUN_DEFAULT);
+  rc = uv_loop_close (&f->loop);
+  g_free (f->body);
+  g_free (f);
+  return rc;
+}
+
+static void begin_ (struct fixture_ *f, const char *method, const char *target,
+                    const char *body);
+
+static void
+on_answer_ (enum rgy_outcome outcome, unsigned status, struct rgy_bytes body,
+            void *ctx)
+{
+  struct fixture_ *f = ctx;
+
+  f->outcome = outcome;
+  f->status = status;
+  g_free (f->body);
+  f->body = g_strndup ((const char *)body.data, body.len);
+  if (f->chained > 0)
+    {
+      f->chained--;
+      begin_ (f, "GET", "/large", "");
+      return;
+    }
+  f->done = true;
+}
+
+static void
+begin_ (struct fixture_ *f, const char *method, const char *target,
+        const char *body)
+{
+  f->done = false;
+  rgy_http_client_call (f->client, method, target,
+                        (struct rgy_bytes){ .data = (const uint8_t *)body,
+                                            .len = strlen (body) },
+                        TIMEOUT_MS, on_answer_, f);
+}
+
+static void
+call_ (struct fixture_ *f, const char *method, const char *target,
+       const char *body)
+{
+  begin_ (f, method, target, body);
+  while (!f->done)
+    uv_run (&f->loop, UV_RUN_ONCE);
+}
+
+/* A response larger than one read was rejected as malformed.  */
+static void
+large_response_is_complete_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  call_ (f, "GET", "/large", "");
+  assert_int_equal (f->outcome, RGY_OK);
+  assert_int_equal (f->status, 200);
+  assert_int_equal (strlen (f->body), LARGE_BYTES);
+}
+
+/* Calls reuse the connection; one begun in the callback of another, as a watch
+   does, must not lose its response.  */
+static void
+calls_follow_each_other_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  call_ (f, "POST", "/echo", "one");
+  assert_string_equal (f->body, "one");
+  call_ (f, "GET", "/absent", "");
+  assert_int_equal (f->status, 404);
+  f->chained = 5;
+  call_ (f, "GET", "/large", "");
+  assert_int_equal (f->outcome, RGY_OK);
+  assert_int_equal (strlen (f->body), LARGE_BYTES);
+  assert_int_equal (f->calls, 8);
+}
+
+/* A server that is gone must show as an outcome, and its return be used.  */
+static void
+refused_connection_is_reported_ (void **state)
+{
+  struct fixture_ *f = *state;
+  struct rgy_endpoint server
+      = { .ip = LOOPBACK, .port = rgy_http_get_port (f->http) };
+
+  call_ (f, "POST", "/echo", "one");
+  rgy_http_delete (f->http);
+  f->http = NULL;
+  call_ (f, "POST", "/echo", "two");
+  assert_int_equal (f->outcome, RGY_ERR_UNAVAILABLE);
+  call_ (f, "POST", "/echo", "two");
+  assert_int_equal (f->outcome, RGY_ERR_UNAVAILABLE);
+  f->http = rgy_http_new (&f->loop, server, handle_, f);
+  assert_non_null (f->http);
+  call_ (f, "POST", "/echo", "three");
+  assert_int_equal (f->outcome, RGY_OK);
+  assert_string_equal (f->body, "three");
+}
+
+/* Deleting a client during a call must neither leak nor call back.  */
+static void
+delete_cancels_the_call_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  begin_ (f, "GET", "/large", "");
+  uv_run (&f->loop, UV_RUN_ONCE);
+  rgy_http_client_delete (f->client);
+  f->client = NULL;
+  rgy_http_delete (f->http);
+  f->http = NULL;
+  uv_run (&f->loop, UV_RUN_DEFAULT);
+  assert_false (f->done);
+}
+
+int
+main (void)
+{
+#define WITH_SERVER(test)                                                     \
+  cmocka_unit_test_setup_teardown (test, set_up_, tear_down_)
+  const struct CMUnitTest tests[] = {
+    WITH_SERVER (large_response_is_complete_),
+    WITH_SERVER (calls_follow_each_other_),
+    WITH_SERVER (refused_connection_is_reported_),
+    WITH_SERVER (delete_cancels_the_call_),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
