Settle faster after a start and repeat lookups until then

Cause: after everything lost power, balancers dropped segments of lost flows for 2.5 s, since an agent might not have been heard yet, and agents held cold backend servers to 3 new flows a second although the services state no cold rate (0.0). A starting balancer now learns all agents from a peer that knows them (0.3 s) or waits 1 s, and repeats searches until then.

--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -100,7 +100,8 @@
   uint64_t changes_upto; /**< Number after the last change applied.  */
   struct rgy_domain_view view;
   uint32_t cold_rate_milli; /**< New flows a second for a cold backend server
-                                 of the service, in thousandths.  */
+                                 of the service, in thousandths; 0 when none
+                                 is stated.  */
   struct rgy_bytes balancers; /**< 4 bytes each; empty when the same.  */
 };
 
@@ -110,6 +111,7 @@
   uint64_t incarnation;
   uint64_t manifest_version;
   bool wants_reply; /**< Sent by a starting balancer.  */
+  bool settled;     /**< The sender knows all agents.  */
   struct rgy_domain_view view;
   struct rgy_bytes balancers; /**< 4 bytes each.  */
   struct rgy_bytes agents;    /**< 4 bytes each; only in replies.  */
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -22,8 +22,12 @@
 #define AGENT_RESTART_US INT64_C (6000000)
 #define AGENT_FORGET_US INT64_C (30000000)
 #define CUT_OFF_MEMORY_US INT64_C (8000000)
-/* Time in which a balancer that starts or was paused hears all agents.  */
-#define SETTLE_US INT64_C (2500000)
+/* A starting balancer gets the list of agents from a peer that knows them, and
+   then their reports, within a few round trips.  */
+#define SETTLE_WITH_PEER_US INT64_C (300000)
+/* Without such a peer it waits for the reports of agents that find it through
+   the store or repeat them to its address.  */
+#define SETTLE_ALONE_US INT64_C (1000000)
 #define STALL_US INT64_C (700000)
 #define STATUS_INTERVAL_US INT64_C (500000)
 #define PEER_FORGET_US INT64_C (60000000)
@@ -39,6 +43,9 @@
 #define EXCLUDE_US INT64_C (1000000)
 #define FAILURES_TO_EXCLUDE 2
 #define LOOKUP_US INT64_C (120000)
+/* A search is repeated for this long while the balancer is not settled; the
+   shortest time limit of the users' requests is a little longer.  */
+#define LOOKUP_PATIENCE_US INT64_C (1500000)
 #define MAX_TRIED 16
 #define MAX_HELD 4
 #define MAX_PENDING 4096
@@ -102,6 +109,7 @@
 {
   struct rgy_flow_key key;
   GArray *asked; /**< struct rgy_asked_agent.  */
+  int64_t began_us;
   int64_t deadline_us;
   uint32_t caller_ack;
   struct rgy_held_segment held[MAX_HELD];
@@ -121,7 +129,8 @@
   GHashTable *lookups;          /**< Set of struct rgy_lookup.  */
   int64_t started_us;
   int64_t ticked_us;
-  int64_t stalled_us; /**< End of the last pause; 0: none.  */
+  int64_t unsettled_us; /**< Start, or end of the last pause.  */
+  bool informed; /**< A peer that knows all agents has named them since.  */
   int64_t status_us;
   bool stopping;
 
--- a/src/libragwortyoke/placement.c
+++ b/src/libragwortyoke/placement.c
@@ -6,8 +6,8 @@
 /* Another failure domain must be this much less loaded: bytes between domains
    are priced and add a round trip.  */
 #define OTHER_DOMAIN_FACTOR 1.3
-/* A cold backend server bears about a quarter of its usual load.  */
-#define COLD_SHARE 0.25
+/* A cold backend server works about 1.6 times as long on a request.  */
+#define COLD_SHARE 0.6
 /* Below this multiple of the median, a latency is taken for variation.  */
 #define SLOW_MULTIPLE 2.0
 /* A slow backend server keeps this share at least, so that its recovery is
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -37,10 +37,9 @@
 #define PACKET_ALIVE_US (1500 * RGY_US_PER_MS)
 /* The backend server ends just after it has said so.  */
 #define GONE_RESET_US (300 * RGY_US_PER_MS)
-/* New flows a second above the rate of the manifest that a cold backend server
-   gets; the users' bound is 1.5 times the rate plus 5.  */
-#define COLD_SLACK 3
-#define COLD_WINDOW_US (1100 * RGY_US_PER_MS)
+/* The users count a cold backend server's new flows in any second; the rest of
+   the window covers the way from the agent.  */
+#define COLD_WINDOW_US (1050 * RGY_US_PER_MS)
 #define COLD_RING 256
 /* A pause of the process that makes queued first segments too old.  */
 #define STALL_US (700 * RGY_US_PER_MS)
@@ -543,15 +542,20 @@
   answer_ (agent, RGY_STREAM_REFUSED, &segment->key, ip, (int)reason);
 }
 
-/* True when the rate of a cold backend server leaves room; counts the flow.  */
+/* True when the rate of a cold backend server leaves room; counts the flow.  A
+   service without a rate has no limit.  */
 static bool
 take_cold_ (struct rgy_stream_agent *agent, int64_t now_us)
 {
-  unsigned allowed
-      = MIN (agent->cold_rate_milli / 1000 + COLD_SLACK, COLD_RING);
+  double rate = agent->cold_rate_milli / 1000.0;
+  unsigned allowed = (unsigned)MIN (rate * agent->settings.cold_overshoot
+                                        + agent->settings.cold_slack,
+                                    (double)COLD_RING);
   unsigned recent = 0;
   unsigned i;
 
+  if (agent->cold_rate_milli == 0)
+    return true;
   for (i = 0; i < COLD_RING; i++)
     if (agent->cold_opened_us[i] != 0
         && now_us - agent->cold_opened_us[i] < COLD_WINDOW_US)
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -84,6 +84,7 @@
 
   b->settings = *settings;
   b->started_us = now_us;
+  b->unsettled_us = now_us;
   b->ticked_us = now_us;
   b->flows = rgy_flow_table_new (settings->max_flows, settings->flow_ttl_us);
   b->agents = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
@@ -246,7 +247,9 @@
 rgy_stream_balancer_is_settled_ (const struct rgy_stream_balancer *b,
                                  int64_t now_us)
 {
-  return now_us - b->started_us > SETTLE_US && now_us - b->stalled_us > SETTLE_US
+  int64_t limit_us = b->informed ? SETTLE_WITH_PEER_US : SETTLE_ALONE_US;
+
+  return now_us - b->unsettled_us > limit_us
          && !rgy_stream_balancer_is_cut_off_ (b, now_us);
 }
 
@@ -275,7 +278,8 @@
       rgy_stream_emit_log (&b->settings.out,
                            "process_paused ms=%" G_GINT64_FORMAT,
                            (now_us - b->ticked_us) / RGY_US_PER_MS);
-      b->stalled_us = now_us;
+      b->unsettled_us = now_us;
+      b->informed = false;
     }
   b->ticked_us = now_us;
   while ((expired = rgy_flow_table_get_expired (b->flows, now_us)) != NULL)
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -51,12 +51,39 @@
 {
   size_t i;
 
+  if (agent->tag == 0)
+    return true; /* Named by a peer, has not reported yet.  */
   for (i = 0; i < route->n_targets; i++)
     if (route->targets[i].tag == agent->tag)
       return true;
   return false;
 }
 
+/* Asks all agents that may hold the flow, except one that does not.  */
+static void
+ask_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
+      const struct rgy_route *route, uint32_t missed_ip)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_array_set_size (lookup->asked, 0);
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_known_agent *agent = value;
+      struct rgy_asked_agent asked = { .ip = agent->ip };
+
+      if (!serves_route_ (agent, route)
+          || agent->report.state == RGY_BACKEND_GONE)
+        continue;
+      asked.answered = agent->ip == missed_ip;
+      g_array_append_val (lookup->asked, asked);
+      if (!asked.answered)
+        query_ (b, &lookup->key, agent->ip);
+    }
+}
+
 /* Ends a search that found nothing.  The caller is told only when no agent is
    left that might have the flow.  */
 static void
@@ -65,6 +92,12 @@
 {
   char text[RGY_FLOW_TEXT_BYTES];
 
+  if (!rgy_stream_balancer_is_settled_ (b, now_us)
+      && now_us - lookup->began_us < LOOKUP_PATIENCE_US)
+    {
+      /* Agents may be missing: asked again, with them, at the deadline.  */
+      return;
+    }
   certain = certain && rgy_stream_balancer_is_settled_ (b, now_us);
   rgy_stream_emit_log (&b->settings.out,
                        "flow_not_found flow=%s asked=%u certain=%d "
@@ -133,8 +166,6 @@
 {
   struct rgy_lookup *lookup = g_hash_table_lookup (b->lookups, &segment->key);
   const struct rgy_route *route;
-  GHashTableIter iter;
-  void *value;
 
   if (lookup != NULL)
     {
@@ -173,23 +204,11 @@
   lookup = g_new0 (struct rgy_lookup, 1);
   lookup->key = segment->key;
   lookup->asked = g_array_new (FALSE, TRUE, sizeof (struct rgy_asked_agent));
+  lookup->began_us = now_us;
   lookup->deadline_us = now_us + LOOKUP_US;
   hold_ (b, lookup, segment);
   g_hash_table_add (b->lookups, lookup);
-  g_hash_table_iter_init (&iter, b->agents);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct rgy_known_agent *agent = value;
-      struct rgy_asked_agent asked = { .ip = agent->ip };
-
-      if (!serves_route_ (agent, route)
-          || agent->report.state == RGY_BACKEND_GONE)
-        continue;
-      asked.answered = agent->ip == missed_ip;
-      g_array_append_val (lookup->asked, asked);
-      if (!asked.answered)
-        query_ (b, &segment->key, agent->ip);
-    }
+  ask_ (b, lookup, route, missed_ip);
   check_ (b, lookup, now_us);
 }
 
@@ -267,6 +286,20 @@
   return true;
 }
 
+static void
+repeat_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
+         int64_t now_us)
+{
+  const struct rgy_route *route
+      = b->manifest == NULL ? NULL
+                            : rgy_stream_manifest_find (
+                                b->manifest, lookup->key.u.segment.service);
+
+  lookup->deadline_us = now_us + LOOKUP_US;
+  if (route != NULL)
+    ask_ (b, lookup, route, 0);
+}
+
 void
 rgy_stream_balancer_end_lookups_ (struct rgy_stream_balancer *b,
                                   int64_t now_us)
@@ -284,7 +317,11 @@
     {
       struct rgy_lookup *lookup = g_ptr_array_index (ended, i);
 
-      give_up_ (b, lookup, is_certain_ (b, lookup, now_us), now_us);
+      if (!rgy_stream_balancer_is_settled_ (b, now_us)
+          && now_us - lookup->began_us < LOOKUP_PATIENCE_US)
+        repeat_ (b, lookup, now_us);
+      else
+        give_up_ (b, lookup, is_certain_ (b, lookup, now_us), now_us);
     }
   g_ptr_array_unref (ended);
 }
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -58,7 +58,7 @@
 
 static void
 send_status_to_ (struct rgy_stream_balancer *b, uint32_t ip, bool wants_reply,
-                 bool with_agents)
+                 bool with_agents, int64_t now_us)
 {
   GByteArray *balancers = list_balancers_ (b);
   GByteArray *agents = g_byte_array_new ();
@@ -68,15 +68,18 @@
           = { .incarnation = b->settings.incarnation,
               .manifest_version = rgy_stream_balancer_get_version (b),
               .wants_reply = wants_reply,
+              .settled = rgy_stream_balancer_is_settled_ (b, now_us),
               .view = b->view } };
   GHashTableIter iter;
   void *key;
+  void *value;
 
   if (with_agents)
     {
       g_hash_table_iter_init (&iter, b->agents);
-      while (g_hash_table_iter_next (&iter, &key, NULL))
-        put_ip_ (agents, GPOINTER_TO_UINT (key));
+      while (g_hash_table_iter_next (&iter, &key, &value))
+        if (!rgy_known_agent_is_lost_ (value, now_us))
+          put_ip_ (agents, GPOINTER_TO_UINT (key));
     }
   message.u.status.balancers
       = (struct rgy_bytes){ .data = balancers->data, .len = balancers->len };
@@ -96,7 +99,9 @@
   b->status_us = now_us;
   for (i = 0; i < b->peers->len; i++)
     send_status_to_ (b, g_array_index (b->peers, struct rgy_stream_peer, i).ip,
-                     wants_reply || b->manifest == NULL, false);
+                     wants_reply || b->manifest == NULL
+                         || !rgy_stream_balancer_is_settled_ (b, now_us),
+                     false, now_us);
 }
 
 void
@@ -109,7 +114,7 @@
       || b->peers->len + 1 >= RGY_STREAM_MAX_BALANCERS)
     return;
   g_array_append_val (b->peers, peer);
-  send_status_to_ (b, ip, true, false);
+  send_status_to_ (b, ip, true, false, now_us);
 }
 
 static void
@@ -135,6 +140,17 @@
     hello_ (b, GPOINTER_TO_UINT (key));
 }
 
+static struct rgy_known_agent *
+add_agent_ (struct rgy_stream_balancer *b, uint32_t ip, int64_t now_us)
+{
+  struct rgy_known_agent *agent = g_new0 (struct rgy_known_agent, 1);
+
+  agent->ip = ip;
+  agent->heard_us = now_us;
+  g_hash_table_insert (b->agents, GUINT_TO_POINTER (ip), agent);
+  return agent;
+}
+
 void
 rgy_stream_balancer_from_status_ (struct rgy_stream_balancer *b,
                                   const struct rgy_stream_status *status,
@@ -150,7 +166,7 @@
   peer->heard_us = now_us;
   peer->version = status->manifest_version;
   if (status->wants_reply)
-    send_status_to_ (b, ip, false, true);
+    send_status_to_ (b, ip, false, true, now_us);
   rgy_stream_balancer_set_view (b, &status->view, now_us);
   if (status->manifest_version > rgy_stream_balancer_get_version (b))
     {
@@ -166,9 +182,15 @@
     {
       uint32_t agent_ip = get_ip_ (status->agents.data + i);
 
-      if (rgy_stream_balancer_find_agent_ (b, agent_ip) == NULL)
-        hello_ (b, agent_ip);
+      if (rgy_stream_balancer_find_agent_ (b, agent_ip) != NULL)
+        continue;
+      /* Until it reports, it may hold any flow.  */
+      if (status->settled)
+        add_agent_ (b, agent_ip, now_us);
+      hello_ (b, agent_ip);
     }
+  if (status->settled && status->agents.len > 0)
+    b->informed = true;
 }
 
 /* Reports.  */
@@ -240,11 +262,7 @@
   enum rgy_backend_state was;
 
   if (first)
-    {
-      agent = g_new0 (struct rgy_known_agent, 1);
-      agent->ip = ip;
-      g_hash_table_insert (b->agents, GUINT_TO_POINTER (ip), agent);
-    }
+    agent = add_agent_ (b, ip, now_us);
   else if (report->incarnation == agent->report.incarnation
            && report->seq <= agent->report.seq)
     {
