--- /dev/null
+++ b/src/test_platform_head/test_platform_head.c
@@ -0,0 +1,138 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "platform.h"
+
+/* The example of the users' protocol page.  */
+static const uint8_t syn_[RGY_HEAD_BYTES]
+    = { 0x02, 0,    0,    0,    0,    0,    0x11, 0x22, 0x33,
+        0x44, 0,    0,    0,    0,    0,    0,    0,    0,
+        0x01, 0xbb, 0xc6, 0x12, 0x00, 0x01, 0x64, 0x40, 0x00,
+        0x07, 0x9c, 0x41, 0,    0,    0xa1, 0xb2, 0xc3, 0xd5 };
+static const uint8_t reset_[RGY_HEAD_BYTES]
+    = { 0x08, 0,    0,    0,    0,    0,    0,    0,    0,    0,    0,    0,
+        0,    0,    0,    0,    0,    0,    0x9c, 0x41, 0x64, 0x40, 0x00, 0x07,
+        0xc6, 0x12, 0x00, 0x01, 0x01, 0xbb, 0,    0,    0,    0,    0,    0 };
+
+static struct rgy_bytes
+bytes_ (const uint8_t *data, size_t len)
+{
+  return (struct rgy_bytes){ .data = data, .len = len };
+}
+
+static void
+example_is_decoded_ (void **state)
+{
+  struct rgy_segment segment;
+
+  (void)state;
+  assert_int_equal (
+      rgy_head_decode (bytes_ (syn_, sizeof syn_), false, &segment), RGY_OK);
+  assert_true (rgy_segment_is_opening (&segment));
+  assert_int_equal (segment.seq, 0x11223344);
+  assert_int_equal (segment.key.u.segment.caller.ip, 0x64400007);
+  assert_int_equal (segment.key.u.segment.caller.port, 40001);
+  assert_int_equal (segment.key.u.segment.service.ip, 0xc6120001);
+  assert_int_equal (segment.key.u.segment.service.port, 443);
+}
+
+static void
+reset_matches_the_example_ (void **state)
+{
+  struct rgy_segment segment;
+  uint8_t out[RGY_HEAD_BYTES];
+
+  (void)state;
+  rgy_head_decode (bytes_ (syn_, sizeof syn_), false, &segment);
+  rgy_head_reset (&segment.key, 0, out);
+  assert_memory_equal (out, reset_, sizeof reset_);
+}
+
+/* Both directions of a flow must have one name, and a returned packet that of
+   its caller.  */
+static void
+directions_share_a_key_ (void **state)
+{
+  struct rgy_segment there;
+  struct rgy_segment back;
+  uint8_t bounced[RGY_HEAD_BYTES];
+
+  (void)state;
+  rgy_head_decode (bytes_ (syn_, sizeof syn_), false, &there);
+  rgy_head_decode (bytes_ (reset_, sizeof reset_), true, &back);
+  assert_true (rgy_flow_key_equal (&there.key, &back.key));
+  memcpy (bounced, syn_, sizeof bounced);
+  bounced[0] |= 128;
+  rgy_head_decode (bytes_ (bounced, sizeof bounced), true, &back);
+  assert_true (rgy_flow_key_equal (&there.key, &back.key));
+  assert_false (back.from_service);
+}
+
+/* Only the fields that the ends do not read may differ from what was sent.  */
+static void
+copy_changes_only_the_trail_ (void **state)
+{
+  struct rgy_trail trail = { .service_tag = 0x01020304,
+                             .balancer_ip = 0x0a01000a,
+                             .mark = RGY_MARK_MISS };
+  uint8_t packet[RGY_HEAD_BYTES + 5];
+  uint8_t out[RGY_SEGMENT_MAX_BYTES];
+  struct rgy_segment segment;
+  size_t i;
+
+  (void)state;
+  memcpy (packet, syn_, sizeof syn_);
+  memcpy (packet + RGY_HEAD_BYTES, "hello", 5);
+  packet[31] = 5;
+  packet[0] |= 128;
+  assert_int_equal (rgy_head_copy (bytes_ (packet, sizeof packet), &trail, out),
+                    sizeof packet);
+  for (i = 0; i < sizeof packet; i++)
+    if (i == 0)
+      assert_int_equal (out[i], 2);
+    else if (!(i >= 1 && i < 6) && !(i >= 14 && i < 18))
+      assert_int_equal (out[i], packet[i]);
+  assert_int_equal (
+      rgy_head_decode (bytes_ (out, sizeof packet), false, &segment), RGY_OK);
+  assert_int_equal (segment.trail.service_tag, trail.service_tag);
+  assert_int_equal (segment.trail.balancer_ip, trail.balancer_ip);
+  assert_int_equal (segment.trail.mark, RGY_MARK_MISS);
+  trail = (struct rgy_trail){ 0 };
+  rgy_head_copy (bytes_ (syn_, sizeof syn_), &trail, out);
+  assert_memory_equal (out, syn_, sizeof syn_);
+}
+
+static void
+bad_lengths_are_refused_ (void **state)
+{
+  uint8_t packet[RGY_SEGMENT_MAX_BYTES + 1] = { 0 };
+  struct rgy_segment segment;
+  size_t len;
+
+  (void)state;
+  memcpy (packet, syn_, sizeof syn_);
+  for (len = 0; len < sizeof packet; len++)
+    if (len != RGY_HEAD_BYTES)
+      assert_int_equal (rgy_head_decode (bytes_ (packet, len), false, &segment),
+                        RGY_ERR_INVALID);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (example_is_decoded_),
+    cmocka_unit_test (reset_matches_the_example_),
+    cmocka_unit_test (directions_share_a_key_),
+    cmocka_unit_test (copy_changes_only_the_trail_),
+    cmocka_unit_test (bad_lengths_are_refused_),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/test_platform_manifest/test_platform_manifest.c
@@ -0,0 +1,162 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "platform.h"
+#include "ragwortyoke/clock.h"
+
+static struct rgy_bytes
+text_ (const char *text)
+{
+  return (struct rgy_bytes){ .data = (const uint8_t *)text,
+                             .len = strlen (text) };
+}
+
+#define SERVICES                                                              \
+  "\"services\":[{\"name\":\"a\",\"warmup_per_s\":2.5},{\"name\":\"b\"}]"
+
+/* Manifests that the store would not accept, or of another writer: the last
+   good one must stay in force.  */
+static void
+bad_manifests_are_refused_ (void **state)
+{
+  static const char *const bad[] = {
+    "",
+    "[]",
+    "{\"version\":1",
+    "{\"version\":0,\"routes\":[]}",
+    "{\"version\":\"7\",\"routes\":[]}",
+    "{\"version\":7}",
+    "{\"version\":7,\"routes\":[{}]}",
+    "{\"version\":7,\"routes\":[{\"hostname\":\"198.18.0.1\",\"prefix\":"
+    "\"443\",\"service\":\"a\"}]}",
+    "{\"version\":7,\"routes\":[{\"hostname\":\"198.18.0.1\",\"prefix\":"
+    "\"/443/\"}]}",
+    "{\"version\":7,\"routes\":[{\"hostname\":\"198.18.0.1\",\"prefix\":"
+    "\"/443/\",\"traffic_split\":[{\"service\":\"a\",\"weight\":0}]}]}",
+    "{\"version\":7,\"routes\":[{\"hostname\":\"198.18.0.1\",\"prefix\":"
+    "\"/443/\",\"traffic_split\":[{\"service\":\"a\",\"weight\":-1}]}]}",
+  };
+  size_t i;
+
+  (void)state;
+  for (i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      char *why = NULL;
+
+      assert_null (rgy_platform_manifest_decode (text_ (bad[i]), &why));
+      assert_non_null (why);
+      g_free (why);
+    }
+}
+
+static void
+manifest_is_translated_ (void **state)
+{
+  static const char json[]
+      = "{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":\"198.18.0.1\","
+        "\"prefix\":\"/8443/\",\"traffic_split\":[{\"service\":\"a\",\"weight\":"
+        "90},{\"service\":\"b\",\"weight\":10}]},{\"hostname\":\"198.18.0.2\","
+        "\"prefix\":\"/80/\",\"service\":\"b\"}]," SERVICES
+        ",\"limits\":{\"idle_timeout_ms\":15000},\"new\":true}";
+  struct rgy_name a = rgy_name_from_c ("a");
+  struct rgy_name b = rgy_name_from_c ("b");
+  char *why = NULL;
+  struct rgy_stream_manifest *manifest
+      = rgy_platform_manifest_decode (text_ (json), &why);
+  const struct rgy_route *route;
+
+  (void)state;
+  assert_null (why);
+  assert_int_equal (rgy_stream_manifest_get_version (manifest), 7);
+  route = rgy_stream_manifest_find (
+      manifest, (struct rgy_endpoint){ .ip = 0xc6120001, .port = 8443 });
+  assert_non_null (route);
+  assert_int_equal (route->n_targets, 2);
+  assert_int_equal (route->targets[0].weight, 90);
+  assert_true (rgy_name_equal (&route->targets[1].service, &b));
+  route = rgy_stream_manifest_find (
+      manifest, (struct rgy_endpoint){ .ip = 0xc6120002, .port = 80 });
+  assert_int_equal (route->n_targets, 1);
+  assert_int_equal (rgy_stream_manifest_get_cold_rate (manifest, &a), 2500);
+  assert_int_equal (rgy_stream_manifest_get_cold_rate (manifest, &b), 0);
+  rgy_stream_manifest_delete (manifest);
+}
+
+static void
+heartbeat_is_translated_ (void **state)
+{
+  struct rgy_backend_heartbeat heartbeat;
+  const char *why = NULL;
+
+  (void)state;
+  assert_int_equal (
+      rgy_platform_heartbeat_decode (
+          RGY_STR ("i-7f3a91c2"),
+          text_ ("{\"service\":\"a\",\"address\":\"10.128.0.9:8080\",\"zone\":"
+                 "\"poa-a\",\"version\":\"v1\",\"concurrency\":4,\"state\":"
+                 "\"draining\",\"warmup_left_ms\":1500.5,\"seq\":4,\"born\":"
+                 "1781312339406}"),
+          &heartbeat, &why),
+      RGY_OK);
+  assert_true (heartbeat.draining);
+  assert_int_equal (heartbeat.slots, 4);
+  assert_int_equal (heartbeat.seq, 4);
+  assert_int_equal (heartbeat.started_ms, INT64_C (1781312339406));
+  assert_int_equal (heartbeat.cold_left_us, 1500 * RGY_US_PER_MS + 500);
+}
+
+/* Another writer's heartbeats name no backend server to use.  */
+static void
+bad_heartbeats_are_refused_ (void **state)
+{
+  static const char *const bad[] = {
+    "",
+    "[]",
+    "{}",
+    "{\"service\":\"a\",\"concurrency\":4,\"state\":\"ready\",\"seq\":4}",
+    "{\"service\":\"a\",\"concurrency\":4,\"state\":\"well\","
+    "\"warmup_left_ms\":0,\"seq\":4}",
+    "{\"service\":7,\"concurrency\":4,\"state\":\"ready\",\"warmup_left_ms\":0,"
+    "\"seq\":4}",
+    "{\"service\":\"a\",\"concurrency\":0,\"state\":\"ready\","
+    "\"warmup_left_ms\":0,\"seq\":4}",
+    "{\"service\":\"a\",\"concurrency\":4,\"state\":\"ready\","
+    "\"warmup_left_ms\":-1,\"seq\":4}",
+    "{\"service\":\"a\",\"concurrency\":4,\"state\":\"ready\","
+    "\"warmup_left_ms\":0,\"seq\":\"4\"}",
+    "{\"service\":\"a\",\"concurrency\":4,\"state\":\"ready\","
+    "\"warmup_left_ms\":0,\"seq\":4,\"born\":1.5}",
+  };
+  size_t i;
+
+  (void)state;
+  for (i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      struct rgy_backend_heartbeat heartbeat;
+      const char *why = NULL;
+
+      assert_int_equal (rgy_platform_heartbeat_decode (
+                            RGY_STR ("i-1"), text_ (bad[i]), &heartbeat, &why),
+                        RGY_ERR_INVALID);
+      assert_non_null (why);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (bad_manifests_are_refused_),
+    cmocka_unit_test (manifest_is_translated_),
+    cmocka_unit_test (heartbeat_is_translated_),
+    cmocka_unit_test (bad_heartbeats_are_refused_),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/test_stream_message/test_stream_message.c
@@ -0,0 +1,196 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "ragwortyoke/stream_message.h"
+
+static const uint8_t ends_[RGY_FLOW_CHANGE_BYTES]
+    = { 100, 64, 0, 7, 0x9c, 0x41, 198, 18, 0, 1, 1, 0xbb, 1 };
+static const uint8_t ips_[8] = { 10, 1, 0, 10, 10, 2, 0, 40 };
+
+static struct rgy_stream_message
+sample_ (enum rgy_stream_message_kind kind)
+{
+  struct rgy_stream_message message = { .kind = kind };
+  struct rgy_domain_view view = { .revision = 77, .n_out = 1 };
+
+  view.out[0] = rgy_name_from_c ("poa-a");
+  switch (kind)
+    {
+    case RGY_STREAM_REPORT:
+      message.u.report = (struct rgy_stream_report){
+        .incarnation = UINT64_MAX,
+        .seq = 9,
+        .service = rgy_name_from_c ("workshop"),
+        .domain = rgy_name_from_c ("poa-b"),
+        .backend_id = 5,
+        .state = RGY_BACKEND_DRAINING,
+        .restarting = true,
+        .complete = true,
+        .cold = true,
+        .slots = 4,
+        .open_flows = 12,
+        .latency_us = 22000,
+        .balancers_hash = 3,
+        .changes_from = 100,
+        .changes = { .data = ends_, .len = sizeof ends_ }
+      };
+      break;
+    case RGY_STREAM_REPORT_ACK:
+      message.u.ack = (struct rgy_stream_report_ack){
+        .balancer_incarnation = 1,
+        .agent_incarnation = 2,
+        .seq = 3,
+        .changes_upto = 4,
+        .view = view,
+        .cold_rate_milli = 2500,
+        .balancers = { .data = ips_, .len = sizeof ips_ }
+      };
+      break;
+    case RGY_STREAM_STATUS:
+      message.u.status = (struct rgy_stream_status){
+        .incarnation = 1,
+        .manifest_version = 7,
+        .wants_reply = true,
+        .settled = true,
+        .view = view,
+        .balancers = { .data = ips_, .len = sizeof ips_ },
+        .agents = { .data = ips_, .len = 4 }
+      };
+      break;
+    case RGY_STREAM_HELLO:
+    case RGY_STREAM_MESSAGE_KIND_COUNT:
+      break;
+    case RGY_STREAM_REFUSED:
+      message.u.flow.reason = RGY_REFUSED_COLD;
+      message.u.flow.key = rgy_flow_ends_decode (ends_);
+      break;
+    case RGY_STREAM_ANSWER:
+      message.u.flow.held = RGY_HELD_UNSURE;
+      message.u.flow.key = rgy_flow_ends_decode (ends_);
+      break;
+    case RGY_STREAM_TAKEN:
+    case RGY_STREAM_QUERY:
+      message.u.flow.key = rgy_flow_ends_decode (ends_);
+      break;
+    }
+  return message;
+}
+
+static GByteArray *
+encode_ (enum rgy_stream_message_kind kind)
+{
+  struct rgy_stream_message message = sample_ (kind);
+  GByteArray *bytes = g_byte_array_new ();
+
+  rgy_stream_message_encode (&message, bytes);
+  return bytes;
+}
+
+/* Encoding a decoded message must give the same bytes: a field that is lost on
+   the way would show.  */
+static void
+every_kind_survives_ (void **state)
+{
+  int kind;
+
+  (void)state;
+  for (kind = 0; kind < RGY_STREAM_MESSAGE_KIND_COUNT; kind++)
+    {
+      GByteArray *bytes = encode_ ((enum rgy_stream_message_kind)kind);
+      GByteArray *again = g_byte_array_new ();
+      struct rgy_stream_message message;
+
+      assert_int_equal (
+          rgy_stream_message_decode (
+              (struct rgy_bytes){ .data = bytes->data, .len = bytes->len },
+              &message),
+          RGY_OK);
+      assert_int_equal (message.kind, kind);
+      rgy_stream_message_encode (&message, again);
+      assert_int_equal (again->len, bytes->len);
+      assert_memory_equal (again->data, bytes->data, bytes->len);
+      g_byte_array_unref (again);
+      g_byte_array_unref (bytes);
+    }
+}
+
+/* A datagram that was cut short must be refused, not read past its end.  */
+static void
+truncated_messages_are_refused_ (void **state)
+{
+  int kind;
+  size_t len;
+
+  (void)state;
+  for (kind = 0; kind < RGY_STREAM_MESSAGE_KIND_COUNT; kind++)
+    {
+      GByteArray *bytes = encode_ ((enum rgy_stream_message_kind)kind);
+
+      for (len = 0; len < bytes->len; len++)
+        {
+          uint8_t *copy = g_memdup2 (bytes->data, len);
+          struct rgy_stream_message message;
+
+          assert_int_not_equal (
+              rgy_stream_message_decode (
+                  (struct rgy_bytes){ .data = copy, .len = len }, &message),
+              RGY_OK);
+          g_free (copy);
+        }
+      g_byte_array_unref (bytes);
+    }
+}
+
+/* Random changes of valid messages must never crash a process.  */
+static void
+damaged_messages_are_survived_ (void **state)
+{
+  GRand *rand = g_rand_new_with_seed (4711);
+  int round;
+
+  (void)state;
+  for (round = 0; round < 20000; round++)
+    {
+      GByteArray *bytes = encode_ ((enum rgy_stream_message_kind)(
+          round % RGY_STREAM_MESSAGE_KIND_COUNT));
+      struct rgy_stream_message message;
+
+      bytes->data[g_rand_int_range (rand, 0, (gint32)bytes->len)]
+          = (guint8)g_rand_int (rand);
+      (void)rgy_stream_message_decode (
+          (struct rgy_bytes){ .data = bytes->data, .len = bytes->len },
+          &message);
+      g_byte_array_unref (bytes);
+    }
+  g_rand_free (rand);
+}
+
+static void
+view_names_its_domains_ (void **state)
+{
+  struct rgy_domain_view view = sample_ (RGY_STREAM_STATUS).u.status.view;
+  struct rgy_name in = rgy_name_from_c ("poa-b");
+
+  (void)state;
+  assert_true (rgy_domain_view_is_out (&view, &view.out[0]));
+  assert_false (rgy_domain_view_is_out (&view, &in));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (every_kind_survives_),
+    cmocka_unit_test (truncated_messages_are_refused_),
+    cmocka_unit_test (damaged_messages_are_survived_),
+    cmocka_unit_test (view_names_its_domains_),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
