Give new flows to agents that have just restarted

Cause: after everything was killed, agents took no new flow before the next heartbeat (up to 1.2 s), and flows of a route split over two services all went to the one that was back first. An agent of unknown state is used now, unless it was draining before; a bounce makes it silent until the heartbeat. A flow waits up to 0.4 s for its own service.

--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -24,7 +24,7 @@
 /** What an agent says of its backend server.  */
 enum rgy_backend_state
 {
-  RGY_BACKEND_UNKNOWN,  /**< Not heard yet; takes no new flow.  */
+  RGY_BACKEND_UNKNOWN,  /**< Not heard since the agent started.  */
   RGY_BACKEND_READY,    /**< Takes new flows.  */
   RGY_BACKEND_DRAINING, /**< Keeps its flows, takes no new ones.  */
   RGY_BACKEND_SILENT,   /**< Lost without a word; takes no new flow.  */
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -38,6 +38,9 @@
 #define OPEN_GIVE_UP_US INT64_C (1300000)
 /* A new flow waits this long for agents that are about to be ready.  */
 #define OPEN_WAIT_US INT64_C (1000000)
+/* A new flow goes to another service of its route only after this time, while
+   agents of its own may still come back: it would stay there.  */
+#define SPILL_WAIT_US INT64_C (400000)
 /* An agent that answered nothing is passed over for this long after
    FAILURES_TO_EXCLUDE failures in a row.  */
 #define EXCLUDE_US INT64_C (1000000)
@@ -56,6 +59,7 @@
   uint32_t ip;
   uint32_t tag; /**< Of its service.  */
   struct rgy_stream_report report; /**< Without changes.  */
+  enum rgy_backend_state last_state; /**< Last one that was not unknown.  */
   int64_t heard_us;
   uint64_t changes_upto;
   uint32_t placed; /**< New flows placed since the last report.  */
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -542,6 +542,10 @@
   answer_ (agent, RGY_STREAM_REFUSED, &segment->key, ip, (int)reason);
 }
 
+static void set_backend_state_ (struct rgy_stream_agent *agent,
+                                enum rgy_backend_state state, const char *why,
+                                int64_t now_us);
+
 /* True when the rate of a cold backend server leaves room; counts the flow.  A
    service without a rate has no limit.  */
 static bool
@@ -589,7 +593,8 @@
     }
   if (agent->stopping)
     refuse_ (agent, segment, ip, RGY_REFUSED_RESTARTING);
-  else if (agent->state != RGY_BACKEND_READY)
+  else if (agent->state != RGY_BACKEND_READY
+           && agent->state != RGY_BACKEND_UNKNOWN)
     refuse_ (agent, segment, ip, RGY_REFUSED_STATE);
   else if (rgy_domain_view_is_out (&agent->view, &agent->settings.domain))
     refuse_ (agent, segment, ip, RGY_REFUSED_DOMAIN);
@@ -712,6 +717,8 @@
   if (rgy_segment_is_opening (segment))
     {
       agent->unanswered = 0;
+      if (agent->state == RGY_BACKEND_UNKNOWN)
+        set_backend_state_ (agent, RGY_BACKEND_SILENT, "bounced", now_us);
       if (stream != NULL && stream->state == FLOW_OPENING)
         remove_ (agent, flow, now_us);
       refuse_ (agent, segment, ip, RGY_REFUSED_FULL);
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -271,6 +271,8 @@
       return;
     }
   was = agent->report.state;
+  if (report->state != RGY_BACKEND_UNKNOWN)
+    agent->last_state = report->state;
   if (first || report->incarnation != agent->report.incarnation)
     {
       agent->changes_upto = 0;
--- a/src/libragwortyoke/stream_balancer_open.c
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -18,13 +18,24 @@
   return false;
 }
 
+/* After a restart an agent waits for the next heartbeat to know the state of
+   its backend server.  Until then the state before counts, if it is known: one
+   that was draining gets no new flows.  */
+static bool
+is_usable_ (const struct rgy_known_agent *agent)
+{
+  return agent->report.state == RGY_BACKEND_READY
+         || (agent->report.state == RGY_BACKEND_UNKNOWN && agent->tag != 0
+             && (agent->last_state == RGY_BACKEND_UNKNOWN
+                 || agent->last_state == RGY_BACKEND_READY));
+}
+
 static bool
 takes_new_ (const struct rgy_stream_balancer *b,
             const struct rgy_known_agent *agent, int64_t now_us)
 {
   return rgy_known_agent_is_heard_ (agent, now_us)
-         && agent->report.state == RGY_BACKEND_READY
-         && !agent->report.restarting && agent->excluded_until_us <= now_us
+         && is_usable_ (agent) && !agent->report.restarting && agent->excluded_until_us <= now_us
          && !rgy_domain_view_is_out (&b->view, &agent->report.domain);
 }
 
@@ -65,62 +76,69 @@
   return best == n ? NULL : agents[best];
 }
 
-static struct rgy_known_agent *
-choose_ (struct rgy_stream_balancer *b, const struct rgy_pending_open *open,
-         const struct rgy_route *route, int64_t now_us)
+/* True when an agent of a service may be ready within a moment: it has just
+   started, restarts, or is silent but not yet taken for lost.  */
+static bool
+service_may_recover_ (const struct rgy_stream_balancer *b, uint32_t tag,
+                      int64_t now_us)
 {
-  size_t first = rgy_route_choose (route, rgy_flow_key_hash (&open->key));
-  size_t i;
+  GHashTableIter iter;
+  void *value;
 
-  for (i = 0; i < route->n_targets; i++)
+  if (!rgy_stream_balancer_is_settled_ (b, now_us))
+    return true;
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const struct rgy_route_target *target
-          = &route->targets[(first + i) % route->n_targets];
-      struct rgy_known_agent *agent;
+      const struct rgy_known_agent *agent = value;
 
-      if (target->weight == 0)
-        continue;
-      agent = choose_of_service_ (b, open, target->tag, now_us);
-      if (agent != NULL)
-        return agent;
+      if ((agent->tag == tag || agent->tag == 0)
+          && !rgy_known_agent_is_lost_ (agent, now_us)
+          && agent->report.state != RGY_BACKEND_DRAINING
+          && !rgy_domain_view_is_out (&b->view, &agent->report.domain))
+        return true;
     }
-  return NULL;
+  return false;
 }
 
 static bool
-is_target_ (const struct rgy_route *route, uint32_t tag)
+may_recover_ (const struct rgy_stream_balancer *b,
+              const struct rgy_route *route, int64_t now_us)
 {
   size_t i;
 
   for (i = 0; i < route->n_targets; i++)
-    if (route->targets[i].tag == tag && route->targets[i].weight > 0)
+    if (route->targets[i].weight > 0
+        && service_may_recover_ (b, route->targets[i].tag, now_us))
       return true;
   return false;
 }
 
-/* True when an agent may be ready within a moment: it has just started,
-   restarts, or is silent but not yet taken for lost.  */
-static bool
-may_recover_ (const struct rgy_stream_balancer *b,
-              const struct rgy_route *route, int64_t now_us)
+static struct rgy_known_agent *
+choose_ (struct rgy_stream_balancer *b, const struct rgy_pending_open *open,
+         const struct rgy_route *route, int64_t now_us)
 {
-  GHashTableIter iter;
-  void *value;
+  size_t first = rgy_route_choose (route, rgy_flow_key_hash (&open->key));
+  struct rgy_known_agent *agent
+      = choose_of_service_ (b, open, route->targets[first].tag, now_us);
+  size_t i;
 
-  if (!rgy_stream_balancer_is_settled_ (b, now_us))
-    return true;
-  g_hash_table_iter_init (&iter, b->agents);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  if (agent != NULL
+      || (now_us - open->began_us < SPILL_WAIT_US
+          && service_may_recover_ (b, route->targets[first].tag, now_us)))
+    return agent;
+  for (i = 1; i < route->n_targets; i++)
     {
-      const struct rgy_known_agent *agent = value;
+      const struct rgy_route_target *target
+          = &route->targets[(first + i) % route->n_targets];
 
-      if (is_target_ (route, agent->tag)
-          && !rgy_known_agent_is_lost_ (agent, now_us)
-          && agent->report.state != RGY_BACKEND_DRAINING
-          && !rgy_domain_view_is_out (&b->view, &agent->report.domain))
-        return true;
+      if (target->weight == 0)
+        continue;
+      agent = choose_of_service_ (b, open, target->tag, now_us);
+      if (agent != NULL)
+        return agent;
     }
-  return false;
+  return NULL;
 }
 
 static void
