--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -74,11 +74,19 @@
   uint64_t version; /**< Of its manifest.  */
 };
 
+/** How a balancer knows where a flow is; more certain ones come later.  */
+enum rgy_flow_certainty
+{
+  RGY_FLOW_CHOSEN, /**< Its first segment was sent there.  */
+  RGY_FLOW_TAKEN,  /**< The backend server answered; so may another one.  */
+  RGY_FLOW_OPEN    /**< The caller has acknowledged that answer.  */
+};
+
 /** Where a cached flow is.  */
 struct rgy_cached_flow
 {
   uint32_t agent_ip;
-  bool confirmed; /**< By the agent, not only chosen here.  */
+  enum rgy_flow_certainty certainty;
 };
 
 /** A new flow that no agent has taken yet.  The key comes first.  */
@@ -100,6 +108,7 @@
   enum rgy_flow_held answer;
   bool answered;
   bool probing; /**< A segment was sent there to find out.  */
+  bool other;   /**< Of a service that the route does not name.  */
 };
 
 struct rgy_held_segment
@@ -113,6 +122,7 @@
 {
   struct rgy_flow_key key;
   GArray *asked; /**< struct rgy_asked_agent.  */
+  bool asked_others; /**< Also agents that the route does not name.  */
   int64_t began_us;
   int64_t deadline_us;
   uint32_t caller_ack;
@@ -180,10 +190,12 @@
 /* Cached flows.  */
 void rgy_stream_balancer_forget_ (struct rgy_stream_balancer *b,
                                   struct rgy_flow *flow);
-/** Note where a flow is, and serve whoever waits for it.  */
+/** Note where a flow is, unless something more certain is known, and serve
+    whoever waits for it.  */
 void rgy_stream_balancer_learn_ (struct rgy_stream_balancer *b,
                                  const struct rgy_flow_key *key,
-                                 uint32_t agent_ip, bool confirmed,
+                                 uint32_t agent_ip,
+                                 enum rgy_flow_certainty certainty,
                                  int64_t now_us);
 void rgy_stream_balancer_send_ (struct rgy_stream_balancer *b,
                                 const struct rgy_flow_key *key,
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -59,31 +59,41 @@
   return false;
 }
 
-/* Asks all agents that may hold the flow, except one that does not.  */
+/* Asks the agents of the route's services, or those of all others.  An open flow
+   stays where it is when a manifest takes its service off the route, so nobody
+   is left out before a reset.  */
 static void
 ask_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
-      const struct rgy_route *route, uint32_t missed_ip)
+      const struct rgy_route *route, bool others)
 {
   GHashTableIter iter;
   void *value;
 
-  g_array_set_size (lookup->asked, 0);
+  lookup->asked_others = others;
   g_hash_table_iter_init (&iter, b->agents);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct rgy_known_agent *agent = value;
-      struct rgy_asked_agent asked = { .ip = agent->ip };
+      struct rgy_asked_agent asked = { .ip = agent->ip, .other = others };
 
-      if (!serves_route_ (agent, route)
-          || agent->report.state == RGY_BACKEND_GONE)
+      if ((route != NULL && serves_route_ (agent, route)) == others
+          || agent->report.state == RGY_BACKEND_GONE
+          || find_asked_ (lookup, agent->ip) != NULL)
         continue;
-      asked.answered = agent->ip == missed_ip;
       g_array_append_val (lookup->asked, asked);
-      if (!asked.answered)
-        query_ (b, &lookup->key, agent->ip);
+      query_ (b, &lookup->key, agent->ip);
     }
 }
 
+static const struct rgy_route *
+find_route_ (const struct rgy_stream_balancer *b,
+             const struct rgy_flow_key *key)
+{
+  return b->manifest == NULL
+             ? NULL
+             : rgy_stream_manifest_find (b->manifest, key->u.segment.service);
+}
+
 /* Ends a search that found nothing.  The caller is told only when no agent is
    left that might have the flow.  */
 static void
@@ -117,16 +127,42 @@
   g_hash_table_remove (b->lookups, &lookup->key);
 }
 
-/* Decides when every agent has said "no"; sends held segments to agents that
-   are unsure.  */
+/* Sends a held segment to agents that are unsure.  Only those of the route's
+   services: a segment must not reach a backend server of another one.  */
+static void
+probe_unsure_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
+               int64_t now_us)
+{
+  guint i;
+
+  for (i = 0; i < lookup->asked->len; i++)
+    {
+      struct rgy_asked_agent *asked
+          = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
+
+      if (asked->answer != RGY_HELD_UNSURE || asked->probing
+          || lookup->n_held == 0)
+        continue;
+      asked->probing = true;
+      lookup->deadline_us = now_us + LOOKUP_US;
+      rgy_stream_balancer_send_ (
+          b, &lookup->key,
+          (struct rgy_bytes){ .data = lookup->held[0].data,
+                              .len = lookup->held[0].len },
+          asked->ip);
+    }
+}
+
+/* Takes the next step when every agent asked so far has answered.  */
 static void
 check_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
         int64_t now_us)
 {
   bool all_no = true;
+  guint before = lookup->asked->len;
   guint i;
 
-  for (i = 0; i < lookup->asked->len; i++)
+  for (i = 0; i < before; i++)
     {
       const struct rgy_asked_agent *asked
           = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
@@ -136,27 +172,19 @@
       if (asked->answer != RGY_HELD_NO)
         all_no = false;
     }
-  if (all_no)
+  if (!all_no)
     {
-      give_up_ (b, lookup, true, now_us);
+      probe_unsure_ (b, lookup, now_us);
       return;
     }
-  for (i = 0; i < lookup->asked->len; i++)
+  if (!lookup->asked_others)
     {
-      struct rgy_asked_agent *asked
-          = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
-
-      if (asked->answer != RGY_HELD_UNSURE || asked->probing
-          || lookup->n_held == 0)
-        continue;
-      asked->probing = true;
       lookup->deadline_us = now_us + LOOKUP_US;
-      rgy_stream_balancer_send_ (
-          b, &lookup->key,
-          (struct rgy_bytes){ .data = lookup->held[0].data,
-                              .len = lookup->held[0].len },
-          asked->ip);
+      ask_ (b, lookup, find_route_ (b, &lookup->key), true);
+      if (lookup->asked->len > before)
+        return;
     }
+  give_up_ (b, lookup, true, now_us);
 }
 
 void
@@ -181,10 +209,7 @@
         }
       return;
     }
-  route = b->manifest == NULL
-              ? NULL
-              : rgy_stream_manifest_find (b->manifest,
-                                          segment->key.u.segment.service);
+  route = find_route_ (b, &segment->key);
   if (route == NULL && b->previous != NULL
       && rgy_stream_manifest_find (b->previous,
                                    segment->key.u.segment.service)
@@ -208,7 +233,13 @@
   lookup->deadline_us = now_us + LOOKUP_US;
   hold_ (b, lookup, segment);
   g_hash_table_add (b->lookups, lookup);
-  ask_ (b, lookup, route, missed_ip);
+  if (missed_ip != 0)
+    {
+      struct rgy_asked_agent missed = { .ip = missed_ip, .answered = true };
+
+      g_array_append_val (lookup->asked, missed);
+    }
+  ask_ (b, lookup, route, false);
   check_ (b, lookup, now_us);
 }
 
@@ -233,12 +264,14 @@
           g_free (lookup->held[0].data);
           lookup->held[0] = lookup->held[--lookup->n_held];
         }
-      rgy_stream_balancer_learn_ (b, key, ip, true, now_us);
+      rgy_stream_balancer_learn_ (b, key, ip, RGY_FLOW_OPEN, now_us);
       return;
     case RGY_HELD_NO:
     case RGY_HELD_UNSURE:
       asked->answered = true;
-      asked->answer = held;
+      /* An agent of a service that the route does not name can only be
+         believed or not: it is not tried.  */
+      asked->answer = asked->other ? RGY_HELD_NO : held;
       check_ (b, lookup, now_us);
       return;
     case RGY_FLOW_HELD_COUNT:
@@ -290,14 +323,9 @@
 repeat_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
          int64_t now_us)
 {
-  const struct rgy_route *route
-      = b->manifest == NULL ? NULL
-                            : rgy_stream_manifest_find (
-                                b->manifest, lookup->key.u.segment.service);
-
   lookup->deadline_us = now_us + LOOKUP_US;
-  if (route != NULL)
-    ask_ (b, lookup, route, 0);
+  g_array_set_size (lookup->asked, 0);
+  ask_ (b, lookup, find_route_ (b, &lookup->key), false);
 }
 
 void
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -240,13 +240,14 @@
 
       if (at[RGY_FLOW_ENDS_BYTES] != 0)
         {
-          rgy_stream_balancer_learn_ (b, &key, agent->ip, true, now_us);
+          rgy_stream_balancer_learn_ (b, &key, agent->ip, RGY_FLOW_OPEN, now_us);
           continue;
         }
       flow = rgy_flow_table_find (b->flows, &key);
       if (flow != NULL
           && ((struct rgy_cached_flow *)flow->session)->agent_ip == agent->ip
-          && ((struct rgy_cached_flow *)flow->session)->confirmed)
+          && ((struct rgy_cached_flow *)flow->session)->certainty
+                 == RGY_FLOW_OPEN)
         rgy_stream_balancer_forget_ (b, flow);
     }
   agent->changes_upto = MAX (agent->changes_upto, report->changes_from + n);
--- a/src/libragwortyoke/stream_balancer_open.c
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -201,7 +201,8 @@
   open->current_ip = agent->ip;
   open->sent_us = now_us;
   agent->placed++;
-  rgy_stream_balancer_learn_ (b, &open->key, agent->ip, false, now_us);
+  rgy_stream_balancer_learn_ (b, &open->key, agent->ip, RGY_FLOW_CHOSEN,
+                              now_us);
   trail = (struct rgy_trail){ .service_tag = agent->tag,
                               .balancer_ip = b->settings.own_ip };
   rgy_stream_emit_segment (
@@ -239,7 +240,9 @@
   if (open != NULL)
     return; /* A copy; the timer offers the flow to others.  */
   flow = rgy_flow_table_find (b->flows, &segment->key);
-  if (flow != NULL && ((struct rgy_cached_flow *)flow->session)->confirmed
+  if (flow != NULL
+      && ((struct rgy_cached_flow *)flow->session)->certainty
+             != RGY_FLOW_CHOSEN
       && segment->ack < 2
       && rgy_stream_balancer_find_agent_ (
              b, ((struct rgy_cached_flow *)flow->session)->agent_ip)
@@ -315,8 +318,7 @@
     }
   agent->failures = 0;
   agent->excluded_until_us = 0;
-  g_hash_table_remove (b->opens, key);
-  rgy_stream_balancer_learn_ (b, key, ip, true, now_us);
+  rgy_stream_balancer_learn_ (b, key, ip, RGY_FLOW_TAKEN, now_us);
 }
 
 void
--- a/src/libragwortyoke/stream_balancer_packet.c
+++ b/src/libragwortyoke/stream_balancer_packet.c
@@ -14,24 +14,30 @@
 void
 rgy_stream_balancer_learn_ (struct rgy_stream_balancer *b,
                             const struct rgy_flow_key *key, uint32_t agent_ip,
-                            bool confirmed, int64_t now_us)
+                            enum rgy_flow_certainty certainty, int64_t now_us)
 {
   struct rgy_flow *flow = rgy_flow_table_find (b->flows, key);
-  struct rgy_cached_flow *cached;
+  struct rgy_cached_flow *cached = flow == NULL ? NULL : flow->session;
 
+  if (cached != NULL && cached->certainty > certainty
+      && rgy_stream_balancer_find_agent_ (b, cached->agent_ip) != NULL)
+    return;
   if (flow == NULL)
     {
       if (rgy_flow_table_open (b->flows, key, now_us, &flow) != RGY_OK)
         return;
-      flow->session = g_new0 (struct rgy_cached_flow, 1);
+      cached = g_new0 (struct rgy_cached_flow, 1);
+      flow->session = cached;
     }
   else
     rgy_flow_table_touch (b->flows, flow, now_us);
-  cached = flow->session;
   cached->agent_ip = agent_ip;
-  cached->confirmed = confirmed;
-  if (confirmed)
-    rgy_stream_balancer_found_ (b, key, agent_ip);
+  cached->certainty = certainty;
+  if (certainty == RGY_FLOW_CHOSEN)
+    return;
+  /* Also when TAKEN was lost and the agent's report tells.  */
+  g_hash_table_remove (b->opens, key);
+  rgy_stream_balancer_found_ (b, key, agent_ip);
 }
 
 void
