Take silence after a probe for nothing

Now the backend server must have sent something since, and only flows on which it has sent are reset.

--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -19,6 +19,8 @@
 /* The backend server returns a segment within a millisecond; the margin
    covers a loaded machine.  */
 #define PROBE_US (30 * RGY_US_PER_MS)
+/* A probe without any sign of the backend server is forgotten.  */
+#define PROBE_END_US (2 * RGY_US_PER_S)
 /* How long a bounce counts as "does not hold it".  */
 #define ABSENT_US (5 * RGY_US_PER_S)
 /* Closed flows still get late segments of their ends.  */
@@ -677,6 +679,10 @@
       return;
     case FLOW_PROBING:
       /* The probe's outcome comes first; the caller repeats this one.  */
+      if (now_us - stream->since_us < PROBE_US)
+        return;
+      note_caller_ (stream, segment, now_us);
+      deliver_ (agent, segment, ip);
       return;
     case FLOW_OPENING:
       deliver_ (agent, segment, ip);
@@ -704,6 +710,19 @@
       set_state_ (agent, flow, FLOW_CLOSED, now_us);
 }
 
+/* The backend server holds a flow that this agent did not know.  */
+static void
+recognise_ (struct rgy_stream_agent *agent, struct rgy_flow *flow,
+            int64_t now_us)
+{
+  const struct stream_ *stream = flow->session;
+
+  set_state_ (agent, flow, FLOW_OPEN, now_us);
+  if (stream->balancer_ip != 0)
+    answer_ (agent, RGY_STREAM_ANSWER, &flow->key, stream->balancer_ip,
+             RGY_HELD_YES);
+}
+
 static void
 from_backend_bounced_ (struct rgy_stream_agent *agent,
                        const struct rgy_segment *segment, int64_t now_us)
@@ -785,7 +804,7 @@
             }
         }
       else if (stream->state == FLOW_PROBING || stream->state == FLOW_ABSENT)
-        set_state_ (agent, flow, FLOW_OPEN, now_us);
+        recognise_ (agent, flow, now_us);
       if (segment->payload_len > 0 && stream->asked_us != 0)
         {
           int64_t took = now_us - stream->asked_us;
@@ -963,7 +982,8 @@
   struct loss_ *loss = ctx;
   const struct stream_ *stream = flow->session;
 
-  if (stream->announced && flow->opened_us < loss->opened_before_us)
+  if (stream->announced && stream->confirmed
+      && flow->opened_us < loss->opened_before_us)
     reset_ (loss->agent, flow, loss->why, loss->now_us);
   return true;
 }
@@ -1116,13 +1136,11 @@
         remove_ (agent, flow, sweep->now_us);
       break;
     case FLOW_PROBING:
-      if (age_us > PROBE_US && agent->state != RGY_BACKEND_SILENT)
-        {
-          set_state_ (agent, flow, FLOW_OPEN, sweep->now_us);
-          if (stream->balancer_ip != 0)
-            answer_ (agent, RGY_STREAM_ANSWER, &flow->key,
-                     stream->balancer_ip, RGY_HELD_YES);
-        }
+      /* No bounce from a backend server that has sent something since.  */
+      if (age_us > PROBE_US && agent->packet_us > stream->since_us + PROBE_US)
+        recognise_ (agent, flow, sweep->now_us);
+      else if (age_us > PROBE_END_US)
+        remove_ (agent, flow, sweep->now_us);
       break;
     case FLOW_ABSENT:
       if (age_us > ABSENT_US)
--- a/src/test_stream_flow/world.c
+++ b/src/test_stream_flow/world.c
@@ -80,7 +80,6 @@
   bool open;
   uint32_t seq;         /* Of the backend server's first segment.  */
   size_t backend;       /* Whose answer it took.  */
-  unsigned generation;
   int64_t began_us;
   int64_t ends_us;
   int64_t asked_us; /* Request that waits; 0: none.  */
@@ -337,15 +336,18 @@
   caller->repeats++;
 }
 
-/* True when the backend server whose answer the caller took holds the flow.  */
+/* True when the backend server whose answer the caller took holds the flow.  The
+   number tells it from a flow that a copy of the first segment began at a later
+   start.  */
 static bool
 is_held_ (const struct world *w, const struct caller_ *caller)
 {
   const struct backend_ *backend = &w->backends[caller->backend];
 
-  return backend->alive && backend->generation == caller->generation
-         && g_hash_table_contains (backend->flows,
-                                   GUINT_TO_POINTER (caller->number));
+  return backend->alive
+         && GPOINTER_TO_UINT (g_hash_table_lookup (
+                backend->flows, GUINT_TO_POINTER (caller->number)))
+                == caller->seq;
 }
 
 static void
@@ -360,7 +362,13 @@
       if (!caller->open)
         w->seen.rejected++;
       else if (is_held_ (w, caller))
-        w->seen.wrong_resets++;
+        {
+          w->seen.wrong_resets++;
+          if (g_getenv ("WORLD_LOG") != NULL)
+            g_printerr ("%10.4f wrong_reset caller=%u backend=%zu\n",
+                        (double)w->now_us / 1e6, caller->number,
+                        caller->backend);
+        }
       else
         w->seen.resets++;
       caller->asked_us = 0;
@@ -374,7 +382,6 @@
       caller->open = true;
       caller->seq = d->packet.seq;
       caller->backend = d->index;
-      caller->generation = w->backends[d->index].generation;
       caller->next_us = w->now_us;
       w->seen.opened++;
       return;
