--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -29,6 +29,7 @@
    the store or repeat them to its address.  */
 #define SETTLE_ALONE_US INT64_C (1000000)
 #define STALL_US INT64_C (700000)
+#define ACK_INTERVAL_US INT64_C (1000000)
 #define STATUS_INTERVAL_US INT64_C (500000)
 #define PEER_FORGET_US INT64_C (60000000)
 /* Two ways between failure domains and a loaded machine.  */
@@ -61,6 +62,8 @@
   struct rgy_stream_report report; /**< Without changes.  */
   enum rgy_backend_state last_state; /**< Last one that was not unknown.  */
   int64_t heard_us;
+  int64_t acked_us;        /**< Last acknowledgement.  */
+  int64_t acked_change_us; /**< rgy_stream_balancer.changed_us it told.  */
   uint64_t changes_upto;
   uint32_t placed; /**< New flows placed since the last report.  */
   unsigned failures;
@@ -141,6 +144,7 @@
   GArray *peers;                /**< struct rgy_stream_peer.  */
   GHashTable *opens;            /**< Set of struct rgy_pending_open.  */
   GHashTable *lookups;          /**< Set of struct rgy_lookup.  */
+  int64_t changed_us; /**< Last change of manifest or view.  */
   int64_t started_us;
   int64_t ticked_us;
   int64_t unsettled_us; /**< Start, or end of the last pause.  */
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -8,14 +8,13 @@
 /* Reports without a change; a balancer misses 4 before it takes an agent for
    lost.  */
 #define REPORT_INTERVAL_US (400 * RGY_US_PER_MS)
-/* Flow changes wait this long for others, so that a burst is one report.  */
-#define REPORT_COALESCE_US (30 * RGY_US_PER_MS)
 /* A balancer that acknowledges nothing gets reports at a slow rate after this
    time, and none after BALANCER_FORGET_US.  */
 #define BALANCER_SLOW_US (10 * RGY_US_PER_S)
 #define BALANCER_SLOW_INTERVAL_US (2 * RGY_US_PER_S)
 #define BALANCER_FORGET_US (120 * RGY_US_PER_S)
-#define BALANCER_HEARD_US (1500 * RGY_US_PER_MS)
+/* Balancers acknowledge at least once a second.  */
+#define BALANCER_HEARD_US (2500 * RGY_US_PER_MS)
 /* The backend server returns a segment within a millisecond; the margin
    covers a loaded machine.  */
 #define PROBE_US (30 * RGY_US_PER_MS)
@@ -99,7 +98,6 @@
 
   GByteArray *journal; /* Changes from journal_from on.  */
   uint64_t journal_from;
-  int64_t flush_us; /* When changes are due to be reported; 0: none.  */
 
   struct rgy_name backend;
   int64_t backend_started_ms;
@@ -371,16 +369,18 @@
 {
   guint i;
 
-  agent->flush_us = 0;
   for (i = 0; i < agent->balancers->len; i++)
     report_to_ (agent,
                 &g_array_index (agent->balancers, struct balancer_, i),
                 now_us);
 }
 
+/* Changes go out with the next periodic report: the balancer that carries a new
+   flow knows it from TAKEN, the others need it only when the router moves the
+   flow, and can ask.  */
 static void
 record_change_ (struct rgy_stream_agent *agent,
-                const struct rgy_flow_key *key, bool opened, int64_t now_us)
+                const struct rgy_flow_key *key, bool opened)
 {
   append_change_ (agent->journal, key, opened);
   if (agent->journal->len > MAX_JOURNAL * RGY_FLOW_CHANGE_BYTES)
@@ -391,8 +391,6 @@
                                  half * RGY_FLOW_CHANGE_BYTES);
       agent->journal_from += half;
     }
-  if (agent->flush_us == 0)
-    agent->flush_us = now_us + REPORT_COALESCE_US;
 }
 
 void
@@ -462,7 +460,7 @@
         agent->n_open++;
       else
         agent->n_open--;
-      record_change_ (agent, &flow->key, open, now_us);
+      record_change_ (agent, &flow->key, open);
     }
   stream->state = state;
   stream->since_us = now_us;
@@ -1159,11 +1157,8 @@
 static void
 report_when_due_ (struct rgy_stream_agent *agent, int64_t now_us)
 {
-  bool flush = agent->flush_us != 0 && now_us >= agent->flush_us;
   guint i;
 
-  if (flush)
-    agent->flush_us = 0;
   for (i = 0; i < agent->balancers->len;)
     {
       struct balancer_ *b
@@ -1177,8 +1172,7 @@
           continue;
         }
       if (now_us - b->sent_us
-              >= (slow ? BALANCER_SLOW_INTERVAL_US : REPORT_INTERVAL_US)
-          || (flush && !slow && b->synced))
+          >= (slow ? BALANCER_SLOW_INTERVAL_US : REPORT_INTERVAL_US))
         report_to_ (agent, b, now_us);
       i++;
     }
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -144,6 +144,7 @@
   rgy_stream_manifest_delete (b->previous);
   b->previous = b->manifest;
   b->manifest = manifest;
+  b->changed_us = now_us;
   rgy_stream_balancer_send_status_ (b, false, now_us);
   return RGY_OK;
 }
@@ -170,6 +171,7 @@
   b->view = *view;
   if (same)
     return;
+  b->changed_us = now_us;
   rgy_stream_emit_log (&b->settings.out,
                        "domains_out count=%zu first=%s revision=%" G_GUINT64_FORMAT,
                        view->n_out, view->n_out > 0 ? view->out[0].data : "-",
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -195,9 +195,12 @@
 
 /* Reports.  */
 
+/* Answers a report.  One that brought nothing, from an agent that knows the
+   newest view, is answered once a second only: acknowledgements are about half
+   of the control traffic.  */
 static void
-acknowledge_ (struct rgy_stream_balancer *b,
-              const struct rgy_known_agent *agent)
+acknowledge_ (struct rgy_stream_balancer *b, struct rgy_known_agent *agent,
+              bool needed, int64_t now_us)
 {
   const struct rgy_stream_report *report = &agent->report;
   GByteArray *balancers = list_balancers_ (b);
@@ -221,7 +224,13 @@
   if (hash != report->balancers_hash)
     message.u.ack.balancers
         = (struct rgy_bytes){ .data = balancers->data, .len = balancers->len };
-  rgy_stream_emit_message (&b->settings.out, agent->ip, &message);
+  if (needed || message.u.ack.balancers.len > 0
+      || now_us - agent->acked_us >= ACK_INTERVAL_US)
+    {
+      agent->acked_us = now_us;
+      agent->acked_change_us = b->changed_us;
+      rgy_stream_emit_message (&b->settings.out, agent->ip, &message);
+    }
   g_byte_array_unref (balancers);
 }
 
@@ -260,6 +269,7 @@
 {
   struct rgy_known_agent *agent = rgy_stream_balancer_find_agent_ (b, ip);
   bool first = agent == NULL;
+  bool needed;
   enum rgy_backend_state was;
 
   if (first)
@@ -271,6 +281,9 @@
       apply_changes_ (b, agent, report, now_us);
       return;
     }
+  needed = first || report->incarnation != agent->report.incarnation
+           || report->changes.len > 0
+           || agent->acked_change_us != b->changed_us;
   was = agent->report.state;
   if (report->state != RGY_BACKEND_UNKNOWN)
     agent->last_state = report->state;
@@ -301,7 +314,7 @@
   agent->heard_us = now_us;
   agent->placed = 0;
   apply_changes_ (b, agent, report, now_us);
-  acknowledge_ (b, agent);
+  acknowledge_ (b, agent, needed, now_us);
 }
 
 void
