--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -82,6 +82,7 @@
   bool cold;
   uint32_t slots;
   uint32_t open_flows;
+  uint32_t awaited_flows; /**< Answered, but not yet taken up by callers.  */
   uint32_t latency_us;      /**< Mean time to the first answer; 0 if none.  */
   uint64_t balancers_hash;  /**< Hash of the balancers that it knows.  */
   uint64_t changes_from;    /**< Number of the first change below.  */
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -26,6 +26,8 @@
 #define CLOSED_US (4 * RGY_US_PER_S)
 /* A first segment without an answer for this long is forgotten.  */
 #define OPENING_US (5 * RGY_US_PER_S)
+/* A caller takes an answer up within its own limit of 1.4 s, or never.  */
+#define AWAITED_US (1500 * RGY_US_PER_MS)
 /* Unanswered first segments in a row before the backend server counts as
    silent.  */
 #define SILENT_OPENINGS 4
@@ -72,6 +74,7 @@
   bool backend_finished;
   bool announced;
   bool confirmed; /* The backend server has sent on it.  */
+  bool awaited;   /* Counted in n_awaited.  */
   int64_t since_us;
   int64_t asked_us; /* Caller's payload that waits for an answer; 0: none.  */
 };
@@ -93,6 +96,7 @@
   uint32_t service_tag;
   struct rgy_flow_table *flows;
   uint32_t n_open;
+  uint32_t n_awaited; /* Answered flows that the caller may yet take up.  */
   GArray *balancers; /* struct balancer_.  */
   uint64_t seq;
 
@@ -278,6 +282,7 @@
                         .cold = agent->cold_until_us > now_us,
                         .slots = agent->slots,
                         .open_flows = agent->n_open,
+                        .awaited_flows = agent->n_awaited,
                         .latency_us = agent->latency_us,
                         .balancers_hash = hash_balancers_ (agent),
                         .changes_from = from,
@@ -446,6 +451,16 @@
   return flow;
 }
 
+static void
+set_awaited_ (struct rgy_stream_agent *agent, struct stream_ *stream,
+              bool awaited)
+{
+  if (stream->awaited == awaited)
+    return;
+  stream->awaited = awaited;
+  agent->n_awaited += awaited ? 1U : -1U;
+}
+
 static void
 set_state_ (struct rgy_stream_agent *agent, struct rgy_flow *flow,
             enum flow_state_ state, int64_t now_us)
@@ -462,6 +477,7 @@
         agent->n_open--;
       record_change_ (agent, &flow->key, open);
     }
+  set_awaited_ (agent, stream, state == FLOW_ANSWERED);
   stream->state = state;
   stream->since_us = now_us;
 }
@@ -1018,6 +1034,9 @@
                        " seq=%" G_GUINT64_FORMAT " first=%d",
                        heartbeat->id.data, heartbeat->started_ms,
                        heartbeat->seq, first);
+  /* The first heartbeat of a start comes before any flow.  */
+  if (first && heartbeat->seq <= 1)
+    agent->complete = true;
   if (!first)
     {
       agent->complete = true;
@@ -1130,6 +1149,8 @@
         remove_ (agent, flow, sweep->now_us);
       break;
     case FLOW_ANSWERED:
+      if (age_us > AWAITED_US)
+        set_awaited_ (agent, stream, false);
       if (age_us > OPENING_US)
         remove_ (agent, flow, sweep->now_us);
       break;
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -35,13 +35,20 @@
   };
 }
 
+/* Asks an agent, within the rate of queries.  */
 static void
 query_ (struct rgy_stream_balancer *b, const struct rgy_flow_key *key,
-        uint32_t ip)
+        uint32_t ip, int64_t now_us)
 {
   struct rgy_stream_message message
       = { .kind = RGY_STREAM_QUERY, .u.flow = { .key = *key } };
+  double earned = (double)(now_us - b->query_us) / RGY_US_PER_S * QUERIES_PER_S;
 
+  b->query_tokens = MIN (b->query_tokens + earned, QUERIES_PER_S);
+  b->query_us = now_us;
+  if (b->query_tokens < 1)
+    return;
+  b->query_tokens--;
   rgy_stream_emit_message (&b->settings.out, ip, &message);
 }
 
@@ -59,12 +66,12 @@
   return false;
 }
 
-/* Asks the agents of the route's services, or those of all others.  An open flow
+/* Asks the agents of the route's services, or all others too.  An open flow
    stays where it is when a manifest takes its service off the route, so nobody
    is left out before a reset.  */
 static void
 ask_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
-      const struct rgy_route *route, bool others)
+      const struct rgy_route *route, bool others, int64_t now_us)
 {
   GHashTableIter iter;
   void *value;
@@ -74,14 +81,22 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct rgy_known_agent *agent = value;
-      struct rgy_asked_agent asked = { .ip = agent->ip, .other = others };
+      bool serves = route != NULL && serves_route_ (agent, route);
+      struct rgy_asked_agent asked = { .ip = agent->ip, .other = !serves };
 
-      if ((route != NULL && serves_route_ (agent, route)) == others
-          || agent->report.state == RGY_BACKEND_GONE
+      /* The route may have changed since the first agents were asked.  */
+      if ((!serves && !others) || agent->report.state == RGY_BACKEND_GONE
           || find_asked_ (lookup, agent->ip) != NULL)
         continue;
+      if (agent->tag != 0 && !agent->report.complete)
+        {
+          /* It has restarted and would only say that it is unsure.  */
+          asked.answered = true;
+          asked.answer = serves ? RGY_HELD_UNSURE : RGY_HELD_NO;
+        }
       g_array_append_val (lookup->asked, asked);
-      query_ (b, &lookup->key, agent->ip);
+      if (!asked.answered)
+        query_ (b, &lookup->key, agent->ip, now_us);
     }
 }
 
@@ -159,6 +174,7 @@
         int64_t now_us)
 {
   bool all_no = true;
+  bool waits = false;
   guint before = lookup->asked->len;
   guint i;
 
@@ -168,19 +184,17 @@
           = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
 
       if (!asked->answered)
-        return;
-      if (asked->answer != RGY_HELD_NO)
+        waits = true;
+      else if (asked->answer != RGY_HELD_NO)
         all_no = false;
     }
-  if (!all_no)
-    {
-      probe_unsure_ (b, lookup, now_us);
-      return;
-    }
+  probe_unsure_ (b, lookup, now_us);
+  if (waits || !all_no)
+    return;
   if (!lookup->asked_others)
     {
       lookup->deadline_us = now_us + LOOKUP_US;
-      ask_ (b, lookup, find_route_ (b, &lookup->key), true);
+      ask_ (b, lookup, find_route_ (b, &lookup->key), true, now_us);
       if (lookup->asked->len > before)
         return;
     }
@@ -239,7 +253,7 @@
 
       g_array_append_val (lookup->asked, missed);
     }
-  ask_ (b, lookup, route, false);
+  ask_ (b, lookup, route, false, now_us);
   check_ (b, lookup, now_us);
 }
 
@@ -279,6 +293,34 @@
     }
 }
 
+void
+rgy_stream_balancer_reported_ (struct rgy_stream_balancer *b, uint32_t ip,
+                               int64_t now_us)
+{
+  GPtrArray *waiting = g_ptr_array_new ();
+  GHashTableIter iter;
+  void *value;
+  guint i;
+
+  g_hash_table_iter_init (&iter, b->lookups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct rgy_asked_agent *asked = find_asked_ (value, ip);
+
+      if (asked == NULL || asked->answered
+          || now_us - ((struct rgy_lookup *)value)->began_us
+                 < REPORT_DELAY_US)
+        continue;
+      asked->answered = true;
+      asked->answer = RGY_HELD_NO;
+      g_ptr_array_add (waiting, value);
+    }
+  /* check_() may end the search it is given, but no other one.  */
+  for (i = 0; i < waiting->len; i++)
+    check_ (b, g_ptr_array_index (waiting, i), now_us);
+  g_ptr_array_unref (waiting);
+}
+
 void
 rgy_stream_balancer_found_ (struct rgy_stream_balancer *b,
                             const struct rgy_flow_key *key, uint32_t agent_ip)
@@ -325,7 +367,7 @@
 {
   lookup->deadline_us = now_us + LOOKUP_US;
   g_array_set_size (lookup->asked, 0);
-  ask_ (b, lookup, find_route_ (b, &lookup->key), false);
+  ask_ (b, lookup, find_route_ (b, &lookup->key), false, now_us);
 }
 
 void
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -285,6 +285,11 @@
            || report->changes.len > 0
            || agent->acked_change_us != b->changed_us;
   was = agent->report.state;
+  if (!first
+      && (report->state == RGY_BACKEND_GONE
+          || (report->complete
+              && report->backend_id != agent->report.backend_id)))
+    rgy_stream_balancer_forget_agent_ (b, ip);
   if (report->state != RGY_BACKEND_UNKNOWN)
     agent->last_state = report->state;
   if (first || report->incarnation != agent->report.incarnation)
@@ -315,6 +320,9 @@
   agent->placed = 0;
   apply_changes_ (b, agent, report, now_us);
   acknowledge_ (b, agent, needed, now_us);
+  if (report->complete && report->awaited_flows == 0
+      && agent->n_cached == report->open_flows)
+    rgy_stream_balancer_reported_ (b, ip, now_us);
 }
 
 void
--- a/src/libragwortyoke/stream_balancer_packet.c
+++ b/src/libragwortyoke/stream_balancer_packet.c
@@ -2,10 +2,50 @@
 
 /* Cached flows.  */
 
+/* Counts an open flow in or out at its agent.  */
+static void
+count_ (struct rgy_stream_balancer *b, const struct rgy_cached_flow *cached,
+        int change)
+{
+  struct rgy_known_agent *agent
+      = cached->certainty == RGY_FLOW_OPEN
+            ? rgy_stream_balancer_find_agent_ (b, cached->agent_ip)
+            : NULL;
+
+  if (agent != NULL)
+    agent->n_cached += (uint32_t)change;
+}
+
+struct forget_agent_
+{
+  struct rgy_stream_balancer *balancer;
+  uint32_t ip;
+};
+
+static bool
+forget_if_at_ (struct rgy_flow *flow, void *ctx)
+{
+  struct forget_agent_ *forget = ctx;
+  const struct rgy_cached_flow *cached = flow->session;
+
+  if (cached->agent_ip == forget->ip && cached->certainty == RGY_FLOW_OPEN)
+    rgy_stream_balancer_forget_ (forget->balancer, flow);
+  return true;
+}
+
+void
+rgy_stream_balancer_forget_agent_ (struct rgy_stream_balancer *b, uint32_t ip)
+{
+  struct forget_agent_ forget = { .balancer = b, .ip = ip };
+
+  rgy_flow_table_foreach (b->flows, forget_if_at_, &forget);
+}
+
 void
 rgy_stream_balancer_forget_ (struct rgy_stream_balancer *b,
                              struct rgy_flow *flow)
 {
+  count_ (b, flow->session, -1);
   g_free (flow->session);
   flow->session = NULL;
   rgy_flow_table_close (b->flows, flow);
@@ -31,8 +71,10 @@
     }
   else
     rgy_flow_table_touch (b->flows, flow, now_us);
+  count_ (b, cached, -1);
   cached->agent_ip = agent_ip;
   cached->certainty = certainty;
+  count_ (b, cached, 1);
   if (certainty == RGY_FLOW_CHOSEN)
     return;
   /* Also when TAKEN was lost and the agent's report tells.  */
--- a/src/libragwortyoke/stream_message.c
+++ b/src/libragwortyoke/stream_message.c
@@ -50,7 +50,7 @@
 static void
 pack_report_ (msgpack_packer *pk, const struct rgy_stream_report *r)
 {
-  msgpack_pack_array (pk, 16);
+  msgpack_pack_array (pk, 17);
   msgpack_pack_uint8 (pk, RGY_STREAM_REPORT);
   msgpack_pack_uint64 (pk, r->incarnation);
   msgpack_pack_uint64 (pk, r->seq);
@@ -63,6 +63,7 @@
   rgy_pack_bool (pk, r->cold);
   msgpack_pack_uint32 (pk, r->slots);
   msgpack_pack_uint32 (pk, r->open_flows);
+  msgpack_pack_uint32 (pk, r->awaited_flows);
   msgpack_pack_uint32 (pk, r->latency_us);
   msgpack_pack_uint64 (pk, r->balancers_hash);
   msgpack_pack_uint64 (pk, r->changes_from);
@@ -195,6 +196,7 @@
   r->cold = rgy_read_bool (reader);
   r->slots = (uint32_t)rgy_read_max (reader, UINT32_MAX);
   r->open_flows = (uint32_t)rgy_read_max (reader, UINT32_MAX);
+  r->awaited_flows = (uint32_t)rgy_read_max (reader, UINT32_MAX);
   r->latency_us = (uint32_t)rgy_read_max (reader, UINT32_MAX);
   r->balancers_hash = rgy_read_u64 (reader);
   r->changes_from = rgy_read_u64 (reader);
@@ -252,7 +254,7 @@
                            struct rgy_stream_message *message)
 {
   static const size_t n_fields[] = {
-    [RGY_STREAM_REPORT] = 16, [RGY_STREAM_REPORT_ACK] = 8,
+    [RGY_STREAM_REPORT] = 17, [RGY_STREAM_REPORT_ACK] = 8,
     [RGY_STREAM_STATUS] = 8,  [RGY_STREAM_HELLO] = 1,
     [RGY_STREAM_TAKEN] = 3,   [RGY_STREAM_REFUSED] = 3,
     [RGY_STREAM_QUERY] = 3,   [RGY_STREAM_ANSWER] = 3,
--- a/src/test_stream_message/test_stream_message.c
+++ b/src/test_stream_message/test_stream_message.c
@@ -35,6 +35,7 @@
         .cold = true,
         .slots = 4,
         .open_flows = 12,
+        .awaited_flows = 3,
         .latency_us = 22000,
         .balancers_hash = 3,
         .changes_from = 100,
