--- a/include/ragwortyoke-io/http.h
+++ b/include/ragwortyoke-io/http.h
@@ -3,8 +3,8 @@
 
 /**
  * @file
- * Small HTTP endpoint of a process (http-parser) on a libuv loop, in the loop's
- * own thread.
+ * Small HTTP endpoint of a process (http-parser) on a libuv loop, in the
+ * loop's own thread.
  */
 
 #include <stdint.h>
--- a/include/ragwortyoke-io/http_client.h
+++ b/include/ragwortyoke-io/http_client.h
@@ -19,9 +19,9 @@
  * Result of a call.
  *
  * @param outcome  RGY_OK with a complete response; RGY_ERR_TIMEOUT;
- *                 RGY_ERR_UNAVAILABLE when the connection failed, in which case
- *                 the server may still have executed the call;
- *                 RGY_ERR_INVALID for a malformed or oversized response.
+ *                 RGY_ERR_UNAVAILABLE when the connection failed, in which
+ * case the server may still have executed the call; RGY_ERR_INVALID for a
+ * malformed or oversized response.
  * @param status   HTTP status when @p outcome is RGY_OK.
  * @param body     valid during the call.
  */
--- a/include/ragwortyoke/stream_agent.h
+++ b/include/ragwortyoke/stream_agent.h
@@ -20,13 +20,13 @@
   struct rgy_name service;
   struct rgy_name domain;
   uint64_t incarnation;
-  int64_t flow_ttl_us;          /**< Flows idle for longer are forgotten.  */
-  int64_t heartbeat_us;         /**< Interval of the backend server.  */
-  uint32_t max_flows;           /**< Most flows held at once.  */
+  int64_t flow_ttl_us;   /**< Flows idle for longer are forgotten.  */
+  int64_t heartbeat_us;  /**< Interval of the backend server.  */
+  uint32_t max_flows;    /**< Most flows held at once.  */
   double cold_overshoot; /**< Factor on a stated cold rate.  */
   double cold_slack;     /**< New flows a second on top of it.  */
-  bool first_start;             /**< The whole deployment starts: the backend
-                                     server cannot hold flows yet.  */
+  bool first_start;      /**< The whole deployment starts: the backend
+                              server cannot hold flows yet.  */
   struct rgy_stream_out out;
 };
 
--- a/include/ragwortyoke/stream_balancer.h
+++ b/include/ragwortyoke/stream_balancer.h
@@ -46,8 +46,8 @@
                                   int64_t now_us);
 
 /** Version in force; 0 before the first.  */
-uint64_t rgy_stream_balancer_get_version (
-    const struct rgy_stream_balancer *balancer);
+uint64_t
+rgy_stream_balancer_get_version (const struct rgy_stream_balancer *balancer);
 
 /** Failure domains out of service.  An older view is ignored.  */
 void rgy_stream_balancer_set_view (struct rgy_stream_balancer *balancer,
@@ -84,7 +84,8 @@
                                    int64_t now_us);
 
 /** Agents that have reported lately.  */
-size_t rgy_stream_balancer_count_agents (
-    const struct rgy_stream_balancer *balancer, int64_t now_us);
+size_t
+rgy_stream_balancer_count_agents (const struct rgy_stream_balancer *balancer,
+                                  int64_t now_us);
 
 #endif
--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -10,8 +10,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "ragwortyoke/segment.h"
 #include "ragwortyoke/outcome.h"
+#include "ragwortyoke/segment.h"
 #include "ragwortyoke/str.h"
 
 /** Most balancers in one list.  */
@@ -37,11 +37,11 @@
 /** Why an agent does not take a new flow.  */
 enum rgy_stream_refusal
 {
-  RGY_REFUSED_SERVICE,   /**< Another service lives here.  */
-  RGY_REFUSED_STATE,     /**< The backend server is not ready.  */
-  RGY_REFUSED_DOMAIN,    /**< The failure domain is out of service.  */
-  RGY_REFUSED_COLD,      /**< The rate of a cold backend server is used up.  */
-  RGY_REFUSED_FULL,      /**< The backend server did not take it.  */
+  RGY_REFUSED_SERVICE, /**< Another service lives here.  */
+  RGY_REFUSED_STATE,   /**< The backend server is not ready.  */
+  RGY_REFUSED_DOMAIN,  /**< The failure domain is out of service.  */
+  RGY_REFUSED_COLD,    /**< The rate of a cold backend server is used up.  */
+  RGY_REFUSED_FULL,    /**< The backend server did not take it.  */
   RGY_REFUSED_RESTARTING, /**< The agent is about to end.  */
   RGY_STREAM_REFUSAL_COUNT
 };
@@ -82,7 +82,7 @@
   bool cold;
   uint32_t slots;
   uint32_t open_flows;
-  uint32_t awaited_flows; /**< Answered, but not yet taken up by callers.  */
+  uint32_t awaited_flows;   /**< Answered, but not yet taken up by callers.  */
   uint32_t latency_us;      /**< Mean time to the first answer; 0 if none.  */
   uint64_t balancers_hash;  /**< Hash of the balancers that it knows.  */
   uint64_t changes_from;    /**< Number of the first change below.  */
@@ -100,9 +100,9 @@
   uint64_t seq;
   uint64_t changes_upto; /**< Number after the last change applied.  */
   struct rgy_domain_view view;
-  uint32_t cold_rate_milli; /**< New flows a second for a cold backend server
-                                 of the service, in thousandths; 0 when none
-                                 is stated.  */
+  uint32_t cold_rate_milli;   /**< New flows a second for a cold backend server
+                                   of the service, in thousandths; 0 when none
+                                   is stated.  */
   struct rgy_bytes balancers; /**< 4 bytes each; empty when the same.  */
 };
 
@@ -160,7 +160,8 @@
  * @return RGY_OK, RGY_ERR_INVALID (malformed) or RGY_ERR_UNSUPPORTED (unknown
  *         kind).
  */
-enum rgy_outcome rgy_stream_message_decode (struct rgy_bytes bytes,
-                                            struct rgy_stream_message *message);
+enum rgy_outcome
+rgy_stream_message_decode (struct rgy_bytes bytes,
+                           struct rgy_stream_message *message);
 
 #endif
--- a/src/libragwortyoke-io/http.c
+++ b/src/libragwortyoke-io/http.c
@@ -134,9 +134,8 @@
   size_t len = body == NULL ? 0 : strlen (body);
   uv_buf_t buf;
 
-  g_string_append_printf (
-      text, "HTTP/1.1 %u %s\r\n", status,
-      http_status_str ((enum http_status)status));
+  g_string_append_printf (text, "HTTP/1.1 %u %s\r\n", status,
+                          http_status_str ((enum http_status)status));
   if (status != HTTP_STATUS_NO_CONTENT)
     g_string_append_printf (text, "Content-Length: %zu\r\n", len);
   if (content_type != NULL)
@@ -201,7 +200,8 @@
   for (part = parts; *part != NULL; part++)
     {
       char **pair = g_strsplit (*part, "=", 2);
-      char *name = pair[0] == NULL ? NULL : g_uri_unescape_string (pair[0], "");
+      char *name
+          = pair[0] == NULL ? NULL : g_uri_unescape_string (pair[0], "");
       char *value = name == NULL || pair[1] == NULL
                         ? NULL
                         : g_uri_unescape_string (pair[1], "");
--- a/src/libragwortyoke-io/log.c
+++ b/src/libragwortyoke-io/log.c
@@ -48,7 +48,8 @@
       return;
     }
   log_.in_second++;
-  len = g_snprintf (line, sizeof line, "ts_ms=%" G_GINT64_FORMAT
+  len = g_snprintf (line, sizeof line,
+                    "ts_ms=%" G_GINT64_FORMAT
                     " level=%s process=%s left_out=%u event=%s\n",
                     now_ms, level, log_.prefix, log_.left_out, message);
   if (len >= (int)sizeof line)
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -5,8 +5,8 @@
  * @file
  * State of the balancer core for sequenced flows and functions shared by its
  * files: stream_balancer.c (configuration), stream_balancer_open.c (new
- * flows), stream_balancer_lookup.c (flows that moved), stream_balancer_member.c
- * (agents and other balancers).
+ * flows), stream_balancer_lookup.c (flows that moved),
+ * stream_balancer_member.c (agents and other balancers).
  */
 
 #include <glib.h>
@@ -66,14 +66,14 @@
 struct rgy_known_agent
 {
   uint32_t ip;
-  uint32_t tag; /**< Of its service.  */
-  struct rgy_stream_report report; /**< Without changes.  */
+  uint32_t tag;                      /**< Of its service.  */
+  struct rgy_stream_report report;   /**< Without changes.  */
   enum rgy_backend_state last_state; /**< Last one that was not unknown.  */
   int64_t heard_us;
   int64_t acked_us;        /**< Last acknowledgement.  */
   int64_t acked_change_us; /**< rgy_stream_balancer.changed_us it told.  */
   uint64_t changes_upto;
-  uint32_t placed; /**< New flows placed since the last report.  */
+  uint32_t placed;   /**< New flows placed since the last report.  */
   uint32_t n_cached; /**< Flows that are cached as open there.  */
   unsigned failures;
   int64_t excluded_until_us;
@@ -133,7 +133,7 @@
 struct rgy_lookup
 {
   struct rgy_flow_key key;
-  GArray *asked; /**< struct rgy_asked_agent.  */
+  GArray *asked;     /**< struct rgy_asked_agent.  */
   bool asked_others; /**< Also agents that the route does not name.  */
   int64_t began_us;
   int64_t deadline_us;
@@ -153,7 +153,7 @@
   GArray *peers;                /**< struct rgy_stream_peer.  */
   GHashTable *opens;            /**< Set of struct rgy_pending_open.  */
   GHashTable *lookups;          /**< Set of struct rgy_lookup.  */
-  int64_t changed_us; /**< Last change of manifest or view.  */
+  int64_t changed_us;           /**< Last change of manifest or view.  */
   double query_tokens;
   int64_t query_us; /**< When the tokens were counted.  */
   int64_t started_us;
@@ -240,8 +240,8 @@
                                     int64_t now_us);
 /** An agent whose flows are all cached has just reported: what is searched and
     not cached is not there.  */
-void rgy_stream_balancer_reported_ (struct rgy_stream_balancer *b,
-                                    uint32_t ip, int64_t now_us);
+void rgy_stream_balancer_reported_ (struct rgy_stream_balancer *b, uint32_t ip,
+                                    int64_t now_us);
 /** Forget all flows of an agent whose backend server has lost them.  */
 void rgy_stream_balancer_forget_agent_ (struct rgy_stream_balancer *b,
                                         uint32_t ip);
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -97,7 +97,7 @@
   struct rgy_flow_table *flows;
   uint32_t n_open;
   uint32_t n_awaited; /* Answered flows that the caller may yet take up.  */
-  GArray *balancers; /* struct balancer_.  */
+  GArray *balancers;  /* struct balancer_.  */
   uint64_t seq;
 
   GByteArray *journal; /* Changes from journal_from on.  */
@@ -112,8 +112,8 @@
   bool stopping;
   uint32_t slots;
   int64_t started_us;
-  int64_t heartbeat_us;   /* Last one; 0: none.  */
-  int64_t packet_us;      /* Last packet of the backend server.  */
+  int64_t heartbeat_us; /* Last one; 0: none.  */
+  int64_t packet_us;    /* Last packet of the backend server.  */
   int64_t cold_until_us;
   int64_t gone_us;
   int64_t cold_opened_us[COLD_RING];
@@ -269,24 +269,24 @@
 {
   struct rgy_stream_message message
       = { .kind = RGY_STREAM_REPORT,
-          .u.report = { .incarnation = agent->settings.incarnation,
-                        .seq = ++agent->seq,
-                        .service = agent->settings.service,
-                        .domain = agent->settings.domain,
-                        .backend_id = rgy_name_hash (
-                            &agent->backend,
-                            (uint64_t)agent->backend_started_ms),
-                        .state = agent->state,
-                        .restarting = agent->stopping,
-                        .complete = agent->complete,
-                        .cold = agent->cold_until_us > now_us,
-                        .slots = agent->slots,
-                        .open_flows = agent->n_open,
-                        .awaited_flows = agent->n_awaited,
-                        .latency_us = agent->latency_us,
-                        .balancers_hash = hash_balancers_ (agent),
-                        .changes_from = from,
-                        .changes = changes } };
+          .u.report
+          = { .incarnation = agent->settings.incarnation,
+              .seq = ++agent->seq,
+              .service = agent->settings.service,
+              .domain = agent->settings.domain,
+              .backend_id = rgy_name_hash (
+                  &agent->backend, (uint64_t)agent->backend_started_ms),
+              .state = agent->state,
+              .restarting = agent->stopping,
+              .complete = agent->complete,
+              .cold = agent->cold_until_us > now_us,
+              .slots = agent->slots,
+              .open_flows = agent->n_open,
+              .awaited_flows = agent->n_awaited,
+              .latency_us = agent->latency_us,
+              .balancers_hash = hash_balancers_ (agent),
+              .changes_from = from,
+              .changes = changes } };
 
   b->sent_us = now_us;
   rgy_stream_emit_message (&agent->settings.out, b->ip, &message);
@@ -320,8 +320,7 @@
   if (!stream->announced)
     return true;
   append_change_ (snapshot->changes, &flow->key, true);
-  if (snapshot->changes->len
-      >= RGY_STREAM_MAX_CHANGES * RGY_FLOW_CHANGE_BYTES)
+  if (snapshot->changes->len >= RGY_STREAM_MAX_CHANGES * RGY_FLOW_CHANGE_BYTES)
     {
       send_report_ (snapshot->agent, snapshot->balancer, 0,
                     (struct rgy_bytes){ .data = snapshot->changes->data,
@@ -363,10 +362,10 @@
   size_t len = MIN (agent->journal->len - offset,
                     RGY_STREAM_MAX_CHANGES * RGY_FLOW_CHANGE_BYTES);
 
-  send_report_ (agent, b, from,
-                (struct rgy_bytes){ .data = agent->journal->data + offset,
-                                    .len = len },
-                now_us);
+  send_report_ (
+      agent, b, from,
+      (struct rgy_bytes){ .data = agent->journal->data + offset, .len = len },
+      now_us);
 }
 
 static void
@@ -375,17 +374,16 @@
   guint i;
 
   for (i = 0; i < agent->balancers->len; i++)
-    report_to_ (agent,
-                &g_array_index (agent->balancers, struct balancer_, i),
+    report_to_ (agent, &g_array_index (agent->balancers, struct balancer_, i),
                 now_us);
 }
 
-/* Changes go out with the next periodic report: the balancer that carries a new
-   flow knows it from TAKEN, the others need it only when the router moves the
-   flow, and can ask.  */
+/* Changes go out with the next periodic report: the balancer that carries a
+   new flow knows it from TAKEN, the others need it only when the router moves
+   the flow, and can ask.  */
 static void
-record_change_ (struct rgy_stream_agent *agent,
-                const struct rgy_flow_key *key, bool opened)
+record_change_ (struct rgy_stream_agent *agent, const struct rgy_flow_key *key,
+                bool opened)
 {
   append_change_ (agent->journal, key, opened);
   if (agent->journal->len > MAX_JOURNAL * RGY_FLOW_CHANGE_BYTES)
@@ -491,11 +489,11 @@
   rgy_flow_table_close (agent->flows, flow);
 }
 
-/* Tells the caller that a flow is lost.  Only for flows that the backend server
-   certainly does not hold any more.  */
+/* Tells the caller that a flow is lost.  Only for flows that the backend
+   server certainly does not hold any more.  */
 static void
-reset_ (struct rgy_stream_agent *agent, struct rgy_flow *flow,
-        const char *why, int64_t now_us)
+reset_ (struct rgy_stream_agent *agent, struct rgy_flow *flow, const char *why,
+        int64_t now_us)
 {
   const struct stream_ *stream = flow->session;
   char text[RGY_FLOW_TEXT_BYTES];
@@ -549,12 +547,13 @@
   char text[RGY_FLOW_TEXT_BYTES];
 
   ++*agent->n_refused[reason];
-  rgy_stream_emit_log (
-      &agent->settings.out,
-      "open_refused flow=%s reason=%s backend=%s state=%s view=%" G_GUINT64_FORMAT,
-      rgy_flow_key_format (&segment->key, text),
-      rgy_stream_refusal_string[reason], agent->backend.data,
-      rgy_backend_state_string[agent->state], agent->view.revision);
+  rgy_stream_emit_log (&agent->settings.out,
+                       "open_refused flow=%s reason=%s backend=%s state=%s "
+                       "view=%" G_GUINT64_FORMAT,
+                       rgy_flow_key_format (&segment->key, text),
+                       rgy_stream_refusal_string[reason], agent->backend.data,
+                       rgy_backend_state_string[agent->state],
+                       agent->view.revision);
   answer_ (agent, RGY_STREAM_REFUSED, &segment->key, ip, (int)reason);
 }
 
@@ -637,8 +636,7 @@
 probe_ (struct rgy_stream_agent *agent, const struct rgy_segment *segment,
         uint32_t ip, int64_t now_us)
 {
-  struct rgy_flow *flow
-      = open_ (agent, &segment->key, FLOW_PROBING, now_us);
+  struct rgy_flow *flow = open_ (agent, &segment->key, FLOW_PROBING, now_us);
   struct stream_ *stream;
 
   if (flow == NULL)
@@ -664,8 +662,8 @@
 
 void
 rgy_stream_agent_from_balancer (struct rgy_stream_agent *agent,
-                                const struct rgy_segment *segment,
-                                uint32_t ip, int64_t now_us)
+                                const struct rgy_segment *segment, uint32_t ip,
+                                int64_t now_us)
 {
   struct rgy_flow *flow = rgy_flow_table_find (agent->flows, &segment->key);
   struct stream_ *stream = flow == NULL ? NULL : flow->session;
@@ -858,8 +856,8 @@
   b->heard_us = now_us;
   if (ack->view.revision > agent->view.revision)
     {
-      bool was = rgy_domain_view_is_out (&agent->view,
-                                         &agent->settings.domain);
+      bool was
+          = rgy_domain_view_is_out (&agent->view, &agent->settings.domain);
       bool is = rgy_domain_view_is_out (&ack->view, &agent->settings.domain);
 
       if (was != is)
@@ -969,8 +967,7 @@
     return;
   rgy_stream_emit_log (&agent->settings.out,
                        "backend_state backend=%s from=%s to=%s reason=%s "
-                       "heartbeat_age_ms=%" G_GINT64_FORMAT
-                       " open_flows=%u",
+                       "heartbeat_age_ms=%" G_GINT64_FORMAT " open_flows=%u",
                        agent->backend.data,
                        rgy_backend_state_string[agent->state],
                        rgy_backend_state_string[state], why,
@@ -1006,10 +1003,9 @@
 reset_flows_before_ (struct rgy_stream_agent *agent, int64_t before_us,
                      const char *why, int64_t now_us)
 {
-  struct loss_ loss = { .agent = agent,
-                        .why = why,
-                        .opened_before_us = before_us,
-                        .now_us = now_us };
+  struct loss_ loss = {
+    .agent = agent, .why = why, .opened_before_us = before_us, .now_us = now_us
+  };
 
   rgy_flow_table_foreach (agent->flows, reset_lost_, &loss);
 }
@@ -1029,11 +1025,11 @@
   agent->backend = heartbeat->id;
   agent->backend_started_ms = heartbeat->started_ms;
   agent->generation++;
-  rgy_stream_emit_log (&agent->settings.out,
-                       "backend_started backend=%s started_ms=%" G_GINT64_FORMAT
-                       " seq=%" G_GUINT64_FORMAT " first=%d",
-                       heartbeat->id.data, heartbeat->started_ms,
-                       heartbeat->seq, first);
+  rgy_stream_emit_log (
+      &agent->settings.out,
+      "backend_started backend=%s started_ms=%" G_GINT64_FORMAT
+      " seq=%" G_GUINT64_FORMAT " first=%d",
+      heartbeat->id.data, heartbeat->started_ms, heartbeat->seq, first);
   /* The first heartbeat of a start comes before any flow.  */
   if (first && heartbeat->seq <= 1)
     agent->complete = true;
@@ -1072,10 +1068,9 @@
   agent->slots = MAX (heartbeat->slots, 1);
   agent->cold_until_us
       = heartbeat->cold_left_us > 0 ? now_us + heartbeat->cold_left_us : 0;
-  set_backend_state_ (agent,
-                      heartbeat->draining ? RGY_BACKEND_DRAINING
-                                          : RGY_BACKEND_READY,
-                      "heartbeat", now_us);
+  set_backend_state_ (
+      agent, heartbeat->draining ? RGY_BACKEND_DRAINING : RGY_BACKEND_READY,
+      "heartbeat", now_us);
   return RGY_OK;
 }
 
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -87,8 +87,8 @@
   b->unsettled_us = now_us;
   b->ticked_us = now_us;
   b->flows = rgy_flow_table_new (settings->max_flows, settings->flow_ttl_us);
-  b->agents = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
-                                     g_free);
+  b->agents
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   b->peers = g_array_new (FALSE, TRUE, sizeof (struct rgy_stream_peer));
   /* The key is the first member of both values.  */
   b->opens = g_hash_table_new_full (hash_key_, equal_keys_, NULL, open_free_);
@@ -161,10 +161,10 @@
                               const struct rgy_domain_view *view,
                               int64_t now_us)
 {
-  bool same = view->n_out == b->view.n_out
-              && memcmp (view->out, b->view.out,
-                         view->n_out * sizeof view->out[0])
-                     == 0;
+  bool same
+      = view->n_out == b->view.n_out
+        && memcmp (view->out, b->view.out, view->n_out * sizeof view->out[0])
+               == 0;
 
   if (view->revision <= b->view.revision)
     return;
@@ -172,10 +172,10 @@
   if (same)
     return;
   b->changed_us = now_us;
-  rgy_stream_emit_log (&b->settings.out,
-                       "domains_out count=%zu first=%s revision=%" G_GUINT64_FORMAT,
-                       view->n_out, view->n_out > 0 ? view->out[0].data : "-",
-                       view->revision);
+  rgy_stream_emit_log (
+      &b->settings.out,
+      "domains_out count=%zu first=%s revision=%" G_GUINT64_FORMAT,
+      view->n_out, view->n_out > 0 ? view->out[0].data : "-", view->revision);
   rgy_stream_balancer_send_status_ (b, false, now_us);
   rgy_stream_balancer_greet_agents_ (b, now_us);
 }
@@ -198,7 +198,8 @@
 bool
 rgy_known_agent_is_lost_ (const struct rgy_known_agent *agent, int64_t now_us)
 {
-  int64_t limit_us = agent->report.restarting ? AGENT_RESTART_US : AGENT_LOST_US;
+  int64_t limit_us
+      = agent->report.restarting ? AGENT_RESTART_US : AGENT_LOST_US;
 
   return agent->report.state == RGY_BACKEND_GONE
          || now_us - agent->heard_us > limit_us;
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -29,10 +29,10 @@
       ++*b->n_dropped;
       return;
     }
-  lookup->held[lookup->n_held++] = (struct rgy_held_segment){
-    .data = g_memdup2 (segment->raw.data, segment->raw.len),
-    .len = segment->raw.len
-  };
+  lookup->held[lookup->n_held++]
+      = (struct rgy_held_segment){ .data = g_memdup2 (segment->raw.data,
+                                                      segment->raw.len),
+                                   .len = segment->raw.len };
 }
 
 /* Asks an agent, within the rate of queries.  */
@@ -42,7 +42,8 @@
 {
   struct rgy_stream_message message
       = { .kind = RGY_STREAM_QUERY, .u.flow = { .key = *key } };
-  double earned = (double)(now_us - b->query_us) / RGY_US_PER_S * QUERIES_PER_S;
+  double earned
+      = (double)(now_us - b->query_us) / RGY_US_PER_S * QUERIES_PER_S;
 
   b->query_tokens = MIN (b->query_tokens + earned, QUERIES_PER_S);
   b->query_us = now_us;
@@ -225,8 +226,7 @@
     }
   route = find_route_ (b, &segment->key);
   if (route == NULL && b->previous != NULL
-      && rgy_stream_manifest_find (b->previous,
-                                   segment->key.u.segment.service)
+      && rgy_stream_manifest_find (b->previous, segment->key.u.segment.service)
              != NULL)
     {
       /* The newest manifest dropped the route, and its flows with it.  */
@@ -308,8 +308,7 @@
       struct rgy_asked_agent *asked = find_asked_ (value, ip);
 
       if (asked == NULL || asked->answered
-          || now_us - ((struct rgy_lookup *)value)->began_us
-                 < REPORT_DELAY_US)
+          || now_us - ((struct rgy_lookup *)value)->began_us < REPORT_DELAY_US)
         continue;
       asked->answered = true;
       asked->answer = RGY_HELD_NO;
@@ -331,10 +330,11 @@
   if (lookup == NULL)
     return;
   for (i = 0; i < lookup->n_held; i++)
-    rgy_stream_balancer_send_ (b, key,
-                               (struct rgy_bytes){ .data = lookup->held[i].data,
-                                                   .len = lookup->held[i].len },
-                               agent_ip);
+    rgy_stream_balancer_send_ (
+        b, key,
+        (struct rgy_bytes){ .data = lookup->held[i].data,
+                            .len = lookup->held[i].len },
+        agent_ip);
   g_hash_table_remove (b->lookups, key);
 }
 
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -208,16 +208,16 @@
   size_t i;
   struct rgy_stream_message message
       = { .kind = RGY_STREAM_REPORT_ACK,
-          .u.ack = { .balancer_incarnation = b->settings.incarnation,
-                     .agent_incarnation = report->incarnation,
-                     .seq = report->seq,
-                     .changes_upto = agent->changes_upto,
-                     .view = b->view,
-                     .cold_rate_milli
-                     = b->manifest == NULL
-                           ? 0
-                           : rgy_stream_manifest_get_cold_rate (
-                               b->manifest, &report->service) } };
+          .u.ack
+          = { .balancer_incarnation = b->settings.incarnation,
+              .agent_incarnation = report->incarnation,
+              .seq = report->seq,
+              .changes_upto = agent->changes_upto,
+              .view = b->view,
+              .cold_rate_milli = b->manifest == NULL
+                                     ? 0
+                                     : rgy_stream_manifest_get_cold_rate (
+                                         b->manifest, &report->service) } };
 
   for (i = 0; i + 4 <= balancers->len; i += 4)
     hash ^= hash_ip_ (get_ip_ (balancers->data + i));
@@ -249,7 +249,8 @@
 
       if (at[RGY_FLOW_ENDS_BYTES] != 0)
         {
-          rgy_stream_balancer_learn_ (b, &key, agent->ip, RGY_FLOW_OPEN, now_us);
+          rgy_stream_balancer_learn_ (b, &key, agent->ip, RGY_FLOW_OPEN,
+                                      now_us);
           continue;
         }
       flow = rgy_flow_table_find (b->flows, &key);
--- a/src/libragwortyoke/stream_balancer_open.c
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -34,12 +34,12 @@
 takes_new_ (const struct rgy_stream_balancer *b,
             const struct rgy_known_agent *agent, int64_t now_us)
 {
-  return rgy_known_agent_is_heard_ (agent, now_us)
-         && is_usable_ (agent) && !agent->report.restarting && agent->excluded_until_us <= now_us
+  return rgy_known_agent_is_heard_ (agent, now_us) && is_usable_ (agent)
+         && !agent->report.restarting && agent->excluded_until_us <= now_us
          && !rgy_domain_view_is_out (&b->view, &agent->report.domain);
 }
 
-/* The agent of one service that a new flow goes to; NULL when none is left.  */
+/* The agent of one service that a new flow goes to; NULL when none is left. */
 static struct rgy_known_agent *
 choose_of_service_ (struct rgy_stream_balancer *b,
                     const struct rgy_pending_open *open, uint32_t tag,
@@ -148,14 +148,14 @@
   char text[RGY_FLOW_TEXT_BYTES];
 
   ++*b->n_resets;
-  rgy_stream_emit_log (&b->settings.out,
-                       "open_rejected flow=%s reason=%s tried=%zu "
-                       "waited_ms=%" G_GINT64_FORMAT
-                       " agents=%zu version=%" G_GUINT64_FORMAT,
-                       rgy_flow_key_format (&open->key, text), why,
-                       open->n_tried, (now_us - open->began_us) / RGY_US_PER_MS,
-                       rgy_stream_balancer_count_agents (b, now_us),
-                       rgy_stream_balancer_get_version (b));
+  rgy_stream_emit_log (
+      &b->settings.out,
+      "open_rejected flow=%s reason=%s tried=%zu "
+      "waited_ms=%" G_GINT64_FORMAT " agents=%zu version=%" G_GUINT64_FORMAT,
+      rgy_flow_key_format (&open->key, text), why, open->n_tried,
+      (now_us - open->began_us) / RGY_US_PER_MS,
+      rgy_stream_balancer_count_agents (b, now_us),
+      rgy_stream_balancer_get_version (b));
   rgy_stream_emit_reset (&b->settings.out, &open->key, 0);
 }
 
--- a/src/libragwortyoke/stream_message.c
+++ b/src/libragwortyoke/stream_message.c
@@ -107,8 +107,7 @@
   rgy_flow_ends_encode (&message->u.flow.key, ends);
   msgpack_pack_array (pk, 3);
   msgpack_pack_uint8 (pk, (uint8_t)message->kind);
-  rgy_pack_bytes (pk,
-                  (struct rgy_bytes){ .data = ends, .len = sizeof ends });
+  rgy_pack_bytes (pk, (struct rgy_bytes){ .data = ends, .len = sizeof ends });
   msgpack_pack_uint8 (pk, (uint8_t)argument);
 }
 
@@ -200,8 +199,8 @@
   r->latency_us = (uint32_t)rgy_read_max (reader, UINT32_MAX);
   r->balancers_hash = rgy_read_u64 (reader);
   r->changes_from = rgy_read_u64 (reader);
-  r->changes = read_records_ (reader, RGY_FLOW_CHANGE_BYTES,
-                              RGY_STREAM_MAX_CHANGES);
+  r->changes
+      = read_records_ (reader, RGY_FLOW_CHANGE_BYTES, RGY_STREAM_MAX_CHANGES);
 }
 
 static void
@@ -280,9 +279,9 @@
     }
   if (reader.count != n_fields[kind])
     goto out;
-  *message = (struct rgy_stream_message){
-    .kind = (enum rgy_stream_message_kind)kind
-  };
+  *message
+      = (struct rgy_stream_message){ .kind
+                                     = (enum rgy_stream_message_kind)kind };
   switch (message->kind)
     {
     case RGY_STREAM_REPORT:
--- a/src/test_http_client/test_http_client.c
+++ b/src/test_http_client/test_http_client.c
@@ -40,8 +40,8 @@
   if (strcmp (request->path, "/large") == 0)
     response->body = g_strnfill (LARGE_BYTES, 'x');
   else if (strcmp (request->path, "/echo") == 0)
-    response->body = g_strndup ((const char *)request->body.data,
-                                request->body.len);
+    response->body
+        = g_strndup ((const char *)request->body.data, request->body.len);
   else
     response->status = 404;
 }
--- a/src/test_placement/test_placement.c
+++ b/src/test_placement/test_placement.c
@@ -43,8 +43,8 @@
   assert_in_range (counts[2], 195, 205);
 }
 
-/* Load pattern: one failure domain has fewer backend servers than callers.  Its
-   callers stay near while it bears them, and go elsewhere before they wait.  */
+/* Load pattern: one failure domain has fewer backend servers than callers. Its
+   callers stay near while it bears them, and go elsewhere before they wait. */
 static void
 load_leaves_a_full_domain_ (void **state)
 {
@@ -77,7 +77,7 @@
   assert_true (counts[2] < counts[0] / 3);
 }
 
-/* Load pattern: a release replaces backend servers one by one by cold ones.  */
+/* Load pattern: a release replaces backend servers one by one by cold ones. */
 static void
 cold_gets_less_ (void **state)
 {
--- a/src/test_platform_head/test_platform_head.c
+++ b/src/test_platform_head/test_platform_head.c
@@ -10,11 +10,11 @@
 #include "platform.h"
 
 /* The example of the users' protocol page.  */
-static const uint8_t syn_[RGY_HEAD_BYTES]
-    = { 0x02, 0,    0,    0,    0,    0,    0x11, 0x22, 0x33,
-        0x44, 0,    0,    0,    0,    0,    0,    0,    0,
-        0x01, 0xbb, 0xc6, 0x12, 0x00, 0x01, 0x64, 0x40, 0x00,
-        0x07, 0x9c, 0x41, 0,    0,    0xa1, 0xb2, 0xc3, 0xd5 };
+static const uint8_t syn_[RGY_HEAD_BYTES] = {
+  0x02, 0,    0,    0,    0,    0,    0x11, 0x22, 0x33, 0x44, 0,    0,
+  0,    0,    0,    0,    0,    0,    0x01, 0xbb, 0xc6, 0x12, 0x00, 0x01,
+  0x64, 0x40, 0x00, 0x07, 0x9c, 0x41, 0,    0,    0xa1, 0xb2, 0xc3, 0xd5
+};
 static const uint8_t reset_[RGY_HEAD_BYTES]
     = { 0x08, 0,    0,    0,    0,    0,    0,    0,    0,    0,    0,    0,
         0,    0,    0,    0,    0,    0,    0x9c, 0x41, 0x64, 0x40, 0x00, 0x07,
@@ -91,8 +91,9 @@
   memcpy (packet + RGY_HEAD_BYTES, "hello", 5);
   packet[31] = 5;
   packet[0] |= 128;
-  assert_int_equal (rgy_head_copy (bytes_ (packet, sizeof packet), &trail, out),
-                    sizeof packet);
+  assert_int_equal (
+      rgy_head_copy (bytes_ (packet, sizeof packet), &trail, out),
+      sizeof packet);
   for (i = 0; i < sizeof packet; i++)
     if (i == 0)
       assert_int_equal (out[i], 2);
@@ -119,8 +120,9 @@
   memcpy (packet, syn_, sizeof syn_);
   for (len = 0; len < sizeof packet; len++)
     if (len != RGY_HEAD_BYTES)
-      assert_int_equal (rgy_head_decode (bytes_ (packet, len), false, &segment),
-                        RGY_ERR_INVALID);
+      assert_int_equal (
+          rgy_head_decode (bytes_ (packet, len), false, &segment),
+          RGY_ERR_INVALID);
 }
 
 int
--- a/src/test_platform_manifest/test_platform_manifest.c
+++ b/src/test_platform_manifest/test_platform_manifest.c
@@ -59,8 +59,10 @@
 manifest_is_translated_ (void **state)
 {
   static const char json[]
-      = "{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":\"198.18.0.1\","
-        "\"prefix\":\"/8443/\",\"traffic_split\":[{\"service\":\"a\",\"weight\":"
+      = "{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":\"198.18.0."
+        "1\","
+        "\"prefix\":\"/8443/"
+        "\",\"traffic_split\":[{\"service\":\"a\",\"weight\":"
         "90},{\"service\":\"b\",\"weight\":10}]},{\"hostname\":\"198.18.0.2\","
         "\"prefix\":\"/80/\",\"service\":\"b\"}]," SERVICES
         ",\"limits\":{\"idle_timeout_ms\":15000},\"new\":true}";
@@ -122,7 +124,8 @@
     "{\"service\":\"a\",\"concurrency\":4,\"state\":\"ready\",\"seq\":4}",
     "{\"service\":\"a\",\"concurrency\":4,\"state\":\"well\","
     "\"warmup_left_ms\":0,\"seq\":4}",
-    "{\"service\":7,\"concurrency\":4,\"state\":\"ready\",\"warmup_left_ms\":0,"
+    "{\"service\":7,\"concurrency\":4,\"state\":\"ready\",\"warmup_left_ms\":"
+    "0,"
     "\"seq\":4}",
     "{\"service\":\"a\",\"concurrency\":0,\"state\":\"ready\","
     "\"warmup_left_ms\":0,\"seq\":4}",
--- a/src/test_platform_settings/test_platform_settings.c
+++ b/src/test_platform_settings/test_platform_settings.c
@@ -92,8 +92,8 @@
       char *pattern = g_strdup_printf ("(?m)^%s=.*$", bad[i].key);
       char *line = g_strdup_printf ("%s=%s", bad[i].key, bad[i].value);
       GRegex *regex = g_regex_new (pattern, 0, 0, NULL);
-      char *text = g_regex_replace_literal (regex, agent_, -1, 0, line, 0,
-                                            NULL);
+      char *text
+          = g_regex_replace_literal (regex, agent_, -1, 0, line, 0, NULL);
       char *why = NULL;
 
       assert_int_equal (load_ (text, true, &s, &why), RGY_ERR_INVALID);
--- a/src/test_segment/test_segment.c
+++ b/src/test_segment/test_segment.c
@@ -9,7 +9,7 @@
 
 #include "ragwortyoke/segment.h"
 
-/* A flow that is named differently in a message would be found at no agent.  */
+/* A flow that is named differently in a message would be found at no agent. */
 static void
 ends_survive_encoding_ (void **state)
 {
--- a/src/test_stream_flow/test_stream_flow.c
+++ b/src/test_stream_flow/test_stream_flow.c
@@ -51,8 +51,8 @@
   world_delete (w);
 }
 
-/* Balancers are stopped and started in turn; nearly every flow moves to another
-   one each time.  */
+/* Balancers are stopped and started in turn; nearly every flow moves to
+   another one each time.  */
 static void
 flows_survive_a_roll_of_balancers_ (void **state)
 {
@@ -125,8 +125,8 @@
   world_delete (w);
 }
 
-/* Everything loses power: callers must be told within about a second that their
-   flows are lost, and new flows be taken.  */
+/* Everything loses power: callers must be told within about a second that
+   their flows are lost, and new flows be taken.  */
 static void
 lost_flows_are_reset_soon_ (void **state)
 {
@@ -161,9 +161,9 @@
   world_delete (w);
 }
 
-/* A weight of zero takes a service off a route; its open flows stay.  When TAKEN
-   was lost, such a flow was searched among the agents of the newest route only
-   and reset (hollenbeck-lakes, mix, seed 658227542158).  */
+/* A weight of zero takes a service off a route; its open flows stay.  When
+   TAKEN was lost, such a flow was searched among the agents of the newest
+   route only and reset (hollenbeck-lakes, mix, seed 658227542158).  */
 static void
 flows_outlive_a_change_of_weights_ (void **state)
 {
--- a/src/test_stream_flow/world.c
+++ b/src/test_stream_flow/world.c
@@ -78,8 +78,8 @@
   uint32_t number;
   bool done;
   bool open;
-  uint32_t seq;         /* Of the backend server's first segment.  */
-  size_t backend;       /* Whose answer it took.  */
+  uint32_t seq;   /* Of the backend server's first segment.  */
+  size_t backend; /* Whose answer it took.  */
   int64_t began_us;
   int64_t ends_us;
   int64_t asked_us; /* Request that waits; 0: none.  */
@@ -152,8 +152,9 @@
 static void
 post_ (struct world *w, struct delivery_ delivery, bool local)
 {
-  int64_t delay = local ? LOCAL_DELAY_US
-                        : g_rand_int_range (w->rand, MIN_DELAY_US, MAX_DELAY_US);
+  int64_t delay = local
+                      ? LOCAL_DELAY_US
+                      : g_rand_int_range (w->rand, MIN_DELAY_US, MAX_DELAY_US);
 
   if (!local && g_rand_double (w->rand) < w->loss)
     {
@@ -202,9 +203,9 @@
 {
   struct node_ *node = ctx;
   struct world *w = node->world;
-  struct delivery_ d = { .from_ip = (uint32_t)(
-                             (node->is_agent ? AGENT_IP : BALANCER_IP)
-                             + node->index) };
+  struct delivery_ d
+      = { .from_ip = (uint32_t)((node->is_agent ? AGENT_IP : BALANCER_IP)
+                                + node->index) };
 
   switch (action->kind)
     {
@@ -259,12 +260,12 @@
 send_ (struct world *w, const struct caller_ *caller, uint8_t flags,
        uint16_t len)
 {
-  struct delivery_ d = { .kind = PLACE_ROUTER,
-                         .packet = { .caller = caller->number,
-                                     .flags = flags,
-                                     .ack = caller->open ? caller->seq + 1
-                                                         : caller->repeats,
-                                     .payload_len = len } };
+  struct delivery_ d
+      = { .kind = PLACE_ROUTER,
+          .packet = { .caller = caller->number,
+                      .flags = flags,
+                      .ack = caller->open ? caller->seq + 1 : caller->repeats,
+                      .payload_len = len } };
 
   post_ (w, d, false);
 }
@@ -331,14 +332,13 @@
       return;
     }
   send_ (w, caller, RGY_SEGMENT_ACK, 100);
-  caller->next_us
-      = w->now_us + (FIRST_RETRY_US << MIN (caller->repeats, 3));
+  caller->next_us = w->now_us + (FIRST_RETRY_US << MIN (caller->repeats, 3));
   caller->repeats++;
 }
 
-/* True when the backend server whose answer the caller took holds the flow.  The
-   number tells it from a flow that a copy of the first segment began at a later
-   start.  */
+/* True when the backend server whose answer the caller took holds the flow.
+   The number tells it from a flow that a copy of the first segment began at a
+   later start.  */
 static bool
 is_held_ (const struct world *w, const struct caller_ *caller)
 {
@@ -406,10 +406,9 @@
 from_backend_ (struct world *w, size_t i, struct packet_ packet,
                const struct rgy_trail *trail)
 {
-  struct delivery_ d = { .kind = PLACE_FROM_BACKEND,
-                         .index = i,
-                         .packet = packet,
-                         .trail = *trail };
+  struct delivery_ d = {
+    .kind = PLACE_FROM_BACKEND, .index = i, .packet = packet, .trail = *trail
+  };
 
   post_ (w, d, true);
 }
@@ -435,13 +434,12 @@
           backend->taken++;
           if (!w->ever_named[service_of_ (w, d->index)])
             w->seen.wrong_service++;
-          if (backend->draining
-              && w->now_us - backend->drained_us > DRAIN_US)
+          if (backend->draining && w->now_us - backend->drained_us > DRAIN_US)
             w->seen.after_drain++;
         }
       answer.flags = RGY_SEGMENT_SYN | RGY_SEGMENT_ACK;
-      answer.seq = GPOINTER_TO_UINT (
-          g_hash_table_lookup (backend->flows, number));
+      answer.seq
+          = GPOINTER_TO_UINT (g_hash_table_lookup (backend->flows, number));
       from_backend_ (w, d->index, answer, &(struct rgy_trail){ 0 });
       return;
     }
@@ -479,8 +477,7 @@
 static struct rgy_name
 backend_name_ (const struct world *w, size_t i)
 {
-  char *text
-      = g_strdup_printf ("i-%zu-%u", i, w->backends[i].generation);
+  char *text = g_strdup_printf ("i-%zu-%u", i, w->backends[i].generation);
   struct rgy_name name = rgy_name_from_c (text);
 
   g_free (text);
@@ -491,13 +488,12 @@
 heartbeat_ (struct world *w, size_t i)
 {
   struct backend_ *backend = &w->backends[i];
-  struct rgy_backend_heartbeat heartbeat
-      = { .id = backend_name_ (w, i),
-          .service = service_name_ (w, i),
-          .started_ms = backend->started_ms,
-          .seq = ++backend->seq,
-          .draining = backend->draining,
-          .slots = 4 };
+  struct rgy_backend_heartbeat heartbeat = { .id = backend_name_ (w, i),
+                                             .service = service_name_ (w, i),
+                                             .started_ms = backend->started_ms,
+                                             .seq = ++backend->seq,
+                                             .draining = backend->draining,
+                                             .slots = 4 };
 
   backend->next_heartbeat_us = w->now_us + WORLD_HEARTBEAT_US;
   if (w->agents[i] != NULL
@@ -745,8 +741,8 @@
                                           w->now_us);
   rgy_stream_balancer_set_view (w->balancers[i], &w->view, w->now_us);
   for (k = 0; k < w->n_balancers; k++)
-    rgy_stream_balancer_add_peer (w->balancers[i],
-                                  (uint32_t)(BALANCER_IP + k), w->now_us);
+    rgy_stream_balancer_add_peer (w->balancers[i], (uint32_t)(BALANCER_IP + k),
+                                  w->now_us);
 }
 
 void
--- a/src/test_stream_flow/world.h
+++ b/src/test_stream_flow/world.h
@@ -4,8 +4,8 @@
 /**
  * @file
  * Balancers, agents, backend servers and callers on a virtual clock.  Segments
- * and messages take time and may be lost; the world checks what each caller and
- * each backend server sees.
+ * and messages take time and may be lost; the world checks what each caller
+ * and each backend server sees.
  */
 
 #include <stdbool.h>
@@ -22,9 +22,9 @@
 /** What callers and backend servers saw.  */
 struct world_seen
 {
-  unsigned opened;        /**< Flows that callers opened.  */
-  unsigned answered;      /**< Requests answered.  */
-  unsigned resets;        /**< Flows reset whose backend server had lost them. */
+  unsigned opened;   /**< Flows that callers opened.  */
+  unsigned answered; /**< Requests answered.  */
+  unsigned resets;   /**< Flows reset whose backend server had lost them. */
   unsigned wrong_resets;  /**< Open flows reset while their backend server
                                holds them.  */
   unsigned wrong_service; /**< First segments at a service that the route did
@@ -44,8 +44,8 @@
 /** Agents with an index below @p n serve "workshop", others "catalogue".  */
 void world_set_workshop (struct world *world, size_t n);
 
-/** Put a manifest with these weights into force at all balancers; a weight of 0
-    leaves the service out.  */
+/** Put a manifest with these weights into force at all balancers; a weight of
+   0 leaves the service out.  */
 void world_set_weights (struct world *world, uint32_t workshop,
                         uint32_t catalogue);
 
--- a/src/test_stream_message/test_stream_message.c
+++ b/src/test_stream_message/test_stream_message.c
@@ -54,15 +54,15 @@
       };
       break;
     case RGY_STREAM_STATUS:
-      message.u.status = (struct rgy_stream_status){
-        .incarnation = 1,
-        .manifest_version = 7,
-        .wants_reply = true,
-        .settled = true,
-        .view = view,
-        .balancers = { .data = ips_, .len = sizeof ips_ },
-        .agents = { .data = ips_, .len = 4 }
-      };
+      message.u.status
+          = (struct rgy_stream_status){ .incarnation = 1,
+                                        .manifest_version = 7,
+                                        .wants_reply = true,
+                                        .settled = true,
+                                        .view = view,
+                                        .balancers
+                                        = { .data = ips_, .len = sizeof ips_ },
+                                        .agents = { .data = ips_, .len = 4 } };
       break;
     case RGY_STREAM_HELLO:
     case RGY_STREAM_MESSAGE_KIND_COUNT:
@@ -158,7 +158,7 @@
   (void)state;
   for (round = 0; round < 20000; round++)
     {
-      GByteArray *bytes = encode_ ((enum rgy_stream_message_kind)(
+      GByteArray *bytes = encode_ ((enum rgy_stream_message_kind) (
           round % RGY_STREAM_MESSAGE_KIND_COUNT));
       struct rgy_stream_message message;
 
