--- a/src/libragwortyoke/stream_action.c
+++ b/src/libragwortyoke/stream_action.c
@@ -2,7 +2,6 @@
 
 #include <glib.h>
 #include <stdarg.h>
-#include <stdio.h>
 
 #include "ragwortyoke/stream_message.h"
 
@@ -66,7 +65,7 @@
   va_list ap;
 
   va_start (ap, format);
-  vsnprintf (text, sizeof text, format, ap);
+  g_vsnprintf (text, sizeof text, format, ap);
   va_end (ap);
   action.u.log = text;
   out->emit (out->ctx, &action);
--- a/src/libragwortyoke/stream_balancer_packet.c
+++ b/src/libragwortyoke/stream_balancer_packet.c
@@ -71,6 +71,7 @@
     }
   else
     rgy_flow_table_touch (b->flows, flow, now_us);
+  g_assert (cached != NULL);
   count_ (b, cached, -1);
   cached->agent_ip = agent_ip;
   cached->certainty = certainty;
--- a/src/libragwortyoke/stream_manifest.c
+++ b/src/libragwortyoke/stream_manifest.c
@@ -113,6 +113,8 @@
 
   for (i = 0; i < route->n_targets; i++)
     total += route->targets[i].weight;
+  if (total == 0)
+    return 0; /* Refused when the route was added.  */
   point = flow_hash % total;
   for (i = 0; i + 1 < route->n_targets; i++)
     {
