--- /dev/null
+++ b/tests/fuzz/fuzz_stream_message.c
@@ -0,0 +1,65 @@
+#include "fuzz.h"
+#include "ragwortyoke/stream_message.h"
+
+static void
+add_ (GPtrArray *seeds, const struct rgy_stream_message *message)
+{
+  GByteArray *bytes = g_byte_array_new ();
+
+  rgy_stream_message_encode (message, bytes);
+  fuzz_add_array (seeds, bytes);
+}
+
+void
+fuzz_add_seeds (GPtrArray *seeds)
+{
+  static const uint8_t change[RGY_FLOW_CHANGE_BYTES] = { 100, 64, 0, 7 };
+  static const uint8_t ips[8] = { 10, 1, 0, 1, 10, 1, 0, 2 };
+  struct rgy_stream_message message = { .kind = RGY_STREAM_REPORT };
+  int kind;
+
+  message.u.report.service = rgy_name_from_c ("workshop");
+  message.u.report.domain = rgy_name_from_c ("poa-a");
+  message.u.report.changes
+      = (struct rgy_bytes){ .data = change, .len = sizeof change };
+  add_ (seeds, &message);
+  message = (struct rgy_stream_message){ .kind = RGY_STREAM_REPORT_ACK };
+  message.u.ack.view.n_out = 1;
+  message.u.ack.view.out[0] = rgy_name_from_c ("poa-b");
+  message.u.ack.balancers
+      = (struct rgy_bytes){ .data = ips, .len = sizeof ips };
+  add_ (seeds, &message);
+  message = (struct rgy_stream_message){ .kind = RGY_STREAM_STATUS };
+  message.u.status.agents = (struct rgy_bytes){ .data = ips, .len = 4 };
+  add_ (seeds, &message);
+  for (kind = RGY_STREAM_HELLO; kind < RGY_STREAM_MESSAGE_KIND_COUNT; kind++)
+    {
+      message = (struct rgy_stream_message){
+        .kind = (enum rgy_stream_message_kind)kind
+      };
+      add_ (seeds, &message);
+    }
+}
+
+/* What is accepted must be within bounds and survive being encoded again.  */
+void
+fuzz_run (struct rgy_bytes input)
+{
+  struct rgy_stream_message message;
+  struct rgy_stream_message again;
+  GByteArray *bytes;
+
+  if (rgy_stream_message_decode (input, &message) != RGY_OK)
+    return;
+  if (message.kind == RGY_STREAM_REPORT)
+    {
+      g_assert (message.u.report.state < RGY_BACKEND_STATE_COUNT);
+      g_assert (message.u.report.changes.len
+                <= RGY_STREAM_MAX_CHANGES * RGY_FLOW_CHANGE_BYTES);
+    }
+  bytes = g_byte_array_new ();
+  rgy_stream_message_encode (&message, bytes);
+  g_assert (rgy_stream_message_decode (fuzz_borrow (bytes), &again) == RGY_OK);
+  g_assert (again.kind == message.kind);
+  g_byte_array_unref (bytes);
+}
