Add a fault soak of real processes

Three balancers and six agents on loopback addresses; kills, pauses, stops, SIGHUP, ends and drains of backend servers, changes of weights, evacuations and a store that is busy, refuses, loses answers, history and leases. It checks resets of open flows, drains, evacuations and service after the faults.

--- /dev/null
+++ b/tests/soak/process.c
@@ -0,0 +1,137 @@
+#include "soak.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "ragwortyoke/clock.h"
+
+unsigned soak_instance;
+
+static char *folder_;
+
+const char *
+soak_process_folder (void)
+{
+  if (folder_ == NULL)
+    folder_ = g_dir_make_tmp ("rgy-soak-XXXXXX", NULL);
+  return folder_;
+}
+
+void
+soak_process_clean (void)
+{
+  GDir *dir = g_dir_open (soak_process_folder (), 0, NULL);
+  const char *name;
+
+  while (dir != NULL && (name = g_dir_read_name (dir)) != NULL)
+    {
+      char *path = g_build_filename (folder_, name, NULL);
+
+      g_unlink (path);
+      g_free (path);
+    }
+  if (dir != NULL)
+    g_dir_close (dir);
+  g_rmdir (folder_);
+}
+
+static char *
+ip_ (uint32_t ip)
+{
+  struct in_addr addr = { .s_addr = htonl (ip) };
+  char text[INET_ADDRSTRLEN] = "";
+
+  inet_ntop (AF_INET, &addr, text, sizeof text);
+  return g_strdup (text);
+}
+
+static char *
+write_settings_ (const struct soak_process *process, bool first_start)
+{
+  uint32_t number = (process->agent ? SOAK_AGENT_IP : SOAK_BALANCER_IP)
+                    + (uint32_t)process->index;
+  char *ip = ip_ (number);
+  char *store = ip_ (SOAK_STORE_IP);
+  char *seed = ip_ (SOAK_BALANCER_IP);
+  char *path = g_strdup_printf ("%s/%s.conf", soak_process_folder (), ip);
+  char *text = g_strdup_printf (
+      "[instance]\nname=%s-%zu\nip=%s\nfailure-domain=%s\nfirst-start=%s\n"
+      "seeds=%s:%d\n[backend-server]\nservice=%s\naddress=%s\n"
+      "heartbeat-ms=500\n[listen]\npackets=%s:%d\nfrom-backend-server=%s:%d\n"
+      "readiness=%s:%d\nheartbeats=%s:%d\ninternal-ports=%d,%d\n"
+      "[store]\naddress=%s:%d\n[flows]\nlifetime-s=60\nmemory-mb=64\n",
+      process->agent ? "side" : "front", process->index, ip,
+      process->index % 2 == 0 ? "domain-a" : "domain-b",
+      first_start ? "true" : "false", seed, SOAK_CONTROL_PORT,
+      process->index < SOAK_WORKSHOP ? "workshop" : "catalogue",
+      process->agent ? g_strdup_printf ("%s:%d", ip, SOAK_APP_PORT) : "", ip,
+      SOAK_PACKETS_PORT, ip, SOAK_OUTBOUND_PORT, ip, SOAK_READY_PORT, ip,
+      SOAK_CONTROL_PORT, SOAK_INTERNAL_PORT, SOAK_INTERNAL_PORT + 15, store,
+      SOAK_STORE_PORT);
+
+  g_file_set_contents (path, text, -1, NULL);
+  g_free (text);
+  g_free (seed);
+  g_free (store);
+  g_free (ip);
+  return path;
+}
+
+void
+soak_process_start (struct soak_process *process, bool first_start)
+{
+  char *settings = write_settings_ (process, first_start);
+  char *boot = g_strconcat ("RAGWORTYOKE_BOOT=", settings, NULL);
+  char *log = g_strconcat (settings, ".log", NULL);
+  char *argv[] = { (char *)SOAK_PROGRAM,
+                   (char *)(process->agent ? "agent" : "balancer"), NULL };
+  char *envp[] = { boot, NULL };
+  pid_t pid = fork ();
+
+  if (pid == 0)
+    {
+      int fd = open (log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+      int other;
+
+      dup2 (fd, STDOUT_FILENO);
+      dup2 (fd, STDERR_FILENO);
+      /* The sockets of this process must not stay bound in the child.  */
+      for (other = 3; other < 1024; other++)
+        close (other);
+      execve (argv[0], argv, envp);
+      _exit (127);
+    }
+  g_assert (pid > 0);
+  process->pid = pid;
+  process->paused = false;
+  g_free (log);
+  g_free (boot);
+  g_free (settings);
+}
+
+void
+soak_process_signal (struct soak_process *process, int signal)
+{
+  if (process->pid == 0)
+    return;
+  kill (process->pid, signal);
+  process->paused = signal == SIGSTOP;
+  if (signal != SIGKILL)
+    return;
+  waitpid (process->pid, NULL, 0);
+  process->pid = 0;
+}
+
+bool
+soak_process_has_ended (struct soak_process *process)
+{
+  if (process->pid != 0
+      && waitpid (process->pid, NULL, WNOHANG) == process->pid)
+    process->pid = 0;
+  return process->pid == 0;
+}
--- /dev/null
+++ b/tests/soak/store.c
@@ -0,0 +1,259 @@
+#include "soak.h"
+
+#include <jansson.h>
+#include <string.h>
+
+/* Stand-in for the platform's store, as far as the programs use it.  */
+
+struct item_
+{
+  char *key;
+  char *value; /* NULL: a tombstone.  */
+  uint64_t revision;
+  uint64_t lease;
+};
+
+static struct
+{
+  uv_loop_t *loop;
+  struct rgy_http *http;
+  enum soak_store_mode mode;
+  uint64_t revision;
+  uint64_t first_revision; /* Older history is gone.  */
+  uint64_t next_lease;
+  GPtrArray *items;   /* Newest state of each key.  */
+  GPtrArray *history; /* Every change, as struct item_.  */
+  GHashTable *leases;
+} store_;
+
+static void
+free_item_ (void *data)
+{
+  struct item_ *item = data;
+
+  g_free (item->key);
+  g_free (item->value);
+  g_free (item);
+}
+
+static struct item_ *
+new_item_ (const char *key, const char *value, uint64_t lease)
+{
+  struct item_ *item = g_new0 (struct item_, 1);
+
+  item->key = g_strdup (key);
+  item->value = g_strdup (value);
+  item->revision = store_.revision;
+  item->lease = lease;
+  return item;
+}
+
+/* VALUE is base64, or NULL to delete.  */
+static void
+change_ (const char *key, const char *value, uint64_t lease)
+{
+  guint i;
+
+  store_.revision++;
+  g_ptr_array_add (store_.history, new_item_ (key, value, lease));
+  for (i = 0; i < store_.items->len; i++)
+    if (strcmp (((struct item_ *)store_.items->pdata[i])->key, key) == 0)
+      {
+        g_ptr_array_remove_index_fast (store_.items, i);
+        break;
+      }
+  if (value != NULL)
+    g_ptr_array_add (store_.items, new_item_ (key, value, lease));
+}
+
+void
+soak_store_put (const char *key, const char *value)
+{
+  char *encoded = g_base64_encode ((const guchar *)value, strlen (value));
+
+  change_ (key, encoded, 0);
+  g_free (encoded);
+}
+
+void
+soak_store_delete (const char *key)
+{
+  change_ (key, NULL, 0);
+}
+
+void
+soak_store_compact (void)
+{
+  store_.first_revision = store_.revision + 1;
+  g_ptr_array_set_size (store_.history, 0);
+}
+
+void
+soak_store_revoke (void)
+{
+  guint i;
+
+  g_hash_table_remove_all (store_.leases);
+  for (i = store_.items->len; i-- > 0;)
+    {
+      struct item_ *item = store_.items->pdata[i];
+
+      if (item->lease != 0)
+        {
+          char *key = g_strdup (item->key);
+
+          change_ (key, NULL, 0);
+          g_free (key);
+        }
+    }
+}
+
+static json_t *
+item_json_ (const struct item_ *item)
+{
+  if (item->value == NULL)
+    return json_pack ("{s:s, s:I, s:b}", "key", item->key, "revision",
+                      (json_int_t)item->revision, "tombstone", 1);
+  return json_pack ("{s:s, s:s, s:I, s:I}", "key", item->key, "value",
+                    item->value, "revision", (json_int_t)item->revision,
+                    "lease", (json_int_t)item->lease);
+}
+
+static json_t *
+list_ (GPtrArray *items, const char *prefix, uint64_t after)
+{
+  json_t *list = json_array ();
+  guint i;
+
+  for (i = 0; i < items->len; i++)
+    {
+      const struct item_ *item = items->pdata[i];
+
+      if (g_str_has_prefix (item->key, prefix) && item->revision > after)
+        json_array_append_new (list, item_json_ (item));
+    }
+  return list;
+}
+
+static json_t *
+write_ (struct rgy_bytes body)
+{
+  json_t *root = json_loadb ((const char *)body.data, body.len, 0, NULL);
+  const json_t *item;
+  size_t i;
+
+  json_array_foreach (json_object_get (root, "writes"), i, item)
+  {
+    change_ (json_string_value (json_object_get (item, "key")),
+             json_string_value (json_object_get (item, "value")),
+             (uint64_t)json_integer_value (json_object_get (item, "lease")));
+  }
+  json_decref (root);
+  return json_pack ("{s:I}", "revision", (json_int_t)store_.revision);
+}
+
+static json_t *
+answer_ (const struct rgy_http_request *request, unsigned *status)
+{
+  const char *prefix = rgy_http_request_get_query (request, "prefix");
+  const char *after = rgy_http_request_get_query (request, "after");
+  uint64_t from = after == NULL ? 0 : g_ascii_strtoull (after, NULL, 10);
+
+  if (strcmp (request->path, "/kv-range") == 0 && prefix != NULL)
+    return json_pack ("{s:o, s:b, s:I}", "items",
+                      list_ (store_.items, prefix, 0), "more_pages", 0,
+                      "current_rev", (json_int_t)store_.revision);
+  if (strcmp (request->path, "/kv-watch") == 0 && prefix != NULL)
+    {
+      if (from + 1 < store_.first_revision)
+        {
+          *status = 410;
+          return NULL;
+        }
+      return json_pack ("{s:o, s:I}", "events",
+                        list_ (store_.history, prefix, from), "current_rev",
+                        (json_int_t)store_.revision);
+    }
+  if (strcmp (request->path, "/kv-lease") == 0)
+    {
+      uint64_t *lease = g_new (uint64_t, 1);
+
+      *lease = ++store_.next_lease;
+      g_hash_table_add (store_.leases, lease);
+      return json_pack ("{s:I, s:i}", "lease", (json_int_t)*lease, "ttl_ms",
+                        10000);
+    }
+  if (g_str_has_prefix (request->path, "/kv-keep/"))
+    {
+      uint64_t lease = g_ascii_strtoull (request->path + 9, NULL, 10);
+
+      if (g_hash_table_contains (store_.leases, &lease))
+        return json_pack ("{s:i}", "ttl_ms", 10000);
+    }
+  if (strcmp (request->path, "/kv-txn") == 0)
+    return write_ (request->body);
+  *status = 404;
+  return NULL;
+}
+
+static void
+handle_ (const struct rgy_http_request *request,
+         struct rgy_http_response *response, void *ctx)
+{
+  json_t *json;
+
+  (void)ctx;
+  response->status = 503;
+  if (store_.mode == SOAK_STORE_BUSY)
+    return;
+  response->status = 200;
+  json = answer_ (request, &response->status);
+  if (store_.mode == SOAK_STORE_LOSES)
+    response->status = 503;
+  if (json == NULL)
+    return;
+  response->content_type = "application/json";
+  response->body = json_dumps (json, JSON_COMPACT);
+  json_decref (json);
+}
+
+static void
+listen_ (void)
+{
+  store_.http = rgy_http_new (
+      store_.loop,
+      (struct rgy_endpoint){ .ip = SOAK_STORE_IP, .port = SOAK_STORE_PORT },
+      handle_, NULL);
+}
+
+void
+soak_store_start (uv_loop_t *loop)
+{
+  store_.loop = loop;
+  store_.revision = 1;
+  store_.items = g_ptr_array_new_with_free_func (free_item_);
+  store_.history = g_ptr_array_new_with_free_func (free_item_);
+  store_.leases
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  listen_ ();
+}
+
+void
+soak_store_set_mode (enum soak_store_mode mode)
+{
+  store_.mode = mode;
+  if (mode == SOAK_STORE_REFUSES)
+    {
+      rgy_http_delete (store_.http);
+      store_.http = NULL;
+    }
+  else if (store_.http == NULL)
+    listen_ ();
+}
+
+void
+soak_store_stop (void)
+{
+  rgy_http_delete (store_.http);
+  store_.http = NULL;
+}
