--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -1022,6 +1022,7 @@
       = (int64_t)MIN (heartbeat->seq + 1, 1000) * agent->settings.heartbeat_us
         + RGY_US_PER_S / 2;
 
+  agent->gone_us = 0;
   agent->backend = heartbeat->id;
   agent->backend_started_ms = heartbeat->started_ms;
   agent->generation++;
@@ -1055,7 +1056,7 @@
   if (!rgy_name_equal (&heartbeat->service, &agent->settings.service))
     return RGY_ERR_INVALID;
   if (earlier || (same && heartbeat->seq <= agent->backend_seq)
-      || (same && agent->state == RGY_BACKEND_GONE))
+      || (same && (agent->state == RGY_BACKEND_GONE || agent->gone_us != 0)))
     {
       ++*agent->n_stale_heartbeats;
       return RGY_ERR_STALE;
@@ -1085,23 +1086,28 @@
       agent->backend = *id;
       agent->heartbeat_us = now_us;
     }
+  /* It ends when it has the answer; until then its flows live.  */
   agent->gone_us = now_us;
-  set_backend_state_ (agent, RGY_BACKEND_GONE, "deregistered", now_us);
+  set_backend_state_ (agent, RGY_BACKEND_DRAINING, "deregistered", now_us);
   return RGY_OK;
 }
 
+static void
+end_backend_ (struct rgy_stream_agent *agent, int64_t now_us)
+{
+  agent->gone_us = 0;
+  set_backend_state_ (agent, RGY_BACKEND_GONE, "ended", now_us);
+  reset_flows_before_ (agent, now_us, "backend-gone", now_us);
+}
+
 static void
 check_backend_ (struct rgy_stream_agent *agent, int64_t now_us)
 {
   int64_t age_us = now_us - agent->heartbeat_us;
   int64_t limit_us = agent->settings.heartbeat_us;
 
-  if (agent->state == RGY_BACKEND_GONE && agent->gone_us != 0
-      && now_us - agent->gone_us > GONE_RESET_US)
-    {
-      agent->gone_us = 0;
-      reset_flows_before_ (agent, now_us, "backend-gone", now_us);
-    }
+  if (agent->gone_us != 0 && now_us - agent->gone_us > GONE_RESET_US)
+    end_backend_ (agent, now_us);
   if (agent->heartbeat_us == 0 || agent->state == RGY_BACKEND_GONE
       || now_us - agent->packet_us < PACKET_ALIVE_US)
     return;
@@ -1231,5 +1237,7 @@
 rgy_stream_agent_stop (struct rgy_stream_agent *agent, int64_t now_us)
 {
   agent->stopping = true;
+  if (agent->gone_us != 0)
+    end_backend_ (agent, now_us);
   report_to_all_ (agent, now_us);
 }
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -110,6 +110,25 @@
              : rgy_stream_manifest_find (b->manifest, key->u.segment.service);
 }
 
+/* Agents that have answered a search with NO, or not at all.  */
+static unsigned
+count_answers_ (const struct rgy_lookup *lookup, bool answered)
+{
+  unsigned n = 0;
+  guint i;
+
+  for (i = 0; i < lookup->asked->len; i++)
+    {
+      const struct rgy_asked_agent *asked
+          = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
+
+      if (answered ? asked->answered && asked->answer == RGY_HELD_NO
+                   : !asked->answered)
+        n++;
+    }
+  return n;
+}
+
 /* Ends a search that found nothing.  The caller is told only when no agent is
    left that might have the flow.  */
 static void
@@ -125,13 +144,15 @@
       return;
     }
   certain = certain && rgy_stream_balancer_is_settled_ (b, now_us);
-  rgy_stream_emit_log (&b->settings.out,
-                       "flow_not_found flow=%s asked=%u certain=%d "
-                       "settled=%d outcome=%s",
-                       rgy_flow_key_format (&lookup->key, text),
-                       lookup->asked->len, certain,
-                       rgy_stream_balancer_is_settled_ (b, now_us),
-                       certain ? "reset" : "dropped");
+  rgy_stream_emit_log (
+      &b->settings.out,
+      "flow_not_found flow=%s asked=%u no=%u unanswered=%u "
+      "known=%u waited_ms=%" G_GINT64_FORMAT " certain=%d outcome=%s",
+      rgy_flow_key_format (&lookup->key, text), lookup->asked->len,
+      count_answers_ (lookup, true), count_answers_ (lookup, false),
+      g_hash_table_size (b->agents),
+      (now_us - lookup->began_us) / RGY_US_PER_MS, certain,
+      certain ? "reset" : "dropped");
   if (certain)
     {
       ++*b->n_resets;
--- a/tests/soak/process.c
+++ b/tests/soak/process.c
@@ -120,7 +120,8 @@
   if (process->pid == 0)
     return;
   kill (process->pid, signal);
-  process->paused = signal == SIGSTOP;
+  if (signal == SIGSTOP || signal == SIGCONT || signal == SIGKILL)
+    process->paused = signal == SIGSTOP;
   if (signal != SIGKILL)
     return;
   waitpid (process->pid, NULL, 0);
