--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -518,9 +518,17 @@
 
 static void
 return_ (struct rgy_stream_agent *agent, const struct rgy_segment *segment,
-         uint32_t balancer_ip)
+         uint32_t balancer_ip, const char *why)
 {
+  char text[RGY_FLOW_TEXT_BYTES];
+
   ++*agent->n_missed;
+  rgy_stream_emit_log (&agent->settings.out,
+                       "segment_returned flow=%s reason=%s flags=%u seq=%u "
+                       "ack=%u complete=%d",
+                       rgy_flow_key_format (&segment->key, text), why,
+                       segment->flags, segment->seq, segment->ack,
+                       agent->complete);
   rgy_stream_emit_segment (&agent->settings.out, RGY_STREAM_TO_BALANCER,
                            balancer_ip, &segment->key, segment->raw,
                            (struct rgy_trail){ .mark = RGY_MARK_MISS });
@@ -677,7 +685,7 @@
   if (stream == NULL)
     {
       if (agent->complete || agent->state == RGY_BACKEND_GONE)
-        return_ (agent, segment, ip);
+        return_ (agent, segment, ip, "unknown");
       else
         probe_ (agent, segment, ip, now_us);
       return;
@@ -687,7 +695,7 @@
   switch (stream->state)
     {
     case FLOW_ABSENT:
-      return_ (agent, segment, ip);
+      return_ (agent, segment, ip, "absent");
       return;
     case FLOW_PROBING:
       /* The probe's outcome comes first; the caller repeats this one.  */
@@ -705,7 +713,7 @@
           && segment->ack - stream->backend_seq > 1)
         {
           /* The caller took the answer of another backend server.  */
-          return_ (agent, segment, ip);
+          return_ (agent, segment, ip, "other-answer");
           return;
         }
       set_state_ (agent, flow, FLOW_OPEN, now_us);
@@ -772,7 +780,7 @@
   if (stream->state != FLOW_CLOSED)
     {
       set_state_ (agent, flow, FLOW_ABSENT, now_us);
-      return_ (agent, segment, ip);
+      return_ (agent, segment, ip, "bounced");
     }
 }
 
