--- a/include/ragwortyoke/stream_manifest.h
+++ b/include/ragwortyoke/stream_manifest.h
@@ -64,6 +64,13 @@
 rgy_stream_manifest_get_cold_rate (const struct rgy_stream_manifest *manifest,
                                    const struct rgy_name *service);
 
+/** Time after which idle flows may be lost; 0 (the default): not stated.  */
+void
+rgy_stream_manifest_set_idle_timeout (struct rgy_stream_manifest *manifest,
+                                      uint32_t ms);
+uint32_t rgy_stream_manifest_get_idle_timeout (
+    const struct rgy_stream_manifest *manifest);
+
 /** Index of the target that a new flow belongs to, by its hash.  */
 size_t rgy_route_choose (const struct rgy_route *route, uint64_t flow_hash);
 
--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -100,9 +100,11 @@
   uint64_t seq;
   uint64_t changes_upto; /**< Number after the last change applied.  */
   struct rgy_domain_view view;
-  uint32_t cold_rate_milli;   /**< New flows a second for a cold backend server
-                                   of the service, in thousandths; 0 when none
-                                   is stated.  */
+  uint32_t cold_rate_milli; /**< New flows a second for a cold backend server
+                                 of the service, in thousandths; 0 when none
+                                 is stated.  */
+  uint32_t idle_timeout_ms; /**< Flows idle for longer may be lost; 0 when none
+                                 is stated.  */
   struct rgy_bytes balancers; /**< 4 bytes each; empty when the same.  */
 };
 
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -48,6 +48,7 @@
 #define STALL_US (700 * RGY_US_PER_MS)
 /* Pause between two passes over all flows; bounds their processor time.  */
 #define SWEEP_INTERVAL_US (40 * RGY_US_PER_MS)
+#define IDLE_SLACK_US (2 * RGY_US_PER_S)
 /* Flow changes kept for balancers that lag.  */
 #define MAX_JOURNAL 8192
 #define LATENCY_WEIGHT 8
@@ -126,6 +127,7 @@
   struct rgy_domain_view view;
   uint32_t cold_rate_milli;
   int64_t swept_us;
+  int64_t idle_us; /* Longest idle timeout stated; 0: none.  */
 
   uint64_t *n_opened;
   uint64_t *n_refused[RGY_STREAM_REFUSAL_COUNT];
@@ -876,6 +878,7 @@
       agent->view = ack->view;
     }
   agent->cold_rate_milli = ack->cold_rate_milli;
+  agent->idle_us = MAX (agent->idle_us, ack->idle_timeout_ms * RGY_US_PER_MS);
   if (b->incarnation != ack->balancer_incarnation || !b->synced)
     {
       b->incarnation = ack->balancer_incarnation;
@@ -1227,8 +1230,12 @@
         agent->heartbeat_us += now_us - agent->ticked_us;
     }
   agent->ticked_us = now_us;
+  /* A flow that has not been seen since the start has been idle, or open, for
+     longer than it is kept.  */
   if (!agent->complete
-      && now_us - agent->started_us > agent->settings.flow_ttl_us)
+      && (now_us - agent->started_us > agent->settings.flow_ttl_us
+          || (agent->idle_us > 0
+              && now_us - agent->started_us > agent->idle_us + IDLE_SLACK_US)))
     agent->complete = true;
   if (now_us - agent->swept_us >= SWEEP_INTERVAL_US)
     {
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -93,7 +93,7 @@
         {
           /* It has restarted and would only say that it is unsure.  */
           asked.answered = true;
-          asked.answer = serves ? RGY_HELD_UNSURE : RGY_HELD_NO;
+          asked.answer = RGY_HELD_UNSURE;
         }
       g_array_append_val (lookup->asked, asked);
       if (!asked.answered)
@@ -165,7 +165,9 @@
 }
 
 /* Sends a held segment to agents that are unsure.  Only those of the route's
-   services: a segment must not reach a backend server of another one.  */
+   services: a segment must not reach a backend server of another one.  While
+   one of those is unsure, the flow may be there since an earlier manifest, and
+   is not reset.  */
 static void
 probe_unsure_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
                int64_t now_us)
@@ -177,7 +179,7 @@
       struct rgy_asked_agent *asked
           = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
 
-      if (asked->answer != RGY_HELD_UNSURE || asked->probing
+      if (asked->answer != RGY_HELD_UNSURE || asked->probing || asked->other
           || lookup->n_held == 0)
         continue;
       asked->probing = true;
@@ -304,9 +306,7 @@
     case RGY_HELD_NO:
     case RGY_HELD_UNSURE:
       asked->answered = true;
-      /* An agent of a service that the route does not name can only be
-         believed or not: it is not tried.  */
-      asked->answer = asked->other ? RGY_HELD_NO : held;
+      asked->answer = held;
       check_ (b, lookup, now_us);
       return;
     case RGY_FLOW_HELD_COUNT:
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -217,7 +217,11 @@
               .cold_rate_milli = b->manifest == NULL
                                      ? 0
                                      : rgy_stream_manifest_get_cold_rate (
-                                         b->manifest, &report->service) } };
+                                         b->manifest, &report->service),
+              .idle_timeout_ms
+              = b->manifest == NULL
+                    ? 0
+                    : rgy_stream_manifest_get_idle_timeout (b->manifest) } };
 
   for (i = 0; i + 4 <= balancers->len; i += 4)
     hash ^= hash_ip_ (get_ip_ (balancers->data + i));
--- a/src/libragwortyoke/stream_manifest.c
+++ b/src/libragwortyoke/stream_manifest.c
@@ -7,6 +7,7 @@
 struct rgy_stream_manifest
 {
   uint64_t version;
+  uint32_t idle_timeout_ms;
   GHashTable *routes; /* Packed endpoint to struct rgy_route, both owned.  */
   GArray *services;   /* struct rgy_stream_service.  */
 };
@@ -104,6 +105,20 @@
   return 0;
 }
 
+void
+rgy_stream_manifest_set_idle_timeout (struct rgy_stream_manifest *manifest,
+                                      uint32_t ms)
+{
+  manifest->idle_timeout_ms = ms;
+}
+
+uint32_t
+rgy_stream_manifest_get_idle_timeout (
+    const struct rgy_stream_manifest *manifest)
+{
+  return manifest->idle_timeout_ms;
+}
+
 size_t
 rgy_route_choose (const struct rgy_route *route, uint64_t flow_hash)
 {
--- a/src/libragwortyoke/stream_message.c
+++ b/src/libragwortyoke/stream_message.c
@@ -73,7 +73,7 @@
 static void
 pack_ack_ (msgpack_packer *pk, const struct rgy_stream_report_ack *a)
 {
-  msgpack_pack_array (pk, 8);
+  msgpack_pack_array (pk, 9);
   msgpack_pack_uint8 (pk, RGY_STREAM_REPORT_ACK);
   msgpack_pack_uint64 (pk, a->balancer_incarnation);
   msgpack_pack_uint64 (pk, a->agent_incarnation);
@@ -81,6 +81,7 @@
   msgpack_pack_uint64 (pk, a->changes_upto);
   pack_view_ (pk, &a->view);
   msgpack_pack_uint32 (pk, a->cold_rate_milli);
+  msgpack_pack_uint32 (pk, a->idle_timeout_ms);
   rgy_pack_bytes (pk, a->balancers);
 }
 
@@ -212,6 +213,7 @@
   a->changes_upto = rgy_read_u64 (reader);
   read_view_ (reader, &a->view);
   a->cold_rate_milli = (uint32_t)rgy_read_max (reader, UINT32_MAX);
+  a->idle_timeout_ms = (uint32_t)rgy_read_max (reader, UINT32_MAX);
   a->balancers = read_records_ (reader, IP_BYTES, RGY_STREAM_MAX_BALANCERS);
 }
 
@@ -253,7 +255,7 @@
                            struct rgy_stream_message *message)
 {
   static const size_t n_fields[] = {
-    [RGY_STREAM_REPORT] = 17, [RGY_STREAM_REPORT_ACK] = 8,
+    [RGY_STREAM_REPORT] = 17, [RGY_STREAM_REPORT_ACK] = 9,
     [RGY_STREAM_STATUS] = 8,  [RGY_STREAM_HELLO] = 1,
     [RGY_STREAM_TAKEN] = 3,   [RGY_STREAM_REFUSED] = 3,
     [RGY_STREAM_QUERY] = 3,   [RGY_STREAM_ANSWER] = 3,
--- a/src/test_platform_manifest/test_platform_manifest.c
+++ b/src/test_platform_manifest/test_platform_manifest.c
@@ -76,6 +76,7 @@
   (void)state;
   assert_null (why);
   assert_int_equal (rgy_stream_manifest_get_version (manifest), 7);
+  assert_int_equal (rgy_stream_manifest_get_idle_timeout (manifest), 15000);
   route = rgy_stream_manifest_find (
       manifest, (struct rgy_endpoint){ .ip = 0xc6120001, .port = 8443 });
   assert_non_null (route);
--- a/src/test_stream_flow/test_stream_flow.c
+++ b/src/test_stream_flow/test_stream_flow.c
@@ -190,6 +190,39 @@
     }
 }
 
+/* A restarted agent does not know the flows of its backend server.  When the
+   manifest took its service off the route meanwhile, a flow there counted as
+   lost and was reset by a balancer that had not known it (hollenbeck-lakes,
+   trouble-3, seed 998787813029).  */
+static void
+unsure_agents_prevent_resets_ (void **state)
+{
+  struct world *w = world_new (12, 4, 8, 0);
+  size_t i;
+
+  (void)state;
+  world_set_workshop (w, 4);
+  world_set_weights (w, 1, 1);
+  world_start (w);
+  world_set_load (w, 20, 8 * S);
+  world_run (w, 4 * S);
+  world_set_load (w, 0, 0);
+  world_set_weights (w, 1, 0);
+  for (i = 0; i < 4; i++)
+    world_kill_balancer (w, i);
+  for (i = 4; i < 8; i++)
+    {
+      world_kill_agent (w, i);
+      world_start_agent (w, i);
+    }
+  for (i = 0; i < 4; i++)
+    world_start_balancer (w, i);
+  world_run (w, 5 * S);
+  assert_promises_ (w);
+  assert_int_equal (world_get_seen (w)->resets, 0);
+  world_delete (w);
+}
+
 /* Without TAKEN, the timer offered the flow to another agent and forgot where
    it was, although the first agent had reported it as open.  */
 static void
@@ -371,6 +404,7 @@
     cmocka_unit_test (flows_survive_a_kill_of_everything_),
     cmocka_unit_test (lost_flows_are_reset_soon_),
     cmocka_unit_test (flows_outlive_a_change_of_weights_),
+    cmocka_unit_test (unsure_agents_prevent_resets_),
     cmocka_unit_test (lost_messages_move_no_flow_),
     cmocka_unit_test (draining_takes_no_new_flows_),
     cmocka_unit_test (domain_out_takes_no_new_flows_),
--- a/src/test_stream_message/test_stream_message.c
+++ b/src/test_stream_message/test_stream_message.c
@@ -50,6 +50,7 @@
         .changes_upto = 4,
         .view = view,
         .cold_rate_milli = 2500,
+        .idle_timeout_ms = 15000,
         .balancers = { .data = ips_, .len = sizeof ips_ }
       };
       break;
