--- a/include/ragwortyoke/counter.h
+++ b/include/ragwortyoke/counter.h
@@ -44,6 +44,19 @@
 void rgy_counters_add_all (struct rgy_counters *counters,
                            const struct rgy_counter_spec *specs, size_t count);
 
+/** Latency histogram with fixed bounds from 1 ms to 5 s.  */
+struct rgy_histogram;
+
+/** Register a histogram; @p name and @p help as for counters.  Valid until
+    rgy_counters_delete().  */
+struct rgy_histogram *
+rgy_counters_add_histogram (struct rgy_counters *counters, const char *name,
+                            const char *help);
+void rgy_histogram_observe (struct rgy_histogram *histogram, int64_t us);
+
+/** Number of values observed.  */
+uint64_t rgy_histogram_get_count (const struct rgy_histogram *histogram);
+
 /** Value of a counter; 0 when it is not registered.  */
 uint64_t rgy_counters_get (const struct rgy_counters *counters,
                            const char *name, const char *label);
--- a/src/libragwortyoke/counter.c
+++ b/src/libragwortyoke/counter.c
@@ -22,10 +22,28 @@
   GPtrArray *samples;
 };
 
+/* Upper bounds of the buckets; the last one has none.  */
+static const int64_t bounds_us_[]
+    = { 1000,   2000,   5000,   10000,   20000,   50000,
+        100000, 200000, 500000, 1000000, 2000000, 5000000 };
+
+#define BUCKET_COUNT (G_N_ELEMENTS (bounds_us_) + 1)
+#define US_PER_S 1e6
+
+struct rgy_histogram
+{
+  const char *name;
+  const char *help;
+  uint64_t counts[BUCKET_COUNT];
+  uint64_t count;
+  int64_t sum_us;
+};
+
 struct rgy_counters
 {
   GPtrArray *families; /* In order of registration.  */
   GHashTable *by_name; /* Name to struct family_, borrowed.  */
+  GPtrArray *histograms;
 };
 
 static void
@@ -53,6 +71,7 @@
 
   counters->families = g_ptr_array_new_with_free_func (family_free_);
   counters->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  counters->histograms = g_ptr_array_new_with_free_func (g_free);
   return counters;
 }
 
@@ -61,6 +80,7 @@
 {
   if (counters == NULL)
     return;
+  g_ptr_array_unref (counters->histograms);
   g_hash_table_unref (counters->by_name);
   g_ptr_array_unref (counters->families);
   g_free (counters);
@@ -155,6 +175,65 @@
     }
 }
 
+struct rgy_histogram *
+rgy_counters_add_histogram (struct rgy_counters *counters, const char *name,
+                            const char *help)
+{
+  struct rgy_histogram *histogram = g_new0 (struct rgy_histogram, 1);
+
+  histogram->name = name;
+  histogram->help = help;
+  g_ptr_array_add (counters->histograms, histogram);
+  return histogram;
+}
+
+void
+rgy_histogram_observe (struct rgy_histogram *histogram, int64_t us)
+{
+  size_t i = 0;
+
+  while (i < G_N_ELEMENTS (bounds_us_) && us > bounds_us_[i])
+    i++;
+  histogram->counts[i]++;
+  histogram->count++;
+  histogram->sum_us += us;
+}
+
+uint64_t
+rgy_histogram_get_count (const struct rgy_histogram *histogram)
+{
+  return histogram->count;
+}
+
+/* The text format wants cumulative buckets and seconds.  */
+static void
+format_histogram_ (GString *text, const struct rgy_histogram *histogram)
+{
+  uint64_t total = 0;
+  size_t i;
+
+  g_string_append_printf (text,
+                          "# HELP " NAME_PREFIX "%s %s\n"
+                          "# TYPE " NAME_PREFIX "%s histogram\n",
+                          histogram->name, histogram->help, histogram->name);
+  for (i = 0; i < BUCKET_COUNT; i++)
+    {
+      total += histogram->counts[i];
+      g_string_append_printf (text, NAME_PREFIX "%s_bucket{le=\"",
+                              histogram->name);
+      if (i < G_N_ELEMENTS (bounds_us_))
+        g_string_append_printf (text, "%g", (double)bounds_us_[i] / US_PER_S);
+      else
+        g_string_append (text, "+Inf");
+      g_string_append_printf (text, "\"} %" G_GUINT64_FORMAT "\n", total);
+    }
+  g_string_append_printf (
+      text,
+      NAME_PREFIX "%s_sum %g\n" NAME_PREFIX "%s_count %" G_GUINT64_FORMAT "\n",
+      histogram->name, (double)histogram->sum_us / US_PER_S, histogram->name,
+      histogram->count);
+}
+
 char *
 rgy_counters_format (const struct rgy_counters *counters)
 {
@@ -163,6 +242,8 @@
 
   for (i = 0; i < counters->families->len; i++)
     format_family_ (text, g_ptr_array_index (counters->families, i));
+  for (i = 0; i < counters->histograms->len; i++)
+    format_histogram_ (text, g_ptr_array_index (counters->histograms, i));
   return g_string_free (text, FALSE);
 }
 
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -163,6 +163,8 @@
   int64_t status_us;
   bool stopping;
 
+  struct rgy_histogram *open_time;   /**< Until a new flow is taken.  */
+  struct rgy_histogram *lookup_time; /**< Until a searched flow is found.  */
   uint64_t *n_segments;
   uint64_t *n_opens;
   uint64_t *n_retries;
@@ -250,6 +252,6 @@
 /** Deliver what a search holds to the agent that has the flow.  */
 void rgy_stream_balancer_found_ (struct rgy_stream_balancer *b,
                                  const struct rgy_flow_key *key,
-                                 uint32_t agent_ip);
+                                 uint32_t agent_ip, int64_t now_us);
 
 #endif
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -129,6 +129,7 @@
   int64_t swept_us;
   int64_t idle_us; /* Longest idle timeout stated; 0: none.  */
 
+  struct rgy_histogram *answer_time;
   uint64_t *n_opened;
   uint64_t *n_refused[RGY_STREAM_REFUSAL_COUNT];
   uint64_t *n_missed;
@@ -164,6 +165,9 @@
   int i;
 
   rgy_counters_add_all (counters, specs, G_N_ELEMENTS (specs));
+  agent->answer_time = rgy_counters_add_histogram (
+      counters, "backend_answer_seconds",
+      "Time from a caller's payload to the first payload in answer.");
   for (i = 0; i < RGY_STREAM_REFUSAL_COUNT; i++)
     {
       char *label
@@ -831,6 +835,8 @@
         {
           int64_t took = now_us - stream->asked_us;
 
+          rgy_histogram_observe (agent->answer_time, took);
+
           agent->latency_us
               = agent->latency_us == 0
                     ? (uint32_t)took
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -41,6 +41,12 @@
   };
 
   rgy_counters_add_all (counters, specs, G_N_ELEMENTS (specs));
+  b->open_time = rgy_counters_add_histogram (
+      counters, "stream_open_seconds",
+      "Time from a first segment until an agent has taken the flow.");
+  b->lookup_time
+      = rgy_counters_add_histogram (counters, "stream_lookup_seconds",
+                                    "Time until a searched flow was found.");
 }
 
 static void
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -343,13 +343,15 @@
 
 void
 rgy_stream_balancer_found_ (struct rgy_stream_balancer *b,
-                            const struct rgy_flow_key *key, uint32_t agent_ip)
+                            const struct rgy_flow_key *key, uint32_t agent_ip,
+                            int64_t now_us)
 {
   struct rgy_lookup *lookup = g_hash_table_lookup (b->lookups, key);
   size_t i;
 
   if (lookup == NULL)
     return;
+  rgy_histogram_observe (b->lookup_time, now_us - lookup->began_us);
   for (i = 0; i < lookup->n_held; i++)
     rgy_stream_balancer_send_ (
         b, key,
--- a/src/libragwortyoke/stream_balancer_packet.c
+++ b/src/libragwortyoke/stream_balancer_packet.c
@@ -58,6 +58,7 @@
 {
   struct rgy_flow *flow = rgy_flow_table_find (b->flows, key);
   struct rgy_cached_flow *cached = flow == NULL ? NULL : flow->session;
+  const struct rgy_pending_open *open;
 
   if (cached != NULL && cached->certainty > certainty
       && rgy_stream_balancer_find_agent_ (b, cached->agent_ip) != NULL)
@@ -79,8 +80,11 @@
   if (certainty == RGY_FLOW_CHOSEN)
     return;
   /* Also when TAKEN was lost and the agent's report tells.  */
+  open = g_hash_table_lookup (b->opens, key);
+  if (open != NULL)
+    rgy_histogram_observe (b->open_time, now_us - open->began_us);
   g_hash_table_remove (b->opens, key);
-  rgy_stream_balancer_found_ (b, key, agent_ip);
+  rgy_stream_balancer_found_ (b, key, agent_ip, now_us);
 }
 
 void
--- a/src/test_counter/test_counter.c
+++ b/src/test_counter/test_counter.c
@@ -83,10 +83,37 @@
   rgy_counters_delete (NULL);
 }
 
+/* Buckets that are not cumulative, or a wrong sum, mislead every quantile.  */
+static void
+histogram_is_cumulative_ (void **state)
+{
+  struct rgy_counters *counters = rgy_counters_new ();
+  struct rgy_histogram *histogram
+      = rgy_counters_add_histogram (counters, "wait_seconds", "Waiting.");
+  char *text;
+
+  (void)state;
+  rgy_histogram_observe (histogram, 500);
+  rgy_histogram_observe (histogram, 1500);
+  rgy_histogram_observe (histogram, 9000000);
+  text = rgy_counters_format (counters);
+  assert_non_null (strstr (text, "# TYPE ragwortyoke_wait_seconds histogram"));
+  assert_non_null (strstr (text, "wait_seconds_bucket{le=\"0.001\"} 1\n"));
+  assert_non_null (strstr (text, "wait_seconds_bucket{le=\"0.002\"} 2\n"));
+  assert_non_null (strstr (text, "wait_seconds_bucket{le=\"5\"} 2\n"));
+  assert_non_null (strstr (text, "wait_seconds_bucket{le=\"+Inf\"} 3\n"));
+  assert_non_null (strstr (text, "wait_seconds_sum 9.002\n"));
+  assert_non_null (strstr (text, "wait_seconds_count 3\n"));
+  assert_int_equal (rgy_histogram_get_count (histogram), 3);
+  g_free (text);
+  rgy_counters_delete (counters);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (histogram_is_cumulative_),
     cmocka_unit_test (addresses_stay_valid_),
     cmocka_unit_test (registration_finds_existing_value_),
     cmocka_unit_test (format_groups_samples_of_a_name_),
