Keep resets of flows that are not open here from callers

Such segments are returned now, such resets tell the balancer "no", and bounces are no longer a sign of life.

--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -711,7 +711,8 @@
       deliver_ (agent, segment, ip);
       return;
     case FLOW_OPENING:
-      deliver_ (agent, segment, ip);
+      /* The answer that the caller has is another backend server's.  */
+      return_ (agent, segment, ip, "not-answered");
       return;
     case FLOW_ANSWERED:
       if ((segment->flags & RGY_SEGMENT_ACK) != 0
@@ -790,6 +791,22 @@
     }
 }
 
+/* The backend server resets a flow that is not open here: the caller may have
+   it open at another one, so the reset must not reach the caller.  */
+static void
+disown_ (struct rgy_stream_agent *agent, struct rgy_flow *flow, int64_t now_us)
+{
+  const struct stream_ *stream = flow->session;
+  bool opening
+      = stream->state == FLOW_OPENING || stream->state == FLOW_ANSWERED;
+
+  if (stream->balancer_ip != 0)
+    answer_ (agent, opening ? RGY_STREAM_REFUSED : RGY_STREAM_ANSWER,
+             &flow->key, stream->balancer_ip,
+             opening ? (int)RGY_REFUSED_FULL : (int)RGY_HELD_NO);
+  set_state_ (agent, flow, FLOW_ABSENT, now_us);
+}
+
 void
 rgy_stream_agent_from_backend (struct rgy_stream_agent *agent,
                                const struct rgy_segment *segment,
@@ -798,13 +815,22 @@
   struct rgy_flow *flow;
   struct stream_ *stream;
 
-  agent->packet_us = now_us;
+  /* Bounces also come for a backend server that has ended, so they are no sign
+     of life.  */
   if ((segment->flags & RGY_SEGMENT_BOUNCED) != 0)
     {
       from_backend_bounced_ (agent, segment, now_us);
       return;
     }
+  agent->packet_us = now_us;
   flow = rgy_flow_table_find (agent->flows, &segment->key);
+  if (flow != NULL && (segment->flags & RGY_SEGMENT_RST) != 0
+      && !((struct stream_ *)flow->session)->announced
+      && ((struct stream_ *)flow->session)->state != FLOW_CLOSED)
+    {
+      disown_ (agent, flow, now_us);
+      return;
+    }
   if (flow == NULL && (segment->flags & RGY_SEGMENT_RST) == 0)
     flow = open_ (agent, &segment->key, FLOW_PROBING, now_us);
   stream = flow == NULL ? NULL : flow->session;
