Reject a waiting flow only while no other balancer can have opened it

A balancer now resets it only when it saw the first segment and all copies that are due. test_stream_balancer failed before.

--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -37,6 +37,9 @@
 /* The caller repeats its first segment after 200 and 600 ms and gives up after
    1.4 s.  */
 #define OPEN_GIVE_UP_US INT64_C (1300000)
+/* When the caller's copies are due here, with some delay on the way.  */
+#define FIRST_COPY_US INT64_C (190000)
+#define SECOND_COPY_US INT64_C (590000)
 /* A new flow waits this long for agents that are about to be ready.  */
 #define OPEN_WAIT_US INT64_C (1000000)
 /* A new flow goes to another service of its route only after this time, while
@@ -110,6 +113,8 @@
   int64_t began_us;
   int64_t sent_us;
   uint32_t current_ip; /**< Agent that has it; 0: waits.  */
+  uint32_t copies;     /**< Copies of the first segment seen here.  */
+  bool began_late;     /**< The first segment itself was not seen here.  */
   uint32_t tried[MAX_TRIED];
   size_t n_tried;
 };
--- a/src/libragwortyoke/stream_balancer_open.c
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -141,21 +141,43 @@
   return NULL;
 }
 
+/* True unless the first segment or a copy may have gone to another balancer,
+   where the flow may be open by now.  */
+static bool
+is_only_here_ (const struct rgy_pending_open *open, int64_t now_us)
+{
+  int64_t waited_us = now_us - open->began_us;
+  uint32_t due = 0;
+
+  if (waited_us > FIRST_COPY_US)
+    due++;
+  if (waited_us > SECOND_COPY_US)
+    due++;
+  return !open->began_late && open->copies >= due;
+}
+
+/* Ends a new flow that no agent takes.  */
 static void
 reject_ (struct rgy_stream_balancer *b, struct rgy_pending_open *open,
          const char *why, int64_t now_us)
 {
   char text[RGY_FLOW_TEXT_BYTES];
+  bool certain = is_only_here_ (open, now_us);
 
-  ++*b->n_resets;
   rgy_stream_emit_log (
       &b->settings.out,
-      "open_rejected flow=%s reason=%s tried=%zu "
-      "waited_ms=%" G_GINT64_FORMAT " agents=%zu version=%" G_GUINT64_FORMAT,
+      "open_rejected flow=%s reason=%s tried=%zu waited_ms=%" G_GINT64_FORMAT
+      " copies=%u agents=%zu version=%" G_GUINT64_FORMAT " outcome=%s",
       rgy_flow_key_format (&open->key, text), why, open->n_tried,
-      (now_us - open->began_us) / RGY_US_PER_MS,
+      (now_us - open->began_us) / RGY_US_PER_MS, open->copies,
       rgy_stream_balancer_count_agents (b, now_us),
-      rgy_stream_balancer_get_version (b));
+      rgy_stream_balancer_get_version (b), certain ? "reset" : "dropped");
+  if (!certain)
+    {
+      ++*b->n_dropped;
+      return;
+    }
+  ++*b->n_resets;
   rgy_stream_emit_reset (&b->settings.out, &open->key, 0);
 }
 
@@ -238,7 +260,11 @@
   struct rgy_flow *flow;
 
   if (open != NULL)
-    return; /* A copy; the timer offers the flow to others.  */
+    {
+      /* A copy; the timer offers the flow to others.  */
+      open->copies = MAX (open->copies, segment->ack);
+      return;
+    }
   flow = rgy_flow_table_find (b->flows, &segment->key);
   if (flow != NULL
       && ((struct rgy_cached_flow *)flow->session)->certainty
@@ -262,6 +288,7 @@
   open->raw = g_memdup2 (segment->raw.data, segment->raw.len);
   open->raw_len = segment->raw.len;
   open->began_us = now_us;
+  open->began_late = segment->ack > 0;
   if (flow != NULL)
     open->tried[open->n_tried++]
         = ((struct rgy_cached_flow *)flow->session)->agent_ip;
--- /dev/null
+++ b/src/test_stream_balancer/test_stream_balancer.c
@@ -0,0 +1,233 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "ragwortyoke/clock.h"
+#include "ragwortyoke/stream_balancer.h"
+
+#define AGENT_IP 0x0a020001U
+#define MS RGY_US_PER_MS
+
+/* A balancer that knows one agent, and the actions that it has emitted.  */
+struct fixture_
+{
+  struct rgy_counters *counters;
+  struct rgy_stream_balancer *balancer;
+  int64_t now_us;
+  int64_t report_us;
+  uint64_t seq;
+  unsigned to_agent;
+  unsigned resets;
+};
+
+static void
+emit_ (void *ctx, const struct rgy_stream_action *action)
+{
+  struct fixture_ *f = ctx;
+
+  if (action->kind == RGY_STREAM_TO_AGENT)
+    f->to_agent++;
+  else if (action->kind == RGY_STREAM_RESET)
+    f->resets++;
+}
+
+static void
+tell_ (struct fixture_ *f, const struct rgy_stream_message *message)
+{
+  GByteArray *bytes = g_byte_array_new ();
+
+  rgy_stream_message_encode (message, bytes);
+  assert_int_equal (
+      rgy_stream_balancer_from_message (
+          f->balancer,
+          (struct rgy_bytes){ .data = bytes->data, .len = bytes->len },
+          AGENT_IP, f->now_us),
+      RGY_OK);
+  g_byte_array_unref (bytes);
+}
+
+static void
+pass_ (struct fixture_ *f, int64_t us)
+{
+  int64_t until = f->now_us + us;
+
+  while (f->now_us < until)
+    {
+      f->now_us += RGY_STREAM_TICK_US;
+      if (f->now_us >= f->report_us)
+        {
+          struct rgy_stream_message report
+              = { .kind = RGY_STREAM_REPORT,
+                  .u.report = { .incarnation = 1,
+                                .seq = ++f->seq,
+                                .service = rgy_name_from_c ("workshop"),
+                                .domain = rgy_name_from_c ("poa-a"),
+                                .state = RGY_BACKEND_READY,
+                                .complete = true,
+                                .slots = 4 } };
+
+          tell_ (f, &report);
+          f->report_us = f->now_us + 400 * MS;
+        }
+      rgy_stream_balancer_tick (f->balancer, f->now_us);
+    }
+}
+
+static int
+set_up_ (void **state)
+{
+  struct fixture_ *f = g_new0 (struct fixture_, 1);
+  struct rgy_stream_balancer_settings settings
+      = { .own_ip = 0x0a010001,
+          .domain = rgy_name_from_c ("poa-a"),
+          .incarnation = 1,
+          .flow_ttl_us = 60 * RGY_US_PER_S,
+          .max_flows = 100,
+          .out = { .emit = emit_, .ctx = f } };
+  struct rgy_stream_manifest *manifest = rgy_stream_manifest_new (7);
+  struct rgy_route route
+      = { .address = { .ip = 0xc6120001, .port = 443 }, .n_targets = 1 };
+
+  route.targets[0].service = rgy_name_from_c ("workshop");
+  route.targets[0].weight = 1;
+  assert_int_equal (rgy_stream_manifest_add_route (manifest, &route), RGY_OK);
+  f->counters = rgy_counters_new ();
+  f->now_us = 100 * RGY_US_PER_S;
+  f->balancer = rgy_stream_balancer_new (&settings, f->counters, f->now_us);
+  assert_int_equal (
+      rgy_stream_balancer_set_manifest (f->balancer, manifest, f->now_us),
+      RGY_OK);
+  pass_ (f, 3 * RGY_US_PER_S);
+  *state = f;
+  return 0;
+}
+
+static int
+tear_down_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  rgy_stream_balancer_delete (f->balancer);
+  rgy_counters_delete (f->counters);
+  g_free (f);
+  return 0;
+}
+
+static void
+router_ (struct fixture_ *f, uint16_t service_port, uint8_t flags,
+         uint32_t ack)
+{
+  static const uint8_t raw[1];
+  struct rgy_segment segment
+      = { .key = rgy_flow_key_segment (
+              (struct rgy_endpoint){ .ip = 0x64400007, .port = 4000 },
+              (struct rgy_endpoint){ .ip = 0xc6120001, .port = service_port }),
+          .flags = flags,
+          .ack = ack,
+          .raw = { .data = raw, .len = sizeof raw } };
+
+  rgy_stream_balancer_from_router (f->balancer, &segment, f->now_us);
+}
+
+/* A copy of the first segment that went to another balancer may have opened
+   the flow; the reset of the first balancer then hit an open flow (soak, seed
+   104).  */
+static void
+open_flow_is_not_rejected_late_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  router_ (f, 443, RGY_SEGMENT_SYN, 0);
+  assert_int_equal (f->to_agent, 1);
+  pass_ (f, 1500 * MS);
+  assert_int_equal (f->resets, 0);
+}
+
+/* When all copies came here, nobody else can have opened it.  */
+static void
+unanswered_flow_is_rejected_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  router_ (f, 443, RGY_SEGMENT_SYN, 0);
+  pass_ (f, 200 * MS);
+  router_ (f, 443, RGY_SEGMENT_SYN, 1);
+  pass_ (f, 400 * MS);
+  router_ (f, 443, RGY_SEGMENT_SYN, 2);
+  pass_ (f, 700 * MS);
+  assert_int_equal (f->resets, 1);
+}
+
+static void
+unknown_address_is_rejected_at_once_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  router_ (f, 444, RGY_SEGMENT_SYN, 0);
+  assert_int_equal (f->resets, 1);
+  /* A later segment may be of a route that only others know yet.  */
+  router_ (f, 445, RGY_SEGMENT_ACK, 5);
+  pass_ (f, RGY_US_PER_S);
+  assert_int_equal (f->resets, 1);
+}
+
+/* An agent whose flows are all known need not be asked: its next report says
+   that a flow is not there.  */
+static void
+lost_flow_is_reset_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  router_ (f, 443, RGY_SEGMENT_ACK, 5);
+  pass_ (f, RGY_US_PER_S);
+  assert_int_equal (f->resets, 1);
+}
+
+/* A balancer that hears no agent is cut off itself: it must not reset flows
+   and must leave the rotation.  */
+static void
+cut_off_balancer_resets_nothing_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  assert_true (rgy_stream_balancer_is_ready (f->balancer, f->now_us));
+  f->report_us = INT64_MAX;
+  pass_ (f, 3 * RGY_US_PER_S);
+  assert_false (rgy_stream_balancer_is_ready (f->balancer, f->now_us));
+  router_ (f, 443, RGY_SEGMENT_ACK, 5);
+  pass_ (f, 2 * RGY_US_PER_S);
+  assert_int_equal (f->resets, 0);
+}
+
+static void
+older_manifest_is_refused_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  assert_int_equal (rgy_stream_balancer_set_manifest (
+                        f->balancer, rgy_stream_manifest_new (6), f->now_us),
+                    RGY_ERR_STALE);
+  assert_int_equal (rgy_stream_balancer_get_version (f->balancer), 7);
+}
+
+int
+main (void)
+{
+#define WITH_BALANCER(test)                                                   \
+  cmocka_unit_test_setup_teardown (test, set_up_, tear_down_)
+  const struct CMUnitTest tests[] = {
+    WITH_BALANCER (open_flow_is_not_rejected_late_),
+    WITH_BALANCER (unanswered_flow_is_rejected_),
+    WITH_BALANCER (unknown_address_is_rejected_at_once_),
+    WITH_BALANCER (lost_flow_is_reset_),
+    WITH_BALANCER (cut_off_balancer_resets_nothing_),
+    WITH_BALANCER (older_manifest_is_refused_),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
