--- a/include/ragwortyoke/flow.h
+++ b/include/ragwortyoke/flow.h
@@ -73,6 +73,9 @@
 /** Free the table and its flows; sessions must have been released.  */
 void rgy_flow_table_delete (struct rgy_flow_table *table);
 
+/** Free the table, its flows and their sessions with g_free().  */
+void rgy_flow_table_delete_all (struct rgy_flow_table *table);
+
 /** @return the flow, or NULL.  */
 struct rgy_flow *rgy_flow_table_find (struct rgy_flow_table *table,
                                       const struct rgy_flow_key *key);
--- a/src/libragwortyoke/flow.c
+++ b/src/libragwortyoke/flow.c
@@ -278,3 +278,21 @@
       entry = next;
     }
 }
+
+static bool
+free_session_ (struct rgy_flow *flow, void *ctx)
+{
+  (void)ctx;
+  g_free (flow->session);
+  flow->session = NULL;
+  return true;
+}
+
+void
+rgy_flow_table_delete_all (struct rgy_flow_table *table)
+{
+  if (table == NULL)
+    return;
+  rgy_flow_table_foreach (table, free_session_, NULL);
+  rgy_flow_table_delete (table);
+}
--- /dev/null
+++ b/src/libragwortyoke/stream_agent_report.c
@@ -0,0 +1,354 @@
+#include "private/stream_agent_private.h"
+
+/* Reports.  */
+
+static struct rgy_agent_balancer *
+find_balancer_ (const struct rgy_stream_agent *agent, uint32_t ip)
+{
+  guint i;
+
+  for (i = 0; i < agent->balancers->len; i++)
+    {
+      struct rgy_agent_balancer *b
+          = &g_array_index (agent->balancers, struct rgy_agent_balancer, i);
+
+      if (b->ip == ip)
+        return b;
+    }
+  return NULL;
+}
+
+/* Independent of the order in which the balancers became known.  */
+static uint64_t
+hash_balancers_ (const struct rgy_stream_agent *agent)
+{
+  uint64_t hash = 0;
+  guint i;
+
+  for (i = 0; i < agent->balancers->len; i++)
+    {
+      uint32_t ip
+          = g_array_index (agent->balancers, struct rgy_agent_balancer, i).ip;
+
+      hash ^= rgy_hash_bytes (
+          (struct rgy_bytes){ .data = (const uint8_t *)&ip, .len = sizeof ip },
+          0);
+    }
+  return hash;
+}
+
+static uint64_t
+journal_end_ (const struct rgy_stream_agent *agent)
+{
+  return agent->journal_from + agent->journal->len / RGY_FLOW_CHANGE_BYTES;
+}
+
+static void
+send_report_ (struct rgy_stream_agent *agent, struct rgy_agent_balancer *b,
+              uint64_t from, struct rgy_bytes changes, int64_t now_us)
+{
+  struct rgy_stream_message message
+      = { .kind = RGY_STREAM_REPORT,
+          .u.report
+          = { .incarnation = agent->settings.incarnation,
+              .seq = ++agent->seq,
+              .service = agent->settings.service,
+              .domain = agent->settings.domain,
+              .backend_id = rgy_name_hash (
+                  &agent->backend, (uint64_t)agent->backend_started_ms),
+              .state = agent->state,
+              .restarting = agent->stopping,
+              .complete = agent->complete,
+              .cold = agent->cold_until_us > now_us,
+              .slots = agent->slots,
+              .open_flows = agent->n_open,
+              .awaited_flows = agent->n_awaited,
+              .latency_us = agent->latency_us,
+              .balancers_hash = hash_balancers_ (agent),
+              .changes_from = from,
+              .changes = changes } };
+
+  b->sent_us = now_us;
+  rgy_stream_emit_message (&agent->settings.out, b->ip, &message);
+}
+
+struct snapshot_
+{
+  struct rgy_stream_agent *agent;
+  struct rgy_agent_balancer *balancer;
+  GByteArray *changes;
+  int64_t now_us;
+};
+
+static void
+append_change_ (GByteArray *changes, const struct rgy_flow_key *key,
+                bool opened)
+{
+  uint8_t change[RGY_FLOW_CHANGE_BYTES];
+
+  rgy_flow_ends_encode (key, change);
+  change[RGY_FLOW_ENDS_BYTES] = opened ? 1 : 0;
+  g_byte_array_append (changes, change, sizeof change);
+}
+
+static bool
+add_to_snapshot_ (struct rgy_flow *flow, void *ctx)
+{
+  struct snapshot_ *snapshot = ctx;
+  const struct rgy_agent_stream *stream = flow->session;
+
+  if (!stream->announced)
+    return true;
+  append_change_ (snapshot->changes, &flow->key, true);
+  if (snapshot->changes->len >= RGY_STREAM_MAX_CHANGES * RGY_FLOW_CHANGE_BYTES)
+    {
+      send_report_ (snapshot->agent, snapshot->balancer, 0,
+                    (struct rgy_bytes){ .data = snapshot->changes->data,
+                                        .len = snapshot->changes->len },
+                    snapshot->now_us);
+      g_byte_array_set_size (snapshot->changes, 0);
+    }
+  return true;
+}
+
+/* Sends all flows to a balancer that has just started.  Reports that get lost
+   are made up for by queries.  */
+static void
+send_snapshot_ (struct rgy_stream_agent *agent, struct rgy_agent_balancer *b,
+                int64_t now_us)
+{
+  struct snapshot_ snapshot = { .agent = agent,
+                                .balancer = b,
+                                .changes = g_byte_array_new (),
+                                .now_us = now_us };
+
+  rgy_flow_table_foreach (agent->flows, add_to_snapshot_, &snapshot);
+  if (snapshot.changes->len > 0)
+    send_report_ (agent, b, 0,
+                  (struct rgy_bytes){ .data = snapshot.changes->data,
+                                      .len = snapshot.changes->len },
+                  now_us);
+  g_byte_array_unref (snapshot.changes);
+  b->acked = journal_end_ (agent);
+  b->synced = true;
+}
+
+static void
+report_to_ (struct rgy_stream_agent *agent, struct rgy_agent_balancer *b,
+            int64_t now_us)
+{
+  uint64_t from = MAX (b->acked, agent->journal_from);
+  size_t offset = (size_t)(from - agent->journal_from) * RGY_FLOW_CHANGE_BYTES;
+  size_t len = MIN (agent->journal->len - offset,
+                    RGY_STREAM_MAX_CHANGES * RGY_FLOW_CHANGE_BYTES);
+
+  send_report_ (
+      agent, b, from,
+      (struct rgy_bytes){ .data = agent->journal->data + offset, .len = len },
+      now_us);
+}
+
+void
+rgy_stream_agent_report_to_all_ (struct rgy_stream_agent *agent,
+                                 int64_t now_us)
+{
+  guint i;
+
+  for (i = 0; i < agent->balancers->len; i++)
+    report_to_ (
+        agent, &g_array_index (agent->balancers, struct rgy_agent_balancer, i),
+        now_us);
+}
+
+/* Changes go out with the next periodic report: the balancer that carries a
+   new flow knows it from TAKEN, the others need it only when the router moves
+   the flow, and can ask.  */
+void
+rgy_stream_agent_record_change_ (struct rgy_stream_agent *agent,
+                                 const struct rgy_flow_key *key, bool opened)
+{
+  append_change_ (agent->journal, key, opened);
+  if (agent->journal->len > MAX_JOURNAL * RGY_FLOW_CHANGE_BYTES)
+    {
+      guint half = MAX_JOURNAL / 2;
+
+      g_byte_array_remove_range (agent->journal, 0,
+                                 half * RGY_FLOW_CHANGE_BYTES);
+      agent->journal_from += half;
+    }
+}
+
+void
+rgy_stream_agent_add_balancer (struct rgy_stream_agent *agent, uint32_t ip,
+                               int64_t now_us)
+{
+  struct rgy_agent_balancer added = { .ip = ip, .added_us = now_us };
+
+  if (ip == 0 || find_balancer_ (agent, ip) != NULL
+      || agent->balancers->len >= RGY_STREAM_MAX_BALANCERS)
+    return;
+  added.acked = journal_end_ (agent);
+  g_array_append_val (agent->balancers, added);
+  report_to_ (agent,
+              &g_array_index (agent->balancers, struct rgy_agent_balancer,
+                              agent->balancers->len - 1),
+              now_us);
+}
+
+bool
+rgy_stream_agent_has_balancer (const struct rgy_stream_agent *agent,
+                               int64_t now_us)
+{
+  guint i;
+
+  for (i = 0; i < agent->balancers->len; i++)
+    {
+      const struct rgy_agent_balancer *b
+          = &g_array_index (agent->balancers, struct rgy_agent_balancer, i);
+
+      if (b->heard_us != 0 && now_us - b->heard_us < BALANCER_HEARD_US)
+        return true;
+    }
+  return false;
+}
+
+void
+rgy_stream_agent_report_when_due_ (struct rgy_stream_agent *agent,
+                                   int64_t now_us)
+{
+  guint i;
+
+  for (i = 0; i < agent->balancers->len;)
+    {
+      struct rgy_agent_balancer *b
+          = &g_array_index (agent->balancers, struct rgy_agent_balancer, i);
+      int64_t silent_us = now_us - MAX (b->heard_us, b->added_us);
+      bool slow = silent_us > BALANCER_SLOW_US;
+
+      if (silent_us > BALANCER_FORGET_US)
+        {
+          g_array_remove_index_fast (agent->balancers, i);
+          continue;
+        }
+      if (now_us - b->sent_us
+          >= (slow ? BALANCER_SLOW_INTERVAL_US : REPORT_INTERVAL_US))
+        report_to_ (agent, b, now_us);
+      i++;
+    }
+}
+
+/* Messages.  */
+
+static void
+from_ack_ (struct rgy_stream_agent *agent,
+           const struct rgy_stream_report_ack *ack, uint32_t from_ip,
+           int64_t now_us)
+{
+  struct rgy_agent_balancer *b = find_balancer_ (agent, from_ip);
+  size_t i;
+
+  if (b == NULL || ack->agent_incarnation != agent->settings.incarnation)
+    return;
+  b->heard_us = now_us;
+  if (ack->view.revision > agent->view.revision)
+    {
+      bool was
+          = rgy_domain_view_is_out (&agent->view, &agent->settings.domain);
+      bool is = rgy_domain_view_is_out (&ack->view, &agent->settings.domain);
+
+      if (was != is)
+        rgy_stream_emit_log (&agent->settings.out,
+                             "domain_%s domain=%s revision=%" G_GUINT64_FORMAT,
+                             is ? "out" : "in", agent->settings.domain.data,
+                             ack->view.revision);
+      agent->view = ack->view;
+    }
+  agent->cold_rate_milli = ack->cold_rate_milli;
+  agent->idle_us = MAX (agent->idle_us, ack->idle_timeout_ms * RGY_US_PER_MS);
+  if (b->incarnation != ack->balancer_incarnation || !b->synced)
+    {
+      b->incarnation = ack->balancer_incarnation;
+      send_snapshot_ (agent, b, now_us);
+    }
+  else if (ack->changes_upto > b->acked
+           && ack->changes_upto <= journal_end_ (agent))
+    b->acked = ack->changes_upto;
+  for (i = 0; i + 4 <= ack->balancers.len; i += 4)
+    {
+      const uint8_t *p = ack->balancers.data + i;
+
+      rgy_stream_agent_add_balancer (agent,
+                                     (uint32_t)p[0] << 24
+                                         | (uint32_t)p[1] << 16
+                                         | (uint32_t)p[2] << 8 | p[3],
+                                     now_us);
+    }
+}
+
+static void
+from_query_ (struct rgy_stream_agent *agent, const struct rgy_flow_key *key,
+             uint32_t from_ip)
+{
+  const struct rgy_flow *flow = rgy_flow_table_find (agent->flows, key);
+  const struct rgy_agent_stream *stream = flow == NULL ? NULL : flow->session;
+  enum rgy_flow_held held = RGY_HELD_NO;
+
+  if (agent->state == RGY_BACKEND_GONE)
+    held = RGY_HELD_NO;
+  else if (stream == NULL)
+    held = agent->complete ? RGY_HELD_NO : RGY_HELD_UNSURE;
+  else
+    switch (stream->state)
+      {
+      case FLOW_OPENING:
+      case FLOW_ANSWERED:
+      case FLOW_OPEN:
+      case FLOW_CLOSED:
+        held = RGY_HELD_YES;
+        break;
+      case FLOW_PROBING:
+        held = RGY_HELD_UNSURE;
+        break;
+      case FLOW_ABSENT:
+        held = RGY_HELD_NO;
+        break;
+      }
+  rgy_stream_agent_answer_ (agent, RGY_STREAM_ANSWER, key, from_ip, (int)held);
+}
+
+enum rgy_outcome
+rgy_stream_agent_from_message (struct rgy_stream_agent *agent,
+                               struct rgy_bytes bytes, uint32_t from_ip,
+                               int64_t now_us)
+{
+  struct rgy_stream_message message;
+  enum rgy_outcome rc = rgy_stream_message_decode (bytes, &message);
+
+  if (rc != RGY_OK)
+    {
+      ++*agent->n_bad_messages;
+      return rc;
+    }
+  switch (message.kind)
+    {
+    case RGY_STREAM_REPORT_ACK:
+      from_ack_ (agent, &message.u.ack, from_ip, now_us);
+      return RGY_OK;
+    case RGY_STREAM_HELLO:
+      rgy_stream_agent_add_balancer (agent, from_ip, now_us);
+      report_to_ (agent, find_balancer_ (agent, from_ip), now_us);
+      return RGY_OK;
+    case RGY_STREAM_QUERY:
+      from_query_ (agent, &message.u.flow.key, from_ip);
+      return RGY_OK;
+    case RGY_STREAM_REPORT:
+    case RGY_STREAM_STATUS:
+    case RGY_STREAM_TAKEN:
+    case RGY_STREAM_REFUSED:
+    case RGY_STREAM_ANSWER:
+    case RGY_STREAM_MESSAGE_KIND_COUNT:
+      break;
+    }
+  ++*agent->n_bad_messages;
+  return RGY_ERR_UNSUPPORTED;
+}
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -104,22 +104,12 @@
   return b;
 }
 
-static bool
-free_session_ (struct rgy_flow *flow, void *ctx)
-{
-  (void)ctx;
-  g_free (flow->session);
-  flow->session = NULL;
-  return true;
-}
-
 void
 rgy_stream_balancer_delete (struct rgy_stream_balancer *b)
 {
   if (b == NULL)
     return;
-  rgy_flow_table_foreach (b->flows, free_session_, NULL);
-  rgy_flow_table_delete (b->flows);
+  rgy_flow_table_delete_all (b->flows);
   g_hash_table_unref (b->lookups);
   g_hash_table_unref (b->opens);
   g_hash_table_unref (b->agents);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -127,14 +127,15 @@
 static void
 broken_ (const char *format, ...)
 {
+  char *text;
   va_list ap;
 
   soak_.broken++;
   va_start (ap, format);
-  fprintf (stderr, "%9.3f BROKEN ", (double)soak_.now_us / 1e6);
-  vfprintf (stderr, format, ap);
-  fputc ('\n', stderr);
+  text = g_strdup_vprintf (format, ap);
   va_end (ap);
+  fprintf (stderr, "%9.3f BROKEN %s\n", (double)soak_.now_us / 1e6, text);
+  g_free (text);
 }
 
 static void
