--- a/tests/soak/process.c
+++ b/tests/soak/process.c
@@ -56,6 +56,7 @@
   uint32_t number = (process->agent ? SOAK_AGENT_IP : SOAK_BALANCER_IP)
                     + (uint32_t)process->index;
   char *ip = ip_ (number);
+  char *app = g_strdup_printf ("%s:%d", ip, SOAK_APP_PORT);
   char *store = ip_ (SOAK_STORE_IP);
   char *seed = ip_ (SOAK_BALANCER_IP);
   char *path = g_strdup_printf ("%s/%s.conf", soak_process_folder (), ip);
@@ -69,15 +70,15 @@
       process->index % 2 == 0 ? "domain-a" : "domain-b",
       first_start ? "true" : "false", seed, SOAK_CONTROL_PORT,
       process->index < SOAK_WORKSHOP ? "workshop" : "catalogue",
-      process->agent ? g_strdup_printf ("%s:%d", ip, SOAK_APP_PORT) : "", ip,
-      SOAK_PACKETS_PORT, ip, SOAK_OUTBOUND_PORT, ip, SOAK_READY_PORT, ip,
-      SOAK_CONTROL_PORT, SOAK_INTERNAL_PORT, SOAK_INTERNAL_PORT + 15, store,
-      SOAK_STORE_PORT);
+      process->agent ? app : "", ip, SOAK_PACKETS_PORT, ip, SOAK_OUTBOUND_PORT,
+      ip, SOAK_READY_PORT, ip, SOAK_CONTROL_PORT, SOAK_INTERNAL_PORT,
+      SOAK_INTERNAL_PORT + 15, store, SOAK_STORE_PORT);
 
   g_file_set_contents (path, text, -1, NULL);
   g_free (text);
   g_free (seed);
   g_free (store);
+  g_free (app);
   g_free (ip);
   return path;
 }
