Encode big-endian integers and list balancers in one place

The hash by which an agent and a balancer compare the balancers they know was written on both sides, where a difference would send every list with every acknowledgement; it is one function. An acknowledgement that is not due is no longer built first. The version of a peer was stored and never read.

--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -21,6 +21,16 @@
 /** Most flow changes in one report; keeps it below one Ethernet frame.  */
 #define RGY_STREAM_MAX_CHANGES 96
 
+/** Bytes of each balancer or agent in a list.  */
+#define RGY_STREAM_IP_BYTES 4
+
+/** Address at the start of @p in, host byte order.  */
+uint32_t rgy_stream_get_ip (const uint8_t *in);
+
+/** Part of one balancer in the hash of a set, which is the exclusive or of
+    these, so that its order does not count.  */
+uint64_t rgy_stream_hash_balancer (uint32_t ip);
+
 /** What an agent says of its backend server.  */
 enum rgy_backend_state
 {
@@ -84,7 +94,8 @@
   uint32_t open_flows;
   uint32_t awaited_flows;   /**< Answered, but not yet taken up by callers.  */
   uint32_t latency_us;      /**< Mean time to the first answer; 0 if none.  */
-  uint64_t balancers_hash;  /**< Hash of the balancers that it knows.  */
+  uint64_t balancers_hash;  /**< Of those it knows: see
+                                 rgy_stream_hash_balancer().  */
   uint64_t changes_from;    /**< Number of the first change below.  */
   struct rgy_bytes changes; /**< Flow ends and a byte, 1 opened, 0 closed.  */
 };
@@ -105,7 +116,7 @@
                                  is stated.  */
   uint32_t idle_timeout_ms; /**< Flows idle for longer may be lost; 0 when none
                                  is stated.  */
-  struct rgy_bytes balancers; /**< 4 bytes each; empty when the same.  */
+  struct rgy_bytes balancers; /**< Empty when they are the same.  */
 };
 
 /** State that balancers tell each other.  */
@@ -116,8 +127,8 @@
   bool wants_reply; /**< Sent by a starting balancer.  */
   bool settled;     /**< The sender knows all agents.  */
   struct rgy_domain_view view;
-  struct rgy_bytes balancers; /**< 4 bytes each.  */
-  struct rgy_bytes agents;    /**< 4 bytes each; only in replies.  */
+  struct rgy_bytes balancers;
+  struct rgy_bytes agents; /**< Only in replies.  */
 };
 
 enum rgy_stream_message_kind
--- a/src/libragwortyoke/echo.c
+++ b/src/libragwortyoke/echo.c
@@ -4,6 +4,8 @@
 
 #include <sodium.h>
 
+#include "ragwortyoke/bytes.h"
+
 #define FLOW_KEY_BYTES 13
 /* Low bits of an epoch that count the steps of a session.  */
 #define STEP_MASK 0xffff
@@ -11,26 +13,6 @@
    last two steps.  */
 #define REQUESTS_PER_STEP (RGY_HANDOVER_MAX_RECORDS / 2)
 
-static void
-put_be_ (uint8_t *out, uint64_t value, size_t len)
-{
-  size_t i;
-
-  for (i = 0; i < len; i++)
-    out[i] = (uint8_t)(value >> (8 * (len - 1 - i)));
-}
-
-static uint64_t
-get_be_ (const uint8_t *in, size_t len)
-{
-  uint64_t value = 0;
-  size_t i;
-
-  for (i = 0; i < len; i++)
-    value = value << 8 | in[i];
-  return value;
-}
-
 static void
 put_flow_key_ (uint8_t *out, const struct rgy_flow_key *key)
 {
@@ -38,10 +20,10 @@
   switch (key->kind)
     {
     case RGY_FLOW_KEY_UDP:
-      put_be_ (out + 1, key->u.udp.caller.ip, 4);
-      put_be_ (out + 5, key->u.udp.caller.port, 2);
-      put_be_ (out + 7, key->u.udp.service.ip, 4);
-      put_be_ (out + 11, key->u.udp.service.port, 2);
+      rgy_put_be (out + 1, key->u.udp.caller.ip, 4);
+      rgy_put_be (out + 5, key->u.udp.caller.port, 2);
+      rgy_put_be (out + 7, key->u.udp.service.ip, 4);
+      rgy_put_be (out + 11, key->u.udp.service.port, 2);
       return;
     case RGY_FLOW_KEY_SEGMENT:
       break;
@@ -56,7 +38,7 @@
   const struct rgy_request_settings *settings = &session->engine->settings;
   int rc;
 
-  put_be_ (input, epoch, RGY_ECHO_EPOCH_BYTES);
+  rgy_put_be (input, epoch, RGY_ECHO_EPOCH_BYTES);
   put_flow_key_ (input + RGY_ECHO_EPOCH_BYTES, &session->flow->key);
   rc = crypto_generichash (mac, RGY_ECHO_MAC_BYTES, input, sizeof input,
                            settings->echo_key, sizeof settings->echo_key);
@@ -112,7 +94,7 @@
 {
   if (!request->has_echo || request->echo.len != RGY_ECHO_BYTES)
     return 0;
-  return get_be_ (request->echo.data, RGY_ECHO_EPOCH_BYTES);
+  return rgy_get_be (request->echo.data, RGY_ECHO_EPOCH_BYTES);
 }
 
 void
@@ -131,7 +113,7 @@
 {
   uint64_t epoch = rgy_echo_current (session);
 
-  put_be_ (echo, epoch, RGY_ECHO_EPOCH_BYTES);
+  rgy_put_be (echo, epoch, RGY_ECHO_EPOCH_BYTES);
   mac_ (session, epoch, echo + RGY_ECHO_EPOCH_BYTES);
 }
 
@@ -157,7 +139,7 @@
 
   if (echo.len != RGY_ECHO_BYTES)
     return false;
-  epoch = get_be_ (echo.data, RGY_ECHO_EPOCH_BYTES);
+  epoch = rgy_get_be (echo.data, RGY_ECHO_EPOCH_BYTES);
   if (!is_valid_epoch_ (session, epoch))
     return false;
   mac_ (session, epoch, mac);
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -86,7 +86,6 @@
 {
   uint32_t ip;
   int64_t heard_us;
-  uint64_t version; /**< Of its manifest.  */
 };
 
 /** How a balancer knows where a flow is; more certain ones come later.  */
--- a/src/libragwortyoke/stream_agent_report.c
+++ b/src/libragwortyoke/stream_agent_report.c
@@ -18,7 +18,6 @@
   return NULL;
 }
 
-/* Independent of the order in which the balancers became known.  */
 static uint64_t
 hash_balancers_ (const struct rgy_stream_agent *agent)
 {
@@ -26,14 +25,8 @@
   guint i;
 
   for (i = 0; i < agent->balancers->len; i++)
-    {
-      uint32_t ip
-          = g_array_index (agent->balancers, struct rgy_agent_balancer, i).ip;
-
-      hash ^= rgy_hash_bytes (
-          (struct rgy_bytes){ .data = (const uint8_t *)&ip, .len = sizeof ip },
-          0);
-    }
+    hash ^= rgy_stream_hash_balancer (
+        g_array_index (agent->balancers, struct rgy_agent_balancer, i).ip);
   return hash;
 }
 
@@ -273,16 +266,10 @@
   else if (ack->changes_upto > b->acked
            && ack->changes_upto <= journal_end_ (agent))
     b->acked = ack->changes_upto;
-  for (i = 0; i + 4 <= ack->balancers.len; i += 4)
-    {
-      const uint8_t *p = ack->balancers.data + i;
-
-      rgy_stream_agent_add_balancer (agent,
-                                     (uint32_t)p[0] << 24
-                                         | (uint32_t)p[1] << 16
-                                         | (uint32_t)p[2] << 8 | p[3],
-                                     now_us);
-    }
+  for (i = 0; i + RGY_STREAM_IP_BYTES <= ack->balancers.len;
+       i += RGY_STREAM_IP_BYTES)
+    rgy_stream_agent_add_balancer (
+        agent, rgy_stream_get_ip (ack->balancers.data + i), now_us);
 }
 
 static void
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -2,31 +2,18 @@
 
 #include <string.h>
 
+#include "ragwortyoke/bytes.h"
 #include "ragwortyoke/clock.h"
 
 static void
 put_ip_ (GByteArray *list, uint32_t ip)
 {
-  uint8_t bytes[4] = { (uint8_t)(ip >> 24), (uint8_t)(ip >> 16),
-                       (uint8_t)(ip >> 8), (uint8_t)ip };
+  uint8_t bytes[RGY_STREAM_IP_BYTES];
 
+  rgy_put_be (bytes, ip, sizeof bytes);
   g_byte_array_append (list, bytes, sizeof bytes);
 }
 
-static uint32_t
-get_ip_ (const uint8_t *p)
-{
-  return (uint32_t)p[0] << 24 | (uint32_t)p[1] << 16 | (uint32_t)p[2] << 8
-         | p[3];
-}
-
-static uint64_t
-hash_ip_ (uint32_t ip)
-{
-  return rgy_hash_bytes (
-      (struct rgy_bytes){ .data = (const uint8_t *)&ip, .len = sizeof ip }, 0);
-}
-
 static struct rgy_stream_peer *
 find_peer_ (const struct rgy_stream_balancer *b, uint32_t ip)
 {
@@ -164,7 +151,6 @@
   if (peer == NULL)
     return;
   peer->heard_us = now_us;
-  peer->version = status->manifest_version;
   if (status->wants_reply)
     send_status_to_ (b, ip, false, true, now_us);
   rgy_stream_balancer_set_view (b, &status->view, now_us);
@@ -175,12 +161,14 @@
 
       b->settings.out.emit (b->settings.out.ctx, &action);
     }
-  for (i = 0; i + 4 <= status->balancers.len; i += 4)
-    rgy_stream_balancer_add_peer (b, get_ip_ (status->balancers.data + i),
-                                  now_us);
-  for (i = 0; i + 4 <= status->agents.len; i += 4)
+  for (i = 0; i + RGY_STREAM_IP_BYTES <= status->balancers.len;
+       i += RGY_STREAM_IP_BYTES)
+    rgy_stream_balancer_add_peer (
+        b, rgy_stream_get_ip (status->balancers.data + i), now_us);
+  for (i = 0; i + RGY_STREAM_IP_BYTES <= status->agents.len;
+       i += RGY_STREAM_IP_BYTES)
     {
-      uint32_t agent_ip = get_ip_ (status->agents.data + i);
+      uint32_t agent_ip = rgy_stream_get_ip (status->agents.data + i);
 
       if (rgy_stream_balancer_find_agent_ (b, agent_ip) != NULL)
         continue;
@@ -195,46 +183,51 @@
 
 /* Reports.  */
 
+static uint64_t
+hash_balancers_ (const struct rgy_stream_balancer *b)
+{
+  uint64_t hash = rgy_stream_hash_balancer (b->settings.own_ip);
+  guint i;
+
+  for (i = 0; i < b->peers->len; i++)
+    hash ^= rgy_stream_hash_balancer (
+        g_array_index (b->peers, struct rgy_stream_peer, i).ip);
+  return hash;
+}
+
 /* Answers a report.  One that brought nothing, from an agent that knows the
-   newest view, is answered once a second only: acknowledgements are about half
-   of the control traffic.  */
+   newest view and all balancers, is answered once a second only:
+   acknowledgements are about half of the control traffic.  */
 static void
 acknowledge_ (struct rgy_stream_balancer *b, struct rgy_known_agent *agent,
               bool needed, int64_t now_us)
 {
   const struct rgy_stream_report *report = &agent->report;
-  GByteArray *balancers = list_balancers_ (b);
-  uint64_t hash = 0;
-  size_t i;
+  bool knows_balancers = hash_balancers_ (b) == report->balancers_hash;
+  GByteArray *balancers;
   struct rgy_stream_message message
       = { .kind = RGY_STREAM_REPORT_ACK,
-          .u.ack
-          = { .balancer_incarnation = b->settings.incarnation,
-              .agent_incarnation = report->incarnation,
-              .seq = report->seq,
-              .changes_upto = agent->changes_upto,
-              .view = b->view,
-              .cold_rate_milli = b->manifest == NULL
-                                     ? 0
-                                     : rgy_stream_manifest_get_cold_rate (
-                                         b->manifest, &report->service),
-              .idle_timeout_ms
-              = b->manifest == NULL
-                    ? 0
-                    : rgy_stream_manifest_get_idle_timeout (b->manifest) } };
-
-  for (i = 0; i + 4 <= balancers->len; i += 4)
-    hash ^= hash_ip_ (get_ip_ (balancers->data + i));
-  if (hash != report->balancers_hash)
-    message.u.ack.balancers
-        = (struct rgy_bytes){ .data = balancers->data, .len = balancers->len };
-  if (needed || message.u.ack.balancers.len > 0
-      || now_us - agent->acked_us >= ACK_INTERVAL_US)
+          .u.ack = { .balancer_incarnation = b->settings.incarnation,
+                     .agent_incarnation = report->incarnation,
+                     .seq = report->seq,
+                     .changes_upto = agent->changes_upto,
+                     .view = b->view } };
+
+  if (!needed && knows_balancers && now_us - agent->acked_us < ACK_INTERVAL_US)
+    return;
+  agent->acked_us = now_us;
+  agent->acked_change_us = b->changed_us;
+  if (b->manifest != NULL)
     {
-      agent->acked_us = now_us;
-      agent->acked_change_us = b->changed_us;
-      rgy_stream_emit_message (&b->settings.out, agent->ip, &message);
+      message.u.ack.cold_rate_milli
+          = rgy_stream_manifest_get_cold_rate (b->manifest, &report->service);
+      message.u.ack.idle_timeout_ms
+          = rgy_stream_manifest_get_idle_timeout (b->manifest);
     }
+  balancers = knows_balancers ? g_byte_array_new () : list_balancers_ (b);
+  message.u.ack.balancers
+      = (struct rgy_bytes){ .data = balancers->data, .len = balancers->len };
+  rgy_stream_emit_message (&b->settings.out, agent->ip, &message);
   g_byte_array_unref (balancers);
 }
 
--- a/src/libragwortyoke/stream_message.c
+++ b/src/libragwortyoke/stream_message.c
@@ -3,9 +3,9 @@
 #include <stdlib.h>
 
 #include "private/msgpack_io.h"
+#include "ragwortyoke/bytes.h"
 
-#define IP_BYTES 4
-#define MAX_AGENT_LIST_BYTES (8192 * IP_BYTES)
+#define MAX_LISTED_AGENTS 8192
 
 const char *const rgy_backend_state_string[] = {
   [RGY_BACKEND_UNKNOWN] = "unknown",   [RGY_BACKEND_READY] = "ready",
@@ -22,6 +22,19 @@
   [RGY_REFUSED_RESTARTING] = "agent-restarting",
 };
 
+uint32_t
+rgy_stream_get_ip (const uint8_t *in)
+{
+  return (uint32_t)rgy_get_be (in, RGY_STREAM_IP_BYTES);
+}
+
+uint64_t
+rgy_stream_hash_balancer (uint32_t ip)
+{
+  return rgy_hash_bytes (
+      (struct rgy_bytes){ .data = (const uint8_t *)&ip, .len = sizeof ip }, 0);
+}
+
 bool
 rgy_domain_view_is_out (const struct rgy_domain_view *view,
                         const struct rgy_name *domain)
@@ -214,7 +227,8 @@
   read_view_ (reader, &a->view);
   a->cold_rate_milli = (uint32_t)rgy_read_max (reader, UINT32_MAX);
   a->idle_timeout_ms = (uint32_t)rgy_read_max (reader, UINT32_MAX);
-  a->balancers = read_records_ (reader, IP_BYTES, RGY_STREAM_MAX_BALANCERS);
+  a->balancers
+      = read_records_ (reader, RGY_STREAM_IP_BYTES, RGY_STREAM_MAX_BALANCERS);
 }
 
 static void
@@ -225,8 +239,10 @@
   s->wants_reply = rgy_read_bool (reader);
   s->settled = rgy_read_bool (reader);
   read_view_ (reader, &s->view);
-  s->balancers = read_records_ (reader, IP_BYTES, RGY_STREAM_MAX_BALANCERS);
-  s->agents = read_records_ (reader, IP_BYTES, MAX_AGENT_LIST_BYTES);
+  s->balancers
+      = read_records_ (reader, RGY_STREAM_IP_BYTES, RGY_STREAM_MAX_BALANCERS);
+  s->agents = read_records_ (reader, RGY_STREAM_IP_BYTES,
+                             MAX_LISTED_AGENTS * RGY_STREAM_IP_BYTES);
 }
 
 static void
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -6,6 +6,7 @@
 
 #include "ragwortyoke-io/http_client.h"
 #include "ragwortyoke-io/udp.h"
+#include "ragwortyoke/bytes.h"
 #include "ragwortyoke/clock.h"
 
 #define SERVICE_IP 0xc6120001U
@@ -88,15 +89,6 @@
   unsigned broken;
 } soak_;
 
-static void
-put32_ (uint8_t *p, uint32_t value)
-{
-  p[0] = (uint8_t)(value >> 24);
-  p[1] = (uint8_t)(value >> 16);
-  p[2] = (uint8_t)(value >> 8);
-  p[3] = (uint8_t)value;
-}
-
 /* Builds a packet; FROM_SERVICE swaps the ends.  */
 static size_t
 build_ (uint8_t *out, const struct caller_ *caller, bool from_service,
@@ -109,16 +101,13 @@
 
   memset (out, 0, RGY_HEAD_BYTES + len);
   out[0] = flags;
-  put32_ (out + 6, seq);
-  put32_ (out + 10, ack);
-  out[18] = (uint8_t)(dport >> 8);
-  out[19] = (uint8_t)dport;
-  put32_ (out + 20, dst);
-  put32_ (out + 24, src);
-  out[28] = (uint8_t)(sport >> 8);
-  out[29] = (uint8_t)sport;
-  out[30] = (uint8_t)(len >> 8);
-  out[31] = (uint8_t)len;
+  rgy_put_be (out + 6, seq, 4);
+  rgy_put_be (out + 10, ack, 4);
+  rgy_put_be (out + 18, dport, 2);
+  rgy_put_be (out + 20, dst, 4);
+  rgy_put_be (out + 24, src, 4);
+  rgy_put_be (out + 28, sport, 2);
+  rgy_put_be (out + 30, len, 2);
   return RGY_HEAD_BYTES + len;
 }
 
