--- a/include/ragwortyoke/flow.h
+++ b/include/ragwortyoke/flow.h
@@ -41,6 +41,11 @@
                          const struct rgy_flow_key *b);
 uint64_t rgy_flow_key_hash (const struct rgy_flow_key *key);
 
+/** Hash and equality functions for a GHashTable keyed by struct rgy_flow_key,
+   or by a structure that begins with one.  */
+unsigned rgy_flow_key_ghash (const void *key);
+int rgy_flow_key_gequal (const void *a, const void *b);
+
 /** Bucket of a flow, 0 to RGY_BUCKET_COUNT - 1.  */
 unsigned rgy_flow_key_bucket (const struct rgy_flow_key *key);
 
--- a/src/libragwortyoke/flow.c
+++ b/src/libragwortyoke/flow.c
@@ -4,7 +4,8 @@
 #include <stdlib.h>
 
 /* A flow with its links in the idle order.  The public part comes first, so
-   that a pointer to it can be converted back.  */
+   that a pointer to it can be converted back; it begins with the key, by which
+   the table finds it.  */
 struct entry_
 {
   struct rgy_flow flow;
@@ -78,31 +79,26 @@
 }
 
 unsigned
-rgy_flow_key_bucket (const struct rgy_flow_key *key)
+rgy_flow_key_ghash (const void *key)
 {
-  return (unsigned)(rgy_flow_key_hash (key) % RGY_BUCKET_COUNT);
+  /* The low bits select the bucket; an agent holds flows of few buckets.  */
+  return (unsigned)(rgy_flow_key_hash (key) >> 32);
 }
 
-/* Table.  */
-
-static guint
-hash_entry_key_ (gconstpointer entry)
+int
+rgy_flow_key_gequal (const void *a, const void *b)
 {
-  const struct rgy_flow *flow = entry;
-
-  /* The low bits select the bucket; an agent holds flows of few buckets.  */
-  return (guint)(rgy_flow_key_hash (&flow->key) >> 32);
+  return rgy_flow_key_equal (a, b);
 }
 
-static gboolean
-equal_entry_keys_ (gconstpointer a, gconstpointer b)
+unsigned
+rgy_flow_key_bucket (const struct rgy_flow_key *key)
 {
-  const struct rgy_flow *x = a;
-  const struct rgy_flow *y = b;
-
-  return rgy_flow_key_equal (&x->key, &y->key);
+  return (unsigned)(rgy_flow_key_hash (key) % RGY_BUCKET_COUNT);
 }
 
+/* Table.  */
+
 static guint
 hash_entry_id_ (gconstpointer entry)
 {
@@ -128,8 +124,8 @@
   table->max_flows = max_flows;
   table->idle_timeout_us = idle_timeout_us;
   table->next_id = 1;
-  table->by_key = g_hash_table_new_full (hash_entry_key_, equal_entry_keys_,
-                                         g_free, NULL);
+  table->by_key = g_hash_table_new_full (rgy_flow_key_ghash,
+                                         rgy_flow_key_gequal, g_free, NULL);
   table->by_id = g_hash_table_new (hash_entry_id_, equal_entry_ids_);
   return table;
 }
@@ -173,9 +169,7 @@
 rgy_flow_table_find (struct rgy_flow_table *table,
                      const struct rgy_flow_key *key)
 {
-  struct rgy_flow probe = { .key = *key };
-
-  return g_hash_table_lookup (table->by_key, &probe);
+  return g_hash_table_lookup (table->by_key, key);
 }
 
 struct rgy_flow *
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -181,6 +181,11 @@
   uint64_t *n_foreign;
 };
 
+/** Route of the manifest in force for a flow, or NULL.  */
+const struct rgy_route *
+rgy_stream_balancer_find_route_ (const struct rgy_stream_balancer *b,
+                                 const struct rgy_flow_key *key);
+
 /* Agents.  */
 struct rgy_known_agent *
 rgy_stream_balancer_find_agent_ (const struct rgy_stream_balancer *b,
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -70,18 +70,6 @@
   g_free (lookup);
 }
 
-static guint
-hash_key_ (gconstpointer key)
-{
-  return (guint)rgy_flow_key_hash (key);
-}
-
-static gboolean
-equal_keys_ (gconstpointer a, gconstpointer b)
-{
-  return rgy_flow_key_equal (a, b);
-}
-
 struct rgy_stream_balancer *
 rgy_stream_balancer_new (const struct rgy_stream_balancer_settings *settings,
                          struct rgy_counters *counters, int64_t now_us)
@@ -97,9 +85,10 @@
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
   b->peers = g_array_new (FALSE, TRUE, sizeof (struct rgy_stream_peer));
   /* The key is the first member of both values.  */
-  b->opens = g_hash_table_new_full (hash_key_, equal_keys_, NULL, open_free_);
-  b->lookups
-      = g_hash_table_new_full (hash_key_, equal_keys_, NULL, lookup_free_);
+  b->opens = g_hash_table_new_full (rgy_flow_key_ghash, rgy_flow_key_gequal,
+                                    NULL, open_free_);
+  b->lookups = g_hash_table_new_full (rgy_flow_key_ghash, rgy_flow_key_gequal,
+                                      NULL, lookup_free_);
   add_counters_ (b, counters);
   return b;
 }
@@ -152,6 +141,15 @@
                              : rgy_stream_manifest_get_version (b->manifest);
 }
 
+const struct rgy_route *
+rgy_stream_balancer_find_route_ (const struct rgy_stream_balancer *b,
+                                 const struct rgy_flow_key *key)
+{
+  return b->manifest == NULL
+             ? NULL
+             : rgy_stream_manifest_find (b->manifest, key->u.segment.service);
+}
+
 void
 rgy_stream_balancer_set_view (struct rgy_stream_balancer *b,
                               const struct rgy_domain_view *view,
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -101,13 +101,14 @@
     }
 }
 
-static const struct rgy_route *
-find_route_ (const struct rgy_stream_balancer *b,
-             const struct rgy_flow_key *key)
+/* True while agents may be missing only because this balancer has just started
+   or was paused; a search is then repeated instead of ended.  */
+static bool
+may_settle_ (const struct rgy_stream_balancer *b,
+             const struct rgy_lookup *lookup, int64_t now_us)
 {
-  return b->manifest == NULL
-             ? NULL
-             : rgy_stream_manifest_find (b->manifest, key->u.segment.service);
+  return !rgy_stream_balancer_is_settled_ (b, now_us)
+         && now_us - lookup->began_us < LOOKUP_PATIENCE_US;
 }
 
 /* Agents that have answered a search with NO, or not at all.  */
@@ -137,12 +138,8 @@
 {
   char text[RGY_FLOW_TEXT_BYTES];
 
-  if (!rgy_stream_balancer_is_settled_ (b, now_us)
-      && now_us - lookup->began_us < LOOKUP_PATIENCE_US)
-    {
-      /* Agents may be missing: asked again, with them, at the deadline.  */
-      return;
-    }
+  if (may_settle_ (b, lookup, now_us))
+    return; /* Repeated at its deadline.  */
   certain = certain && rgy_stream_balancer_is_settled_ (b, now_us);
   rgy_stream_emit_log (
       &b->settings.out,
@@ -218,7 +215,8 @@
   if (!lookup->asked_others)
     {
       lookup->deadline_us = now_us + LOOKUP_US;
-      ask_ (b, lookup, find_route_ (b, &lookup->key), true, now_us);
+      ask_ (b, lookup, rgy_stream_balancer_find_route_ (b, &lookup->key), true,
+            now_us);
       if (lookup->asked->len > before)
         return;
     }
@@ -247,7 +245,7 @@
         }
       return;
     }
-  route = find_route_ (b, &segment->key);
+  route = rgy_stream_balancer_find_route_ (b, &segment->key);
   if (route == NULL && b->previous != NULL
       && rgy_stream_manifest_find (b->previous, segment->key.u.segment.service)
              != NULL)
@@ -390,7 +388,8 @@
 {
   lookup->deadline_us = now_us + LOOKUP_US;
   g_array_set_size (lookup->asked, 0);
-  ask_ (b, lookup, find_route_ (b, &lookup->key), false, now_us);
+  ask_ (b, lookup, rgy_stream_balancer_find_route_ (b, &lookup->key), false,
+        now_us);
 }
 
 void
@@ -410,8 +409,7 @@
     {
       struct rgy_lookup *lookup = g_ptr_array_index (ended, i);
 
-      if (!rgy_stream_balancer_is_settled_ (b, now_us)
-          && now_us - lookup->began_us < LOOKUP_PATIENCE_US)
+      if (may_settle_ (b, lookup, now_us))
         repeat_ (b, lookup, now_us);
       else
         give_up_ (b, lookup, is_certain_ (b, lookup, now_us), now_us);
--- a/src/libragwortyoke/stream_balancer_open.c
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -188,11 +188,8 @@
         int64_t now_us)
 {
   const struct rgy_route *route
-      = b->manifest == NULL ? NULL
-                            : rgy_stream_manifest_find (
-                                b->manifest, open->key.u.segment.service);
+      = rgy_stream_balancer_find_route_ (b, &open->key);
   struct rgy_known_agent *agent;
-  struct rgy_trail trail;
 
   open->current_ip = 0;
   if (now_us - open->began_us > OPEN_GIVE_UP_US)
@@ -225,39 +222,21 @@
   agent->placed++;
   rgy_stream_balancer_learn_ (b, &open->key, agent->ip, RGY_FLOW_CHOSEN,
                               now_us);
-  trail = (struct rgy_trail){ .service_tag = agent->tag,
-                              .balancer_ip = b->settings.own_ip };
-  rgy_stream_emit_segment (
-      &b->settings.out, RGY_STREAM_TO_AGENT, agent->ip, &open->key,
-      (struct rgy_bytes){ .data = open->raw, .len = open->raw_len }, trail);
+  rgy_stream_balancer_send_ (
+      b, &open->key,
+      (struct rgy_bytes){ .data = open->raw, .len = open->raw_len },
+      agent->ip);
   return true;
 }
 
-/* A copy of a first segment whose flow an agent has taken: the answer did not
-   reach the caller.  The first copy goes to the same agent, the second to
-   another one.  */
-static void
-repeat_ (struct rgy_stream_balancer *b, const struct rgy_segment *segment,
-         struct rgy_flow *flow)
-{
-  struct rgy_cached_flow *cached = flow->session;
-  const struct rgy_known_agent *agent
-      = rgy_stream_balancer_find_agent_ (b, cached->agent_ip);
-
-  rgy_stream_emit_segment (
-      &b->settings.out, RGY_STREAM_TO_AGENT, cached->agent_ip, &segment->key,
-      segment->raw,
-      (struct rgy_trail){ .service_tag = agent == NULL ? 0 : agent->tag,
-                          .balancer_ip = b->settings.own_ip });
-}
-
 void
 rgy_stream_balancer_open_ (struct rgy_stream_balancer *b,
                            const struct rgy_segment *segment, int64_t now_us)
 {
   struct rgy_pending_open *open
       = g_hash_table_lookup (b->opens, &segment->key);
-  struct rgy_flow *flow;
+  const struct rgy_flow *flow;
+  const struct rgy_cached_flow *cached;
 
   if (open != NULL)
     {
@@ -266,15 +245,16 @@
       return;
     }
   flow = rgy_flow_table_find (b->flows, &segment->key);
-  if (flow != NULL
-      && ((struct rgy_cached_flow *)flow->session)->certainty
-             != RGY_FLOW_CHOSEN
+  cached = flow == NULL ? NULL : flow->session;
+  if (cached != NULL && cached->certainty != RGY_FLOW_CHOSEN
       && segment->ack < 2
-      && rgy_stream_balancer_find_agent_ (
-             b, ((struct rgy_cached_flow *)flow->session)->agent_ip)
-             != NULL)
+      && rgy_stream_balancer_find_agent_ (b, cached->agent_ip) != NULL)
     {
-      repeat_ (b, segment, flow);
+      /* A copy although an agent has taken the flow: the answer did not reach
+         the caller.  The first copy goes to the same agent, the second to
+         another one.  */
+      rgy_stream_balancer_send_ (b, &segment->key, segment->raw,
+                                 cached->agent_ip);
       return;
     }
   if (g_hash_table_size (b->opens) >= MAX_PENDING)
@@ -289,9 +269,8 @@
   open->raw_len = segment->raw.len;
   open->began_us = now_us;
   open->began_late = segment->ack > 0;
-  if (flow != NULL)
-    open->tried[open->n_tried++]
-        = ((struct rgy_cached_flow *)flow->session)->agent_ip;
+  if (cached != NULL)
+    open->tried[open->n_tried++] = cached->agent_ip;
   g_hash_table_add (b->opens, open);
   if (!offer_ (b, open, now_us))
     g_hash_table_remove (b->opens, &segment->key);
