--- a/include/ragwortyoke/address.h
+++ b/include/ragwortyoke/address.h
@@ -13,6 +13,8 @@
 #include "ragwortyoke/outcome.h"
 #include "ragwortyoke/str.h"
 
+/** Bytes needed for "255.255.255.255" and its terminator.  */
+#define RGY_IP_TEXT_BYTES 16
 /** Bytes needed for "255.255.255.255:65535" and its terminator.  */
 #define RGY_ENDPOINT_TEXT_BYTES 22
 
@@ -30,6 +32,12 @@
   uint8_t bits; /**< 0 to 32.  */
 };
 
+/** Parse "A.B.C.D".  @return RGY_OK or RGY_ERR_INVALID.  */
+enum rgy_outcome rgy_ip_parse (struct rgy_str text, uint32_t *ip);
+
+/** Format into @p text (RGY_IP_TEXT_BYTES bytes); returns @p text.  */
+const char *rgy_ip_format (uint32_t ip, char *text);
+
 /** Parse "A.B.C.D:PORT".  @return RGY_OK or RGY_ERR_INVALID.  */
 enum rgy_outcome rgy_endpoint_parse (struct rgy_str text,
                                      struct rgy_endpoint *endpoint);
--- a/src/libragwortyoke/address.c
+++ b/src/libragwortyoke/address.c
@@ -8,17 +8,30 @@
 #define PREFIX_MAX_BITS 32
 #define PORT_MAX 65535
 
-static enum rgy_outcome
-parse_ip_ (const char *text, uint32_t *ip)
+enum rgy_outcome
+rgy_ip_parse (struct rgy_str text, uint32_t *ip)
 {
+  char buf[RGY_IP_TEXT_BYTES];
   struct in_addr addr;
 
-  if (inet_pton (AF_INET, text, &addr) != 1)
+  if (text.len >= sizeof buf)
+    return RGY_ERR_INVALID;
+  memcpy (buf, text.data, text.len);
+  buf[text.len] = '\0';
+  if (inet_pton (AF_INET, buf, &addr) != 1)
     return RGY_ERR_INVALID;
   *ip = ntohl (addr.s_addr);
   return RGY_OK;
 }
 
+const char *
+rgy_ip_format (uint32_t ip, char *text)
+{
+  snprintf (text, RGY_IP_TEXT_BYTES, "%u.%u.%u.%u", ip >> 24,
+            (ip >> 16) & 0xff, (ip >> 8) & 0xff, ip & 0xff);
+  return text;
+}
+
 /* Parses "A.B.C.D" SEPARATOR NUMBER with NUMBER at most MAX.  */
 static enum rgy_outcome
 parse_ip_and_number_ (struct rgy_str text, char separator, guint64 max,
@@ -37,7 +50,7 @@
   *at = '\0';
   if (!g_ascii_string_to_unsigned (at + 1, 10, 0, max, number, NULL))
     return RGY_ERR_INVALID;
-  return parse_ip_ (buf, ip);
+  return rgy_ip_parse (rgy_str_from_c (buf), ip);
 }
 
 enum rgy_outcome
@@ -81,10 +94,10 @@
 const char *
 rgy_endpoint_format (struct rgy_endpoint endpoint, char *text)
 {
-  uint32_t ip = endpoint.ip;
+  char ip[RGY_IP_TEXT_BYTES];
 
-  snprintf (text, RGY_ENDPOINT_TEXT_BYTES, "%u.%u.%u.%u:%u", ip >> 24,
-            (ip >> 16) & 0xff, (ip >> 8) & 0xff, ip & 0xff, endpoint.port);
+  snprintf (text, RGY_ENDPOINT_TEXT_BYTES, "%s:%u",
+            rgy_ip_format (endpoint.ip, ip), endpoint.port);
   return text;
 }
 
--- a/tests/soak/process.c
+++ b/tests/soak/process.c
@@ -1,6 +1,5 @@
 #include "soak.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <glib/gstdio.h>
 #include <signal.h>
@@ -40,25 +39,16 @@
   g_rmdir (folder_);
 }
 
-static char *
-ip_ (uint32_t ip)
-{
-  struct in_addr addr = { .s_addr = htonl (ip) };
-  char text[INET_ADDRSTRLEN] = "";
-
-  inet_ntop (AF_INET, &addr, text, sizeof text);
-  return g_strdup (text);
-}
-
 static char *
 write_settings_ (const struct soak_process *process, bool first_start)
 {
   uint32_t number = (process->agent ? SOAK_AGENT_IP : SOAK_BALANCER_IP)
                     + (uint32_t)process->index;
-  char *ip = ip_ (number);
-  char *app = g_strdup_printf ("%s:%d", ip, SOAK_APP_PORT);
-  char *store = ip_ (SOAK_STORE_IP);
-  char *seed = ip_ (SOAK_BALANCER_IP);
+  char ip[RGY_IP_TEXT_BYTES];
+  char store[RGY_IP_TEXT_BYTES];
+  char seed[RGY_IP_TEXT_BYTES];
+  char *app
+      = g_strdup_printf ("%s:%d", rgy_ip_format (number, ip), SOAK_APP_PORT);
   char *path = g_strdup_printf ("%s/%s.conf", soak_process_folder (), ip);
   char *text = g_strdup_printf (
       "[instance]\nname=%s-%zu\nip=%s\nfailure-domain=%s\nfirst-start=%s\n"
@@ -68,18 +58,17 @@
       "[store]\naddress=%s:%d\n[flows]\nlifetime-s=60\nmemory-mb=64\n",
       process->agent ? "side" : "front", process->index, ip,
       process->index % 2 == 0 ? "domain-a" : "domain-b",
-      first_start ? "true" : "false", seed, SOAK_CONTROL_PORT,
+      first_start ? "true" : "false", rgy_ip_format (SOAK_BALANCER_IP, seed),
+      SOAK_CONTROL_PORT,
       process->index < SOAK_WORKSHOP ? "workshop" : "catalogue",
       process->agent ? app : "", ip, SOAK_PACKETS_PORT, ip, SOAK_OUTBOUND_PORT,
       ip, SOAK_READY_PORT, ip, SOAK_CONTROL_PORT, SOAK_INTERNAL_PORT,
-      SOAK_INTERNAL_PORT + 15, store, SOAK_STORE_PORT);
+      SOAK_INTERNAL_PORT + 15, rgy_ip_format (SOAK_STORE_IP, store),
+      SOAK_STORE_PORT);
 
   g_file_set_contents (path, text, -1, NULL);
   g_free (text);
-  g_free (seed);
-  g_free (store);
   g_free (app);
-  g_free (ip);
   return path;
 }
 
