Flatten the agent's handling of segments from the backend server

note_taken_(), note_backend_() and note_answer_time_() hold what was nested five levels deep; the HTTP endpoint and client share one read buffer; the names of log levels stand in one table; a wrapper around the query of a request is gone.

--- a/src/libragwortyoke-io/http.c
+++ b/src/libragwortyoke-io/http.c
@@ -6,6 +6,8 @@
 #include <netinet/in.h>
 #include <string.h>
 
+#include "private/read_buffer.h"
+
 /* Operators' tools and scrapers need a handful; the bound keeps a client that
    opens connections from using up the process's descriptors.  */
 #define MAX_CONNECTIONS 64U
@@ -16,7 +18,6 @@
    because a connection closed early is reset and the client may then not see
    the 413.  */
 #define MAX_DISCARD_BYTES ((size_t)1024 * 1024)
-#define READ_BYTES 16384
 #define MAX_TARGET_BYTES 4096
 
 struct rgy_http
@@ -55,8 +56,6 @@
   bool last;
 };
 
-static char read_buffer_[READ_BYTES];
-
 /* Closing.  */
 
 static void
@@ -174,19 +173,12 @@
 
 /* Requests.  */
 
-struct query_
-{
-  GHashTable *values;
-};
-
 const char *
 rgy_http_request_get_query (const struct rgy_http_request *request,
                             const char *name)
 {
-  const struct query_ *query = request->query;
-
-  return query->values == NULL ? NULL
-                               : g_hash_table_lookup (query->values, name);
+  return request->query == NULL ? NULL
+                                : g_hash_table_lookup (request->query, name);
 }
 
 static GHashTable *
@@ -295,13 +287,11 @@
 on_message_complete_ (http_parser *parser)
 {
   struct connection_ *c = parser->data;
-  struct query_ query = { 0 };
   struct rgy_http_response response = { .status = HTTP_STATUS_NOT_FOUND };
   struct rgy_http_request request = {
     .method = http_method_str ((enum http_method)parser->method),
     .authorization = c->authorization->len > 0 ? c->authorization->str : NULL,
     .body = { .data = c->body->data, .len = c->body->len },
-    .query = &query,
   };
   char *mark;
   bool last = !http_should_keep_alive (parser);
@@ -314,13 +304,13 @@
   mark = strchr (c->target->str, '?');
   if (mark != NULL)
     {
-      query.values = parse_query_ (mark + 1);
+      request.query = parse_query_ (mark + 1);
       *mark = '\0';
     }
   request.path = c->target->str;
   c->http->handle (&request, &response, c->http->ctx);
-  if (query.values != NULL)
-    g_hash_table_unref (query.values);
+  if (request.query != NULL)
+    g_hash_table_unref (request.query);
   respond_ (c, response.status, response.content_type, response.body, last);
   return 0;
 }
@@ -335,14 +325,6 @@
   .on_message_complete = on_message_complete_,
 };
 
-static void
-allocate_ (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
-{
-  (void)handle;
-  (void)suggested;
-  *buf = uv_buf_init (read_buffer_, sizeof read_buffer_);
-}
-
 static void
 on_read_ (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
@@ -395,7 +377,9 @@
   g_ptr_array_add (http->connections, c);
   if (uv_accept (listener, (uv_stream_t *)&c->tcp) != 0
       || http->connections->len > MAX_CONNECTIONS
-      || uv_read_start ((uv_stream_t *)&c->tcp, allocate_, on_read_) != 0)
+      || uv_read_start ((uv_stream_t *)&c->tcp, rgy_read_buffer_allocate,
+                        on_read_)
+             != 0)
     close_connection_ (c);
 }
 
--- a/src/libragwortyoke-io/http_client.c
+++ b/src/libragwortyoke-io/http_client.c
@@ -7,7 +7,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#define READ_BYTES 16384
+#include "private/read_buffer.h"
+
 #define MAX_BODY_BYTES ((size_t)4 * 1024 * 1024)
 /* A silent connection is found by the kernel after about this time, so that a
    long poll does not hang on it until its own limit.  */
@@ -44,8 +45,6 @@
   GString *text;
 };
 
-static char read_buffer_[READ_BYTES];
-
 static void
 on_closed_ (uv_handle_t *handle)
 {
@@ -116,14 +115,6 @@
   .on_message_complete = on_complete_,
 };
 
-static void
-allocate_ (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
-{
-  (void)handle;
-  (void)suggested;
-  *buf = uv_buf_init (read_buffer_, sizeof read_buffer_);
-}
-
 static void
 on_read_ (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
@@ -203,7 +194,9 @@
   if (c->client == NULL)
     return;
   if (status != 0
-      || uv_read_start ((uv_stream_t *)&c->tcp, allocate_, on_read_) != 0)
+      || uv_read_start ((uv_stream_t *)&c->tcp, rgy_read_buffer_allocate,
+                        on_read_)
+             != 0)
     {
       finish_ (c->client, RGY_ERR_UNAVAILABLE, 0, (struct rgy_bytes){ 0 });
       return;
--- a/src/libragwortyoke-io/log.c
+++ b/src/libragwortyoke-io/log.c
@@ -25,6 +25,16 @@
 #define LINES_PER_S 100
 #define LINE_BYTES 640
 
+/* From the least verbose one.  */
+static const struct
+{
+  const char *name;
+  GLogLevelFlags flags;
+} levels_[] = { { "error", G_LOG_LEVEL_CRITICAL },
+                { "warning", G_LOG_LEVEL_WARNING },
+                { "info", G_LOG_LEVEL_INFO },
+                { "debug", G_LOG_LEVEL_DEBUG } };
+
 static struct log_state_ log_ = { .most_verbose = G_LOG_LEVEL_INFO };
 
 /* Writes one line without blocking.  A reader that does not keep up loses
@@ -66,17 +76,12 @@
 static const char *
 level_name_ (GLogLevelFlags level)
 {
-  switch (level & G_LOG_LEVEL_MASK)
-    {
-    case G_LOG_LEVEL_CRITICAL:
-      return "error";
-    case G_LOG_LEVEL_WARNING:
-      return "warning";
-    case G_LOG_LEVEL_INFO:
-      return "info";
-    default:
-      return "debug";
-    }
+  size_t i;
+
+  for (i = 0; i + 1 < G_N_ELEMENTS (levels_); i++)
+    if ((level & G_LOG_LEVEL_MASK) == levels_[i].flags)
+      break;
+  return levels_[i].name;
 }
 
 static GLogWriterOutput
@@ -110,20 +115,12 @@
 void
 rgy_log_init (const char *role, const char *id, const char *level)
 {
-  static const struct
-  {
-    const char *name;
-    GLogLevelFlags flags;
-  } levels[] = { { "error", G_LOG_LEVEL_CRITICAL },
-                 { "warning", G_LOG_LEVEL_WARNING },
-                 { "info", G_LOG_LEVEL_INFO },
-                 { "debug", G_LOG_LEVEL_DEBUG } };
   size_t i;
 
   g_snprintf (log_.prefix, sizeof log_.prefix, "%s/%s: ", role, id);
-  for (i = 0; i < G_N_ELEMENTS (levels); i++)
-    if (strcmp (levels[i].name, level) == 0)
-      log_.most_verbose = levels[i].flags;
+  for (i = 0; i < G_N_ELEMENTS (levels_); i++)
+    if (strcmp (levels_[i].name, level) == 0)
+      log_.most_verbose = levels_[i].flags;
   if (!log_.installed)
     g_log_set_writer_func (writer_, NULL, NULL);
   log_.installed = true;
--- a/src/libragwortyoke/stream_agent_backend.c
+++ b/src/libragwortyoke/stream_agent_backend.c
@@ -73,15 +73,13 @@
       "backend_started backend=%s started_ms=%" G_GINT64_FORMAT
       " seq=%" G_GUINT64_FORMAT " first=%d",
       heartbeat->id.data, heartbeat->started_ms, heartbeat->seq, first);
-  /* The first heartbeat of a start comes before any flow.  */
-  if (first && heartbeat->seq <= 1)
+  /* All flows of this start are known: its first heartbeat comes before any,
+     and a later start was seen from its beginning.  */
+  if (!first || heartbeat->seq <= 1)
     agent->complete = true;
   if (!first)
-    {
-      agent->complete = true;
-      reset_flows_before_ (agent, now_us - alive_us, "backend-restarted",
-                           now_us);
-    }
+    reset_flows_before_ (agent, now_us - alive_us, "backend-restarted",
+                         now_us);
 }
 
 enum rgy_outcome
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -297,10 +297,10 @@
     }
   note_caller_ (stream, segment, now_us);
   deliver_ (agent, segment, ip);
-  if ((segment->flags & RGY_SEGMENT_RST) != 0
-      || (stream->caller_finished && stream->backend_finished))
-    if (stream->state == FLOW_OPEN)
-      rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_CLOSED, now_us);
+  if (stream->state == FLOW_OPEN
+      && ((segment->flags & RGY_SEGMENT_RST) != 0
+          || (stream->caller_finished && stream->backend_finished)))
+    rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_CLOSED, now_us);
 }
 
 /* The backend server holds a flow that this agent did not know.  */
@@ -375,13 +375,75 @@
   rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_ABSENT, now_us);
 }
 
+/* Updates the mean time to the first payload in answer.  */
+static void
+note_answer_time_ (struct rgy_stream_agent *agent, int64_t took_us)
+{
+  int64_t mean_us = agent->latency_us;
+
+  rgy_histogram_observe (agent->answer_time, took_us);
+  agent->latency_us
+      = (uint32_t)(mean_us == 0 ? took_us
+                                : (mean_us * (LATENCY_WEIGHT - 1) + took_us)
+                                      / LATENCY_WEIGHT);
+}
+
+/* The backend server answered a first segment.  */
+static void
+note_taken_ (struct rgy_stream_agent *agent, struct rgy_flow *flow,
+             uint32_t backend_seq, int64_t now_us)
+{
+  struct rgy_agent_stream *stream = flow->session;
+
+  agent->unanswered = 0;
+  if (stream->state == FLOW_OPEN)
+    return;
+  if (stream->state != FLOW_ANSWERED)
+    ++*agent->n_opened;
+  rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_ANSWERED, now_us);
+  stream->backend_seq = backend_seq;
+  if (stream->balancer_ip != 0)
+    rgy_stream_agent_answer_ (agent, RGY_STREAM_TAKEN, &flow->key,
+                              stream->balancer_ip, 0);
+}
+
+/* Learns from a segment that the backend server sent on a flow.  */
+static void
+note_backend_ (struct rgy_stream_agent *agent, struct rgy_flow *flow,
+               const struct rgy_segment *segment, int64_t now_us)
+{
+  struct rgy_agent_stream *stream = flow->session;
+
+  g_assert (stream != NULL);
+  rgy_flow_table_touch (agent->flows, flow, now_us);
+  stream->generation = agent->generation;
+  stream->confirmed = true;
+  if ((segment->flags & RGY_SEGMENT_RST) != 0)
+    rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_CLOSED, now_us);
+  else if ((segment->flags & RGY_SEGMENT_SYN) != 0)
+    note_taken_ (agent, flow, segment->seq, now_us);
+  else if (stream->state == FLOW_PROBING || stream->state == FLOW_ABSENT)
+    rgy_stream_agent_recognise_ (agent, flow, now_us);
+  if (segment->payload_len > 0 && stream->asked_us != 0)
+    {
+      note_answer_time_ (agent, now_us - stream->asked_us);
+      stream->asked_us = 0;
+    }
+  if ((segment->flags & RGY_SEGMENT_FIN) != 0)
+    stream->backend_finished = true;
+  if (stream->state == FLOW_OPEN && stream->caller_finished
+      && stream->backend_finished)
+    rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_CLOSED, now_us);
+}
+
 void
 rgy_stream_agent_from_backend (struct rgy_stream_agent *agent,
                                const struct rgy_segment *segment,
                                int64_t now_us)
 {
   struct rgy_flow *flow;
-  struct rgy_agent_stream *stream;
+  const struct rgy_agent_stream *stream;
+  bool reset = (segment->flags & RGY_SEGMENT_RST) != 0;
 
   /* Bounces also come for a backend server that has ended, so they are no sign
      of life.  */
@@ -392,62 +454,17 @@
     }
   agent->packet_us = now_us;
   flow = rgy_flow_table_find (agent->flows, &segment->key);
-  if (flow != NULL && (segment->flags & RGY_SEGMENT_RST) != 0
-      && !((struct rgy_agent_stream *)flow->session)->announced
-      && ((struct rgy_agent_stream *)flow->session)->state != FLOW_CLOSED)
+  stream = flow == NULL ? NULL : flow->session;
+  if (stream != NULL && reset && !stream->announced
+      && stream->state != FLOW_CLOSED)
     {
       disown_ (agent, flow, now_us);
       return;
     }
-  if (flow == NULL && (segment->flags & RGY_SEGMENT_RST) == 0)
+  if (flow == NULL && !reset)
     flow = open_ (agent, &segment->key, FLOW_PROBING, now_us);
-  stream = flow == NULL ? NULL : flow->session;
-  if (stream != NULL)
-    {
-      rgy_flow_table_touch (agent->flows, flow, now_us);
-      stream->generation = agent->generation;
-      stream->confirmed = true;
-      if ((segment->flags & RGY_SEGMENT_RST) != 0)
-        rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_CLOSED, now_us);
-      else if ((segment->flags & RGY_SEGMENT_SYN) != 0)
-        {
-          agent->unanswered = 0;
-          if (stream->state != FLOW_OPEN)
-            {
-              if (stream->state != FLOW_ANSWERED)
-                ++*agent->n_opened;
-              rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_ANSWERED,
-                                                now_us);
-              stream->backend_seq = segment->seq;
-              if (stream->balancer_ip != 0)
-                rgy_stream_agent_answer_ (agent, RGY_STREAM_TAKEN,
-                                          &segment->key, stream->balancer_ip,
-                                          0);
-            }
-        }
-      else if (stream->state == FLOW_PROBING || stream->state == FLOW_ABSENT)
-        rgy_stream_agent_recognise_ (agent, flow, now_us);
-      if (segment->payload_len > 0 && stream->asked_us != 0)
-        {
-          int64_t took = now_us - stream->asked_us;
-
-          rgy_histogram_observe (agent->answer_time, took);
-
-          agent->latency_us
-              = agent->latency_us == 0
-                    ? (uint32_t)took
-                    : (uint32_t)((agent->latency_us
-                                      * (int64_t)(LATENCY_WEIGHT - 1)
-                                  + took)
-                                 / LATENCY_WEIGHT);
-          stream->asked_us = 0;
-        }
-      if ((segment->flags & RGY_SEGMENT_FIN) != 0)
-        stream->backend_finished = true;
-      if (stream->state == FLOW_OPEN && stream->caller_finished
-          && stream->backend_finished)
-        rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_CLOSED, now_us);
-    }
+  if (flow != NULL)
+    note_backend_ (agent, flow, segment, now_us);
   rgy_stream_emit_segment (&agent->settings.out, RGY_STREAM_TO_CALLER, 0,
                            &segment->key, segment->raw,
                            (struct rgy_trail){ 0 });
--- a/src/test_stream_flow/world.c
+++ b/src/test_stream_flow/world.c
@@ -36,7 +36,6 @@
 enum place_kind_
 {
   PLACE_ROUTER,
-  PLACE_BALANCER,
   PLACE_BALANCER_RETURNED,
   PLACE_BALANCER_MESSAGE,
   PLACE_AGENT,
@@ -534,7 +533,6 @@
   switch (d->kind)
     {
     case PLACE_ROUTER:
-    case PLACE_BALANCER:
       route_ (w, d);
       return;
     case PLACE_BALANCER_RETURNED:
