Collect the queries of searches and repeat lost ones

Cause: after a loss of power thousands of flows are searched at once.

Change: queries to one agent are collected for 40 ms, up to 96 flows in a message, and repeated after 150 ms. All agents' NO is remembered and takes effect once the balancer is settled. The counting of cached flows, which stood in for queries above the limit, and awaited_flows are gone.

--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -20,6 +20,8 @@
 #define RGY_STREAM_MAX_DOMAINS 32
 /** Most flow changes in one report; keeps it below one Ethernet frame.  */
 #define RGY_STREAM_MAX_CHANGES 96
+/** Most flows in one query or answer, for the same reason.  */
+#define RGY_STREAM_MAX_QUERIED 96
 
 /** Bytes of each balancer or agent in a list.  */
 #define RGY_STREAM_IP_BYTES 4
@@ -92,7 +94,6 @@
   bool cold;
   uint32_t slots;
   uint32_t open_flows;
-  uint32_t awaited_flows;   /**< Answered, but not yet taken up by callers.  */
   uint32_t latency_us;      /**< Mean time to the first answer; 0 if none.  */
   uint64_t balancers_hash;  /**< Of those it knows: see
                                  rgy_stream_hash_balancer().  */
@@ -103,6 +104,10 @@
 /** Bytes of one flow change.  */
 #define RGY_FLOW_CHANGE_BYTES (RGY_FLOW_ENDS_BYTES + 1)
 
+/** Bytes of the answer to the query for one flow: its ends and a byte with an
+    enum rgy_flow_held.  */
+#define RGY_FLOW_ANSWER_BYTES (RGY_FLOW_ENDS_BYTES + 1)
+
 /** Balancer's answer to a report.  */
 struct rgy_stream_report_ack
 {
@@ -139,7 +144,7 @@
   RGY_STREAM_HELLO,   /**< A balancer asks an agent to report.  */
   RGY_STREAM_TAKEN,   /**< The backend server answered a first segment.  */
   RGY_STREAM_REFUSED, /**< It did not get a first segment.  */
-  RGY_STREAM_QUERY,   /**< Who holds a flow?  */
+  RGY_STREAM_QUERY,   /**< Does the agent hold these flows?  */
   RGY_STREAM_ANSWER,
   RGY_STREAM_MESSAGE_KIND_COUNT
 };
@@ -157,8 +162,10 @@
     {
       struct rgy_flow_key key;
       enum rgy_stream_refusal reason; /**< REFUSED only.  */
-      enum rgy_flow_held held;        /**< ANSWER only.  */
-    } flow;
+    } flow;                           /**< TAKEN and REFUSED.  */
+    struct rgy_bytes queried;         /**< QUERY: the ends of each flow.  */
+    struct rgy_bytes answers;         /**< ANSWER: records of
+                                           RGY_FLOW_ANSWER_BYTES.  */
   } u;
 };
 
--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -35,8 +35,6 @@
 #define CLOSED_US (4 * RGY_US_PER_S)
 /* A first segment without an answer for this long is forgotten.  */
 #define OPENING_US (5 * RGY_US_PER_S)
-/* A caller takes an answer up within its own limit of 1.4 s, or never.  */
-#define AWAITED_US (1500 * RGY_US_PER_MS)
 /* Unanswered first segments in a row before the backend server counts as
    silent.  */
 #define SILENT_OPENINGS 4
@@ -84,7 +82,6 @@
   bool backend_finished;
   bool announced;
   bool confirmed; /* The backend server has sent on it.  */
-  bool awaited;   /* Counted in n_awaited.  */
   int64_t since_us;
   int64_t asked_us; /* Caller's payload that waits for an answer; 0: none.  */
 };
@@ -106,8 +103,7 @@
   uint32_t service_tag;
   struct rgy_flow_table *flows;
   uint32_t n_open;
-  uint32_t n_awaited; /* Answered flows that the caller may yet take up.  */
-  GArray *balancers;  /* struct rgy_agent_balancer.  */
+  GArray *balancers; /* struct rgy_agent_balancer.  */
   uint64_t seq;
 
   GByteArray *journal; /* Changes from journal_from on.  */
@@ -164,18 +160,14 @@
                                        struct rgy_flow *flow,
                                        enum rgy_agent_flow_state state,
                                        int64_t now_us);
-void rgy_stream_agent_set_awaited_ (struct rgy_stream_agent *agent,
-                                    struct rgy_agent_stream *stream,
-                                    bool awaited);
 void rgy_stream_agent_remove_flow_ (struct rgy_stream_agent *agent,
                                     struct rgy_flow *flow, int64_t now_us);
 void rgy_stream_agent_reset_flow_ (struct rgy_stream_agent *agent,
                                    struct rgy_flow *flow, const char *why,
                                    int64_t now_us);
-void rgy_stream_agent_answer_ (struct rgy_stream_agent *agent,
-                               enum rgy_stream_message_kind kind,
-                               const struct rgy_flow_key *key, uint32_t ip,
-                               int argument);
+void rgy_stream_agent_tell_held_ (struct rgy_stream_agent *agent,
+                                  const struct rgy_flow_key *key, uint32_t ip,
+                                  enum rgy_flow_held held);
 void rgy_stream_agent_recognise_ (struct rgy_stream_agent *agent,
                                   struct rgy_flow *flow, int64_t now_us);
 
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -49,15 +49,15 @@
    FAILURES_TO_EXCLUDE failures in a row.  */
 #define EXCLUDE_US INT64_C (1000000)
 #define FAILURES_TO_EXCLUDE 2
-/* Two reports of each agent that is not queried.  */
+/* Several repetitions of a query, of which each may be lost.  */
 #define LOOKUP_US INT64_C (900000)
-/* A report that arrives this long after a search began was sent after the flow
-   was opened; covers links between failure domains and loaded machines.  */
-#define REPORT_DELAY_US INT64_C (100000)
-/* Queries a second.  Above, a search waits for the next reports instead: after
-   a loss of power thousands of flows are searched at once, and each query to
-   each agent would overload small balancers.  */
-#define QUERIES_PER_S 400
+/* Queries to one agent are collected for this long after the one before:
+   after a loss of power thousands of flows are searched at once, and a message
+   for each flow and agent would overload small balancers.  */
+#define QUERY_INTERVAL_US INT64_C (40000)
+/* A query without an answer is repeated: several times the way between failure
+   domains, plus the time for which queries are collected.  */
+#define QUERY_REPEAT_US INT64_C (150000)
 /* A search is repeated for this long while the balancer is not settled; the
    shortest time limit of the users' requests is a little longer.  */
 #define LOOKUP_PATIENCE_US INT64_C (1500000)
@@ -76,8 +76,9 @@
   int64_t acked_us;        /**< Last acknowledgement.  */
   int64_t acked_change_us; /**< rgy_stream_balancer.changed_us it told.  */
   uint64_t changes_upto;
-  uint32_t placed;   /**< New flows placed since the last report.  */
-  uint32_t n_cached; /**< Flows that are cached as open there.  */
+  uint32_t placed;     /**< New flows placed since the last report.  */
+  GByteArray *queried; /**< Ends of flows in the next query.  */
+  int64_t queried_us;  /**< Last query.  */
   unsigned failures;
   int64_t excluded_until_us;
 };
@@ -139,7 +140,9 @@
   struct rgy_flow_key key;
   GArray *asked;     /**< struct rgy_asked_agent.  */
   bool asked_others; /**< Also agents that the route does not name.  */
+  bool unsettled;    /**< All said no; the balancer may not know all agents. */
   int64_t began_us;
+  int64_t asked_us; /**< Last query or repetition.  */
   int64_t deadline_us;
   uint32_t caller_ack;
   struct rgy_held_segment held[MAX_HELD];
@@ -158,8 +161,6 @@
   GHashTable *opens;            /**< Set of struct rgy_pending_open.  */
   GHashTable *lookups;          /**< Set of struct rgy_lookup.  */
   int64_t changed_us;           /**< Last change of manifest or view.  */
-  double query_tokens;
-  int64_t query_us; /**< When the tokens were counted.  */
   int64_t started_us;
   int64_t ticked_us;
   int64_t unsettled_us; /**< Start, or end of the last pause.  */
@@ -249,10 +250,9 @@
                                     const struct rgy_flow_key *key,
                                     uint32_t ip, enum rgy_flow_held held,
                                     int64_t now_us);
-/** An agent whose flows are all cached has just reported: what is searched and
-    not cached is not there.  */
-void rgy_stream_balancer_reported_ (struct rgy_stream_balancer *b, uint32_t ip,
-                                    int64_t now_us);
+/** Send the queries that are due and repeat those without an answer.  */
+void rgy_stream_balancer_send_queries_ (struct rgy_stream_balancer *b,
+                                        int64_t now_us);
 /** Forget all flows of an agent whose backend server has lost them.  */
 void rgy_stream_balancer_forget_agent_ (struct rgy_stream_balancer *b,
                                         uint32_t ip);
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -109,8 +109,6 @@
         rgy_stream_agent_remove_flow_ (agent, flow, sweep->now_us);
       break;
     case FLOW_ANSWERED:
-      if (age_us > AWAITED_US)
-        rgy_stream_agent_set_awaited_ (agent, stream, false);
       if (age_us > OPENING_US)
         rgy_stream_agent_remove_flow_ (agent, flow, sweep->now_us);
       break;
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -17,16 +17,6 @@
   return flow;
 }
 
-void
-rgy_stream_agent_set_awaited_ (struct rgy_stream_agent *agent,
-                               struct rgy_agent_stream *stream, bool awaited)
-{
-  if (stream->awaited == awaited)
-    return;
-  stream->awaited = awaited;
-  agent->n_awaited += awaited ? 1U : -1U;
-}
-
 void
 rgy_stream_agent_set_flow_state_ (struct rgy_stream_agent *agent,
                                   struct rgy_flow *flow,
@@ -45,7 +35,6 @@
         agent->n_open--;
       rgy_stream_agent_record_change_ (agent, &flow->key, open);
     }
-  rgy_stream_agent_set_awaited_ (agent, stream, state == FLOW_ANSWERED);
   stream->state = state;
   stream->since_us = now_us;
 }
@@ -106,19 +95,39 @@
                            (struct rgy_trail){ .mark = RGY_MARK_MISS });
 }
 
+static void
+tell_taken_ (struct rgy_stream_agent *agent, const struct rgy_flow_key *key,
+             uint32_t ip)
+{
+  struct rgy_stream_message message
+      = { .kind = RGY_STREAM_TAKEN, .u.flow = { .key = *key } };
+
+  rgy_stream_emit_message (&agent->settings.out, ip, &message);
+}
+
+static void
+tell_refused_ (struct rgy_stream_agent *agent, const struct rgy_flow_key *key,
+               uint32_t ip, enum rgy_stream_refusal reason)
+{
+  struct rgy_stream_message message
+      = { .kind = RGY_STREAM_REFUSED,
+          .u.flow = { .key = *key, .reason = reason } };
+
+  rgy_stream_emit_message (&agent->settings.out, ip, &message);
+}
+
 void
-rgy_stream_agent_answer_ (struct rgy_stream_agent *agent,
-                          enum rgy_stream_message_kind kind,
-                          const struct rgy_flow_key *key, uint32_t ip,
-                          int argument)
+rgy_stream_agent_tell_held_ (struct rgy_stream_agent *agent,
+                             const struct rgy_flow_key *key, uint32_t ip,
+                             enum rgy_flow_held held)
 {
+  uint8_t answer[RGY_FLOW_ANSWER_BYTES];
   struct rgy_stream_message message
-      = { .kind = kind, .u.flow = { .key = *key } };
+      = { .kind = RGY_STREAM_ANSWER,
+          .u.answers = { .data = answer, .len = sizeof answer } };
 
-  if (kind == RGY_STREAM_REFUSED)
-    message.u.flow.reason = (enum rgy_stream_refusal)argument;
-  else
-    message.u.flow.held = (enum rgy_flow_held)argument;
+  rgy_flow_ends_encode (key, answer);
+  answer[RGY_FLOW_ENDS_BYTES] = (uint8_t)held;
   rgy_stream_emit_message (&agent->settings.out, ip, &message);
 }
 
@@ -136,8 +145,7 @@
                        rgy_stream_refusal_string[reason], agent->backend.data,
                        rgy_backend_state_string[agent->state],
                        agent->view.revision);
-  rgy_stream_agent_answer_ (agent, RGY_STREAM_REFUSED, &segment->key, ip,
-                            (int)reason);
+  tell_refused_ (agent, &segment->key, ip, reason);
 }
 
 /* True when the rate of a cold backend server leaves room; counts the flow.  A
@@ -312,8 +320,8 @@
 
   rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_OPEN, now_us);
   if (stream->balancer_ip != 0)
-    rgy_stream_agent_answer_ (agent, RGY_STREAM_ANSWER, &flow->key,
-                              stream->balancer_ip, RGY_HELD_YES);
+    rgy_stream_agent_tell_held_ (agent, &flow->key, stream->balancer_ip,
+                                 RGY_HELD_YES);
 }
 
 static void
@@ -367,11 +375,11 @@
   bool opening
       = stream->state == FLOW_OPENING || stream->state == FLOW_ANSWERED;
 
-  if (stream->balancer_ip != 0)
-    rgy_stream_agent_answer_ (
-        agent, opening ? RGY_STREAM_REFUSED : RGY_STREAM_ANSWER, &flow->key,
-        stream->balancer_ip,
-        opening ? (int)RGY_REFUSED_FULL : (int)RGY_HELD_NO);
+  if (stream->balancer_ip != 0 && opening)
+    tell_refused_ (agent, &flow->key, stream->balancer_ip, RGY_REFUSED_FULL);
+  else if (stream->balancer_ip != 0)
+    rgy_stream_agent_tell_held_ (agent, &flow->key, stream->balancer_ip,
+                                 RGY_HELD_NO);
   rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_ABSENT, now_us);
 }
 
@@ -403,8 +411,7 @@
   rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_ANSWERED, now_us);
   stream->backend_seq = backend_seq;
   if (stream->balancer_ip != 0)
-    rgy_stream_agent_answer_ (agent, RGY_STREAM_TAKEN, &flow->key,
-                              stream->balancer_ip, 0);
+    tell_taken_ (agent, &flow->key, stream->balancer_ip);
 }
 
 /* Learns from a segment that the backend server sent on a flow.  */
--- a/src/libragwortyoke/stream_agent_report.c
+++ b/src/libragwortyoke/stream_agent_report.c
@@ -55,7 +55,6 @@
               .cold = agent->cold_until_us > now_us,
               .slots = agent->slots,
               .open_flows = agent->n_open,
-              .awaited_flows = agent->n_awaited,
               .latency_us = agent->latency_us,
               .balancers_hash = hash_balancers_ (agent),
               .changes_from = from,
@@ -272,35 +271,50 @@
         agent, rgy_stream_get_ip (ack->balancers.data + i), now_us);
 }
 
-static void
-from_query_ (struct rgy_stream_agent *agent, const struct rgy_flow_key *key,
-             uint32_t from_ip)
+static enum rgy_flow_held
+holds_ (const struct rgy_stream_agent *agent, const struct rgy_flow_key *key)
 {
   const struct rgy_flow *flow = rgy_flow_table_find (agent->flows, key);
   const struct rgy_agent_stream *stream = flow == NULL ? NULL : flow->session;
-  enum rgy_flow_held held = RGY_HELD_NO;
 
   if (agent->state == RGY_BACKEND_GONE)
-    held = RGY_HELD_NO;
-  else if (stream == NULL)
-    held = agent->complete ? RGY_HELD_NO : RGY_HELD_UNSURE;
-  else
-    switch (stream->state)
-      {
-      case FLOW_OPENING:
-      case FLOW_ANSWERED:
-      case FLOW_OPEN:
-      case FLOW_CLOSED:
-        held = RGY_HELD_YES;
-        break;
-      case FLOW_PROBING:
-        held = RGY_HELD_UNSURE;
-        break;
-      case FLOW_ABSENT:
-        held = RGY_HELD_NO;
-        break;
-      }
-  rgy_stream_agent_answer_ (agent, RGY_STREAM_ANSWER, key, from_ip, (int)held);
+    return RGY_HELD_NO;
+  if (stream == NULL)
+    return agent->complete ? RGY_HELD_NO : RGY_HELD_UNSURE;
+  switch (stream->state)
+    {
+    case FLOW_OPENING:
+    case FLOW_ANSWERED:
+    case FLOW_OPEN:
+    case FLOW_CLOSED:
+      return RGY_HELD_YES;
+    case FLOW_PROBING:
+      return RGY_HELD_UNSURE;
+    case FLOW_ABSENT:
+      break;
+    }
+  return RGY_HELD_NO;
+}
+
+static void
+from_query_ (struct rgy_stream_agent *agent, struct rgy_bytes queried,
+             uint32_t from_ip)
+{
+  uint8_t answers[RGY_STREAM_MAX_QUERIED * RGY_FLOW_ANSWER_BYTES];
+  struct rgy_stream_message message
+      = { .kind = RGY_STREAM_ANSWER, .u.answers = { .data = answers } };
+  size_t i;
+
+  for (i = 0; i < queried.len; i += RGY_FLOW_ENDS_BYTES)
+    {
+      struct rgy_flow_key key = rgy_flow_ends_decode (queried.data + i);
+      uint8_t *answer = answers + message.u.answers.len;
+
+      rgy_flow_ends_encode (&key, answer);
+      answer[RGY_FLOW_ENDS_BYTES] = (uint8_t)holds_ (agent, &key);
+      message.u.answers.len += RGY_FLOW_ANSWER_BYTES;
+    }
+  rgy_stream_emit_message (&agent->settings.out, from_ip, &message);
 }
 
 enum rgy_outcome
@@ -326,7 +340,7 @@
       report_to_ (agent, find_balancer_ (agent, from_ip), now_us);
       return RGY_OK;
     case RGY_STREAM_QUERY:
-      from_query_ (agent, &message.u.flow.key, from_ip);
+      from_query_ (agent, message.u.queried, from_ip);
       return RGY_OK;
     case RGY_STREAM_REPORT:
     case RGY_STREAM_STATUS:
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -49,6 +49,15 @@
                                     "Time until a searched flow was found.");
 }
 
+static void
+agent_free_ (void *data)
+{
+  struct rgy_known_agent *agent = data;
+
+  g_byte_array_unref (agent->queried);
+  g_free (agent);
+}
+
 static void
 open_free_ (void *data)
 {
@@ -81,8 +90,8 @@
   b->unsettled_us = now_us;
   b->ticked_us = now_us;
   b->flows = rgy_flow_table_new (settings->max_flows, settings->flow_ttl_us);
-  b->agents
-      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  b->agents = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
+                                     agent_free_);
   b->peers = g_array_new (FALSE, TRUE, sizeof (struct rgy_stream_peer));
   /* The key is the first member of both values.  */
   b->opens = g_hash_table_new_full (rgy_flow_key_ghash, rgy_flow_key_gequal,
@@ -283,6 +292,7 @@
     rgy_stream_balancer_forget_ (b, expired);
   rgy_stream_balancer_retry_opens_ (b, now_us);
   rgy_stream_balancer_end_lookups_ (b, now_us);
+  rgy_stream_balancer_send_queries_ (b, now_us);
   rgy_stream_balancer_expire_members_ (b, now_us);
   if (now_us - b->status_us >= STATUS_INTERVAL_US)
     rgy_stream_balancer_send_status_ (b, false, now_us);
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -35,22 +35,77 @@
                                    .len = segment->raw.len };
 }
 
-/* Asks an agent, within the rate of queries.  */
 static void
-query_ (struct rgy_stream_balancer *b, const struct rgy_flow_key *key,
-        uint32_t ip, int64_t now_us)
+flush_queries_ (struct rgy_stream_balancer *b, struct rgy_known_agent *agent,
+                int64_t now_us)
 {
   struct rgy_stream_message message
-      = { .kind = RGY_STREAM_QUERY, .u.flow = { .key = *key } };
-  double earned
-      = (double)(now_us - b->query_us) / RGY_US_PER_S * QUERIES_PER_S;
+      = { .kind = RGY_STREAM_QUERY,
+          .u.queried
+          = { .data = agent->queried->data, .len = agent->queried->len } };
 
-  b->query_tokens = MIN (b->query_tokens + earned, QUERIES_PER_S);
-  b->query_us = now_us;
-  if (b->query_tokens < 1)
+  if (agent->queried->len == 0)
     return;
-  b->query_tokens--;
-  rgy_stream_emit_message (&b->settings.out, ip, &message);
+  agent->queried_us = now_us;
+  rgy_stream_emit_message (&b->settings.out, agent->ip, &message);
+  g_byte_array_set_size (agent->queried, 0);
+}
+
+/* Asks an agent about a flow: at once, or together with others when it was
+   asked only a moment ago.  */
+static void
+query_ (struct rgy_stream_balancer *b, const struct rgy_flow_key *key,
+        struct rgy_known_agent *agent, int64_t now_us)
+{
+  uint8_t ends[RGY_FLOW_ENDS_BYTES];
+
+  rgy_flow_ends_encode (key, ends);
+  g_byte_array_append (agent->queried, ends, sizeof ends);
+  if (now_us - agent->queried_us >= QUERY_INTERVAL_US
+      || agent->queried->len >= RGY_STREAM_MAX_QUERIED * sizeof ends)
+    flush_queries_ (b, agent, now_us);
+}
+
+/* Asks those agents again that have not answered a search.  */
+static void
+repeat_queries_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
+                 int64_t now_us)
+{
+  guint i;
+
+  lookup->asked_us = now_us;
+  for (i = 0; i < lookup->asked->len; i++)
+    {
+      const struct rgy_asked_agent *asked
+          = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
+      struct rgy_known_agent *agent
+          = asked->answered ? NULL
+                            : rgy_stream_balancer_find_agent_ (b, asked->ip);
+
+      if (agent != NULL)
+        query_ (b, &lookup->key, agent, now_us);
+    }
+}
+
+void
+rgy_stream_balancer_send_queries_ (struct rgy_stream_balancer *b,
+                                   int64_t now_us)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, b->lookups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now_us - ((struct rgy_lookup *)value)->asked_us >= QUERY_REPEAT_US)
+      repeat_queries_ (b, value, now_us);
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct rgy_known_agent *agent = value;
+
+      if (now_us - agent->queried_us >= QUERY_INTERVAL_US)
+        flush_queries_ (b, agent, now_us);
+    }
 }
 
 static bool
@@ -78,10 +133,11 @@
   void *value;
 
   lookup->asked_others = others;
+  lookup->asked_us = now_us;
   g_hash_table_iter_init (&iter, b->agents);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const struct rgy_known_agent *agent = value;
+      struct rgy_known_agent *agent = value;
       bool serves = route != NULL && serves_route_ (agent, route);
       struct rgy_asked_agent asked = { .ip = agent->ip, .other = !serves };
 
@@ -97,7 +153,7 @@
         }
       g_array_append_val (lookup->asked, asked);
       if (!asked.answered)
-        query_ (b, &lookup->key, agent->ip, now_us);
+        query_ (b, &lookup->key, agent, now_us);
     }
 }
 
@@ -139,7 +195,10 @@
   char text[RGY_FLOW_TEXT_BYTES];
 
   if (may_settle_ (b, lookup, now_us))
-    return; /* Repeated at its deadline.  */
+    {
+      lookup->unsettled = true;
+      return;
+    }
   certain = certain && rgy_stream_balancer_is_settled_ (b, now_us);
   rgy_stream_emit_log (
       &b->settings.out,
@@ -212,13 +271,13 @@
   probe_unsure_ (b, lookup, now_us);
   if (waits || !all_no)
     return;
-  if (!lookup->asked_others)
+  /* Also agents that have become known since the others were asked.  */
+  ask_ (b, lookup, rgy_stream_balancer_find_route_ (b, &lookup->key), true,
+        now_us);
+  if (lookup->asked->len > before)
     {
       lookup->deadline_us = now_us + LOOKUP_US;
-      ask_ (b, lookup, rgy_stream_balancer_find_route_ (b, &lookup->key), true,
-            now_us);
-      if (lookup->asked->len > before)
-        return;
+      return;
     }
   give_up_ (b, lookup, true, now_us);
 }
@@ -312,33 +371,6 @@
     }
 }
 
-void
-rgy_stream_balancer_reported_ (struct rgy_stream_balancer *b, uint32_t ip,
-                               int64_t now_us)
-{
-  GPtrArray *waiting = g_ptr_array_new ();
-  GHashTableIter iter;
-  void *value;
-  guint i;
-
-  g_hash_table_iter_init (&iter, b->lookups);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct rgy_asked_agent *asked = find_asked_ (value, ip);
-
-      if (asked == NULL || asked->answered
-          || now_us - ((struct rgy_lookup *)value)->began_us < REPORT_DELAY_US)
-        continue;
-      asked->answered = true;
-      asked->answer = RGY_HELD_NO;
-      g_ptr_array_add (waiting, value);
-    }
-  /* check_() may end the search it is given, but no other one.  */
-  for (i = 0; i < waiting->len; i++)
-    check_ (b, g_ptr_array_index (waiting, i), now_us);
-  g_ptr_array_unref (waiting);
-}
-
 void
 rgy_stream_balancer_found_ (struct rgy_stream_balancer *b,
                             const struct rgy_flow_key *key, uint32_t agent_ip,
@@ -382,14 +414,27 @@
   return true;
 }
 
+/* Goes on with a search whose time is over.  A NO stays valid: the flow was
+   opened before the segment that is searched for.  */
 static void
-repeat_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
+extend_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
          int64_t now_us)
 {
+  guint i;
+
   lookup->deadline_us = now_us + LOOKUP_US;
-  g_array_set_size (lookup->asked, 0);
-  ask_ (b, lookup, rgy_stream_balancer_find_route_ (b, &lookup->key), false,
-        now_us);
+  for (i = 0; i < lookup->asked->len; i++)
+    {
+      struct rgy_asked_agent *asked
+          = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
+
+      if (asked->answered && asked->answer != RGY_HELD_NO)
+        *asked = (struct rgy_asked_agent){ .ip = asked->ip,
+                                           .other = asked->other };
+    }
+  repeat_queries_ (b, lookup, now_us);
+  ask_ (b, lookup, rgy_stream_balancer_find_route_ (b, &lookup->key),
+        lookup->asked_others, now_us);
 }
 
 void
@@ -397,20 +442,30 @@
                                   int64_t now_us)
 {
   GPtrArray *ended = g_ptr_array_new ();
+  bool settled = rgy_stream_balancer_is_settled_ (b, now_us);
   GHashTableIter iter;
   void *value;
   guint i;
 
   g_hash_table_iter_init (&iter, b->lookups);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (now_us >= ((struct rgy_lookup *)value)->deadline_us)
-      g_ptr_array_add (ended, value);
+    {
+      const struct rgy_lookup *lookup = value;
+
+      if (now_us >= lookup->deadline_us || (lookup->unsettled && settled))
+        g_ptr_array_add (ended, value);
+    }
   for (i = 0; i < ended->len; i++)
     {
       struct rgy_lookup *lookup = g_ptr_array_index (ended, i);
 
-      if (may_settle_ (b, lookup, now_us))
-        repeat_ (b, lookup, now_us);
+      if (lookup->unsettled && settled)
+        {
+          lookup->unsettled = false;
+          check_ (b, lookup, now_us);
+        }
+      else if (may_settle_ (b, lookup, now_us))
+        extend_ (b, lookup, now_us);
       else
         give_up_ (b, lookup, is_certain_ (b, lookup, now_us), now_us);
     }
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -134,6 +134,7 @@
 
   agent->ip = ip;
   agent->heard_us = now_us;
+  agent->queried = g_byte_array_new ();
   g_hash_table_insert (b->agents, GUINT_TO_POINTER (ip), agent);
   return agent;
 }
@@ -318,9 +319,6 @@
   agent->placed = 0;
   apply_changes_ (b, agent, report, now_us);
   acknowledge_ (b, agent, needed, now_us);
-  if (report->complete && report->awaited_flows == 0
-      && agent->n_cached == report->open_flows)
-    rgy_stream_balancer_reported_ (b, ip, now_us);
 }
 
 void
--- a/src/libragwortyoke/stream_balancer_packet.c
+++ b/src/libragwortyoke/stream_balancer_packet.c
@@ -2,20 +2,6 @@
 
 /* Cached flows.  */
 
-/* Counts an open flow in or out at its agent.  */
-static void
-count_ (struct rgy_stream_balancer *b, const struct rgy_cached_flow *cached,
-        int change)
-{
-  struct rgy_known_agent *agent
-      = cached->certainty == RGY_FLOW_OPEN
-            ? rgy_stream_balancer_find_agent_ (b, cached->agent_ip)
-            : NULL;
-
-  if (agent != NULL)
-    agent->n_cached += (uint32_t)change;
-}
-
 struct forget_agent_
 {
   struct rgy_stream_balancer *balancer;
@@ -45,7 +31,6 @@
 rgy_stream_balancer_forget_ (struct rgy_stream_balancer *b,
                              struct rgy_flow *flow)
 {
-  count_ (b, flow->session, -1);
   g_free (flow->session);
   flow->session = NULL;
   rgy_flow_table_close (b->flows, flow);
@@ -73,10 +58,8 @@
   else
     rgy_flow_table_touch (b->flows, flow, now_us);
   g_assert (cached != NULL);
-  count_ (b, cached, -1);
   cached->agent_ip = agent_ip;
   cached->certainty = certainty;
-  count_ (b, cached, 1);
   if (certainty == RGY_FLOW_CHOSEN)
     return;
   /* Also when TAKEN was lost and the agent's report tells.  */
@@ -170,6 +153,22 @@
 
 /* Messages.  */
 
+static void
+from_answer_ (struct rgy_stream_balancer *b, struct rgy_bytes answers,
+              uint32_t ip, int64_t now_us)
+{
+  size_t i;
+
+  for (i = 0; i < answers.len; i += RGY_FLOW_ANSWER_BYTES)
+    {
+      struct rgy_flow_key key = rgy_flow_ends_decode (answers.data + i);
+
+      rgy_stream_balancer_answered_ (
+          b, &key, ip,
+          (enum rgy_flow_held)answers.data[i + RGY_FLOW_ENDS_BYTES], now_us);
+    }
+}
+
 enum rgy_outcome
 rgy_stream_balancer_from_message (struct rgy_stream_balancer *b,
                                   struct rgy_bytes bytes, uint32_t from_ip,
@@ -199,8 +198,7 @@
                                     message.u.flow.reason, now_us);
       return RGY_OK;
     case RGY_STREAM_ANSWER:
-      rgy_stream_balancer_answered_ (b, &message.u.flow.key, from_ip,
-                                     message.u.flow.held, now_us);
+      from_answer_ (b, message.u.answers, from_ip, now_us);
       return RGY_OK;
     case RGY_STREAM_REPORT_ACK:
     case RGY_STREAM_HELLO:
--- a/src/libragwortyoke/stream_message.c
+++ b/src/libragwortyoke/stream_message.c
@@ -63,7 +63,7 @@
 static void
 pack_report_ (msgpack_packer *pk, const struct rgy_stream_report *r)
 {
-  msgpack_pack_array (pk, 17);
+  msgpack_pack_array (pk, 16);
   msgpack_pack_uint8 (pk, RGY_STREAM_REPORT);
   msgpack_pack_uint64 (pk, r->incarnation);
   msgpack_pack_uint64 (pk, r->seq);
@@ -76,7 +76,6 @@
   rgy_pack_bool (pk, r->cold);
   msgpack_pack_uint32 (pk, r->slots);
   msgpack_pack_uint32 (pk, r->open_flows);
-  msgpack_pack_uint32 (pk, r->awaited_flows);
   msgpack_pack_uint32 (pk, r->latency_us);
   msgpack_pack_uint64 (pk, r->balancers_hash);
   msgpack_pack_uint64 (pk, r->changes_from);
@@ -112,6 +111,15 @@
   rgy_pack_bytes (pk, s->agents);
 }
 
+static void
+pack_records_ (msgpack_packer *pk, enum rgy_stream_message_kind kind,
+               struct rgy_bytes records)
+{
+  msgpack_pack_array (pk, 2);
+  msgpack_pack_uint8 (pk, (uint8_t)kind);
+  rgy_pack_bytes (pk, records);
+}
+
 static void
 pack_flow_ (msgpack_packer *pk, const struct rgy_stream_message *message,
             int argument)
@@ -148,14 +156,16 @@
       msgpack_pack_uint8 (&pk, RGY_STREAM_HELLO);
       return;
     case RGY_STREAM_TAKEN:
-    case RGY_STREAM_QUERY:
       pack_flow_ (&pk, message, 0);
       return;
     case RGY_STREAM_REFUSED:
       pack_flow_ (&pk, message, (int)message->u.flow.reason);
       return;
+    case RGY_STREAM_QUERY:
+      pack_records_ (&pk, message->kind, message->u.queried);
+      return;
     case RGY_STREAM_ANSWER:
-      pack_flow_ (&pk, message, (int)message->u.flow.held);
+      pack_records_ (&pk, message->kind, message->u.answers);
       return;
     case RGY_STREAM_MESSAGE_KIND_COUNT:
       break;
@@ -209,7 +219,6 @@
   r->cold = rgy_read_bool (reader);
   r->slots = (uint32_t)rgy_read_max (reader, UINT32_MAX);
   r->open_flows = (uint32_t)rgy_read_max (reader, UINT32_MAX);
-  r->awaited_flows = (uint32_t)rgy_read_max (reader, UINT32_MAX);
   r->latency_us = (uint32_t)rgy_read_max (reader, UINT32_MAX);
   r->balancers_hash = rgy_read_u64 (reader);
   r->changes_from = rgy_read_u64 (reader);
@@ -259,11 +268,20 @@
   message->u.flow.key = rgy_flow_ends_decode (ends.data);
   argument = rgy_read_max (reader, message->kind == RGY_STREAM_REFUSED
                                        ? RGY_STREAM_REFUSAL_COUNT - 1
-                                       : RGY_FLOW_HELD_COUNT - 1);
-  if (message->kind == RGY_STREAM_REFUSED)
-    message->u.flow.reason = (enum rgy_stream_refusal)argument;
-  else
-    message->u.flow.held = (enum rgy_flow_held)argument;
+                                       : 0);
+  message->u.flow.reason = (enum rgy_stream_refusal)argument;
+}
+
+static void
+read_answers_ (struct rgy_reader *reader, struct rgy_bytes *answers)
+{
+  size_t i;
+
+  *answers
+      = read_records_ (reader, RGY_FLOW_ANSWER_BYTES, RGY_STREAM_MAX_QUERIED);
+  for (i = RGY_FLOW_ENDS_BYTES; i < answers->len; i += RGY_FLOW_ANSWER_BYTES)
+    if (answers->data[i] >= RGY_FLOW_HELD_COUNT)
+      rgy_reader_fail (reader, RGY_ERR_INVALID);
 }
 
 enum rgy_outcome
@@ -271,10 +289,10 @@
                            struct rgy_stream_message *message)
 {
   static const size_t n_fields[] = {
-    [RGY_STREAM_REPORT] = 17, [RGY_STREAM_REPORT_ACK] = 9,
+    [RGY_STREAM_REPORT] = 16, [RGY_STREAM_REPORT_ACK] = 9,
     [RGY_STREAM_STATUS] = 8,  [RGY_STREAM_HELLO] = 1,
     [RGY_STREAM_TAKEN] = 3,   [RGY_STREAM_REFUSED] = 3,
-    [RGY_STREAM_QUERY] = 3,   [RGY_STREAM_ANSWER] = 3,
+    [RGY_STREAM_QUERY] = 2,   [RGY_STREAM_ANSWER] = 2,
   };
   msgpack_zone zone;
   msgpack_object object;
@@ -315,9 +333,14 @@
       break;
     case RGY_STREAM_TAKEN:
     case RGY_STREAM_REFUSED:
+      read_flow_ (&reader, message);
+      break;
     case RGY_STREAM_QUERY:
+      message->u.queried = read_records_ (&reader, RGY_FLOW_ENDS_BYTES,
+                                          RGY_STREAM_MAX_QUERIED);
+      break;
     case RGY_STREAM_ANSWER:
-      read_flow_ (&reader, message);
+      read_answers_ (&reader, &message->u.answers);
       break;
     case RGY_STREAM_MESSAGE_KIND_COUNT:
       abort ();
--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -33,10 +33,12 @@
 on_message_ (struct fixture_ *f, struct rgy_bytes bytes)
 {
   struct rgy_stream_message message;
+  size_t i;
 
   assert_int_equal (rgy_stream_message_decode (bytes, &message), RGY_OK);
   if (message.kind == RGY_STREAM_ANSWER)
-    f->held[message.u.flow.held]++;
+    for (i = 0; i < message.u.answers.len; i += RGY_FLOW_ANSWER_BYTES)
+      f->held[message.u.answers.data[i + RGY_FLOW_ENDS_BYTES]]++;
   else if (message.kind == RGY_STREAM_REFUSED)
     f->refused++;
   else if (message.kind == RGY_STREAM_TAKEN)
--- a/src/test_stream_balancer/test_stream_balancer.c
+++ b/src/test_stream_balancer/test_stream_balancer.c
@@ -23,6 +23,8 @@
   uint64_t seq;
   unsigned to_agent;
   unsigned resets;
+  unsigned queries;
+  GByteArray *queried; /* Of the last query.  */
 };
 
 static void
@@ -34,6 +36,19 @@
     f->to_agent++;
   else if (action->kind == RGY_STREAM_RESET)
     f->resets++;
+  else if (action->kind == RGY_STREAM_MESSAGE)
+    {
+      struct rgy_stream_message message;
+
+      assert_int_equal (
+          rgy_stream_message_decode (action->u.message, &message), RGY_OK);
+      if (message.kind != RGY_STREAM_QUERY)
+        return;
+      f->queries++;
+      g_byte_array_set_size (f->queried, 0);
+      g_byte_array_append (f->queried, message.u.queried.data,
+                           (guint)message.u.queried.len);
+    }
 }
 
 static void
@@ -96,6 +111,7 @@
   route.targets[0].service = rgy_name_from_c ("workshop");
   route.targets[0].weight = 1;
   assert_int_equal (rgy_stream_manifest_add_route (manifest, &route), RGY_OK);
+  f->queried = g_byte_array_new ();
   f->counters = rgy_counters_new ();
   f->now_us = 100 * RGY_US_PER_S;
   f->balancer = rgy_stream_balancer_new (&settings, f->counters, f->now_us);
@@ -114,18 +130,40 @@
 
   rgy_stream_balancer_delete (f->balancer);
   rgy_counters_delete (f->counters);
+  g_byte_array_unref (f->queried);
   g_free (f);
   return 0;
 }
 
+/* Answers the last query with NO for each flow.  */
 static void
-router_ (struct fixture_ *f, uint16_t service_port, uint8_t flags,
-         uint32_t ack)
+deny_ (struct fixture_ *f)
+{
+  GByteArray *answers = g_byte_array_new ();
+  struct rgy_stream_message message = { .kind = RGY_STREAM_ANSWER };
+  guint i;
+
+  for (i = 0; i < f->queried->len; i += RGY_FLOW_ENDS_BYTES)
+    {
+      uint8_t held = RGY_HELD_NO;
+
+      g_byte_array_append (answers, f->queried->data + i, RGY_FLOW_ENDS_BYTES);
+      g_byte_array_append (answers, &held, sizeof held);
+    }
+  message.u.answers
+      = (struct rgy_bytes){ .data = answers->data, .len = answers->len };
+  tell_ (f, &message);
+  g_byte_array_unref (answers);
+}
+
+static void
+router_from_ (struct fixture_ *f, uint16_t caller_port, uint16_t service_port,
+              uint8_t flags, uint32_t ack)
 {
   static const uint8_t raw[1];
   struct rgy_segment segment
       = { .key = rgy_flow_key_segment (
-              (struct rgy_endpoint){ .ip = 0x64400007, .port = 4000 },
+              (struct rgy_endpoint){ .ip = 0x64400007, .port = caller_port },
               (struct rgy_endpoint){ .ip = 0xc6120001, .port = service_port }),
           .flags = flags,
           .ack = ack,
@@ -134,6 +172,13 @@
   rgy_stream_balancer_from_router (f->balancer, &segment, f->now_us);
 }
 
+static void
+router_ (struct fixture_ *f, uint16_t service_port, uint8_t flags,
+         uint32_t ack)
+{
+  router_from_ (f, 4000, service_port, flags, ack);
+}
+
 /* A copy of the first segment that went to another balancer may have opened
    the flow; the reset of the first balancer then hit an open flow (soak, seed
    104).  */
@@ -176,16 +221,54 @@
   assert_int_equal (f->resets, 1);
 }
 
-/* An agent whose flows are all known need not be asked: its next report says
-   that a flow is not there.  */
+/* The caller is told as soon as the last agent has denied the flow, not at the
+   end of the time for a search.  */
 static void
 lost_flow_is_reset_ (void **state)
 {
   struct fixture_ *f = *state;
 
   router_ (f, 443, RGY_SEGMENT_ACK, 5);
+  assert_int_equal (f->queries, 1);
+  deny_ (f);
+  assert_int_equal (f->resets, 1);
+}
+
+/* One lost query or answer ended a search without a verdict, and the caller
+   waited until its time limit.  */
+static void
+lost_query_is_repeated_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  router_ (f, 443, RGY_SEGMENT_ACK, 5);
+  pass_ (f, 200 * MS);
+  assert_int_equal (f->queries, 2);
+  deny_ (f);
+  assert_int_equal (f->resets, 1);
   pass_ (f, RGY_US_PER_S);
+  assert_int_equal (f->queries, 2);
+}
+
+/* After a loss of power every caller uses its lost flows at once.  A query for
+   each flow was above what small balancers can send, so most searches ended
+   without a verdict (rodaforte-sul-grown, trouble-1).  */
+static void
+many_lost_flows_share_queries_ (void **state)
+{
+  struct fixture_ *f = *state;
+  uint16_t i;
+
+  for (i = 0; i < 50; i++)
+    router_from_ (f, (uint16_t)(4000 + i), 443, RGY_SEGMENT_ACK, 5);
+  assert_int_equal (f->queries, 1);
+  deny_ (f);
   assert_int_equal (f->resets, 1);
+  pass_ (f, 50 * MS);
+  assert_int_equal (f->queries, 2);
+  assert_int_equal (f->queried->len, 49 * RGY_FLOW_ENDS_BYTES);
+  deny_ (f);
+  assert_int_equal (f->resets, 50);
 }
 
 /* A balancer that hears no agent is cut off itself: it must not reset flows
@@ -225,6 +308,8 @@
     WITH_BALANCER (unanswered_flow_is_rejected_),
     WITH_BALANCER (unknown_address_is_rejected_at_once_),
     WITH_BALANCER (lost_flow_is_reset_),
+    WITH_BALANCER (lost_query_is_repeated_),
+    WITH_BALANCER (many_lost_flows_share_queries_),
     WITH_BALANCER (cut_off_balancer_resets_nothing_),
     WITH_BALANCER (older_manifest_is_refused_),
   };
--- a/src/test_stream_flow/test_stream_flow.c
+++ b/src/test_stream_flow/test_stream_flow.c
@@ -161,6 +161,45 @@
   world_delete (w);
 }
 
+/* The same with many flows, new ones coming and some loss of datagrams: nine
+   of ten callers are told within half a second after a balancer may tell them.
+   Searches were limited by the rate of queries and ended at the first lost
+   one, so most callers waited until their time limit (rodaforte-sul-grown,
+   trouble-1).  */
+static void
+many_lost_flows_are_reset_soon_ (void **state)
+{
+  struct world *w = world_new (13, 4, 24, 0.002);
+  const struct world_seen *seen = world_get_seen (w);
+  unsigned lost;
+  size_t i;
+
+  (void)state;
+  world_start (w);
+  world_set_load (w, 200, 12 * S);
+  world_run (w, 5 * S);
+  lost = seen->opened;
+  for (i = 0; i < 4; i++)
+    world_kill_balancer (w, i);
+  for (i = 0; i < 24; i++)
+    {
+      world_kill_agent (w, i);
+      world_end_backend (w, i, true);
+    }
+  world_run (w, 900 * MS);
+  for (i = 0; i < 4; i++)
+    world_start_balancer (w, i);
+  for (i = 0; i < 24; i++)
+    {
+      world_start_agent (w, i);
+      world_start_backend (w, i);
+    }
+  world_run (w, 1500 * MS);
+  assert_promises_ (w);
+  assert_true (seen->resets > lost * 9 / 10);
+  world_delete (w);
+}
+
 /* A weight of zero takes a service off a route; its open flows stay.  When
    TAKEN was lost, such a flow was searched among the agents of the newest
    route only and reset (hollenbeck-lakes, mix, seed 658227542158).  */
@@ -403,6 +442,7 @@
     cmocka_unit_test (flows_survive_a_roll_of_agents_),
     cmocka_unit_test (flows_survive_a_kill_of_everything_),
     cmocka_unit_test (lost_flows_are_reset_soon_),
+    cmocka_unit_test (many_lost_flows_are_reset_soon_),
     cmocka_unit_test (flows_outlive_a_change_of_weights_),
     cmocka_unit_test (unsure_agents_prevent_resets_),
     cmocka_unit_test (lost_messages_move_no_flow_),
--- a/src/test_stream_message/test_stream_message.c
+++ b/src/test_stream_message/test_stream_message.c
@@ -11,6 +11,12 @@
 
 static const uint8_t ends_[RGY_FLOW_CHANGE_BYTES]
     = { 100, 64, 0, 7, 0x9c, 0x41, 198, 18, 0, 1, 1, 0xbb, 1 };
+/* Two flows, held and unsure.  */
+static const uint8_t answers_[2 * RGY_FLOW_ANSWER_BYTES] = {
+  [RGY_FLOW_ENDS_BYTES] = RGY_HELD_YES,
+  [RGY_FLOW_ANSWER_BYTES] = 9,
+  [RGY_FLOW_ANSWER_BYTES + RGY_FLOW_ENDS_BYTES] = RGY_HELD_UNSURE,
+};
 static const uint8_t ips_[8] = { 10, 1, 0, 10, 10, 2, 0, 40 };
 
 static struct rgy_stream_message
@@ -35,7 +41,6 @@
         .cold = true,
         .slots = 4,
         .open_flows = 12,
-        .awaited_flows = 3,
         .latency_us = 22000,
         .balancers_hash = 3,
         .changes_from = 100,
@@ -73,11 +78,14 @@
       message.u.flow.key = rgy_flow_ends_decode (ends_);
       break;
     case RGY_STREAM_ANSWER:
-      message.u.flow.held = RGY_HELD_UNSURE;
-      message.u.flow.key = rgy_flow_ends_decode (ends_);
+      message.u.answers
+          = (struct rgy_bytes){ .data = answers_, .len = sizeof answers_ };
       break;
-    case RGY_STREAM_TAKEN:
     case RGY_STREAM_QUERY:
+      message.u.queried = (struct rgy_bytes){ .data = answers_,
+                                              .len = 2 * RGY_FLOW_ENDS_BYTES };
+      break;
+    case RGY_STREAM_TAKEN:
       message.u.flow.key = rgy_flow_ends_decode (ends_);
       break;
     }
@@ -173,6 +181,27 @@
   g_rand_free (rand);
 }
 
+/* An answer that is not one of the known ones would be used as an index.  */
+static void
+unknown_answers_are_refused_ (void **state)
+{
+  uint8_t answer[RGY_FLOW_ANSWER_BYTES]
+      = { [RGY_FLOW_ENDS_BYTES] = RGY_FLOW_HELD_COUNT };
+  struct rgy_stream_message message
+      = { .kind = RGY_STREAM_ANSWER,
+          .u.answers = { .data = answer, .len = sizeof answer } };
+  GByteArray *bytes = g_byte_array_new ();
+
+  (void)state;
+  rgy_stream_message_encode (&message, bytes);
+  assert_int_equal (
+      rgy_stream_message_decode (
+          (struct rgy_bytes){ .data = bytes->data, .len = bytes->len },
+          &message),
+      RGY_ERR_INVALID);
+  g_byte_array_unref (bytes);
+}
+
 static void
 view_names_its_domains_ (void **state)
 {
@@ -191,6 +220,7 @@
     cmocka_unit_test (every_kind_survives_),
     cmocka_unit_test (truncated_messages_are_refused_),
     cmocka_unit_test (damaged_messages_are_survived_),
+    cmocka_unit_test (unknown_answers_are_refused_),
     cmocka_unit_test (view_names_its_domains_),
   };
 
