Check whether a silent backend server still runs

Change: an agent that misses heartbeats, hears none after its start, or sees a flow that was held bounce connects to its backend server's address. A refused connection means that the process has ended: the agent says gone and resets what it knows. A heartbeat brings the backend server back unless it has deregistered. flow_not_found names an agent that prevented the reset.

--- a/include/ragwortyoke/stream_action.h
+++ b/include/ragwortyoke/stream_action.h
@@ -20,6 +20,9 @@
   RGY_STREAM_TO_CALLER,      /**< Segment to the caller of its flow.  */
   RGY_STREAM_RESET,          /**< Tell the caller that its flow is lost.  */
   RGY_STREAM_MESSAGE,        /**< Control message to @c ip.  */
+  RGY_STREAM_CHECK_BACKEND,  /**< Find out whether the backend server runs,
+                                  and call rgy_stream_agent_backend_absent()
+                                  if it does not.  */
   RGY_STREAM_FETCH_MANIFEST, /**< Ask the balancer at @c ip for its own.  */
   RGY_STREAM_LOG             /**< A decision, as text.  */
 };
--- a/include/ragwortyoke/stream_agent.h
+++ b/include/ragwortyoke/stream_agent.h
@@ -86,6 +86,16 @@
                                          const struct rgy_name *id,
                                          int64_t now_us);
 
+/**
+ * Nothing listens at the backend server's address: its process has ended and
+ * its flows are lost.
+ *
+ * @param asked_us  when RGY_STREAM_CHECK_BACKEND was emitted; a heartbeat
+ *                  since then overrules the result.
+ */
+void rgy_stream_agent_backend_absent (struct rgy_stream_agent *agent,
+                                      int64_t asked_us, int64_t now_us);
+
 /** To be called every RGY_STREAM_TICK_US.  */
 void rgy_stream_agent_tick (struct rgy_stream_agent *agent, int64_t now_us);
 
--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -43,6 +43,12 @@
    reset; the second is longer, since a wrong reset breaks a flow.  */
 #define SILENT_HEARTBEATS_X10 25
 #define LOST_HEARTBEATS_X10 33
+/* Pause between two checks whether the backend server's process runs.  */
+#define CHECK_INTERVAL_US (500 * RGY_US_PER_MS)
+/* A backend server that starts together with the agent listens by then.  */
+#define FIRST_CHECK_US (300 * RGY_US_PER_MS)
+/* Missed heartbeats before its process is checked.  */
+#define CHECK_HEARTBEATS_X10 14
 /* A sign of life from its packets counts as a heartbeat for this long.  */
 #define PACKET_ALIVE_US (1500 * RGY_US_PER_MS)
 /* The backend server ends just after it has said so.  */
@@ -115,6 +121,7 @@
   enum rgy_backend_state state;
   unsigned generation;
   bool complete;
+  bool left; /* It has deregistered.  */
   bool stopping;
   uint32_t slots;
   int64_t started_us;
@@ -122,6 +129,7 @@
   int64_t packet_us;    /* Last packet of the backend server.  */
   int64_t cold_until_us;
   int64_t gone_us;
+  int64_t checked_us; /* Last check of its process; 0: none.  */
   int64_t cold_opened_us[COLD_RING];
   unsigned cold_next;
   unsigned unanswered;
@@ -177,7 +185,11 @@
                                           enum rgy_backend_state state,
                                           const char *why, int64_t now_us);
 void rgy_stream_agent_end_backend_ (struct rgy_stream_agent *agent,
-                                    int64_t now_us);
+                                    const char *why, int64_t now_us);
+/** Have the process of the backend server checked, unless that was done a
+    moment ago.  */
+void rgy_stream_agent_suspect_ (struct rgy_stream_agent *agent,
+                                int64_t now_us);
 void rgy_stream_agent_check_backend_ (struct rgy_stream_agent *agent,
                                       int64_t now_us);
 
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -175,6 +175,6 @@
 {
   agent->stopping = true;
   if (agent->gone_us != 0)
-    rgy_stream_agent_end_backend_ (agent, now_us);
+    rgy_stream_agent_end_backend_ (agent, "ended", now_us);
   rgy_stream_agent_report_to_all_ (agent, now_us);
 }
--- a/src/libragwortyoke/stream_agent_backend.c
+++ b/src/libragwortyoke/stream_agent_backend.c
@@ -65,6 +65,7 @@
         + RGY_US_PER_S / 2;
 
   agent->gone_us = 0;
+  agent->left = false;
   agent->backend = heartbeat->id;
   agent->backend_started_ms = heartbeat->started_ms;
   agent->generation++;
@@ -96,7 +97,7 @@
   if (!rgy_name_equal (&heartbeat->service, &agent->settings.service))
     return RGY_ERR_INVALID;
   if (earlier || (same && heartbeat->seq <= agent->backend_seq)
-      || (same && (agent->state == RGY_BACKEND_GONE || agent->gone_us != 0)))
+      || (same && agent->left))
     {
       ++*agent->n_stale_heartbeats;
       return RGY_ERR_STALE;
@@ -128,20 +129,57 @@
     }
   /* It ends when it has the answer; until then its flows live.  */
   agent->gone_us = now_us;
+  agent->left = true;
   rgy_stream_agent_set_backend_state_ (agent, RGY_BACKEND_DRAINING,
                                        "deregistered", now_us);
   return RGY_OK;
 }
 
 void
-rgy_stream_agent_end_backend_ (struct rgy_stream_agent *agent, int64_t now_us)
+rgy_stream_agent_end_backend_ (struct rgy_stream_agent *agent, const char *why,
+                               int64_t now_us)
 {
   agent->gone_us = 0;
-  rgy_stream_agent_set_backend_state_ (agent, RGY_BACKEND_GONE, "ended",
-                                       now_us);
+  rgy_stream_agent_set_backend_state_ (agent, RGY_BACKEND_GONE, why, now_us);
   reset_flows_before_ (agent, now_us, "backend-gone", now_us);
 }
 
+void
+rgy_stream_agent_suspect_ (struct rgy_stream_agent *agent, int64_t now_us)
+{
+  struct rgy_stream_action action = { .kind = RGY_STREAM_CHECK_BACKEND };
+
+  if (agent->state == RGY_BACKEND_GONE
+      || (agent->checked_us != 0
+          && now_us - agent->checked_us < CHECK_INTERVAL_US))
+    return;
+  agent->checked_us = now_us;
+  agent->settings.out.emit (agent->settings.out.ctx, &action);
+}
+
+void
+rgy_stream_agent_backend_absent (struct rgy_stream_agent *agent,
+                                 int64_t asked_us, int64_t now_us)
+{
+  if (agent->state == RGY_BACKEND_GONE || agent->heartbeat_us > asked_us)
+    return;
+  /* Whatever it held is lost, and a new start will be seen from its
+     beginning.  */
+  agent->complete = true;
+  rgy_stream_agent_end_backend_ (agent, "not-running", now_us);
+}
+
+/* Packets are no reason to wait: segments of ended flows are answered for a
+   backend server that does not run any more.  */
+static bool
+is_overdue_ (const struct rgy_stream_agent *agent, int64_t now_us)
+{
+  if (agent->heartbeat_us == 0)
+    return now_us - agent->started_us > FIRST_CHECK_US;
+  return now_us - agent->heartbeat_us
+         > agent->settings.heartbeat_us * CHECK_HEARTBEATS_X10 / 10;
+}
+
 void
 rgy_stream_agent_check_backend_ (struct rgy_stream_agent *agent,
                                  int64_t now_us)
@@ -150,7 +188,9 @@
   int64_t limit_us = agent->settings.heartbeat_us;
 
   if (agent->gone_us != 0 && now_us - agent->gone_us > GONE_RESET_US)
-    rgy_stream_agent_end_backend_ (agent, now_us);
+    rgy_stream_agent_end_backend_ (agent, "ended", now_us);
+  if (is_overdue_ (agent, now_us))
+    rgy_stream_agent_suspect_ (agent, now_us);
   if (agent->heartbeat_us == 0 || agent->state == RGY_BACKEND_GONE
       || now_us - agent->packet_us < PACKET_ALIVE_US)
     return;
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -357,6 +357,7 @@
       /* It was held here and is not any more: nobody else can have it.  */
       stream->caller_ack = segment->ack;
       rgy_stream_agent_reset_flow_ (agent, flow, "bounced", now_us);
+      rgy_stream_agent_suspect_ (agent, now_us);
       return;
     }
   if (stream->state != FLOW_CLOSED)
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -167,11 +167,19 @@
          && now_us - lookup->began_us < LOOKUP_PATIENCE_US;
 }
 
-/* Agents that have answered a search with NO, or not at all.  */
-static unsigned
-count_answers_ (const struct rgy_lookup *lookup, bool answered)
+/* What the agents have said to a search.  */
+struct answers_
 {
-  unsigned n = 0;
+  unsigned no;
+  unsigned unsure;
+  unsigned missing;
+  uint32_t open_ip; /* One that may hold the flow; 0: none.  */
+};
+
+static struct answers_
+count_answers_ (const struct rgy_lookup *lookup)
+{
+  struct answers_ answers = { 0 };
   guint i;
 
   for (i = 0; i < lookup->asked->len; i++)
@@ -179,11 +187,18 @@
       const struct rgy_asked_agent *asked
           = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
 
-      if (answered ? asked->answered && asked->answer == RGY_HELD_NO
-                   : !asked->answered)
-        n++;
+      if (asked->answered && asked->answer == RGY_HELD_NO)
+        {
+          answers.no++;
+          continue;
+        }
+      answers.open_ip = asked->ip;
+      if (asked->answered)
+        answers.unsure++;
+      else
+        answers.missing++;
     }
-  return n;
+  return answers;
 }
 
 /* Ends a search that found nothing.  The caller is told only when no agent is
@@ -193,6 +208,8 @@
           bool certain, int64_t now_us)
 {
   char text[RGY_FLOW_TEXT_BYTES];
+  char ip[RGY_IP_TEXT_BYTES];
+  struct answers_ answers = count_answers_ (lookup);
 
   if (may_settle_ (b, lookup, now_us))
     {
@@ -202,10 +219,12 @@
   certain = certain && rgy_stream_balancer_is_settled_ (b, now_us);
   rgy_stream_emit_log (
       &b->settings.out,
-      "flow_not_found flow=%s asked=%u no=%u unanswered=%u "
-      "known=%u waited_ms=%" G_GINT64_FORMAT " certain=%d outcome=%s",
-      rgy_flow_key_format (&lookup->key, text), lookup->asked->len,
-      count_answers_ (lookup, true), count_answers_ (lookup, false),
+      "flow_not_found flow=%s asked=%u no=%u unsure=%u unanswered=%u "
+      "open_agent=%s known=%u waited_ms=%" G_GINT64_FORMAT
+      " certain=%d outcome=%s",
+      rgy_flow_key_format (&lookup->key, text), lookup->asked->len, answers.no,
+      answers.unsure, answers.missing,
+      answers.open_ip == 0 ? "-" : rgy_ip_format (answers.open_ip, ip),
       g_hash_table_size (b->agents),
       (now_us - lookup->began_us) / RGY_US_PER_MS, certain,
       certain ? "reset" : "dropped");
--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -26,6 +26,7 @@
   unsigned held[RGY_FLOW_HELD_COUNT];
   unsigned refused;
   unsigned taken;
+  unsigned checks;
   enum rgy_backend_state reported;
 };
 
@@ -69,6 +70,9 @@
     case RGY_STREAM_MESSAGE:
       on_message_ (f, action->u.message);
       return;
+    case RGY_STREAM_CHECK_BACKEND:
+      f->checks++;
+      return;
     case RGY_STREAM_TO_AGENT:
     case RGY_STREAM_FETCH_MANIFEST:
     case RGY_STREAM_LOG:
@@ -336,6 +340,110 @@
   assert_int_equal (f->reported, RGY_BACKEND_GONE);
 }
 
+static void
+ask_ (struct fixture_ *f, uint16_t port)
+{
+  struct rgy_segment segment = segment_ (port, RGY_SEGMENT_ACK, 0, 0);
+  uint8_t ends[RGY_FLOW_ENDS_BYTES];
+  struct rgy_stream_message query
+      = { .kind = RGY_STREAM_QUERY,
+          .u.queried = { .data = ends, .len = sizeof ends } };
+  GByteArray *bytes = g_byte_array_new ();
+
+  rgy_flow_ends_encode (&segment.key, ends);
+  rgy_stream_message_encode (&query, bytes);
+  assert_int_equal (
+      rgy_stream_agent_from_message (
+          f->agent,
+          (struct rgy_bytes){ .data = bytes->data, .len = bytes->len },
+          BALANCER_IP, f->now_us),
+      RGY_OK);
+  g_byte_array_unref (bytes);
+}
+
+/* After a loss of power some backend servers never come back.  Their agents
+   stayed unsure about every flow until the idle timeout, and all callers of
+   lost flows waited until their time limit (rodaforte-sul-grown, trouble-1).
+   */
+static void
+absent_backend_holds_nothing_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  ask_ (f, 1);
+  assert_int_equal (f->held[RGY_HELD_UNSURE], 1);
+  pass_ (f, 200 * RGY_US_PER_MS);
+  /* Answers to segments of ended flows are no sign of life.  */
+  backend_ (f, 2, RGY_SEGMENT_RST, 0);
+  pass_ (f, 200 * RGY_US_PER_MS);
+  assert_int_equal (f->checks, 1);
+  rgy_stream_agent_backend_absent (f->agent, f->now_us, f->now_us);
+  assert_int_equal (f->reported, RGY_BACKEND_GONE);
+  ask_ (f, 1);
+  assert_int_equal (f->held[RGY_HELD_NO], 1);
+  /* One that starts later is taken up, also when its first heartbeats were
+     lost.  */
+  assert_int_equal (heartbeat_ (f, "i-1", 5, 3, false), RGY_OK);
+  assert_int_equal (rgy_stream_agent_get_state (f->agent), RGY_BACKEND_READY);
+  ask_ (f, 1);
+  assert_int_equal (f->held[RGY_HELD_NO], 2);
+}
+
+/* A backend server that crashes is noticed at its first missing heartbeat or
+   at the first bounce of a flow that it held, and its callers are told.  */
+static void
+crashed_backend_is_noticed_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  heartbeat_ (f, "i-1", 5, 1, false);
+  caller_ (f, 1, RGY_SEGMENT_SYN, 0);
+  backend_ (f, 1, RGY_SEGMENT_SYN | RGY_SEGMENT_ACK, 1000);
+  caller_ (f, 1, RGY_SEGMENT_ACK, 1001);
+  pass_ (f, 1200 * RGY_US_PER_MS);
+  assert_int_equal (f->checks, 0);
+  pass_ (f, 300 * RGY_US_PER_MS);
+  assert_int_equal (f->checks, 1);
+  rgy_stream_agent_backend_absent (f->agent, f->now_us, f->now_us);
+  assert_int_equal (f->resets, 1);
+  assert_int_equal (f->reported, RGY_BACKEND_GONE);
+}
+
+static void
+bounce_of_a_held_flow_is_followed_up_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  heartbeat_ (f, "i-1", 5, 1, false);
+  caller_ (f, 1, RGY_SEGMENT_SYN, 0);
+  backend_ (f, 1, RGY_SEGMENT_SYN | RGY_SEGMENT_ACK, 1000);
+  caller_ (f, 1, RGY_SEGMENT_ACK, 1001);
+  backend_ (f, 1, RGY_SEGMENT_ACK | RGY_SEGMENT_BOUNCED, 0);
+  assert_int_equal (f->checks, 1);
+}
+
+/* The verdict of a check is older than what the backend server has sent
+   since.  */
+static void
+sign_of_life_overrules_a_check_ (void **state)
+{
+  struct fixture_ *f = *state;
+  int64_t asked_us;
+
+  pass_ (f, 400 * RGY_US_PER_MS);
+  assert_int_equal (f->checks, 1);
+  asked_us = f->now_us;
+  pass_ (f, 20 * RGY_US_PER_MS);
+  heartbeat_ (f, "i-1", 5, 1, false);
+  rgy_stream_agent_backend_absent (f->agent, asked_us, f->now_us);
+  assert_int_equal (rgy_stream_agent_get_state (f->agent), RGY_BACKEND_READY);
+  /* One that lives after all is not ignored.  */
+  rgy_stream_agent_backend_absent (f->agent, f->now_us, f->now_us);
+  assert_int_equal (rgy_stream_agent_get_state (f->agent), RGY_BACKEND_GONE);
+  assert_int_equal (heartbeat_ (f, "i-1", 5, 2, false), RGY_OK);
+  assert_int_equal (rgy_stream_agent_get_state (f->agent), RGY_BACKEND_READY);
+}
+
 int
 main (void)
 {
@@ -349,6 +457,10 @@
     WITH_AGENT (other_services_are_refused_),
     WITH_AGENT (cold_rate_is_kept_),
     WITH_AGENT (leaving_backend_keeps_its_flows_for_a_moment_),
+    WITH_AGENT (absent_backend_holds_nothing_),
+    WITH_AGENT (crashed_backend_is_noticed_),
+    WITH_AGENT (bounce_of_a_held_flow_is_followed_up_),
+    WITH_AGENT (sign_of_life_overrules_a_check_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/test_stream_flow/world.c
+++ b/src/test_stream_flow/world.c
@@ -40,6 +40,7 @@
   PLACE_BALANCER_MESSAGE,
   PLACE_AGENT,
   PLACE_AGENT_MESSAGE,
+  PLACE_AGENT_ABSENT, /* Verdict of a check of the backend server.  */
   PLACE_BACKEND,
   PLACE_FROM_BACKEND,
   PLACE_CALLER,
@@ -56,6 +57,7 @@
   struct packet_ packet;
   struct rgy_trail trail;
   GByteArray *message;
+  int64_t asked_us; /* Of a check.  */
 };
 
 struct backend_
@@ -238,6 +240,13 @@
                            (guint)action->u.message.len);
       post_ (w, d, false);
       return;
+    case RGY_STREAM_CHECK_BACKEND:
+      d.kind = PLACE_AGENT_ABSENT;
+      d.index = node->index;
+      d.asked_us = w->now_us;
+      if (!w->backends[node->index].alive)
+        post_ (w, d, true);
+      return;
     case RGY_STREAM_FETCH_MANIFEST:
       return; /* Every balancer is given it.  */
     case RGY_STREAM_LOG:
@@ -555,6 +564,11 @@
         (void)rgy_stream_agent_from_message (w->agents[d->index], message,
                                              d->from_ip, w->now_us);
       return;
+    case PLACE_AGENT_ABSENT:
+      if (w->agents[d->index] != NULL)
+        rgy_stream_agent_backend_absent (w->agents[d->index], d->asked_us,
+                                         w->now_us);
+      return;
     case PLACE_BACKEND:
       to_backend_ (w, d);
       return;
--- /dev/null
+++ b/src/test_tcp_check/test_tcp_check.c
@@ -0,0 +1,83 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+#include <uv.h>
+
+#include "ragwortyoke-io/http.h"
+#include "ragwortyoke-io/tcp_check.h"
+
+#define LOOPBACK 0x7f000001
+#define TIMEOUT_MS 20000
+
+struct result_
+{
+  unsigned calls;
+  enum rgy_outcome outcome;
+};
+
+static void
+on_result_ (enum rgy_outcome outcome, void *ctx)
+{
+  struct result_ *result = ctx;
+
+  result->calls++;
+  result->outcome = outcome;
+}
+
+static void
+handle_ (const struct rgy_http_request *request,
+         struct rgy_http_response *response, void *ctx)
+{
+  (void)request;
+  (void)ctx;
+  response->status = 200;
+}
+
+static struct result_
+check_ (uv_loop_t *loop, uint16_t port)
+{
+  struct result_ result = { 0 };
+
+  rgy_tcp_check (loop, (struct rgy_endpoint){ .ip = LOOPBACK, .port = port },
+                 TIMEOUT_MS, on_result_, &result);
+  assert_int_equal (result.calls, 0);
+  while (result.calls == 0)
+    uv_run (loop, UV_RUN_ONCE);
+  return result;
+}
+
+/* A listening process must not be taken for one that has ended, nor the other
+   way round: the agent resets flows on the second verdict.  */
+static void
+listener_and_its_absence_are_told_apart_ (void **state)
+{
+  uv_loop_t loop;
+  struct rgy_http *http;
+  uint16_t port;
+
+  (void)state;
+  uv_loop_init (&loop);
+  http = rgy_http_new (&loop, (struct rgy_endpoint){ .ip = LOOPBACK }, handle_,
+                       NULL);
+  port = rgy_http_get_port (http);
+  assert_int_equal (check_ (&loop, port).outcome, RGY_OK);
+  rgy_http_delete (http);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  assert_int_equal (check_ (&loop, port).outcome, RGY_ERR_NOT_FOUND);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  assert_int_equal (uv_loop_close (&loop), 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (listener_and_its_absence_are_told_apart_),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
