Prefer few agents for each flow and search there first

Change: each flow prefers three agents of a service in each failure domain by rendezvous hash; a new flow goes there unless they are a quarter more loaded than others. A search asks and tries these first, then the other failure domains' and after 80 ms each wave all, and asks again about a probe.

--- a/include/ragwortyoke/placement.h
+++ b/include/ragwortyoke/placement.h
@@ -18,6 +18,7 @@
   uint32_t latency_us; /**< Mean time to its first answer; 0 if unknown.  */
   bool cold;
   bool same_domain; /**< In the failure domain of the balancer.  */
+  bool preferred;   /**< By rgy_preference_has().  */
   uint32_t salt;    /**< Breaks ties, so that balancers differ.  */
 };
 
@@ -25,11 +26,50 @@
  * Choose the backend server with the fewest flows for what it can bear.
  *
  * A slow one counts as having fewer slots, a cold one as well; one in another
- * failure domain must be clearly less loaded.
+ * failure domain, or one that is not preferred, must be clearly less loaded.
  *
  * @return an index, or @p count when there are none.
  */
 size_t rgy_placement_choose (const struct rgy_candidate *candidates,
                              size_t count);
 
+/** Backend servers of one service that a flow prefers in each failure
+    domain.  */
+#define RGY_PREFERRED_PER_DOMAIN 3
+/** Failure domains that preferences distinguish; in others no backend server
+   is preferred.  */
+#define RGY_PREFERENCE_DOMAINS 32
+
+/**
+ * The backend servers to which a new flow goes unless they are loaded, and
+ * where a balancer that does not know an open flow looks first.  They follow
+ * from the flow and the set of backend servers alone, so that all balancers
+ * agree on most of them.
+ */
+struct rgy_preference
+{
+  uint64_t flow_hash;
+  size_t n_domains;
+  struct
+  {
+    uint64_t domain;
+    size_t n;
+    uint32_t ips[RGY_PREFERRED_PER_DOMAIN];
+    uint64_t ranks[RGY_PREFERRED_PER_DOMAIN]; /**< Ascending.  */
+  } domains[RGY_PREFERENCE_DOMAINS];
+};
+
+/** Start with no backend servers.  */
+void rgy_preference_init (struct rgy_preference *preference,
+                          uint64_t flow_hash);
+
+/** Take a backend server into account; @p domain is a hash of its failure
+    domain's name.  */
+void rgy_preference_offer (struct rgy_preference *preference, uint64_t domain,
+                           uint32_t ip);
+
+/** True for the preferred ones of those offered.  */
+bool rgy_preference_has (const struct rgy_preference *preference,
+                         uint64_t domain, uint32_t ip);
+
 #endif
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -11,6 +11,7 @@
 
 #include <glib.h>
 
+#include "ragwortyoke/placement.h"
 #include "ragwortyoke/stream_balancer.h"
 
 /* Agents report every 400 ms; three may be lost on the way.  */
@@ -49,6 +50,12 @@
    FAILURES_TO_EXCLUDE failures in a row.  */
 #define EXCLUDE_US INT64_C (1000000)
 #define FAILURES_TO_EXCLUDE 2
+/* Unsure agents are tried in this many steps: the preferred ones of the own
+   failure domain, those of others, all.  */
+#define LAST_WAVE 2
+/* A preferred agent answers a query or a probe within this time; then the
+   search widens.  */
+#define WAVE_US INT64_C (80000)
 /* Several repetitions of a query, of which each may be lost.  */
 #define LOOKUP_US INT64_C (900000)
 /* Queries to one agent are collected for this long after the one before:
@@ -70,6 +77,7 @@
 {
   uint32_t ip;
   uint32_t tag;                      /**< Of its service.  */
+  uint64_t domain_hash;              /**< Of its failure domain's name.  */
   struct rgy_stream_report report;   /**< Without changes.  */
   enum rgy_backend_state last_state; /**< Last one that was not unknown.  */
   int64_t heard_us;
@@ -124,8 +132,9 @@
   uint32_t ip;
   enum rgy_flow_held answer;
   bool answered;
-  bool probing; /**< A segment was sent there to find out.  */
-  bool other;   /**< Of a service that the route does not name.  */
+  bool probing;  /**< A segment was sent there to find out.  */
+  bool other;    /**< Of a service that the route does not name.  */
+  unsigned wave; /**< When it is tried if it is unsure: up to LAST_WAVE.  */
 };
 
 struct rgy_held_segment
@@ -138,11 +147,13 @@
 struct rgy_lookup
 {
   struct rgy_flow_key key;
-  GArray *asked;     /**< struct rgy_asked_agent.  */
-  bool asked_others; /**< Also agents that the route does not name.  */
-  bool unsettled;    /**< All said no; the balancer may not know all agents. */
+  GArray *asked;  /**< struct rgy_asked_agent.  */
+  bool asked_all; /**< Not only the preferred agents.  */
+  bool unsettled; /**< All said no; the balancer may not know all agents. */
   int64_t began_us;
-  int64_t asked_us; /**< Last query or repetition.  */
+  int64_t asked_us; /**< Start, or last repetition of its queries.  */
+  unsigned wave;
+  int64_t wave_us; /**< When it began.  */
   int64_t deadline_us;
   uint32_t caller_ack;
   struct rgy_held_segment held[MAX_HELD];
@@ -200,6 +211,12 @@
 bool rgy_stream_balancer_is_settled_ (const struct rgy_stream_balancer *b,
                                       int64_t now_us);
 
+/** The agents of one service that a flow prefers.  */
+void rgy_stream_balancer_prefer_ (const struct rgy_stream_balancer *b,
+                                  const struct rgy_flow_key *key, uint32_t tag,
+                                  int64_t now_us,
+                                  struct rgy_preference *preference);
+
 /* Members.  */
 void rgy_stream_balancer_send_status_ (struct rgy_stream_balancer *b,
                                        bool wants_reply, int64_t now_us);
--- a/src/libragwortyoke/placement.c
+++ b/src/libragwortyoke/placement.c
@@ -6,6 +6,9 @@
 /* Another failure domain must be this much less loaded: bytes between domains
    are priced and add a round trip.  */
 #define OTHER_DOMAIN_FACTOR 1.3
+/* One that the flow does not prefer must be this much less loaded: the flow is
+   harder to find there.  */
+#define NOT_PREFERRED_FACTOR 1.25
 /* A cold backend server works about 1.6 times as long on a request.  */
 #define COLD_SHARE 0.6
 /* Below this multiple of the median, a latency is taken for variation.  */
@@ -52,6 +55,8 @@
   if (median_us > 0 && candidate->latency_us > slow_us)
     slots *= MAX (MIN_SLOW_SHARE, slow_us / candidate->latency_us);
   score = (candidate->flows + 1) / slots;
+  if (!candidate->preferred)
+    score *= NOT_PREFERRED_FACTOR;
   return candidate->same_domain ? score : score * OTHER_DOMAIN_FACTOR;
 }
 
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -208,6 +208,25 @@
          || now_us - agent->heard_us > limit_us;
 }
 
+void
+rgy_stream_balancer_prefer_ (const struct rgy_stream_balancer *b,
+                             const struct rgy_flow_key *key, uint32_t tag,
+                             int64_t now_us, struct rgy_preference *preference)
+{
+  GHashTableIter iter;
+  void *value;
+
+  rgy_preference_init (preference, rgy_flow_key_hash (key));
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct rgy_known_agent *agent = value;
+
+      if (agent->tag == tag && !rgy_known_agent_is_lost_ (agent, now_us))
+        rgy_preference_offer (preference, agent->domain_hash, agent->ip);
+    }
+}
+
 size_t
 rgy_stream_balancer_count_agents (const struct rgy_stream_balancer *b,
                                   int64_t now_us)
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -66,7 +66,8 @@
     flush_queries_ (b, agent, now_us);
 }
 
-/* Asks those agents again that have not answered a search.  */
+/* Asks those agents again that have not answered a search, or not told what
+   became of a probe.  */
 static void
 repeat_queries_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
                  int64_t now_us)
@@ -78,36 +79,17 @@
     {
       const struct rgy_asked_agent *asked
           = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
+      bool probed = asked->probing && asked->answer == RGY_HELD_UNSURE;
       struct rgy_known_agent *agent
-          = asked->answered ? NULL
-                            : rgy_stream_balancer_find_agent_ (b, asked->ip);
+          = asked->answered && !probed
+                ? NULL
+                : rgy_stream_balancer_find_agent_ (b, asked->ip);
 
       if (agent != NULL)
         query_ (b, &lookup->key, agent, now_us);
     }
 }
 
-void
-rgy_stream_balancer_send_queries_ (struct rgy_stream_balancer *b,
-                                   int64_t now_us)
-{
-  GHashTableIter iter;
-  void *value;
-
-  g_hash_table_iter_init (&iter, b->lookups);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (now_us - ((struct rgy_lookup *)value)->asked_us >= QUERY_REPEAT_US)
-      repeat_queries_ (b, value, now_us);
-  g_hash_table_iter_init (&iter, b->agents);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct rgy_known_agent *agent = value;
-
-      if (now_us - agent->queried_us >= QUERY_INTERVAL_US)
-        flush_queries_ (b, agent, now_us);
-    }
-}
-
 static bool
 serves_route_ (const struct rgy_known_agent *agent,
                const struct rgy_route *route)
@@ -122,27 +104,44 @@
   return false;
 }
 
-/* Asks the agents of the route's services, or all others too.  An open flow
-   stays where it is when a manifest takes its service off the route, so nobody
-   is left out before a reset.  */
+/* Asks the preferred agents, or all that were not asked yet.  All means all:
+   an open flow stays where it is when a manifest takes its service off the
+   route, so nobody is left out before a reset.  */
 static void
-ask_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
-      const struct rgy_route *route, bool others, int64_t now_us)
+ask_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup, bool all,
+      int64_t now_us)
 {
+  const struct rgy_route *route
+      = rgy_stream_balancer_find_route_ (b, &lookup->key);
+  struct rgy_preference preference;
   GHashTableIter iter;
   void *value;
 
-  lookup->asked_others = others;
-  lookup->asked_us = now_us;
+  lookup->asked_all = all;
+  rgy_preference_init (&preference, 0);
+  if (route != NULL)
+    {
+      size_t first
+          = rgy_route_choose (route, rgy_flow_key_hash (&lookup->key));
+
+      rgy_stream_balancer_prefer_ (b, &lookup->key, route->targets[first].tag,
+                                   now_us, &preference);
+    }
   g_hash_table_iter_init (&iter, b->agents);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct rgy_known_agent *agent = value;
-      bool serves = route != NULL && serves_route_ (agent, route);
-      struct rgy_asked_agent asked = { .ip = agent->ip, .other = !serves };
-
-      /* The route may have changed since the first agents were asked.  */
-      if ((!serves && !others) || agent->report.state == RGY_BACKEND_GONE
+      struct rgy_asked_agent asked
+          = { .ip = agent->ip,
+              .other = route == NULL || !serves_route_ (agent, route),
+              .wave = LAST_WAVE };
+
+      if (rgy_preference_has (&preference, agent->domain_hash, agent->ip))
+        asked.wave
+            = rgy_name_equal (&agent->report.domain, &b->settings.domain) ? 0
+                                                                          : 1;
+      if ((!all && asked.wave == LAST_WAVE)
+          || agent->report.state == RGY_BACKEND_GONE
           || find_asked_ (lookup, agent->ip) != NULL)
         continue;
       if (agent->tag != 0 && !agent->report.complete)
@@ -239,10 +238,10 @@
   g_hash_table_remove (b->lookups, &lookup->key);
 }
 
-/* Sends a held segment to agents that are unsure.  Only those of the route's
-   services: a segment must not reach a backend server of another one.  While
-   one of those is unsure, the flow may be there since an earlier manifest, and
-   is not reset.  */
+/* Sends a held segment to the unsure agents of this wave.  Only to those of
+   the route's services: a segment must not reach a backend server of another
+   one. While one of those is unsure, the flow may be there since an earlier
+   manifest, and is not reset.  */
 static void
 probe_unsure_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
                int64_t now_us)
@@ -255,7 +254,7 @@
           = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
 
       if (asked->answer != RGY_HELD_UNSURE || asked->probing || asked->other
-          || lookup->n_held == 0)
+          || asked->wave > lookup->wave || lookup->n_held == 0)
         continue;
       asked->probing = true;
       lookup->deadline_us = now_us + LOOKUP_US;
@@ -267,38 +266,77 @@
     }
 }
 
-/* Takes the next step when every agent asked so far has answered.  */
+/* Tries the next agents, and asks all.  */
 static void
-check_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
+widen_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
         int64_t now_us)
 {
-  bool all_no = true;
-  bool waits = false;
   guint before = lookup->asked->len;
+
+  if (lookup->wave < LAST_WAVE)
+    lookup->wave++;
+  lookup->wave_us = now_us;
+  ask_ (b, lookup, true, now_us);
+  if (lookup->asked->len > before)
+    lookup->deadline_us = now_us + LOOKUP_US;
+  probe_unsure_ (b, lookup, now_us);
+}
+
+/* What a search waits for.  */
+struct progress_
+{
+  bool waits;   /* An agent has not answered, or not told about a probe.  */
+  bool untried; /* Some are unsure and belong to a later wave.  */
+  bool all_no;
+};
+
+static struct progress_
+get_progress_ (const struct rgy_lookup *lookup)
+{
+  struct progress_ progress = { .all_no = true };
   guint i;
 
-  for (i = 0; i < before; i++)
+  for (i = 0; i < lookup->asked->len; i++)
     {
       const struct rgy_asked_agent *asked
           = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
 
-      if (!asked->answered)
-        waits = true;
-      else if (asked->answer != RGY_HELD_NO)
-        all_no = false;
+      if (asked->answered && asked->answer == RGY_HELD_NO)
+        continue;
+      progress.all_no = false;
+      if (!asked->answered || asked->probing)
+        progress.waits = true;
+      else if (!asked->other && asked->wave > lookup->wave)
+        progress.untried = true;
     }
-  probe_unsure_ (b, lookup, now_us);
-  if (waits || !all_no)
-    return;
-  /* Also agents that have become known since the others were asked.  */
-  ask_ (b, lookup, rgy_stream_balancer_find_route_ (b, &lookup->key), true,
-        now_us);
-  if (lookup->asked->len > before)
+  return progress;
+}
+
+/* Takes the next step when every agent asked so far has answered.  */
+static void
+check_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
+        int64_t now_us)
+{
+  struct progress_ progress;
+  guint before;
+
+  do
     {
-      lookup->deadline_us = now_us + LOOKUP_US;
-      return;
+      probe_unsure_ (b, lookup, now_us);
+      progress = get_progress_ (lookup);
+      if (progress.waits)
+        return;
+      /* Also agents that have become known since the others were asked.  */
+      before = lookup->asked->len;
+      ask_ (b, lookup, true, now_us);
+      if (lookup->asked->len > before)
+        lookup->deadline_us = now_us + LOOKUP_US;
+      if (progress.untried)
+        widen_ (b, lookup, now_us);
     }
-  give_up_ (b, lookup, true, now_us);
+  while (progress.untried || lookup->asked->len > before);
+  if (progress.all_no)
+    give_up_ (b, lookup, true, now_us);
 }
 
 void
@@ -343,6 +381,8 @@
   lookup->key = segment->key;
   lookup->asked = g_array_new (FALSE, TRUE, sizeof (struct rgy_asked_agent));
   lookup->began_us = now_us;
+  lookup->asked_us = now_us;
+  lookup->wave_us = now_us;
   lookup->deadline_us = now_us + LOOKUP_US;
   hold_ (b, lookup, segment);
   g_hash_table_add (b->lookups, lookup);
@@ -352,7 +392,7 @@
 
       g_array_append_val (lookup->asked, missed);
     }
-  ask_ (b, lookup, route, false, now_us);
+  ask_ (b, lookup, false, now_us);
   check_ (b, lookup, now_us);
 }
 
@@ -449,11 +489,11 @@
 
       if (asked->answered && asked->answer != RGY_HELD_NO)
         *asked = (struct rgy_asked_agent){ .ip = asked->ip,
-                                           .other = asked->other };
+                                           .other = asked->other,
+                                           .wave = asked->wave };
     }
   repeat_queries_ (b, lookup, now_us);
-  ask_ (b, lookup, rgy_stream_balancer_find_route_ (b, &lookup->key),
-        lookup->asked_others, now_us);
+  ask_ (b, lookup, lookup->asked_all, now_us);
 }
 
 void
@@ -490,3 +530,31 @@
     }
   g_ptr_array_unref (ended);
 }
+
+void
+rgy_stream_balancer_send_queries_ (struct rgy_stream_balancer *b,
+                                   int64_t now_us)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, b->lookups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct rgy_lookup *lookup = value;
+
+      if ((!lookup->asked_all || lookup->wave < LAST_WAVE)
+          && now_us - lookup->wave_us >= WAVE_US)
+        widen_ (b, lookup, now_us);
+      if (now_us - lookup->asked_us >= QUERY_REPEAT_US)
+        repeat_queries_ (b, lookup, now_us);
+    }
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct rgy_known_agent *agent = value;
+
+      if (now_us - agent->queried_us >= QUERY_INTERVAL_US)
+        flush_queries_ (b, agent, now_us);
+    }
+}
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -315,6 +315,7 @@
   agent->report = *report;
   agent->report.changes = (struct rgy_bytes){ 0 };
   agent->tag = rgy_service_tag (&report->service);
+  agent->domain_hash = rgy_name_hash (&report->domain, 0);
   agent->heard_us = now_us;
   agent->placed = 0;
   apply_changes_ (b, agent, report, now_us);
--- a/src/libragwortyoke/stream_balancer_open.c
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "ragwortyoke/clock.h"
-#include "ragwortyoke/placement.h"
 
 #define MAX_CANDIDATES 512
 
@@ -48,11 +47,13 @@
   struct rgy_candidate candidates[MAX_CANDIDATES];
   struct rgy_known_agent *agents[MAX_CANDIDATES];
   uint32_t hash = (uint32_t)rgy_flow_key_hash (&open->key);
+  struct rgy_preference preference;
   GHashTableIter iter;
   void *value;
   size_t n = 0;
   size_t best;
 
+  rgy_stream_balancer_prefer_ (b, &open->key, tag, now_us, &preference);
   g_hash_table_iter_init (&iter, b->agents);
   while (g_hash_table_iter_next (&iter, NULL, &value) && n < MAX_CANDIDATES)
     {
@@ -68,6 +69,8 @@
         .cold = agent->report.cold,
         .same_domain
         = rgy_name_equal (&agent->report.domain, &b->settings.domain),
+        .preferred
+        = rgy_preference_has (&preference, agent->domain_hash, agent->ip),
         .salt = (uint32_t)(agent->ip * 2654435761U) ^ hash
       };
       agents[n++] = agent;
--- a/src/test_stream_flow/test_stream_flow.c
+++ b/src/test_stream_flow/test_stream_flow.c
@@ -125,6 +125,40 @@
   world_delete (w);
 }
 
+/* Load pattern: all processes of ours are killed and thousands of open flows
+   are used before any is known again.  Each search tried all backend servers;
+   the copies cost more than the requests, and half of the searches found
+   nothing in time (rodaforte-sul-grown, trouble-3).  */
+static void
+searches_try_few_backends_ (void **state)
+{
+  struct world *w = world_new (14, 4, 24, 0.002);
+  const struct world_seen *seen = world_get_seen (w);
+  unsigned before;
+  size_t i;
+
+  (void)state;
+  world_start (w);
+  world_set_load (w, 100, 12 * S);
+  world_run (w, 5 * S);
+  for (i = 0; i < 4; i++)
+    world_kill_balancer (w, i);
+  for (i = 0; i < 24; i++)
+    world_kill_agent (w, i);
+  world_run (w, 700 * MS);
+  for (i = 0; i < 4; i++)
+    world_start_balancer (w, i);
+  for (i = 0; i < 24; i++)
+    world_start_agent (w, i);
+  before = seen->answered;
+  world_run (w, 3 * S);
+  assert_promises_ (w);
+  assert_int_equal (seen->resets, 0);
+  assert_true (seen->answered > before + 3500);
+  assert_true (seen->strays < 6 * 500);
+  world_delete (w);
+}
+
 /* Everything loses power: callers must be told within about a second that
    their flows are lost, and new flows be taken.  */
 static void
@@ -441,6 +475,7 @@
     cmocka_unit_test (flows_survive_a_roll_of_balancers_),
     cmocka_unit_test (flows_survive_a_roll_of_agents_),
     cmocka_unit_test (flows_survive_a_kill_of_everything_),
+    cmocka_unit_test (searches_try_few_backends_),
     cmocka_unit_test (lost_flows_are_reset_soon_),
     cmocka_unit_test (many_lost_flows_are_reset_soon_),
     cmocka_unit_test (flows_outlive_a_change_of_weights_),
--- a/src/test_stream_flow/world.c
+++ b/src/test_stream_flow/world.c
@@ -458,6 +458,7 @@
     {
       struct packet_ bounced = d->packet;
 
+      w->seen.strays++;
       bounced.flags |= RGY_SEGMENT_BOUNCED;
       from_backend_ (
           w, d->index, bounced,
--- a/src/test_stream_flow/world.h
+++ b/src/test_stream_flow/world.h
@@ -30,6 +30,8 @@
   unsigned wrong_service; /**< First segments at a service that the route did
                                not name.  */
   unsigned after_drain;   /**< First segments taken after the time for it.  */
+  unsigned strays;        /**< Segments at a backend server that does not hold
+                               their flow.  */
   unsigned rejected;      /**< New flows reset.  */
   unsigned unanswered;    /**< Requests without an answer within 5 s.  */
 };
