--- /dev/null
+++ b/src/test_platform_store/test_platform_store.c
@@ -0,0 +1,187 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+#include <uv.h>
+
+#include "platform.h"
+
+#define LOOPBACK 0x7f000001
+#define OWN_IP 0x0a010001
+/* The client's own bound on the succession of watches.  */
+#define WATCH_MIN_MS 250
+
+/* A store that has a new manifest for each watch.  */
+struct fixture_
+{
+  uv_loop_t loop;
+  struct rgy_http *http;
+  struct rgy_platform_store *store;
+  unsigned revision;
+  unsigned loads;
+  unsigned watches;
+  unsigned leases;
+  unsigned entries;
+  unsigned manifests;
+  unsigned stop_after; /* Manifests.  */
+  bool history_lost;   /* The next watch is told so.  */
+};
+
+static void
+answer_ (struct fixture_ *f, const struct rgy_http_request *request,
+         struct rgy_http_response *response)
+{
+  response->status = 200;
+  response->content_type = "application/json";
+  if (g_str_has_prefix (request->path, "/kv-watch"))
+    {
+      f->watches++;
+      f->revision++;
+      response->body = g_strdup_printf (
+          "{\"events\":[{\"key\":\"op/config\",\"value\":\"e30=\","
+          "\"revision\":%u}],\"current_rev\":%u}",
+          f->revision, f->revision);
+      if (f->history_lost)
+        response->status = 410;
+      f->history_lost = false;
+    }
+  else if (g_str_has_prefix (request->path, "/kv-range"))
+    {
+      f->loads++;
+      response->body = g_strdup_printf (
+          "{\"items\":[],\"more_pages\":false,\"current_rev\":%u}",
+          f->revision);
+    }
+  else if (g_str_has_prefix (request->path, "/kv-lease"))
+    {
+      f->leases++;
+      response->body = g_strdup ("{\"lease\":7,\"ttl_ms\":10000}");
+    }
+  else if (g_str_has_prefix (request->path, "/kv-txn"))
+    {
+      f->entries++;
+      response->body = g_strdup ("{\"revision\":9}");
+    }
+  else
+    response->body = g_strdup ("{}");
+}
+
+static void
+handle_ (const struct rgy_http_request *request,
+         struct rgy_http_response *response, void *ctx)
+{
+  answer_ (ctx, request, response);
+}
+
+static void
+on_manifest_ (void *ctx, struct rgy_bytes json)
+{
+  struct fixture_ *f = ctx;
+
+  assert_int_equal (json.len, 2);
+  if (++f->manifests == f->stop_after)
+    uv_stop (&f->loop);
+}
+
+static void
+on_view_ (void *ctx, const struct rgy_domain_view *view)
+{
+  (void)ctx;
+  assert_int_equal (view->n_out, 0);
+}
+
+static void
+on_balancer_ (void *ctx, uint32_t ip)
+{
+  (void)ctx;
+  (void)ip;
+}
+
+static int
+set_up_ (void **state)
+{
+  struct fixture_ *f = g_new0 (struct fixture_, 1);
+  struct rgy_platform_store_events events = { .manifest = on_manifest_,
+                                              .view = on_view_,
+                                              .balancer = on_balancer_,
+                                              .ctx = f };
+
+  f->revision = 5;
+  uv_loop_init (&f->loop);
+  f->http = rgy_http_new (&f->loop, (struct rgy_endpoint){ .ip = LOOPBACK },
+                          handle_, f);
+  f->store = rgy_platform_store_follow (
+      &f->loop,
+      (struct rgy_endpoint){ .ip = LOOPBACK,
+                             .port = rgy_http_get_port (f->http) },
+      OWN_IP, &events);
+  *state = f;
+  return 0;
+}
+
+static int
+tear_down_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  rgy_platform_store_delete (f->store);
+  rgy_http_delete (f->http);
+  uv_run (&f->loop, UV_RUN_DEFAULT);
+  assert_int_equal (uv_loop_close (&f->loop), 0);
+  g_free (f);
+  return 0;
+}
+
+/* Load pattern: manifests in quick succession.  Each process began a watch for
+   each of them (rodaforte-sul-grown, trouble-1: half of all store calls).  The
+   time is a lower bound only: a loaded machine takes longer.  */
+static void
+watches_are_paced_ (void **state)
+{
+  struct fixture_ *f = *state;
+  uint64_t began_ms;
+
+  f->stop_after = 1;
+  uv_run (&f->loop, UV_RUN_DEFAULT);
+  began_ms = uv_now (&f->loop);
+  f->stop_after = 4;
+  uv_run (&f->loop, UV_RUN_DEFAULT);
+  /* The first of these three may begin at once.  */
+  assert_true (uv_now (&f->loop) - began_ms >= 2 * WATCH_MIN_MS);
+  assert_int_equal (f->leases, 1);
+  assert_int_equal (f->entries, 1);
+}
+
+/* A store that has discarded its history is read anew, or changes of that time
+   would be missed.  */
+static void
+lost_history_is_read_anew_ (void **state)
+{
+  struct fixture_ *f = *state;
+  unsigned loads;
+
+  f->stop_after = 1;
+  uv_run (&f->loop, UV_RUN_DEFAULT);
+  loads = f->loads;
+  f->history_lost = true;
+  f->stop_after = 2;
+  uv_run (&f->loop, UV_RUN_DEFAULT);
+  assert_true (f->loads > loads);
+}
+
+int
+main (void)
+{
+#define WITH_STORE(test)                                                      \
+  cmocka_unit_test_setup_teardown (test, set_up_, tear_down_)
+  const struct CMUnitTest tests[] = {
+    WITH_STORE (watches_are_paced_),
+    WITH_STORE (lost_history_is_read_anew_),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
