Search flows also at services that the route does not name now

Cause: an open flow stays at its service when a manifest takes that off the route.

Change: the last wave of a search tries them, too. A backend server that does not hold the flow returns the segment unread.

--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -50,9 +50,11 @@
    FAILURES_TO_EXCLUDE failures in a row.  */
 #define EXCLUDE_US INT64_C (1000000)
 #define FAILURES_TO_EXCLUDE 2
-/* Unsure agents are tried in this many steps: the preferred ones of the own
-   failure domain, those of others, all.  */
-#define LAST_WAVE 2
+/* Unsure agents are tried in this order.  */
+#define WAVE_OWN_DOMAIN 0 /* Preferred ones of the own failure domain.  */
+#define WAVE_PREFERRED 1  /* Preferred ones of other failure domains.  */
+#define WAVE_ROUTE 2      /* All of the route's services.  */
+#define WAVE_OTHERS 3     /* All.  */
 /* A preferred agent answers a query or a probe within this time; then the
    search widens.  */
 #define WAVE_US INT64_C (80000)
@@ -133,8 +135,7 @@
   enum rgy_flow_held answer;
   bool answered;
   bool probing;  /**< A segment was sent there to find out.  */
-  bool other;    /**< Of a service that the route does not name.  */
-  unsigned wave; /**< When it is tried if it is unsure: up to LAST_WAVE.  */
+  unsigned wave; /**< When it is tried if it is unsure.  */
 };
 
 struct rgy_held_segment
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -133,14 +133,16 @@
       struct rgy_known_agent *agent = value;
       struct rgy_asked_agent asked
           = { .ip = agent->ip,
-              .other = route == NULL || !serves_route_ (agent, route),
-              .wave = LAST_WAVE };
+              .wave = route != NULL && serves_route_ (agent, route)
+                          ? WAVE_ROUTE
+                          : WAVE_OTHERS };
 
       if (rgy_preference_has (&preference, agent->domain_hash, agent->ip))
         asked.wave
-            = rgy_name_equal (&agent->report.domain, &b->settings.domain) ? 0
-                                                                          : 1;
-      if ((!all && asked.wave == LAST_WAVE)
+            = rgy_name_equal (&agent->report.domain, &b->settings.domain)
+                  ? WAVE_OWN_DOMAIN
+                  : WAVE_PREFERRED;
+      if ((!all && asked.wave > WAVE_PREFERRED)
           || agent->report.state == RGY_BACKEND_GONE
           || find_asked_ (lookup, agent->ip) != NULL)
         continue;
@@ -253,7 +255,7 @@
       struct rgy_asked_agent *asked
           = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
 
-      if (asked->answer != RGY_HELD_UNSURE || asked->probing || asked->other
+      if (asked->answer != RGY_HELD_UNSURE || asked->probing
           || asked->wave > lookup->wave || lookup->n_held == 0)
         continue;
       asked->probing = true;
@@ -273,7 +275,7 @@
 {
   guint before = lookup->asked->len;
 
-  if (lookup->wave < LAST_WAVE)
+  if (lookup->wave < WAVE_OTHERS)
     lookup->wave++;
   lookup->wave_us = now_us;
   ask_ (b, lookup, true, now_us);
@@ -306,7 +308,7 @@
       progress.all_no = false;
       if (!asked->answered || asked->probing)
         progress.waits = true;
-      else if (!asked->other && asked->wave > lookup->wave)
+      else if (asked->wave > lookup->wave)
         progress.untried = true;
     }
   return progress;
@@ -488,9 +490,8 @@
           = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
 
       if (asked->answered && asked->answer != RGY_HELD_NO)
-        *asked = (struct rgy_asked_agent){ .ip = asked->ip,
-                                           .other = asked->other,
-                                           .wave = asked->wave };
+        *asked
+            = (struct rgy_asked_agent){ .ip = asked->ip, .wave = asked->wave };
     }
   repeat_queries_ (b, lookup, now_us);
   ask_ (b, lookup, lookup->asked_all, now_us);
@@ -543,7 +544,7 @@
     {
       struct rgy_lookup *lookup = value;
 
-      if ((!lookup->asked_all || lookup->wave < LAST_WAVE)
+      if ((!lookup->asked_all || lookup->wave < WAVE_OTHERS)
           && now_us - lookup->wave_us >= WAVE_US)
         widen_ (b, lookup, now_us);
       if (now_us - lookup->asked_us >= QUERY_REPEAT_US)
--- a/src/test_stream_flow/test_stream_flow.c
+++ b/src/test_stream_flow/test_stream_flow.c
@@ -296,6 +296,41 @@
   world_delete (w);
 }
 
+/* The same after a kill of all processes: no balancer knows any more that a
+   manifest once sent the flow to a service that the route does not name now.
+   Its agents were never tried, and the callers waited until their time limits
+   (hollenbeck-lakes, scale-1).  */
+static void
+flows_of_earlier_manifests_are_found_ (void **state)
+{
+  struct world *w = world_new (15, 4, 8, 0);
+  const struct world_seen *seen = world_get_seen (w);
+  size_t i;
+
+  (void)state;
+  world_set_workshop (w, 4);
+  world_set_weights (w, 1, 1);
+  world_start (w);
+  world_set_load (w, 20, 12 * S);
+  world_run (w, 4 * S);
+  world_set_load (w, 0, 0);
+  world_set_weights (w, 1, 0);
+  for (i = 0; i < 4; i++)
+    world_kill_balancer (w, i);
+  for (i = 0; i < 8; i++)
+    world_kill_agent (w, i);
+  world_run (w, 500 * MS);
+  for (i = 0; i < 4; i++)
+    world_start_balancer (w, i);
+  for (i = 0; i < 8; i++)
+    world_start_agent (w, i);
+  world_run (w, 15 * S);
+  assert_promises_ (w);
+  assert_int_equal (seen->resets, 0);
+  assert_int_equal (seen->unanswered, 0);
+  world_delete (w);
+}
+
 /* Without TAKEN, the timer offered the flow to another agent and forgot where
    it was, although the first agent had reported it as open.  */
 static void
@@ -480,6 +515,7 @@
     cmocka_unit_test (many_lost_flows_are_reset_soon_),
     cmocka_unit_test (flows_outlive_a_change_of_weights_),
     cmocka_unit_test (unsure_agents_prevent_resets_),
+    cmocka_unit_test (flows_of_earlier_manifests_are_found_),
     cmocka_unit_test (lost_messages_move_no_flow_),
     cmocka_unit_test (draining_takes_no_new_flows_),
     cmocka_unit_test (domain_out_takes_no_new_flows_),
