Leave a flow's preferred agents only when they are above the mean

Cause: a new flow went to the agent with the fewest flows anywhere. Balancers that know the same reports sent all new flows to a backend server that had just started; requests above its queue were shed or reset.

Change: the preferred agents of the own failure domain take a flow unless the best of them is a quarter above the mean; then those of other failure domains, then all. Ties follow the rendezvous rank. flow_reset_by_backend is logged.

--- a/include/ragwortyoke/placement.h
+++ b/include/ragwortyoke/placement.h
@@ -19,14 +19,16 @@
   bool cold;
   bool same_domain; /**< In the failure domain of the balancer.  */
   bool preferred;   /**< By rgy_preference_has().  */
-  uint32_t salt;    /**< Breaks ties, so that balancers differ.  */
+  uint64_t salt;    /**< Breaks ties, evenly over all flows.  */
 };
 
 /**
- * Choose the backend server with the fewest flows for what it can bear.
+ * Choose the backend server for a new flow: the preferred one of the own
+ * failure domain with the fewest flows for what it can bear, unless it is
+ * clearly above the mean; then of all preferred ones, then of all.
  *
- * A slow one counts as having fewer slots, a cold one as well; one in another
- * failure domain, or one that is not preferred, must be clearly less loaded.
+ * A slow one counts as having fewer slots, a cold one as well.  One that has
+ * just started gets only the flows that prefer it, not all new ones.
  *
  * @return an index, or @p count when there are none.
  */
@@ -68,6 +70,10 @@
 void rgy_preference_offer (struct rgy_preference *preference, uint64_t domain,
                            uint32_t ip);
 
+/** Place of a backend server in the order of a flow; the lowest come first. */
+uint64_t rgy_preference_rank (const struct rgy_preference *preference,
+                              uint32_t ip);
+
 /** True for the preferred ones of those offered.  */
 bool rgy_preference_has (const struct rgy_preference *preference,
                          uint64_t domain, uint32_t ip);
--- a/src/libragwortyoke/placement.c
+++ b/src/libragwortyoke/placement.c
@@ -3,12 +3,12 @@
 #include <glib.h>
 #include <stdlib.h>
 
-/* Another failure domain must be this much less loaded: bytes between domains
-   are priced and add a round trip.  */
-#define OTHER_DOMAIN_FACTOR 1.3
-/* One that the flow does not prefer must be this much less loaded: the flow is
-   harder to find there.  */
-#define NOT_PREFERRED_FACTOR 1.25
+/* The preferred backend servers of the own failure domain are left when they
+   bear this much more than the mean: bytes between domains are priced and add
+   a round trip.  */
+#define LEAVE_FACTOR 1.25
+/* Flows a slot above that, since the mean of few flows says little.  */
+#define LEAVE_SLACK 1.0
 /* A cold backend server works about 1.6 times as long on a request.  */
 #define COLD_SHARE 0.6
 /* Below this multiple of the median, a latency is taken for variation.  */
@@ -43,42 +43,72 @@
   return samples[(n - 1) / 2];
 }
 
+/* Slots, less what is lost while it is cold or slow.  */
 static double
-score_ (const struct rgy_candidate *candidate, uint32_t median_us)
+effective_slots_ (const struct rgy_candidate *candidate, uint32_t median_us)
 {
   double slots = candidate->slots == 0 ? 1 : candidate->slots;
   double slow_us = SLOW_MULTIPLE * median_us;
-  double score;
 
   if (candidate->cold)
     slots *= COLD_SHARE;
   if (median_us > 0 && candidate->latency_us > slow_us)
     slots *= MAX (MIN_SLOW_SHARE, slow_us / candidate->latency_us);
-  score = (candidate->flows + 1) / slots;
-  if (!candidate->preferred)
-    score *= NOT_PREFERRED_FACTOR;
-  return candidate->same_domain ? score : score * OTHER_DOMAIN_FACTOR;
+  return slots;
+}
+
+/* The least loaded of some candidates.  */
+struct best_
+{
+  size_t index;
+  double load; /* Flows a slot with the new one.  */
+};
+
+static void
+consider_ (struct best_ *best, const struct rgy_candidate *candidates,
+           size_t count, size_t i, double load)
+{
+  if (best->index != count
+      && (load > best->load
+          || (load >= best->load
+              && candidates[i].salt >= candidates[best->index].salt)))
+    return;
+  best->index = i;
+  best->load = load;
 }
 
 size_t
 rgy_placement_choose (const struct rgy_candidate *candidates, size_t count)
 {
   uint32_t median_us = median_latency_ (candidates, count);
-  double best_score = 0;
-  size_t best = count;
+  struct best_ near = { .index = count };
+  struct best_ preferred = { .index = count };
+  struct best_ any = { .index = count };
+  double flows = 0;
+  double slots = 0;
+  double limit;
   size_t i;
 
   for (i = 0; i < count; i++)
     {
-      double score = score_ (&candidates[i], median_us);
+      double effective = effective_slots_ (&candidates[i], median_us);
+      double load = (candidates[i].flows + 1) / effective;
 
-      if (best == count || score < best_score
-          || (score <= best_score
-              && candidates[i].salt < candidates[best].salt))
-        {
-          best = i;
-          best_score = score;
-        }
+      flows += candidates[i].flows;
+      slots += effective;
+      consider_ (&any, candidates, count, i, load);
+      if (!candidates[i].preferred)
+        continue;
+      consider_ (&preferred, candidates, count, i, load);
+      if (candidates[i].same_domain)
+        consider_ (&near, candidates, count, i, load);
     }
-  return best;
+  if (count == 0)
+    return count;
+  limit = LEAVE_FACTOR * flows / slots + LEAVE_SLACK;
+  if (near.index != count && near.load <= limit)
+    return near.index;
+  if (preferred.index != count && preferred.load <= limit)
+    return preferred.index;
+  return any.index;
 }
--- a/src/libragwortyoke/preference.c
+++ b/src/libragwortyoke/preference.c
@@ -11,6 +11,14 @@
   preference->n_domains = 0;
 }
 
+uint64_t
+rgy_preference_rank (const struct rgy_preference *preference, uint32_t ip)
+{
+  return rgy_hash_bytes (
+      (struct rgy_bytes){ .data = (const uint8_t *)&ip, .len = sizeof ip },
+      preference->flow_hash);
+}
+
 static size_t
 find_domain_ (const struct rgy_preference *preference, uint64_t domain)
 {
@@ -26,9 +34,7 @@
 rgy_preference_offer (struct rgy_preference *preference, uint64_t domain,
                       uint32_t ip)
 {
-  uint64_t rank = rgy_hash_bytes (
-      (struct rgy_bytes){ .data = (const uint8_t *)&ip, .len = sizeof ip },
-      preference->flow_hash);
+  uint64_t rank = rgy_preference_rank (preference, ip);
   size_t d = find_domain_ (preference, domain);
   size_t at;
 
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -421,11 +421,20 @@
                const struct rgy_segment *segment, int64_t now_us)
 {
   struct rgy_agent_stream *stream = flow->session;
+  char text[RGY_FLOW_TEXT_BYTES];
 
   g_assert (stream != NULL);
   rgy_flow_table_touch (agent->flows, flow, now_us);
   stream->generation = agent->generation;
   stream->confirmed = true;
+  if ((segment->flags & RGY_SEGMENT_RST) != 0 && stream->announced)
+    rgy_stream_emit_log (
+        &agent->settings.out,
+        "flow_reset_by_backend flow=%s backend=%s state=%s "
+        "age_ms=%" G_GINT64_FORMAT " open_flows=%u",
+        rgy_flow_key_format (&flow->key, text), agent->backend.data,
+        rgy_backend_state_string[agent->state],
+        (now_us - flow->opened_us) / RGY_US_PER_MS, agent->n_open);
   if ((segment->flags & RGY_SEGMENT_RST) != 0)
     rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_CLOSED, now_us);
   else if ((segment->flags & RGY_SEGMENT_SYN) != 0)
--- a/src/libragwortyoke/stream_balancer_open.c
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -46,7 +46,6 @@
 {
   struct rgy_candidate candidates[MAX_CANDIDATES];
   struct rgy_known_agent *agents[MAX_CANDIDATES];
-  uint32_t hash = (uint32_t)rgy_flow_key_hash (&open->key);
   struct rgy_preference preference;
   GHashTableIter iter;
   void *value;
@@ -71,7 +70,7 @@
         = rgy_name_equal (&agent->report.domain, &b->settings.domain),
         .preferred
         = rgy_preference_has (&preference, agent->domain_hash, agent->ip),
-        .salt = (uint32_t)(agent->ip * 2654435761U) ^ hash
+        .salt = rgy_preference_rank (&preference, agent->ip)
       };
       agents[n++] = agent;
     }
