Let the soak's backend servers listen for status checks

The platform's backend servers serve a status check over TCP at the same address; the stand-ins now do so while they run.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -35,6 +35,7 @@
 struct backend_
 {
   struct rgy_udp *udp;
+  struct rgy_http *health; /* Listens while the backend server runs.  */
   struct rgy_http_client *heartbeats;
   bool alive;
   bool draining;
@@ -380,6 +381,25 @@
   g_free (target);
 }
 
+static void
+serve_health_ (const struct rgy_http_request *request,
+               struct rgy_http_response *response, void *ctx)
+{
+  (void)request;
+  (void)ctx;
+  response->status = 200;
+}
+
+static void
+end_backend_ (size_t i)
+{
+  struct backend_ *backend = &soak_.backends[i];
+
+  backend->alive = false;
+  rgy_http_delete (backend->health);
+  backend->health = NULL;
+}
+
 static void
 start_backend_ (size_t i)
 {
@@ -387,6 +407,14 @@
 
   g_hash_table_remove_all (backend->flows);
   backend->alive = true;
+  if (backend->health == NULL)
+    backend->health = rgy_http_new (
+        &soak_.loop,
+        (struct rgy_endpoint){ .ip = SOAK_AGENT_IP + (uint32_t)i,
+                               .port = SOAK_APP_PORT },
+        serve_health_, NULL);
+  if (backend->health == NULL)
+    broken_ ("backend %zu cannot listen", i);
   backend->draining = false;
   backend->drained_us = 0;
   backend->generation++;
@@ -470,7 +498,7 @@
       note_ ("backend ends", b);
       if (g_rand_boolean (soak_.rand))
         report_ (b, "deregister");
-      soak_.backends[b].alive = false;
+      end_backend_ (b);
       return;
     case 6:
       note_ ("weights", b);
