Check a backend server that was never heard before the agent stops

Cause: after a loss of power a machine was taken away whose backend server had not come back.

Change: a stopping agent that has not heard its backend server, or has lost it, checks at once and reports that it is gone.

--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -177,4 +177,11 @@
   if (agent->gone_us != 0)
     rgy_stream_agent_end_backend_ (agent, "ended", now_us);
   rgy_stream_agent_report_to_all_ (agent, now_us);
+  /* Balancers expect an agent that stops to be back with the flows of its
+     backend server, unless that has ended.  */
+  if (agent->heartbeat_us == 0 || agent->state == RGY_BACKEND_SILENT)
+    {
+      agent->checked_us = 0;
+      rgy_stream_agent_suspect_ (agent, now_us);
+    }
 }
--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -389,6 +389,23 @@
   assert_int_equal (f->held[RGY_HELD_NO], 2);
 }
 
+/* A machine is taken away whose backend server did not survive a loss of
+   power. Its agent was stopped before the first check and announced a restart,
+   so balancers waited 6 s for it before they reset a flow (rodaforte-sul,
+   trouble-2).  */
+static void
+stopping_agent_checks_an_unheard_backend_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  pass_ (f, 100 * RGY_US_PER_MS);
+  assert_int_equal (f->checks, 0);
+  rgy_stream_agent_stop (f->agent, f->now_us);
+  assert_int_equal (f->checks, 1);
+  rgy_stream_agent_backend_absent (f->agent, f->now_us, f->now_us);
+  assert_int_equal (f->reported, RGY_BACKEND_GONE);
+}
+
 /* A backend server that crashes is noticed at its first missing heartbeat or
    at the first bounce of a flow that it held, and its callers are told.  */
 static void
@@ -458,6 +475,7 @@
     WITH_AGENT (cold_rate_is_kept_),
     WITH_AGENT (leaving_backend_keeps_its_flows_for_a_moment_),
     WITH_AGENT (absent_backend_holds_nothing_),
+    WITH_AGENT (stopping_agent_checks_an_unheard_backend_),
     WITH_AGENT (crashed_backend_is_noticed_),
     WITH_AGENT (bounce_of_a_held_flow_is_followed_up_),
     WITH_AGENT (sign_of_life_overrules_a_check_),
