Keep log lines for changes of state when flows flood the log

Cause: after a loss of power the lines about returned segments used up the 100 lines a second, and 'backend_state to=gone' was left out of the agent's log.

Change: lines about single flows take at most four fifths.

--- a/include/ragwortyoke-io/log.h
+++ b/include/ragwortyoke-io/log.h
@@ -16,6 +16,10 @@
     a bounded rate; lines left out are counted in the next one.  */
 void rgy_log_to_standard_output (void);
 
+/** Log a decision about one flow.  On standard output these take at most four
+    fifths of the lines, so that changes of state are not left out.  */
+void rgy_log_flow (const char *format, ...)
+    __attribute__ ((format (printf, 1, 2)));
 /** Log a change of state.  */
 void rgy_log_info (const char *format, ...)
     __attribute__ ((format (printf, 1, 2)));
--- a/include/ragwortyoke/stream_action.h
+++ b/include/ragwortyoke/stream_action.h
@@ -24,7 +24,8 @@
                                   and call rgy_stream_agent_backend_absent()
                                   if it does not.  */
   RGY_STREAM_FETCH_MANIFEST, /**< Ask the balancer at @c ip for its own.  */
-  RGY_STREAM_LOG             /**< A decision, as text.  */
+  RGY_STREAM_LOG,            /**< A change of what the core believes.  */
+  RGY_STREAM_LOG_FLOW        /**< A decision about one flow.  */
 };
 
 struct rgy_stream_action
@@ -74,5 +75,8 @@
                               const struct rgy_stream_message *message);
 void rgy_stream_emit_log (const struct rgy_stream_out *out, const char *format,
                           ...) __attribute__ ((format (printf, 2, 3)));
+void rgy_stream_emit_flow_log (const struct rgy_stream_out *out,
+                               const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
 
 #endif
--- a/src/libragwortyoke-io/log.c
+++ b/src/libragwortyoke-io/log.c
@@ -23,6 +23,9 @@
 
 /* Bounds what a burst of decisions costs; what is left out is counted.  */
 #define LINES_PER_S 100
+/* Of these, at most so many about single flows.  */
+#define FLOW_LINES_PER_S 80
+#define FLOW_FIELD "RAGWORTYOKE_FLOW"
 #define LINE_BYTES 640
 
 /* From the least verbose one.  */
@@ -40,7 +43,7 @@
 /* Writes one line without blocking.  A reader that does not keep up loses
    lines, which the next one tells.  */
 static void
-write_limited_ (const char *level, const char *message)
+write_limited_ (const char *level, const char *message, bool flow)
 {
   gint64 second = g_get_monotonic_time () / G_USEC_PER_SEC;
   gint64 now_ms = g_get_real_time () / 1000;
@@ -52,7 +55,7 @@
       log_.second = second;
       log_.in_second = 0;
     }
-  if (log_.in_second >= LINES_PER_S)
+  if (log_.in_second >= (flow ? FLOW_LINES_PER_S : LINES_PER_S))
     {
       log_.left_out++;
       return;
@@ -91,6 +94,7 @@
   const char *message = "";
   char *time_text;
   GDateTime *now;
+  bool flow = false;
   gsize i;
 
   (void)user_data;
@@ -99,9 +103,11 @@
   for (i = 0; i < n_fields; i++)
     if (strcmp (fields[i].key, "MESSAGE") == 0)
       message = fields[i].value;
+    else if (strcmp (fields[i].key, FLOW_FIELD) == 0)
+      flow = true;
   if (log_.limited)
     {
-      write_limited_ (level_name_ (level), message);
+      write_limited_ (level_name_ (level), message, flow);
       return G_LOG_WRITER_HANDLED;
     }
   now = g_date_time_new_now_utc ();
@@ -147,6 +153,20 @@
   g_free (text);
 }
 
+void
+rgy_log_flow (const char *format, ...)
+{
+  char *text;
+  va_list ap;
+
+  va_start (ap, format);
+  text = g_strdup_vprintf (format, ap);
+  va_end (ap);
+  g_log_structured (G_LOG_DOMAIN, G_LOG_LEVEL_INFO, FLOW_FIELD, "1", "MESSAGE",
+                    "%s", text);
+  g_free (text);
+}
+
 void
 rgy_log_info (const char *format, ...)
 {
--- a/src/libragwortyoke/stream_action.c
+++ b/src/libragwortyoke/stream_action.c
@@ -57,16 +57,34 @@
   g_byte_array_unref (bytes);
 }
 
+static void
+emit_log_ (const struct rgy_stream_out *out, enum rgy_stream_action_kind kind,
+           const char *format, va_list ap)
+{
+  char text[LOG_TEXT_BYTES];
+  struct rgy_stream_action action = { .kind = kind, .u.log = text };
+
+  g_vsnprintf (text, sizeof text, format, ap);
+  out->emit (out->ctx, &action);
+}
+
 void
 rgy_stream_emit_log (const struct rgy_stream_out *out, const char *format, ...)
 {
-  char text[LOG_TEXT_BYTES];
-  struct rgy_stream_action action = { .kind = RGY_STREAM_LOG };
   va_list ap;
 
   va_start (ap, format);
-  g_vsnprintf (text, sizeof text, format, ap);
+  emit_log_ (out, RGY_STREAM_LOG, format, ap);
+  va_end (ap);
+}
+
+void
+rgy_stream_emit_flow_log (const struct rgy_stream_out *out, const char *format,
+                          ...)
+{
+  va_list ap;
+
+  va_start (ap, format);
+  emit_log_ (out, RGY_STREAM_LOG_FLOW, format, ap);
   va_end (ap);
-  action.u.log = text;
-  out->emit (out->ctx, &action);
 }
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -60,10 +60,10 @@
   char text[RGY_FLOW_TEXT_BYTES];
 
   ++*agent->n_resets;
-  rgy_stream_emit_log (&agent->settings.out,
-                       "flow_reset flow=%s reason=%s generation=%u of=%u",
-                       rgy_flow_key_format (&flow->key, text), why,
-                       stream->generation, agent->generation);
+  rgy_stream_emit_flow_log (&agent->settings.out,
+                            "flow_reset flow=%s reason=%s generation=%u of=%u",
+                            rgy_flow_key_format (&flow->key, text), why,
+                            stream->generation, agent->generation);
   rgy_stream_emit_reset (&agent->settings.out, &flow->key, stream->caller_ack);
   rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_ABSENT, now_us);
 }
@@ -84,12 +84,12 @@
   char text[RGY_FLOW_TEXT_BYTES];
 
   ++*agent->n_missed;
-  rgy_stream_emit_log (&agent->settings.out,
-                       "segment_returned flow=%s reason=%s flags=%u seq=%u "
-                       "ack=%u complete=%d",
-                       rgy_flow_key_format (&segment->key, text), why,
-                       segment->flags, segment->seq, segment->ack,
-                       agent->complete);
+  rgy_stream_emit_flow_log (
+      &agent->settings.out,
+      "segment_returned flow=%s reason=%s flags=%u seq=%u "
+      "ack=%u complete=%d",
+      rgy_flow_key_format (&segment->key, text), why, segment->flags,
+      segment->seq, segment->ack, agent->complete);
   rgy_stream_emit_segment (&agent->settings.out, RGY_STREAM_TO_BALANCER,
                            balancer_ip, &segment->key, segment->raw,
                            (struct rgy_trail){ .mark = RGY_MARK_MISS });
@@ -138,13 +138,13 @@
   char text[RGY_FLOW_TEXT_BYTES];
 
   ++*agent->n_refused[reason];
-  rgy_stream_emit_log (&agent->settings.out,
-                       "open_refused flow=%s reason=%s backend=%s state=%s "
-                       "view=%" G_GUINT64_FORMAT,
-                       rgy_flow_key_format (&segment->key, text),
-                       rgy_stream_refusal_string[reason], agent->backend.data,
-                       rgy_backend_state_string[agent->state],
-                       agent->view.revision);
+  rgy_stream_emit_flow_log (
+      &agent->settings.out,
+      "open_refused flow=%s reason=%s backend=%s state=%s "
+      "view=%" G_GUINT64_FORMAT,
+      rgy_flow_key_format (&segment->key, text),
+      rgy_stream_refusal_string[reason], agent->backend.data,
+      rgy_backend_state_string[agent->state], agent->view.revision);
   tell_refused_ (agent, &segment->key, ip, reason);
 }
 
@@ -428,7 +428,7 @@
   stream->generation = agent->generation;
   stream->confirmed = true;
   if ((segment->flags & RGY_SEGMENT_RST) != 0 && stream->announced)
-    rgy_stream_emit_log (
+    rgy_stream_emit_flow_log (
         &agent->settings.out,
         "flow_reset_by_backend flow=%s backend=%s state=%s "
         "age_ms=%" G_GINT64_FORMAT " open_flows=%u",
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -229,7 +229,7 @@
       return;
     }
   certain = certain && rgy_stream_balancer_is_settled_ (b, now_us);
-  rgy_stream_emit_log (
+  rgy_stream_emit_flow_log (
       &b->settings.out,
       "flow_not_found flow=%s asked=%u no=%u unsure=%u unanswered=%u "
       "open_agent=%s known=%u waited_ms=%" G_GINT64_FORMAT
--- a/src/libragwortyoke/stream_balancer_open.c
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -166,7 +166,7 @@
   char text[RGY_FLOW_TEXT_BYTES];
   bool certain = is_only_here_ (open, now_us);
 
-  rgy_stream_emit_log (
+  rgy_stream_emit_flow_log (
       &b->settings.out,
       "open_rejected flow=%s reason=%s tried=%zu waited_ms=%" G_GINT64_FORMAT
       " copies=%u agents=%zu version=%" G_GUINT64_FORMAT " outcome=%s",
--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -76,6 +76,7 @@
     case RGY_STREAM_TO_AGENT:
     case RGY_STREAM_FETCH_MANIFEST:
     case RGY_STREAM_LOG:
+    case RGY_STREAM_LOG_FLOW:
       return;
     }
 }
--- a/src/test_stream_flow/world.c
+++ b/src/test_stream_flow/world.c
@@ -253,6 +253,7 @@
     case RGY_STREAM_FETCH_MANIFEST:
       return; /* Every balancer is given it.  */
     case RGY_STREAM_LOG:
+    case RGY_STREAM_LOG_FLOW:
       if (g_getenv ("WORLD_LOG") != NULL)
         g_printerr ("%10.4f %s %zu %s\n", (double)w->now_us / 1e6,
                     node->is_agent ? "agent" : "balancer", node->index,
