Send the list of balancers only to those that know another set

Every balancer sent the list of all balancers to every other one twice a second.

Change: a status carries a hash of the set; the list follows when the receiver's last status had another one, in requests and in replies.

--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -132,8 +132,10 @@
   bool wants_reply; /**< Sent by a starting balancer.  */
   bool settled;     /**< The sender knows all agents.  */
   struct rgy_domain_view view;
-  struct rgy_bytes balancers;
-  struct rgy_bytes agents; /**< Only in replies.  */
+  uint64_t balancers_hash;    /**< Of those the sender knows, itself included:
+                                   see rgy_stream_hash_balancer().  */
+  struct rgy_bytes balancers; /**< Empty for a receiver that knows the same. */
+  struct rgy_bytes agents;    /**< Only in replies.  */
 };
 
 enum rgy_stream_message_kind
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -117,6 +117,7 @@
 {
   uint32_t ip;
   int64_t heard_us;
+  uint64_t balancers_hash; /**< Of those it knows.  */
 };
 
 /** How a balancer knows where a flow is; more certain ones come later.  */
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -43,11 +43,28 @@
   return list;
 }
 
+static uint64_t
+hash_balancers_ (const struct rgy_stream_balancer *b)
+{
+  uint64_t hash = rgy_stream_hash_balancer (b->settings.own_ip);
+  guint i;
+
+  for (i = 0; i < b->peers->len; i++)
+    hash ^= rgy_stream_hash_balancer (
+        g_array_index (b->peers, struct rgy_stream_peer, i).ip);
+  return hash;
+}
+
 static void
 send_status_to_ (struct rgy_stream_balancer *b, uint32_t ip, bool wants_reply,
                  bool with_agents, int64_t now_us)
 {
-  GByteArray *balancers = list_balancers_ (b);
+  const struct rgy_stream_peer *peer = find_peer_ (b, ip);
+  uint64_t hash = hash_balancers_ (b);
+  bool same = peer != NULL && peer->balancers_hash == hash;
+  GByteArray *balancers = same && !wants_reply && !with_agents
+                              ? g_byte_array_new ()
+                              : list_balancers_ (b);
   GByteArray *agents = g_byte_array_new ();
   struct rgy_stream_message message
       = { .kind = RGY_STREAM_STATUS,
@@ -56,7 +73,8 @@
               .manifest_version = rgy_stream_balancer_get_version (b),
               .wants_reply = wants_reply,
               .settled = rgy_stream_balancer_is_settled_ (b, now_us),
-              .view = b->view } };
+              .view = b->view,
+              .balancers_hash = hash } };
   GHashTableIter iter;
   void *key;
   void *value;
@@ -152,6 +170,7 @@
   if (peer == NULL)
     return;
   peer->heard_us = now_us;
+  peer->balancers_hash = status->balancers_hash;
   if (status->wants_reply)
     send_status_to_ (b, ip, false, true, now_us);
   rgy_stream_balancer_set_view (b, &status->view, now_us);
@@ -259,18 +278,6 @@
 
 /* Reports.  */
 
-static uint64_t
-hash_balancers_ (const struct rgy_stream_balancer *b)
-{
-  uint64_t hash = rgy_stream_hash_balancer (b->settings.own_ip);
-  guint i;
-
-  for (i = 0; i < b->peers->len; i++)
-    hash ^= rgy_stream_hash_balancer (
-        g_array_index (b->peers, struct rgy_stream_peer, i).ip);
-  return hash;
-}
-
 /* Answers a report.  One that brought nothing, from an agent that knows the
    newest view and all balancers, is answered once a second only:
    acknowledgements are about half of the control traffic.  */
--- a/src/libragwortyoke/stream_message.c
+++ b/src/libragwortyoke/stream_message.c
@@ -100,13 +100,14 @@
 static void
 pack_status_ (msgpack_packer *pk, const struct rgy_stream_status *s)
 {
-  msgpack_pack_array (pk, 8);
+  msgpack_pack_array (pk, 9);
   msgpack_pack_uint8 (pk, RGY_STREAM_STATUS);
   msgpack_pack_uint64 (pk, s->incarnation);
   msgpack_pack_uint64 (pk, s->manifest_version);
   rgy_pack_bool (pk, s->wants_reply);
   rgy_pack_bool (pk, s->settled);
   pack_view_ (pk, &s->view);
+  msgpack_pack_uint64 (pk, s->balancers_hash);
   rgy_pack_bytes (pk, s->balancers);
   rgy_pack_bytes (pk, s->agents);
 }
@@ -248,6 +249,7 @@
   s->wants_reply = rgy_read_bool (reader);
   s->settled = rgy_read_bool (reader);
   read_view_ (reader, &s->view);
+  s->balancers_hash = rgy_read_u64 (reader);
   s->balancers
       = read_records_ (reader, RGY_STREAM_IP_BYTES, RGY_STREAM_MAX_BALANCERS);
   s->agents = read_records_ (reader, RGY_STREAM_IP_BYTES,
@@ -290,7 +292,7 @@
 {
   static const size_t n_fields[] = {
     [RGY_STREAM_REPORT] = 16, [RGY_STREAM_REPORT_ACK] = 9,
-    [RGY_STREAM_STATUS] = 8,  [RGY_STREAM_HELLO] = 1,
+    [RGY_STREAM_STATUS] = 9,  [RGY_STREAM_HELLO] = 1,
     [RGY_STREAM_TAKEN] = 3,   [RGY_STREAM_REFUSED] = 3,
     [RGY_STREAM_QUERY] = 2,   [RGY_STREAM_ANSWER] = 2,
   };
--- a/src/test_stream_balancer/test_stream_balancer.c
+++ b/src/test_stream_balancer/test_stream_balancer.c
@@ -11,6 +11,7 @@
 #include "ragwortyoke/stream_balancer.h"
 
 #define AGENT_IP 0x0a020001U
+#define PEER_IP 0x0a010002U
 #define MS RGY_US_PER_MS
 
 /* A balancer that knows one agent, and the actions that it has emitted.  */
@@ -23,6 +24,8 @@
   uint64_t seq;
   unsigned to_agent;
   unsigned resets;
+  unsigned statuses;
+  unsigned status_lists; /* Of these, with a list of balancers.  */
   unsigned queries;
   size_t queried_bytes;
   GByteArray *queried; /* Of the last query.  */
@@ -43,6 +46,11 @@
 
       assert_int_equal (
           rgy_stream_message_decode (action->u.message, &message), RGY_OK);
+      if (message.kind == RGY_STREAM_STATUS)
+        {
+          f->statuses++;
+          f->status_lists += message.u.status.balancers.len > 0;
+        }
       if (message.kind != RGY_STREAM_QUERY)
         return;
       f->queries++;
@@ -54,7 +62,8 @@
 }
 
 static void
-tell_ (struct fixture_ *f, const struct rgy_stream_message *message)
+tell_from_ (struct fixture_ *f, const struct rgy_stream_message *message,
+            uint32_t ip)
 {
   GByteArray *bytes = g_byte_array_new ();
 
@@ -62,12 +71,18 @@
   assert_int_equal (
       rgy_stream_balancer_from_message (
           f->balancer,
-          (struct rgy_bytes){ .data = bytes->data, .len = bytes->len },
-          AGENT_IP, f->now_us),
+          (struct rgy_bytes){ .data = bytes->data, .len = bytes->len }, ip,
+          f->now_us),
       RGY_OK);
   g_byte_array_unref (bytes);
 }
 
+static void
+tell_ (struct fixture_ *f, const struct rgy_stream_message *message)
+{
+  tell_from_ (f, message, AGENT_IP);
+}
+
 static void
 pass_ (struct fixture_ *f, int64_t us)
 {
@@ -377,6 +392,32 @@
   assert_int_equal (f->resets, 0);
 }
 
+/* Each balancer tells each other its state twice a second; with the list of
+   all balancers in each message this traffic grew with the cube of their
+   number (sweep of rodaforte-sul-grown, 300 machines).  */
+static void
+known_balancers_are_not_repeated_ (void **state)
+{
+  struct fixture_ *f = *state;
+  struct rgy_stream_message status
+      = { .kind = RGY_STREAM_STATUS,
+          .u.status
+          = { .incarnation = 3,
+              .balancers_hash = rgy_stream_hash_balancer (0x0a010001)
+                                ^ rgy_stream_hash_balancer (PEER_IP) } };
+
+  rgy_stream_balancer_add_peer (f->balancer, PEER_IP, f->now_us);
+  assert_int_equal (f->status_lists, 1);
+  pass_ (f, 1100 * MS);
+  assert_int_equal (f->status_lists, f->statuses);
+  tell_from_ (f, &status, PEER_IP);
+  f->statuses = 0;
+  f->status_lists = 0;
+  pass_ (f, 2 * RGY_US_PER_S);
+  assert_true (f->statuses >= 3);
+  assert_int_equal (f->status_lists, 0);
+}
+
 static void
 older_manifest_is_refused_ (void **state)
 {
@@ -404,6 +445,7 @@
     WITH_BALANCER (named_agent_is_waited_for_),
     WITH_BALANCER (list_of_agents_is_brought_up_to_date_),
     WITH_BALANCER (cut_off_balancer_resets_nothing_),
+    WITH_BALANCER (known_balancers_are_not_repeated_),
     WITH_BALANCER (older_manifest_is_refused_),
   };
 
--- a/src/test_stream_message/test_stream_message.c
+++ b/src/test_stream_message/test_stream_message.c
@@ -66,6 +66,7 @@
                                         .wants_reply = true,
                                         .settled = true,
                                         .view = view,
+                                        .balancers_hash = 11,
                                         .balancers
                                         = { .data = ips_, .len = sizeof ips_ },
                                         .agents = { .data = ips_, .len = 4 } };
