Report flows to the balancers of their failure domain only

Cause: agents reported every opened and closed flow to all balancers, and each such report was acknowledged. Routers send a flow to another failure domain only when its own has no balancer.

Change: changes go to the balancers of the domain through which the flow came, and move when the router moves it. Acknowledgements carry the balancer's domain.

--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -112,6 +112,7 @@
 struct rgy_stream_report_ack
 {
   uint64_t balancer_incarnation;
+  uint64_t balancer_domain; /**< Hash of its failure domain's name.  */
   uint64_t agent_incarnation;
   uint64_t seq;
   uint64_t changes_upto; /**< Number after the last change applied.  */
--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -62,7 +62,7 @@
 /* Pause between two passes over all flows; bounds their processor time.  */
 #define SWEEP_INTERVAL_US (40 * RGY_US_PER_MS)
 #define IDLE_SLACK_US (2 * RGY_US_PER_S)
-/* Flow changes kept for balancers that lag.  */
+/* Flow changes kept for balancers of one failure domain that lag.  */
 #define MAX_JOURNAL 8192
 #define LATENCY_WEIGHT 8
 
@@ -81,7 +81,8 @@
 {
   enum rgy_agent_flow_state state;
   uint32_t backend_seq; /* Of its first segment.  */
-  uint32_t caller_ack;  /* What the caller acknowledged last.  */
+  uint64_t audience; /* Hash of the failure domain whose balancers know it.  */
+  uint32_t caller_ack; /* What the caller acknowledged last.  */
   uint32_t balancer_ip;
   unsigned generation; /* Start of the backend server it was opened at.  */
   bool caller_finished;
@@ -92,10 +93,20 @@
   int64_t asked_us; /* Caller's payload that waits for an answer; 0: none.  */
 };
 
+/* Changes of flows for the balancers of one failure domain: the routers send a
+   flow to another one only when its own has none.  */
+struct rgy_flow_journal
+{
+  uint64_t domain;
+  GByteArray *changes; /* From number FROM on.  */
+  uint64_t from;
+};
+
 struct rgy_agent_balancer
 {
   uint32_t ip;
   uint64_t incarnation;
+  uint64_t domain; /* Hash of its failure domain's name; 0: not known yet.  */
   int64_t added_us;
   int64_t heard_us; /* Last acknowledgement; 0: none.  */
   int64_t sent_us;
@@ -112,8 +123,7 @@
   GArray *balancers; /* struct rgy_agent_balancer.  */
   uint64_t seq;
 
-  GByteArray *journal; /* Changes from journal_from on.  */
-  uint64_t journal_from;
+  GPtrArray *journals; /* struct rgy_flow_journal.  */
 
   struct rgy_name backend;
   int64_t backend_started_ms;
@@ -156,9 +166,15 @@
 
 void rgy_stream_agent_report_to_all_ (struct rgy_stream_agent *agent,
                                       int64_t now_us);
+/** A flow was opened or closed, for the balancers of a failure domain.  */
 void rgy_stream_agent_record_change_ (struct rgy_stream_agent *agent,
                                       const struct rgy_flow_key *key,
-                                      bool opened);
+                                      uint64_t domain, bool opened);
+/** Hash of the failure domain of a balancer; the agent's own if it is not
+    known.  */
+uint64_t rgy_stream_agent_get_domain_ (const struct rgy_stream_agent *agent,
+                                       uint32_t balancer_ip);
+void rgy_flow_journal_free_ (void *journal);
 void rgy_stream_agent_report_when_due_ (struct rgy_stream_agent *agent,
                                         int64_t now_us);
 
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -53,7 +53,7 @@
       = rgy_flow_table_new (settings->max_flows, settings->flow_ttl_us);
   agent->balancers
       = g_array_new (FALSE, TRUE, sizeof (struct rgy_agent_balancer));
-  agent->journal = g_byte_array_new ();
+  agent->journals = g_ptr_array_new_with_free_func (rgy_flow_journal_free_);
   agent->slots = 1;
   agent->complete = settings->first_start;
   agent->started_us = now_us;
@@ -69,7 +69,7 @@
     return;
   rgy_flow_table_delete_all (agent->flows);
   g_array_unref (agent->balancers);
-  g_byte_array_unref (agent->journal);
+  g_ptr_array_unref (agent->journals);
   g_free (agent);
 }
 
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -30,10 +30,15 @@
     {
       stream->announced = open;
       if (open)
-        agent->n_open++;
+        {
+          agent->n_open++;
+          stream->audience
+              = rgy_stream_agent_get_domain_ (agent, stream->balancer_ip);
+        }
       else
         agent->n_open--;
-      rgy_stream_agent_record_change_ (agent, &flow->key, open);
+      rgy_stream_agent_record_change_ (agent, &flow->key, stream->audience,
+                                       open);
     }
   stream->state = state;
   stream->since_us = now_us;
@@ -248,6 +253,26 @@
     stream->asked_us = now_us;
 }
 
+/* The router may have moved the flow to the balancers of another failure
+   domain.  */
+static void
+note_balancer_ (struct rgy_stream_agent *agent, const struct rgy_flow *flow,
+                uint32_t ip)
+{
+  struct rgy_agent_stream *stream = flow->session;
+  uint64_t domain;
+
+  if (stream->balancer_ip == ip)
+    return;
+  stream->balancer_ip = ip;
+  domain = rgy_stream_agent_get_domain_ (agent, ip);
+  if (!stream->announced || stream->audience == domain)
+    return;
+  rgy_stream_agent_record_change_ (agent, &flow->key, stream->audience, false);
+  rgy_stream_agent_record_change_ (agent, &flow->key, domain, true);
+  stream->audience = domain;
+}
+
 void
 rgy_stream_agent_from_balancer (struct rgy_stream_agent *agent,
                                 const struct rgy_segment *segment, uint32_t ip,
@@ -271,7 +296,7 @@
       return;
     }
   rgy_flow_table_touch (agent->flows, flow, now_us);
-  stream->balancer_ip = ip;
+  note_balancer_ (agent, flow, ip);
   switch (stream->state)
     {
     case FLOW_ABSENT:
--- a/src/libragwortyoke/stream_agent_report.c
+++ b/src/libragwortyoke/stream_agent_report.c
@@ -30,10 +30,49 @@
   return hash;
 }
 
+void
+rgy_flow_journal_free_ (void *data)
+{
+  struct rgy_flow_journal *journal = data;
+
+  g_byte_array_unref (journal->changes);
+  g_free (journal);
+}
+
+static struct rgy_flow_journal *
+get_journal_ (const struct rgy_stream_agent *agent, uint64_t domain)
+{
+  struct rgy_flow_journal *journal;
+  guint i;
+
+  for (i = 0; i < agent->journals->len; i++)
+    {
+      journal = g_ptr_array_index (agent->journals, i);
+      if (journal->domain == domain)
+        return journal;
+    }
+  journal = g_new0 (struct rgy_flow_journal, 1);
+  journal->domain = domain;
+  journal->changes = g_byte_array_new ();
+  g_ptr_array_add (agent->journals, journal);
+  return journal;
+}
+
 static uint64_t
-journal_end_ (const struct rgy_stream_agent *agent)
+journal_end_ (const struct rgy_flow_journal *journal)
 {
-  return agent->journal_from + agent->journal->len / RGY_FLOW_CHANGE_BYTES;
+  return journal->from + journal->changes->len / RGY_FLOW_CHANGE_BYTES;
+}
+
+uint64_t
+rgy_stream_agent_get_domain_ (const struct rgy_stream_agent *agent,
+                              uint32_t balancer_ip)
+{
+  const struct rgy_agent_balancer *b = find_balancer_ (agent, balancer_ip);
+
+  return b != NULL && b->domain != 0
+             ? b->domain
+             : rgy_name_hash (&agent->settings.domain, 0);
 }
 
 static void
@@ -83,28 +122,33 @@
   g_byte_array_append (changes, change, sizeof change);
 }
 
+static void
+send_part_ (const struct snapshot_ *snapshot)
+{
+  struct rgy_bytes changes
+      = { .data = snapshot->changes->data, .len = snapshot->changes->len };
+
+  send_report_ (snapshot->agent, snapshot->balancer, 0, changes,
+                snapshot->now_us);
+  g_byte_array_set_size (snapshot->changes, 0);
+}
+
 static bool
 add_to_snapshot_ (struct rgy_flow *flow, void *ctx)
 {
   struct snapshot_ *snapshot = ctx;
   const struct rgy_agent_stream *stream = flow->session;
 
-  if (!stream->announced)
+  if (!stream->announced || stream->audience != snapshot->balancer->domain)
     return true;
   append_change_ (snapshot->changes, &flow->key, true);
   if (snapshot->changes->len >= RGY_STREAM_MAX_CHANGES * RGY_FLOW_CHANGE_BYTES)
-    {
-      send_report_ (snapshot->agent, snapshot->balancer, 0,
-                    (struct rgy_bytes){ .data = snapshot->changes->data,
-                                        .len = snapshot->changes->len },
-                    snapshot->now_us);
-      g_byte_array_set_size (snapshot->changes, 0);
-    }
+    send_part_ (snapshot);
   return true;
 }
 
-/* Sends all flows to a balancer that has just started.  Reports that get lost
-   are made up for by queries.  */
+/* Sends all flows of its failure domain to a balancer that has just started.
+   Reports that get lost are made up for by queries.  */
 static void
 send_snapshot_ (struct rgy_stream_agent *agent, struct rgy_agent_balancer *b,
                 int64_t now_us)
@@ -116,12 +160,9 @@
 
   rgy_flow_table_foreach (agent->flows, add_to_snapshot_, &snapshot);
   if (snapshot.changes->len > 0)
-    send_report_ (agent, b, 0,
-                  (struct rgy_bytes){ .data = snapshot.changes->data,
-                                      .len = snapshot.changes->len },
-                  now_us);
+    send_part_ (&snapshot);
   g_byte_array_unref (snapshot.changes);
-  b->acked = journal_end_ (agent);
+  b->acked = journal_end_ (get_journal_ (agent, b->domain));
   b->synced = true;
 }
 
@@ -129,15 +170,25 @@
 report_to_ (struct rgy_stream_agent *agent, struct rgy_agent_balancer *b,
             int64_t now_us)
 {
-  uint64_t from = MAX (b->acked, agent->journal_from);
-  size_t offset = (size_t)(from - agent->journal_from) * RGY_FLOW_CHANGE_BYTES;
-  size_t len = MIN (agent->journal->len - offset,
-                    RGY_STREAM_MAX_CHANGES * RGY_FLOW_CHANGE_BYTES);
-
-  send_report_ (
-      agent, b, from,
-      (struct rgy_bytes){ .data = agent->journal->data + offset, .len = len },
-      now_us);
+  const struct rgy_flow_journal *journal;
+  uint64_t from;
+  size_t offset;
+  size_t len;
+
+  if (!b->synced)
+    {
+      send_report_ (agent, b, 0, (struct rgy_bytes){ 0 }, now_us);
+      return;
+    }
+  journal = get_journal_ (agent, b->domain);
+  from = MAX (b->acked, journal->from);
+  offset = (size_t)(from - journal->from) * RGY_FLOW_CHANGE_BYTES;
+  len = MIN (journal->changes->len - offset,
+             RGY_STREAM_MAX_CHANGES * RGY_FLOW_CHANGE_BYTES);
+  send_report_ (agent, b, from,
+                (struct rgy_bytes){ .data = journal->changes->data + offset,
+                                    .len = len },
+                now_us);
 }
 
 void
@@ -157,16 +208,19 @@
    the flow, and can ask.  */
 void
 rgy_stream_agent_record_change_ (struct rgy_stream_agent *agent,
-                                 const struct rgy_flow_key *key, bool opened)
+                                 const struct rgy_flow_key *key,
+                                 uint64_t domain, bool opened)
 {
-  append_change_ (agent->journal, key, opened);
-  if (agent->journal->len > MAX_JOURNAL * RGY_FLOW_CHANGE_BYTES)
+  struct rgy_flow_journal *journal = get_journal_ (agent, domain);
+
+  append_change_ (journal->changes, key, opened);
+  if (journal->changes->len > MAX_JOURNAL * RGY_FLOW_CHANGE_BYTES)
     {
       guint half = MAX_JOURNAL / 2;
 
-      g_byte_array_remove_range (agent->journal, 0,
+      g_byte_array_remove_range (journal->changes, 0,
                                  half * RGY_FLOW_CHANGE_BYTES);
-      agent->journal_from += half;
+      journal->from += half;
     }
 }
 
@@ -179,7 +233,6 @@
   if (ip == 0 || find_balancer_ (agent, ip) != NULL
       || agent->balancers->len >= RGY_STREAM_MAX_BALANCERS)
     return;
-  added.acked = journal_end_ (agent);
   g_array_append_val (agent->balancers, added);
   report_to_ (agent,
               &g_array_index (agent->balancers, struct rgy_agent_balancer,
@@ -260,10 +313,12 @@
   if (b->incarnation != ack->balancer_incarnation || !b->synced)
     {
       b->incarnation = ack->balancer_incarnation;
+      b->domain = ack->balancer_domain;
       send_snapshot_ (agent, b, now_us);
     }
   else if (ack->changes_upto > b->acked
-           && ack->changes_upto <= journal_end_ (agent))
+           && ack->changes_upto
+                  <= journal_end_ (get_journal_ (agent, b->domain)))
     b->acked = ack->changes_upto;
   for (i = 0; i + RGY_STREAM_IP_BYTES <= ack->balancers.len;
        i += RGY_STREAM_IP_BYTES)
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -291,6 +291,7 @@
   struct rgy_stream_message message
       = { .kind = RGY_STREAM_REPORT_ACK,
           .u.ack = { .balancer_incarnation = b->settings.incarnation,
+                     .balancer_domain = rgy_name_hash (&b->settings.domain, 0),
                      .agent_incarnation = report->incarnation,
                      .seq = report->seq,
                      .changes_upto = agent->changes_upto,
--- a/src/libragwortyoke/stream_message.c
+++ b/src/libragwortyoke/stream_message.c
@@ -85,9 +85,10 @@
 static void
 pack_ack_ (msgpack_packer *pk, const struct rgy_stream_report_ack *a)
 {
-  msgpack_pack_array (pk, 9);
+  msgpack_pack_array (pk, 10);
   msgpack_pack_uint8 (pk, RGY_STREAM_REPORT_ACK);
   msgpack_pack_uint64 (pk, a->balancer_incarnation);
+  msgpack_pack_uint64 (pk, a->balancer_domain);
   msgpack_pack_uint64 (pk, a->agent_incarnation);
   msgpack_pack_uint64 (pk, a->seq);
   msgpack_pack_uint64 (pk, a->changes_upto);
@@ -231,6 +232,7 @@
 read_ack_ (struct rgy_reader *reader, struct rgy_stream_report_ack *a)
 {
   a->balancer_incarnation = rgy_read_u64 (reader);
+  a->balancer_domain = rgy_read_u64 (reader);
   a->agent_incarnation = rgy_read_u64 (reader);
   a->seq = rgy_read_u64 (reader);
   a->changes_upto = rgy_read_u64 (reader);
@@ -291,7 +293,7 @@
                            struct rgy_stream_message *message)
 {
   static const size_t n_fields[] = {
-    [RGY_STREAM_REPORT] = 16, [RGY_STREAM_REPORT_ACK] = 9,
+    [RGY_STREAM_REPORT] = 16, [RGY_STREAM_REPORT_ACK] = 10,
     [RGY_STREAM_STATUS] = 9,  [RGY_STREAM_HELLO] = 1,
     [RGY_STREAM_TAKEN] = 3,   [RGY_STREAM_REFUSED] = 3,
     [RGY_STREAM_QUERY] = 2,   [RGY_STREAM_ANSWER] = 2,
--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -11,6 +11,7 @@
 #include "ragwortyoke/stream_agent.h"
 
 #define BALANCER_IP 0x0a010001U
+#define FAR_BALANCER_IP 0x0a020001U
 #define START_US (100 * RGY_US_PER_S)
 
 /* An agent and the actions that it has emitted.  */
@@ -27,11 +28,12 @@
   unsigned refused;
   unsigned taken;
   unsigned checks;
+  size_t changes_to[2]; /* Flow changes in reports to each balancer.  */
   enum rgy_backend_state reported;
 };
 
 static void
-on_message_ (struct fixture_ *f, struct rgy_bytes bytes)
+on_message_ (struct fixture_ *f, uint32_t ip, struct rgy_bytes bytes)
 {
   struct rgy_stream_message message;
   size_t i;
@@ -45,7 +47,11 @@
   else if (message.kind == RGY_STREAM_TAKEN)
     f->taken++;
   else if (message.kind == RGY_STREAM_REPORT)
-    f->reported = message.u.report.state;
+    {
+      f->reported = message.u.report.state;
+      f->changes_to[ip == BALANCER_IP ? 0 : 1]
+          += message.u.report.changes.len / RGY_FLOW_CHANGE_BYTES;
+    }
 }
 
 static void
@@ -68,7 +74,7 @@
       f->resets++;
       return;
     case RGY_STREAM_MESSAGE:
-      on_message_ (f, action->u.message);
+      on_message_ (f, action->ip, action->u.message);
       return;
     case RGY_STREAM_CHECK_BACKEND:
       f->checks++;
@@ -341,6 +347,62 @@
   assert_int_equal (f->reported, RGY_BACKEND_GONE);
 }
 
+static void
+acknowledge_ (struct fixture_ *f, uint32_t ip, const char *domain)
+{
+  struct rgy_name name = rgy_name_from_c (domain);
+  struct rgy_stream_message ack
+      = { .kind = RGY_STREAM_REPORT_ACK,
+          .u.ack = { .balancer_incarnation = 1,
+                     .balancer_domain = rgy_name_hash (&name, 0),
+                     .agent_incarnation = 1 } };
+  GByteArray *bytes = g_byte_array_new ();
+
+  rgy_stream_message_encode (&ack, bytes);
+  assert_int_equal (
+      rgy_stream_agent_from_message (
+          f->agent,
+          (struct rgy_bytes){ .data = bytes->data, .len = bytes->len }, ip,
+          f->now_us),
+      RGY_OK);
+  g_byte_array_unref (bytes);
+}
+
+static void
+open_flow_ (struct fixture_ *f, uint16_t port)
+{
+  caller_ (f, port, RGY_SEGMENT_SYN, 0);
+  backend_ (f, port, RGY_SEGMENT_SYN | RGY_SEGMENT_ACK, 1000);
+  caller_ (f, port, RGY_SEGMENT_ACK, 1001);
+}
+
+/* Changes of flows went to all balancers, also of failure domains to which the
+   routers do not send these flows; that traffic grew with balancers times
+   flows (sweep of rodaforte-sul-grown, 300 machines).  */
+static void
+changes_go_to_the_flows_domain_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  rgy_stream_agent_add_balancer (f->agent, FAR_BALANCER_IP, f->now_us);
+  heartbeat_ (f, "i-1", 5, 1, false);
+  acknowledge_ (f, BALANCER_IP, "poa-a");
+  acknowledge_ (f, FAR_BALANCER_IP, "poa-b");
+  open_flow_ (f, 1);
+  pass_ (f, 500 * RGY_US_PER_MS);
+  assert_int_equal (f->changes_to[0], 1);
+  assert_int_equal (f->changes_to[1], 0);
+  /* The router moves the flow to the other failure domain.  */
+  {
+    struct rgy_segment segment = segment_ (1, RGY_SEGMENT_ACK, 0, 1001);
+
+    rgy_stream_agent_from_balancer (f->agent, &segment, FAR_BALANCER_IP,
+                                    f->now_us);
+  }
+  pass_ (f, 500 * RGY_US_PER_MS);
+  assert_int_equal (f->changes_to[1], 1);
+}
+
 static void
 ask_ (struct fixture_ *f, uint16_t port)
 {
@@ -475,6 +537,7 @@
     WITH_AGENT (other_services_are_refused_),
     WITH_AGENT (cold_rate_is_kept_),
     WITH_AGENT (leaving_backend_keeps_its_flows_for_a_moment_),
+    WITH_AGENT (changes_go_to_the_flows_domain_),
     WITH_AGENT (absent_backend_holds_nothing_),
     WITH_AGENT (stopping_agent_checks_an_unheard_backend_),
     WITH_AGENT (crashed_backend_is_noticed_),
--- a/src/test_stream_message/test_stream_message.c
+++ b/src/test_stream_message/test_stream_message.c
@@ -50,6 +50,7 @@
     case RGY_STREAM_REPORT_ACK:
       message.u.ack = (struct rgy_stream_report_ack){
         .balancer_incarnation = 1,
+        .balancer_domain = 8,
         .agent_incarnation = 2,
         .seq = 3,
         .changes_upto = 4,
