--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -174,7 +174,7 @@
     known.  */
 uint64_t rgy_stream_agent_get_domain_ (const struct rgy_stream_agent *agent,
                                        uint32_t balancer_ip);
-void rgy_flow_journal_free_ (void *journal);
+void rgy_flow_journal_free_ (void *data);
 void rgy_stream_agent_report_when_due_ (struct rgy_stream_agent *agent,
                                         int64_t now_us);
 
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -6,7 +6,8 @@
  * State of the balancer core for sequenced flows and functions shared by its
  * files: stream_balancer.c (configuration), stream_balancer_open.c (new
  * flows), stream_balancer_lookup.c (flows that moved),
- * stream_balancer_member.c (agents and other balancers).
+ * stream_balancer_query.c (its messages to agents), stream_balancer_member.c
+ * (agents and other balancers).
  */
 
 #include <glib.h>
@@ -296,7 +297,16 @@
 /** Forget all flows of an agent whose backend server has lost them.  */
 void rgy_stream_balancer_forget_agent_ (struct rgy_stream_balancer *b,
                                         uint32_t ip);
-/** Widen, repeat and end searches; send the queries that are due.  */
+/** Ask an agent about a flow: at once, together with others a little later, or
+    not at all when too many were asked about; such a query is repeated.  */
+void rgy_stream_balancer_query_ (struct rgy_stream_balancer *b,
+                                 const struct rgy_flow_key *key,
+                                 struct rgy_known_agent *agent,
+                                 int64_t now_us);
+/** Send the queries that are due.  */
+void rgy_stream_balancer_send_queries_ (struct rgy_stream_balancer *b,
+                                        int64_t now_us);
+/** Widen, repeat and end searches.  */
 void rgy_stream_balancer_step_lookups_ (struct rgy_stream_balancer *b,
                                         int64_t now_us);
 /** Deliver what a search holds to the agent that has the flow.  */
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -317,6 +317,7 @@
     rgy_stream_balancer_forget_ (b, expired);
   rgy_stream_balancer_retry_opens_ (b, now_us);
   rgy_stream_balancer_step_lookups_ (b, now_us);
+  rgy_stream_balancer_send_queries_ (b, now_us);
   rgy_stream_balancer_expire_members_ (b, now_us);
   if (now_us - b->status_us >= STATUS_INTERVAL_US)
     rgy_stream_balancer_send_status_ (b, false, now_us);
