Do not count a balancer's own delay against agents

Cause: after a kill of all processes the balancers with an eighth of a core are behind with their work.

Change: the time by which a tick is late does not count in searches and offers. Only preferred agents are asked again what became of a probe.

--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -38,6 +38,9 @@
    the store or repeat them to its address.  */
 #define SETTLE_ALONE_US INT64_C (1000000)
 #define STALL_US INT64_C (700000)
+/* A tick that comes later than this was delayed by work: the answers that
+   agents have sent meanwhile are not read yet.  */
+#define LATE_US INT64_C (10000)
 #define ACK_INTERVAL_US INT64_C (1000000)
 #define STATUS_INTERVAL_US INT64_C (500000)
 #define PEER_FORGET_US INT64_C (60000000)
@@ -278,6 +281,9 @@
                                 int64_t now_us);
 void rgy_stream_balancer_retry_opens_ (struct rgy_stream_balancer *b,
                                        int64_t now_us);
+/** Do not count time in which this process could not read answers.  */
+void rgy_stream_balancer_excuse_opens_ (struct rgy_stream_balancer *b,
+                                        int64_t late_us);
 void rgy_stream_balancer_taken_ (struct rgy_stream_balancer *b,
                                  const struct rgy_flow_key *key, uint32_t ip,
                                  int64_t now_us);
@@ -306,6 +312,9 @@
 /** Send the queries that are due.  */
 void rgy_stream_balancer_send_queries_ (struct rgy_stream_balancer *b,
                                         int64_t now_us);
+/** Do not count time in which this process could not read answers.  */
+void rgy_stream_balancer_excuse_lookups_ (struct rgy_stream_balancer *b,
+                                          int64_t late_us);
 /** Widen, repeat and end searches.  */
 void rgy_stream_balancer_step_lookups_ (struct rgy_stream_balancer *b,
                                         int64_t now_us);
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -302,7 +302,13 @@
 rgy_stream_balancer_tick (struct rgy_stream_balancer *b, int64_t now_us)
 {
   struct rgy_flow *expired;
+  int64_t late_us = now_us - b->ticked_us - RGY_STREAM_TICK_US;
 
+  if (late_us > LATE_US)
+    {
+      rgy_stream_balancer_excuse_opens_ (b, late_us);
+      rgy_stream_balancer_excuse_lookups_ (b, late_us);
+    }
   if (now_us - b->ticked_us > STALL_US)
     {
       rgy_stream_emit_log (&b->settings.out,
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -35,8 +35,8 @@
                                    .len = segment->raw.len };
 }
 
-/* Asks those agents again that have not answered a search, or not told what
-   became of a probe.  */
+/* Asks those agents again that have not answered a search.  Preferred ones,
+   where the flow is most likely, also what became of a probe.  */
 static void
 repeat_queries_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
                  int64_t now_us)
@@ -49,7 +49,8 @@
     {
       const struct rgy_asked_agent *asked
           = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
-      bool probed = asked->probing && asked->answer == RGY_HELD_UNSURE;
+      bool probed = asked->probing && asked->answer == RGY_HELD_UNSURE
+                    && asked->wave <= WAVE_PREFERRED;
       struct rgy_known_agent *agent
           = asked->answered && !probed
                 ? NULL
@@ -496,6 +497,23 @@
     give_up_ (b, lookup, false, now_us);
 }
 
+void
+rgy_stream_balancer_excuse_lookups_ (struct rgy_stream_balancer *b,
+                                     int64_t late_us)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, b->lookups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct rgy_lookup *lookup = value;
+
+      lookup->wave_us += late_us;
+      lookup->asked_us += late_us;
+    }
+}
+
 void
 rgy_stream_balancer_step_lookups_ (struct rgy_stream_balancer *b,
                                    int64_t now_us)
--- a/src/libragwortyoke/stream_balancer_open.c
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -289,6 +289,18 @@
   agent->excluded_until_us = now_us + EXCLUDE_US;
 }
 
+void
+rgy_stream_balancer_excuse_opens_ (struct rgy_stream_balancer *b,
+                                   int64_t late_us)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, b->opens);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct rgy_pending_open *)value)->sent_us += late_us;
+}
+
 void
 rgy_stream_balancer_retry_opens_ (struct rgy_stream_balancer *b,
                                   int64_t now_us)
--- a/src/test_stream_balancer/test_stream_balancer.c
+++ b/src/test_stream_balancer/test_stream_balancer.c
@@ -334,6 +334,29 @@
                    10000000 / 8 * 2 / 5);
 }
 
+/* Load pattern: a small balancer is behind with its work after everything was
+   killed.  It took the answers that it had not read for missing ones, widened
+   every search and offered new flows to more agents, which put it further
+   behind (hollenbeck-lakes-grown, trouble-3).  */
+static void
+own_delay_widens_no_search_ (void **state)
+{
+  struct fixture_ *f = *state;
+  unsigned queries;
+
+  restart_ (f, 20);
+  pass_ (f, 20 * MS);
+  queries = f->queries;
+  router_ (f, 443, RGY_SEGMENT_ACK, 5);
+  assert_int_equal (f->queries, queries + 1);
+  f->now_us += 300 * MS;
+  rgy_stream_balancer_tick (f->balancer, f->now_us);
+  assert_int_equal (f->queries, queries + 1);
+  f->report_us = INT64_MAX;
+  pass_ (f, 120 * MS);
+  assert_true (f->queries > queries + 10);
+}
+
 /* An agent of the time before the start may hold the flow: no reset before it
    has had time to report.  One that was taken away meanwhile must not keep
    callers waiting for the 2 s that an agent may be silent.  */
@@ -442,6 +465,7 @@
     WITH_BALANCER (lost_query_is_repeated_),
     WITH_BALANCER (many_lost_flows_share_queries_),
     WITH_BALANCER (repeated_queries_are_bounded_),
+    WITH_BALANCER (own_delay_widens_no_search_),
     WITH_BALANCER (named_agent_is_waited_for_),
     WITH_BALANCER (list_of_agents_is_brought_up_to_date_),
     WITH_BALANCER (cut_off_balancer_resets_nothing_),
