Wait longer for a restarting agent that a peer has heard

The store named the agent; as it did not report for a second it was taken for removed, although a peer that listed it knew that it was restarting.

Change: an agent that a peer knowing all agents lists counts as restarting until it reports.

--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -189,12 +189,20 @@
        i += RGY_STREAM_IP_BYTES)
     {
       uint32_t agent_ip = rgy_stream_get_ip (status->agents.data + i);
+      struct rgy_known_agent *agent
+          = rgy_stream_balancer_find_agent_ (b, agent_ip);
 
-      if (rgy_stream_balancer_find_agent_ (b, agent_ip) != NULL)
+      if (agent != NULL && !agent->named)
         continue;
-      /* Until it reports, it may hold any flow.  */
-      if (status->settled)
-        add_agent_ (b, agent_ip, now_us);
+      /* Until it reports, it may hold any flow; the peer may know that it is
+         restarting.  */
+      if (agent == NULL && status->settled)
+        agent = add_agent_ (b, agent_ip, now_us);
+      if (agent != NULL && status->settled)
+        {
+          agent->named = false;
+          agent->report.restarting = true;
+        }
       hello_ (b, agent_ip);
     }
   if (status->settled && status->agents.len > 0)
--- a/src/test_stream_balancer/test_stream_balancer.c
+++ b/src/test_stream_balancer/test_stream_balancer.c
@@ -377,6 +377,30 @@
   assert_int_equal (f->resets, 1);
 }
 
+/* A peer that has heard the agent may know that it is restarting.  Taken for
+   removed after a second, its flows were reset although its backend server
+   held them (soak, seed 863).  */
+static void
+agent_known_to_a_peer_is_waited_for_longer_ (void **state)
+{
+  static const uint8_t ips[4] = { 10, 2, 0, 2 };
+  struct fixture_ *f = *state;
+  struct rgy_stream_message status
+      = { .kind = RGY_STREAM_STATUS,
+          .u.status = { .incarnation = 3,
+                        .settled = true,
+                        .agents = { .data = ips, .len = sizeof ips } } };
+
+  restart_ (f, 2);
+  tell_from_ (f, &status, PEER_IP);
+  pass_ (f, 20 * MS);
+  router_ (f, 443, RGY_SEGMENT_ACK, 5);
+  pass_ (f, 100 * MS);
+  deny_ (f);
+  pass_ (f, 4 * RGY_US_PER_S);
+  assert_int_equal (f->resets, 0);
+}
+
 /* The list keeps agents that a balancer does not know, and gets those that it
    hears.  */
 static void
@@ -467,6 +491,7 @@
     WITH_BALANCER (repeated_queries_are_bounded_),
     WITH_BALANCER (own_delay_widens_no_search_),
     WITH_BALANCER (named_agent_is_waited_for_),
+    WITH_BALANCER (agent_known_to_a_peer_is_waited_for_longer_),
     WITH_BALANCER (list_of_agents_is_brought_up_to_date_),
     WITH_BALANCER (cut_off_balancer_resets_nothing_),
     WITH_BALANCER (known_balancers_are_not_repeated_),
