--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -43,11 +43,13 @@
    reset; the second is longer, since a wrong reset breaks a flow.  */
 #define SILENT_HEARTBEATS_X10 25
 #define LOST_HEARTBEATS_X10 33
-/* Pause between two checks whether the backend server's process runs.  */
+/* Pause between two checks whether the backend server's process runs; longer
+   than one check may take.  */
 #define CHECK_INTERVAL_US (500 * RGY_US_PER_MS)
 /* A backend server that starts together with the agent listens by then.  */
 #define FIRST_CHECK_US (300 * RGY_US_PER_MS)
-/* Missed heartbeats before its process is checked.  */
+/* Missed heartbeats before its process is checked: one that is late by less is
+   on its way.  */
 #define CHECK_HEARTBEATS_X10 14
 /* A sign of life from its packets counts as a heartbeat for this long.  */
 #define PACKET_ALIVE_US (1500 * RGY_US_PER_MS)
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -75,8 +75,9 @@
    after a loss of power thousands of flows are searched at once, and a message
    for each flow and agent would overload small balancers.  */
 #define QUERY_INTERVAL_US INT64_C (40000)
-/* With many agents for longer: a balancer with an eighth of a core sends and
-   answers about a thousand messages a second beside its segments.  */
+/* With many agents for longer, so that at most 2,000 queries a second are
+   sent: the processor of a balancer with an eighth of a core is for segments.
+ */
 #define QUERY_COST_US INT64_C (500)
 /* Flows that all agents together are asked about in a second, 12 bytes each
    and 13 for the answer: two fifths of a link of 10 Mbit/s, the narrowest of
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -211,10 +211,10 @@
   g_hash_table_remove (b->lookups, &lookup->key);
 }
 
-/* Sends a held segment to the unsure agents of this wave.  Only to those of
-   the route's services: a segment must not reach a backend server of another
-   one. While one of those is unsure, the flow may be there since an earlier
-   manifest, and is not reset.  */
+/* Sends a held segment to the unsure agents of this wave.  The last wave may
+   reach backend servers of services that the route does not name now: the flow
+   may be there since an earlier manifest, and one that does not hold it
+   returns the segment unread.  */
 static void
 probe_unsure_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
                int64_t now_us)
