Ask all agents in one place, and say once what a denial is

The search asked all agents and moved its deadline in check_() and again in widen_(), which check_() called right after it; four places spelled out what a NO is; started_us was written and never read. Behaviour is the same.

--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -202,7 +202,6 @@
   int64_t changed_us;           /**< Last change of manifest or view.  */
   double query_tokens;          /**< Flows that may be asked about now.  */
   int64_t tokens_us;            /**< When they were counted.  */
-  int64_t started_us;
   int64_t ticked_us;
   int64_t unsettled_us; /**< Start, or end of the last pause.  */
   bool named;           /**< The store has named the agents since.  */
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -86,7 +86,6 @@
   struct rgy_stream_balancer *b = g_new0 (struct rgy_stream_balancer, 1);
 
   b->settings = *settings;
-  b->started_us = now_us;
   b->unsettled_us = now_us;
   b->ticked_us = now_us;
   b->tokens_us = now_us;
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -18,6 +18,12 @@
   return NULL;
 }
 
+static bool
+has_denied_ (const struct rgy_asked_agent *asked)
+{
+  return asked->answered && asked->answer == RGY_HELD_NO;
+}
+
 static void
 hold_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
        const struct rgy_segment *segment)
@@ -159,7 +165,7 @@
       const struct rgy_asked_agent *asked
           = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
 
-      if (asked->answered && asked->answer == RGY_HELD_NO)
+      if (has_denied_ (asked))
         {
           answers.no++;
           continue;
@@ -239,19 +245,30 @@
     }
 }
 
-/* Tries the next agents, and asks all.  */
+/* Asks all agents, also those that have become known since others were asked.
+   Returns true when there were such.  */
+static bool
+ask_all_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
+          int64_t now_us)
+{
+  guint before = lookup->asked->len;
+
+  ask_ (b, lookup, true, now_us);
+  if (lookup->asked->len == before)
+    return false;
+  lookup->deadline_us = now_us + LOOKUP_US;
+  return true;
+}
+
+/* Tries the agents of the next wave.  */
 static void
 widen_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
         int64_t now_us)
 {
-  guint before = lookup->asked->len;
-
   if (lookup->wave < WAVE_OTHERS)
     lookup->wave++;
   lookup->wave_us = now_us;
-  ask_ (b, lookup, true, now_us);
-  if (lookup->asked->len > before)
-    lookup->deadline_us = now_us + LOOKUP_US;
+  (void)ask_all_ (b, lookup, now_us);
   probe_unsure_ (b, lookup, now_us);
 }
 
@@ -274,7 +291,7 @@
       const struct rgy_asked_agent *asked
           = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
 
-      if (asked->answered && asked->answer == RGY_HELD_NO)
+      if (has_denied_ (asked))
         continue;
       progress.all_no = false;
       if (!asked->answered || asked->probing)
@@ -291,7 +308,6 @@
         int64_t now_us)
 {
   struct progress_ progress;
-  guint before;
 
   do
     {
@@ -299,15 +315,10 @@
       progress = get_progress_ (lookup);
       if (progress.waits)
         return;
-      /* Also agents that have become known since the others were asked.  */
-      before = lookup->asked->len;
-      ask_ (b, lookup, true, now_us);
-      if (lookup->asked->len > before)
-        lookup->deadline_us = now_us + LOOKUP_US;
       if (progress.untried)
         widen_ (b, lookup, now_us);
     }
-  while (progress.untried || lookup->asked->len > before);
+  while (progress.untried || ask_all_ (b, lookup, now_us));
   if (progress.all_no)
     give_up_ (b, lookup, true, now_us);
 }
@@ -439,7 +450,7 @@
       const struct rgy_known_agent *agent
           = rgy_stream_balancer_find_agent_ (b, asked->ip);
 
-      if (asked->answered && asked->answer == RGY_HELD_NO)
+      if (has_denied_ (asked))
         continue;
       if (agent != NULL && !rgy_known_agent_is_lost_ (agent, now_us))
         return false;
@@ -461,7 +472,7 @@
       struct rgy_asked_agent *asked
           = &g_array_index (lookup->asked, struct rgy_asked_agent, i);
 
-      if (asked->answered && asked->answer != RGY_HELD_NO)
+      if (asked->answered && !has_denied_ (asked))
         *asked
             = (struct rgy_asked_agent){ .ip = asked->ip, .wave = asked->wave };
     }
