Number failure domains in one function, log through one

rgy_stream_hash_domain() replaces three calls with a seed that had to agree between processes. rgy_log_flow() formatted its text beside log_va_(), which now takes the class of the line. Behaviour is the same.

--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -33,6 +33,9 @@
     these, so that its order does not count.  */
 uint64_t rgy_stream_hash_balancer (uint32_t ip);
 
+/** Number for a failure domain, the same in every process.  */
+uint64_t rgy_stream_hash_domain (const struct rgy_name *domain);
+
 /** What an agent says of its backend server.  */
 enum rgy_backend_state
 {
@@ -112,7 +115,7 @@
 struct rgy_stream_report_ack
 {
   uint64_t balancer_incarnation;
-  uint64_t balancer_domain; /**< Hash of its failure domain's name.  */
+  uint64_t balancer_domain; /**< By rgy_stream_hash_domain().  */
   uint64_t agent_incarnation;
   uint64_t seq;
   uint64_t changes_upto; /**< Number after the last change applied.  */
--- a/src/libragwortyoke-io/log.c
+++ b/src/libragwortyoke-io/log.c
@@ -25,6 +25,7 @@
 #define LINES_PER_S 100
 /* Of these, at most so many about single flows.  */
 #define FLOW_LINES_PER_S 80
+/* "1" in such lines, otherwise "0".  */
 #define FLOW_FIELD "RAGWORTYOKE_FLOW"
 #define LINE_BYTES 640
 
@@ -104,7 +105,7 @@
     if (strcmp (fields[i].key, "MESSAGE") == 0)
       message = fields[i].value;
     else if (strcmp (fields[i].key, FLOW_FIELD) == 0)
-      flow = true;
+      flow = strcmp (fields[i].value, "1") == 0;
   if (log_.limited)
     {
       write_limited_ (level_name_ (level), message, flow);
@@ -145,26 +146,23 @@
 }
 
 static void
-log_va_ (GLogLevelFlags level, const char *format, va_list ap)
+log_va_ (GLogLevelFlags level, bool flow, const char *format, va_list ap)
 {
   char *text = g_strdup_vprintf (format, ap);
 
-  g_log_structured (G_LOG_DOMAIN, level, "MESSAGE", "%s", text);
+  g_log_structured (G_LOG_DOMAIN, level, FLOW_FIELD, flow ? "1" : "0",
+                    "MESSAGE", "%s", text);
   g_free (text);
 }
 
 void
 rgy_log_flow (const char *format, ...)
 {
-  char *text;
   va_list ap;
 
   va_start (ap, format);
-  text = g_strdup_vprintf (format, ap);
+  log_va_ (G_LOG_LEVEL_INFO, true, format, ap);
   va_end (ap);
-  g_log_structured (G_LOG_DOMAIN, G_LOG_LEVEL_INFO, FLOW_FIELD, "1", "MESSAGE",
-                    "%s", text);
-  g_free (text);
 }
 
 void
@@ -173,7 +171,7 @@
   va_list ap;
 
   va_start (ap, format);
-  log_va_ (G_LOG_LEVEL_INFO, format, ap);
+  log_va_ (G_LOG_LEVEL_INFO, false, format, ap);
   va_end (ap);
 }
 
@@ -183,7 +181,7 @@
   va_list ap;
 
   va_start (ap, format);
-  log_va_ (G_LOG_LEVEL_WARNING, format, ap);
+  log_va_ (G_LOG_LEVEL_WARNING, false, format, ap);
   va_end (ap);
 }
 
@@ -193,6 +191,6 @@
   va_list ap;
 
   va_start (ap, format);
-  log_va_ (G_LOG_LEVEL_CRITICAL, format, ap);
+  log_va_ (G_LOG_LEVEL_CRITICAL, false, format, ap);
   va_end (ap);
 }
--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -83,8 +83,9 @@
 {
   enum rgy_agent_flow_state state;
   uint32_t backend_seq; /* Of its first segment.  */
-  uint64_t audience; /* Hash of the failure domain whose balancers know it.  */
-  uint32_t caller_ack; /* What the caller acknowledged last.  */
+  uint64_t audience;    /* Failure domain whose balancers know it, by
+                           rgy_stream_hash_domain().  */
+  uint32_t caller_ack;  /* What the caller acknowledged last.  */
   uint32_t balancer_ip;
   unsigned generation; /* Start of the backend server it was opened at.  */
   bool caller_finished;
@@ -108,7 +109,7 @@
 {
   uint32_t ip;
   uint64_t incarnation;
-  uint64_t domain; /* Hash of its failure domain's name; 0: not known yet.  */
+  uint64_t domain; /* By rgy_stream_hash_domain(); 0: not known yet.  */
   int64_t added_us;
   int64_t heard_us; /* Last acknowledgement; 0: none.  */
   int64_t sent_us;
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -103,7 +103,7 @@
 {
   uint32_t ip;
   uint32_t tag;                      /**< Of its service.  */
-  uint64_t domain_hash;              /**< Of its failure domain's name.  */
+  uint64_t domain_hash;              /**< By rgy_stream_hash_domain().  */
   struct rgy_stream_report report;   /**< Without changes.  */
   enum rgy_backend_state last_state; /**< Last one that was not unknown.  */
   int64_t heard_us;
--- a/src/libragwortyoke/stream_agent_report.c
+++ b/src/libragwortyoke/stream_agent_report.c
@@ -72,7 +72,7 @@
 
   return b != NULL && b->domain != 0
              ? b->domain
-             : rgy_name_hash (&agent->settings.domain, 0);
+             : rgy_stream_hash_domain (&agent->settings.domain);
 }
 
 static void
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -298,12 +298,13 @@
   GByteArray *balancers;
   struct rgy_stream_message message
       = { .kind = RGY_STREAM_REPORT_ACK,
-          .u.ack = { .balancer_incarnation = b->settings.incarnation,
-                     .balancer_domain = rgy_name_hash (&b->settings.domain, 0),
-                     .agent_incarnation = report->incarnation,
-                     .seq = report->seq,
-                     .changes_upto = agent->changes_upto,
-                     .view = b->view } };
+          .u.ack
+          = { .balancer_incarnation = b->settings.incarnation,
+              .balancer_domain = rgy_stream_hash_domain (&b->settings.domain),
+              .agent_incarnation = report->incarnation,
+              .seq = report->seq,
+              .changes_upto = agent->changes_upto,
+              .view = b->view } };
 
   if (!needed && knows_balancers && now_us - agent->acked_us < ACK_INTERVAL_US)
     return;
@@ -406,7 +407,7 @@
   agent->report = *report;
   agent->report.changes = (struct rgy_bytes){ 0 };
   agent->tag = rgy_service_tag (&report->service);
-  agent->domain_hash = rgy_name_hash (&report->domain, 0);
+  agent->domain_hash = rgy_stream_hash_domain (&report->domain);
   agent->heard_us = now_us;
   agent->named = false;
   agent->placed = 0;
--- a/src/libragwortyoke/stream_message.c
+++ b/src/libragwortyoke/stream_message.c
@@ -35,6 +35,12 @@
       (struct rgy_bytes){ .data = (const uint8_t *)&ip, .len = sizeof ip }, 0);
 }
 
+uint64_t
+rgy_stream_hash_domain (const struct rgy_name *domain)
+{
+  return rgy_name_hash (domain, 0);
+}
+
 bool
 rgy_domain_view_is_out (const struct rgy_domain_view *view,
                         const struct rgy_name *domain)
--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -354,7 +354,7 @@
   struct rgy_stream_message ack
       = { .kind = RGY_STREAM_REPORT_ACK,
           .u.ack = { .balancer_incarnation = 1,
-                     .balancer_domain = rgy_name_hash (&name, 0),
+                     .balancer_domain = rgy_stream_hash_domain (&name),
                      .agent_incarnation = 1 } };
   GByteArray *bytes = g_byte_array_new ();
 
