--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -168,6 +168,23 @@
   rgy_stream_agent_from_backend (f->agent, &segment, f->now_us);
 }
 
+/* Sends a message of the balancer at IP to the agent.  */
+static void
+tell_ (struct fixture_ *f, const struct rgy_stream_message *message,
+       uint32_t ip)
+{
+  GByteArray *bytes = g_byte_array_new ();
+
+  rgy_stream_message_encode (message, bytes);
+  assert_int_equal (
+      rgy_stream_agent_from_message (
+          f->agent,
+          (struct rgy_bytes){ .data = bytes->data, .len = bytes->len }, ip,
+          f->now_us),
+      RGY_OK);
+  g_byte_array_unref (bytes);
+}
+
 static enum rgy_outcome
 heartbeat_ (struct fixture_ *f, const char *id, int64_t started_ms,
             uint64_t seq, bool draining)
@@ -183,6 +200,15 @@
   return rgy_stream_agent_heartbeat (f->agent, &heartbeat, f->now_us);
 }
 
+/* Opens a flow at the backend server, whose first number is 1000.  */
+static void
+open_flow_ (struct fixture_ *f, uint16_t port)
+{
+  caller_ (f, port, RGY_SEGMENT_SYN, 0);
+  backend_ (f, port, RGY_SEGMENT_SYN | RGY_SEGMENT_ACK, 1000);
+  caller_ (f, port, RGY_SEGMENT_ACK, 1001);
+}
+
 /* A probe that the backend server answers with a reset showed the caller a
    reset of a flow that another one holds (hollenbeck-lakes-grown, scale-1,
    seed 238987681661).  */
@@ -198,9 +224,7 @@
   assert_int_equal (f->held[RGY_HELD_NO], 1);
   /* A reset of a flow that is open here is the caller's.  */
   heartbeat_ (f, "i-1", 5, 1, false);
-  caller_ (f, 2, RGY_SEGMENT_SYN, 0);
-  backend_ (f, 2, RGY_SEGMENT_SYN | RGY_SEGMENT_ACK, 1000);
-  caller_ (f, 2, RGY_SEGMENT_ACK, 1001);
+  open_flow_ (f, 2);
   backend_ (f, 2, RGY_SEGMENT_RST, 1001);
   assert_int_equal (f->to_caller, 2);
 }
@@ -299,17 +323,10 @@
                                     .u.ack = { .balancer_incarnation = 1,
                                                .agent_incarnation = 1,
                                                .cold_rate_milli = 4000 } };
-  GByteArray *bytes = g_byte_array_new ();
   unsigned second;
   uint16_t port = 1;
 
-  rgy_stream_message_encode (&ack, bytes);
-  assert_int_equal (
-      rgy_stream_agent_from_message (
-          f->agent,
-          (struct rgy_bytes){ .data = bytes->data, .len = bytes->len },
-          BALANCER_IP, f->now_us),
-      RGY_OK);
+  tell_ (f, &ack, BALANCER_IP);
   rgy_stream_agent_heartbeat (f->agent, &heartbeat, f->now_us);
   for (second = 0; second < 3; second++)
     {
@@ -324,7 +341,6 @@
       assert_in_range (f->to_backend - before, 1, 11);
       f->now_us += 150 * RGY_US_PER_MS;
     }
-  g_byte_array_unref (bytes);
 }
 
 /* Flows of a backend server that has said it ends live until it has ended.  */
@@ -335,9 +351,7 @@
   struct rgy_name id = rgy_name_from_c ("i-1");
 
   heartbeat_ (f, "i-1", 5, 1, false);
-  caller_ (f, 1, RGY_SEGMENT_SYN, 0);
-  backend_ (f, 1, RGY_SEGMENT_SYN | RGY_SEGMENT_ACK, 1000);
-  caller_ (f, 1, RGY_SEGMENT_ACK, 1001);
+  open_flow_ (f, 1);
   assert_int_equal (rgy_stream_agent_leave (f->agent, &id, f->now_us), RGY_OK);
   pass_ (f, 200 * RGY_US_PER_MS);
   assert_int_equal (f->resets, 0);
@@ -356,24 +370,8 @@
           .u.ack = { .balancer_incarnation = 1,
                      .balancer_domain = rgy_stream_hash_domain (&name),
                      .agent_incarnation = 1 } };
-  GByteArray *bytes = g_byte_array_new ();
 
-  rgy_stream_message_encode (&ack, bytes);
-  assert_int_equal (
-      rgy_stream_agent_from_message (
-          f->agent,
-          (struct rgy_bytes){ .data = bytes->data, .len = bytes->len }, ip,
-          f->now_us),
-      RGY_OK);
-  g_byte_array_unref (bytes);
-}
-
-static void
-open_flow_ (struct fixture_ *f, uint16_t port)
-{
-  caller_ (f, port, RGY_SEGMENT_SYN, 0);
-  backend_ (f, port, RGY_SEGMENT_SYN | RGY_SEGMENT_ACK, 1000);
-  caller_ (f, port, RGY_SEGMENT_ACK, 1001);
+  tell_ (f, &ack, ip);
 }
 
 /* Changes of flows went to all balancers, also of failure domains to which the
@@ -411,17 +409,9 @@
   struct rgy_stream_message query
       = { .kind = RGY_STREAM_QUERY,
           .u.queried = { .data = ends, .len = sizeof ends } };
-  GByteArray *bytes = g_byte_array_new ();
 
   rgy_flow_ends_encode (&segment.key, ends);
-  rgy_stream_message_encode (&query, bytes);
-  assert_int_equal (
-      rgy_stream_agent_from_message (
-          f->agent,
-          (struct rgy_bytes){ .data = bytes->data, .len = bytes->len },
-          BALANCER_IP, f->now_us),
-      RGY_OK);
-  g_byte_array_unref (bytes);
+  tell_ (f, &query, BALANCER_IP);
 }
 
 /* After a loss of power some backend servers never come back.  Their agents
@@ -477,9 +467,7 @@
   struct fixture_ *f = *state;
 
   heartbeat_ (f, "i-1", 5, 1, false);
-  caller_ (f, 1, RGY_SEGMENT_SYN, 0);
-  backend_ (f, 1, RGY_SEGMENT_SYN | RGY_SEGMENT_ACK, 1000);
-  caller_ (f, 1, RGY_SEGMENT_ACK, 1001);
+  open_flow_ (f, 1);
   pass_ (f, 1200 * RGY_US_PER_MS);
   assert_int_equal (f->checks, 0);
   pass_ (f, 300 * RGY_US_PER_MS);
@@ -495,9 +483,7 @@
   struct fixture_ *f = *state;
 
   heartbeat_ (f, "i-1", 5, 1, false);
-  caller_ (f, 1, RGY_SEGMENT_SYN, 0);
-  backend_ (f, 1, RGY_SEGMENT_SYN | RGY_SEGMENT_ACK, 1000);
-  caller_ (f, 1, RGY_SEGMENT_ACK, 1001);
+  open_flow_ (f, 1);
   backend_ (f, 1, RGY_SEGMENT_ACK | RGY_SEGMENT_BOUNCED, 0);
   assert_int_equal (f->checks, 1);
 }
--- a/src/test_stream_flow/test_stream_flow.c
+++ b/src/test_stream_flow/test_stream_flow.c
@@ -35,6 +35,54 @@
   return w;
 }
 
+/* Kills all processes of ours.  */
+static void
+kill_all_ (struct world *w, size_t n_balancers, size_t n_agents)
+{
+  size_t i;
+
+  for (i = 0; i < n_balancers; i++)
+    world_kill_balancer (w, i);
+  for (i = 0; i < n_agents; i++)
+    world_kill_agent (w, i);
+}
+
+static void
+start_all_ (struct world *w, size_t n_balancers, size_t n_agents)
+{
+  size_t i;
+
+  for (i = 0; i < n_balancers; i++)
+    world_start_balancer (w, i);
+  for (i = 0; i < n_agents; i++)
+    world_start_agent (w, i);
+}
+
+/* The same for machines: the backend servers lose their flows, too.  */
+static void
+power_off_ (struct world *w, size_t n_balancers, size_t n_agents)
+{
+  size_t i;
+
+  kill_all_ (w, n_balancers, n_agents);
+  for (i = 0; i < n_agents; i++)
+    world_end_backend (w, i, true);
+}
+
+static void
+power_on_ (struct world *w, size_t n_balancers, size_t n_agents)
+{
+  size_t i;
+
+  for (i = 0; i < n_balancers; i++)
+    world_start_balancer (w, i);
+  for (i = 0; i < n_agents; i++)
+    {
+      world_start_agent (w, i);
+      world_start_backend (w, i);
+    }
+}
+
 static void
 calm_day_serves_all_ (void **state)
 {
@@ -105,18 +153,11 @@
 {
   struct world *w = loaded_ (4, 0);
   unsigned before;
-  size_t i;
 
   (void)state;
-  for (i = 0; i < 4; i++)
-    world_kill_balancer (w, i);
-  for (i = 0; i < 7; i++)
-    world_kill_agent (w, i);
+  kill_all_ (w, 4, 7);
   world_run (w, 700 * MS);
-  for (i = 0; i < 4; i++)
-    world_start_balancer (w, i);
-  for (i = 0; i < 7; i++)
-    world_start_agent (w, i);
+  start_all_ (w, 4, 7);
   before = world_get_seen (w)->answered;
   world_run (w, 3 * S);
   assert_promises_ (w);
@@ -135,21 +176,14 @@
   struct world *w = world_new (14, 4, 24, 0.002);
   const struct world_seen *seen = world_get_seen (w);
   unsigned before;
-  size_t i;
 
   (void)state;
   world_start (w);
   world_set_load (w, 100, 12 * S);
   world_run (w, 5 * S);
-  for (i = 0; i < 4; i++)
-    world_kill_balancer (w, i);
-  for (i = 0; i < 24; i++)
-    world_kill_agent (w, i);
+  kill_all_ (w, 4, 24);
   world_run (w, 700 * MS);
-  for (i = 0; i < 4; i++)
-    world_start_balancer (w, i);
-  for (i = 0; i < 24; i++)
-    world_start_agent (w, i);
+  start_all_ (w, 4, 24);
   before = seen->answered;
   world_run (w, 3 * S);
   assert_promises_ (w);
@@ -167,25 +201,12 @@
   struct world *w = loaded_ (5, 0);
   const struct world_seen *seen = world_get_seen (w);
   unsigned opened;
-  size_t i;
 
   (void)state;
-  for (i = 0; i < 4; i++)
-    world_kill_balancer (w, i);
-  for (i = 0; i < 7; i++)
-    {
-      world_kill_agent (w, i);
-      world_end_backend (w, i, true);
-    }
+  power_off_ (w, 4, 7);
   world_run (w, 900 * MS);
   opened = seen->opened;
-  for (i = 0; i < 4; i++)
-    world_start_balancer (w, i);
-  for (i = 0; i < 7; i++)
-    {
-      world_start_agent (w, i);
-      world_start_backend (w, i);
-    }
+  power_on_ (w, 4, 7);
   world_run (w, 2 * S);
   assert_promises_ (w);
   assert_true (seen->opened > opened + 30);
@@ -206,28 +227,15 @@
   struct world *w = world_new (13, 4, 24, 0.002);
   const struct world_seen *seen = world_get_seen (w);
   unsigned lost;
-  size_t i;
 
   (void)state;
   world_start (w);
   world_set_load (w, 200, 12 * S);
   world_run (w, 5 * S);
   lost = seen->opened;
-  for (i = 0; i < 4; i++)
-    world_kill_balancer (w, i);
-  for (i = 0; i < 24; i++)
-    {
-      world_kill_agent (w, i);
-      world_end_backend (w, i, true);
-    }
+  power_off_ (w, 4, 24);
   world_run (w, 900 * MS);
-  for (i = 0; i < 4; i++)
-    world_start_balancer (w, i);
-  for (i = 0; i < 24; i++)
-    {
-      world_start_agent (w, i);
-      world_start_backend (w, i);
-    }
+  power_on_ (w, 4, 24);
   world_run (w, 1000 * MS);
   assert_promises_ (w);
   assert_true (seen->resets > lost * 9 / 10);
@@ -305,7 +313,6 @@
 {
   struct world *w = world_new (15, 4, 8, 0);
   const struct world_seen *seen = world_get_seen (w);
-  size_t i;
 
   (void)state;
   world_set_workshop (w, 4);
@@ -315,15 +322,9 @@
   world_run (w, 4 * S);
   world_set_load (w, 0, 0);
   world_set_weights (w, 1, 0);
-  for (i = 0; i < 4; i++)
-    world_kill_balancer (w, i);
-  for (i = 0; i < 8; i++)
-    world_kill_agent (w, i);
+  kill_all_ (w, 4, 8);
   world_run (w, 500 * MS);
-  for (i = 0; i < 4; i++)
-    world_start_balancer (w, i);
-  for (i = 0; i < 8; i++)
-    world_start_agent (w, i);
+  start_all_ (w, 4, 8);
   world_run (w, 15 * S);
   assert_promises_ (w);
   assert_int_equal (seen->resets, 0);
