Tell starting balancers which agents drain and which restart

The balancers started while the agent was away, so they did not know the state before; after its restart, before the first heartbeat, they offered it new flows.

Change: a status lists agents with the last known state of their backend servers and whether they restart. Test: drain_is_learnt_from_a_peer_, fails without the state.

--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -128,6 +128,12 @@
   struct rgy_bytes balancers; /**< Empty when they are the same.  */
 };
 
+/** Bytes of one agent in a status: its address and a byte with the last state
+    of its backend server that was known, and this flag.  */
+#define RGY_STREAM_AGENT_BYTES (RGY_STREAM_IP_BYTES + 1)
+/** The agent has announced that it restarts.  */
+#define RGY_STREAM_AGENT_RESTARTING 0x80
+
 /** State that balancers tell each other.  */
 struct rgy_stream_status
 {
@@ -139,7 +145,8 @@
   uint64_t balancers_hash;    /**< Of those the sender knows, itself included:
                                    see rgy_stream_hash_balancer().  */
   struct rgy_bytes balancers; /**< Empty for a receiver that knows the same. */
-  struct rgy_bytes agents;    /**< Only in replies.  */
+  struct rgy_bytes agents;    /**< Only in replies; records of
+                                   RGY_STREAM_AGENT_BYTES.  */
 };
 
 enum rgy_stream_message_kind
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -30,6 +30,18 @@
   return NULL;
 }
 
+/* One agent of a status.  */
+static void
+put_agent_ (GByteArray *list, const struct rgy_known_agent *agent)
+{
+  uint8_t state = (uint8_t)agent->last_state;
+
+  if (agent->report.restarting)
+    state |= RGY_STREAM_AGENT_RESTARTING;
+  put_ip_ (list, agent->ip);
+  g_byte_array_append (list, &state, sizeof state);
+}
+
 /* This balancer and its peers.  */
 static GByteArray *
 list_balancers_ (const struct rgy_stream_balancer *b)
@@ -76,15 +88,14 @@
               .view = b->view,
               .balancers_hash = hash } };
   GHashTableIter iter;
-  void *key;
   void *value;
 
   if (with_agents)
     {
       g_hash_table_iter_init (&iter, b->agents);
-      while (g_hash_table_iter_next (&iter, &key, &value))
+      while (g_hash_table_iter_next (&iter, NULL, &value))
         if (!rgy_known_agent_is_lost_ (value, now_us))
-          put_ip_ (agents, GPOINTER_TO_UINT (key));
+          put_agent_ (agents, value);
     }
   message.u.status.balancers
       = (struct rgy_bytes){ .data = balancers->data, .len = balancers->len };
@@ -157,6 +168,30 @@
   return agent;
 }
 
+/* An agent that a peer lists, as put_agent_() encodes it.  What a peer that
+   knows all agents has heard holds until the agent itself reports: it may
+   restart now, and its backend server may drain.  */
+static void
+from_listed_agent_ (struct rgy_stream_balancer *b, const uint8_t *listed,
+                    bool settled, int64_t now_us)
+{
+  uint32_t ip = rgy_stream_get_ip (listed);
+  uint8_t state = listed[RGY_STREAM_IP_BYTES];
+  struct rgy_known_agent *agent = rgy_stream_balancer_find_agent_ (b, ip);
+
+  if (agent != NULL && !agent->named)
+    return;
+  hello_ (b, ip);
+  if (!settled)
+    return;
+  if (agent == NULL)
+    agent = add_agent_ (b, ip, now_us);
+  agent->named = false;
+  agent->report.restarting = (state & RGY_STREAM_AGENT_RESTARTING) != 0;
+  agent->last_state
+      = (enum rgy_backend_state) (state & ~RGY_STREAM_AGENT_RESTARTING);
+}
+
 void
 rgy_stream_balancer_from_status_ (struct rgy_stream_balancer *b,
                                   const struct rgy_stream_status *status,
@@ -185,26 +220,8 @@
        i += RGY_STREAM_IP_BYTES)
     rgy_stream_balancer_add_peer (
         b, rgy_stream_get_ip (status->balancers.data + i), now_us);
-  for (i = 0; i + RGY_STREAM_IP_BYTES <= status->agents.len;
-       i += RGY_STREAM_IP_BYTES)
-    {
-      uint32_t agent_ip = rgy_stream_get_ip (status->agents.data + i);
-      struct rgy_known_agent *agent
-          = rgy_stream_balancer_find_agent_ (b, agent_ip);
-
-      if (agent != NULL && !agent->named)
-        continue;
-      /* Until it reports, it may hold any flow; the peer may know that it is
-         restarting.  */
-      if (agent == NULL && status->settled)
-        agent = add_agent_ (b, agent_ip, now_us);
-      if (agent != NULL && status->settled)
-        {
-          agent->named = false;
-          agent->report.restarting = true;
-        }
-      hello_ (b, agent_ip);
-    }
+  for (i = 0; i < status->agents.len; i += RGY_STREAM_AGENT_BYTES)
+    from_listed_agent_ (b, status->agents.data + i, status->settled, now_us);
   if (status->settled && status->agents.len > 0)
     b->informed = true;
 }
--- a/src/libragwortyoke/stream_message.c
+++ b/src/libragwortyoke/stream_message.c
@@ -249,6 +249,18 @@
       = read_records_ (reader, RGY_STREAM_IP_BYTES, RGY_STREAM_MAX_BALANCERS);
 }
 
+static void
+read_agents_ (struct rgy_reader *reader, struct rgy_bytes *agents)
+{
+  size_t i;
+
+  *agents = read_records_ (reader, RGY_STREAM_AGENT_BYTES, MAX_LISTED_AGENTS);
+  for (i = RGY_STREAM_IP_BYTES; i < agents->len; i += RGY_STREAM_AGENT_BYTES)
+    if ((agents->data[i] & ~RGY_STREAM_AGENT_RESTARTING)
+        >= RGY_BACKEND_STATE_COUNT)
+      rgy_reader_fail (reader, RGY_ERR_INVALID);
+}
+
 static void
 read_status_ (struct rgy_reader *reader, struct rgy_stream_status *s)
 {
@@ -260,8 +272,7 @@
   s->balancers_hash = rgy_read_u64 (reader);
   s->balancers
       = read_records_ (reader, RGY_STREAM_IP_BYTES, RGY_STREAM_MAX_BALANCERS);
-  s->agents = read_records_ (reader, RGY_STREAM_IP_BYTES,
-                             MAX_LISTED_AGENTS * RGY_STREAM_IP_BYTES);
+  read_agents_ (reader, &s->agents);
 }
 
 static void
--- a/src/test_stream_balancer/test_stream_balancer.c
+++ b/src/test_stream_balancer/test_stream_balancer.c
@@ -21,6 +21,7 @@
   struct rgy_stream_balancer *balancer;
   int64_t now_us;
   int64_t report_us;
+  enum rgy_backend_state state; /* In reports.  */
   uint64_t seq;
   unsigned to_agent;
   unsigned resets;
@@ -99,7 +100,7 @@
                                 .seq = ++f->seq,
                                 .service = rgy_name_from_c ("workshop"),
                                 .domain = rgy_name_from_c ("poa-a"),
-                                .state = RGY_BACKEND_READY,
+                                .state = f->state,
                                 .complete = true,
                                 .slots = 4 } };
 
@@ -141,6 +142,7 @@
   f->queried = g_byte_array_new ();
   f->counters = rgy_counters_new ();
   f->now_us = 100 * RGY_US_PER_S;
+  f->state = RGY_BACKEND_READY;
   start_balancer_ (f, 1);
   pass_ (f, 3 * RGY_US_PER_S);
   *state = f;
@@ -377,22 +379,31 @@
   assert_int_equal (f->resets, 1);
 }
 
+/* A peer that knows all agents lists one of them.  */
+static void
+list_agent_ (struct fixture_ *f, uint8_t last_byte_of_ip, uint8_t state)
+{
+  const uint8_t agents[RGY_STREAM_AGENT_BYTES]
+      = { 10, 2, 0, last_byte_of_ip, state };
+  struct rgy_stream_message status
+      = { .kind = RGY_STREAM_STATUS,
+          .u.status = { .incarnation = 3,
+                        .settled = true,
+                        .agents = { .data = agents, .len = sizeof agents } } };
+
+  tell_from_ (f, &status, PEER_IP);
+}
+
 /* A peer that has heard the agent may know that it is restarting.  Taken for
    removed after a second, its flows were reset although its backend server
    held them (soak, seed 863).  */
 static void
 agent_known_to_a_peer_is_waited_for_longer_ (void **state)
 {
-  static const uint8_t ips[4] = { 10, 2, 0, 2 };
   struct fixture_ *f = *state;
-  struct rgy_stream_message status
-      = { .kind = RGY_STREAM_STATUS,
-          .u.status = { .incarnation = 3,
-                        .settled = true,
-                        .agents = { .data = ips, .len = sizeof ips } } };
 
   restart_ (f, 2);
-  tell_from_ (f, &status, PEER_IP);
+  list_agent_ (f, 2, RGY_BACKEND_READY | RGY_STREAM_AGENT_RESTARTING);
   pass_ (f, 20 * MS);
   router_ (f, 443, RGY_SEGMENT_ACK, 5);
   pass_ (f, 100 * MS);
@@ -401,6 +412,26 @@
   assert_int_equal (f->resets, 0);
 }
 
+/* An agent that has restarted takes new flows before the first heartbeat,
+   unless its backend server was draining.  A balancer that had started while
+   the agent was away did not know that (soak, seed 863).  */
+static void
+drain_is_learnt_from_a_peer_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  restart_ (f, 1);
+  list_agent_ (f, 1, RGY_BACKEND_DRAINING | RGY_STREAM_AGENT_RESTARTING);
+  f->state = RGY_BACKEND_UNKNOWN;
+  pass_ (f, 20 * MS);
+  router_ (f, 443, RGY_SEGMENT_SYN, 0);
+  pass_ (f, 200 * MS);
+  assert_int_equal (f->to_agent, 0);
+  f->state = RGY_BACKEND_READY;
+  pass_ (f, 400 * MS);
+  assert_true (f->to_agent > 0);
+}
+
 /* The list keeps agents that a balancer does not know, and gets those that it
    hears.  */
 static void
@@ -492,6 +523,7 @@
     WITH_BALANCER (own_delay_widens_no_search_),
     WITH_BALANCER (named_agent_is_waited_for_),
     WITH_BALANCER (agent_known_to_a_peer_is_waited_for_longer_),
+    WITH_BALANCER (drain_is_learnt_from_a_peer_),
     WITH_BALANCER (list_of_agents_is_brought_up_to_date_),
     WITH_BALANCER (cut_off_balancer_resets_nothing_),
     WITH_BALANCER (known_balancers_are_not_repeated_),
--- a/src/test_stream_message/test_stream_message.c
+++ b/src/test_stream_message/test_stream_message.c
@@ -17,6 +17,8 @@
   [RGY_FLOW_ANSWER_BYTES] = 9,
   [RGY_FLOW_ANSWER_BYTES + RGY_FLOW_ENDS_BYTES] = RGY_HELD_UNSURE,
 };
+static const uint8_t agents_[RGY_STREAM_AGENT_BYTES]
+    = { 10, 2, 0, 40, RGY_BACKEND_DRAINING | RGY_STREAM_AGENT_RESTARTING };
 static const uint8_t ips_[8] = { 10, 1, 0, 10, 10, 2, 0, 40 };
 
 static struct rgy_stream_message
@@ -61,16 +63,16 @@
       };
       break;
     case RGY_STREAM_STATUS:
-      message.u.status
-          = (struct rgy_stream_status){ .incarnation = 1,
-                                        .manifest_version = 7,
-                                        .wants_reply = true,
-                                        .settled = true,
-                                        .view = view,
-                                        .balancers_hash = 11,
-                                        .balancers
-                                        = { .data = ips_, .len = sizeof ips_ },
-                                        .agents = { .data = ips_, .len = 4 } };
+      message.u.status = (struct rgy_stream_status){
+        .incarnation = 1,
+        .manifest_version = 7,
+        .wants_reply = true,
+        .settled = true,
+        .view = view,
+        .balancers_hash = 11,
+        .balancers = { .data = ips_, .len = sizeof ips_ },
+        .agents = { .data = agents_, .len = sizeof agents_ }
+      };
       break;
     case RGY_STREAM_HELLO:
     case RGY_STREAM_MESSAGE_KIND_COUNT:
@@ -183,27 +185,41 @@
   g_rand_free (rand);
 }
 
-/* An answer that is not one of the known ones would be used as an index.  */
 static void
-unknown_answers_are_refused_ (void **state)
+assert_refused_ (const struct rgy_stream_message *message)
 {
-  uint8_t answer[RGY_FLOW_ANSWER_BYTES]
-      = { [RGY_FLOW_ENDS_BYTES] = RGY_FLOW_HELD_COUNT };
-  struct rgy_stream_message message
-      = { .kind = RGY_STREAM_ANSWER,
-          .u.answers = { .data = answer, .len = sizeof answer } };
   GByteArray *bytes = g_byte_array_new ();
+  struct rgy_stream_message decoded;
 
-  (void)state;
-  rgy_stream_message_encode (&message, bytes);
+  rgy_stream_message_encode (message, bytes);
   assert_int_equal (
       rgy_stream_message_decode (
           (struct rgy_bytes){ .data = bytes->data, .len = bytes->len },
-          &message),
+          &decoded),
       RGY_ERR_INVALID);
   g_byte_array_unref (bytes);
 }
 
+/* An answer or a state that is not one of the known ones would be used as an
+   index.  */
+static void
+unknown_answers_and_states_are_refused_ (void **state)
+{
+  const uint8_t answer[RGY_FLOW_ANSWER_BYTES]
+      = { [RGY_FLOW_ENDS_BYTES] = RGY_FLOW_HELD_COUNT };
+  const uint8_t agent[RGY_STREAM_AGENT_BYTES]
+      = { 10, 2, 0, 40, RGY_BACKEND_STATE_COUNT };
+  struct rgy_stream_message status = sample_ (RGY_STREAM_STATUS);
+
+  (void)state;
+  assert_refused_ (&(struct rgy_stream_message){
+      .kind = RGY_STREAM_ANSWER,
+      .u.answers = { .data = answer, .len = sizeof answer } });
+  status.u.status.agents
+      = (struct rgy_bytes){ .data = agent, .len = sizeof agent };
+  assert_refused_ (&status);
+}
+
 static void
 view_names_its_domains_ (void **state)
 {
@@ -222,7 +238,7 @@
     cmocka_unit_test (every_kind_survives_),
     cmocka_unit_test (truncated_messages_are_refused_),
     cmocka_unit_test (damaged_messages_are_survived_),
-    cmocka_unit_test (unknown_answers_are_refused_),
+    cmocka_unit_test (unknown_answers_and_states_are_refused_),
     cmocka_unit_test (view_names_its_domains_),
   };
 
