Require contact with another monitor before an agent is declared dead

Cause: a balancer that the other two could not reach probed an agent that was silent to it only, got no acknowledgement because nobody could receive its question, and declared the agent dead; requests on its flows ended as outcome-unknown. Cut protection needs four members and is off for the two others. Ruled out: cut protection with two members, since it would also make the survivor of two real failures not ready.

Change: a member whose probe times out is probed again, instead of declared dead, when no other monitor was in contact since the probe; after a gap of contact members are probed anew. Monitors declared dead count as absent only after the window. A balancer that this one has declared dead now stays in that window: the removal of its watch cleared the entry.

--- a/include/ragwortyoke/member.h
+++ b/include/ragwortyoke/member.h
@@ -176,6 +176,22 @@
                         struct rgy_liveness_event *event);
 /** State of the cut protection after the last rgy_liveness_next().  */
 bool rgy_liveness_is_cut_protected (const struct rgy_liveness *liveness);
+/**
+ * Time of the last message from any member itself.
+ *
+ * @return 0 if only members declared dead within @c window_us are known, and
+ *   INT64_MAX if there are none at all.
+ */
+int64_t rgy_liveness_get_last_contact (const struct rgy_liveness *liveness,
+                                       int64_t now_us);
+/**
+ * Set the time of the last message from another monitor; the default is
+ * INT64_MAX.  A member whose probe times out is probed again instead of
+ * declared dead if no other monitor was in contact since the probe, because
+ * then nobody could have acknowledged the member.
+ */
+void rgy_liveness_set_monitor_contact (struct rgy_liveness *liveness,
+                                       int64_t contact_us);
 
 /**
  * Rendezvous hashing: choose the @p wanted members with the highest weight for
--- a/src/libragwortyoke/balancer_monitor.c
+++ b/src/libragwortyoke/balancer_monitor.c
@@ -99,6 +99,12 @@
   struct rgy_liveness_event event;
   const struct rgy_agent_record *r;
 
+  /* With three balancers cut protection is off for two lost ones, so that the
+     survivor of two failures serves on.  It must not declare an agent dead on
+     its own while it may be the one that is cut off.  */
+  rgy_liveness_set_monitor_contact (
+      b->agents_liveness,
+      rgy_liveness_get_last_contact (b->balancers_liveness, now_us));
   while (rgy_liveness_next (b->agents_liveness, now_us, &event))
     switch (event.kind)
       {
@@ -242,7 +248,11 @@
     {
       const struct rgy_balancer_record *r = value;
 
-      if (r->state == RGY_MEMBER_LEFT || r->state == RGY_MEMBER_DEAD)
+      /* A balancer that this one has declared dead stays in the window of the
+         cut protection.  */
+      if (r->state == RGY_MEMBER_LEFT
+          || (r->state == RGY_MEMBER_DEAD
+              && rgy_liveness_is_watched (b->balancers_liveness, &r->id)))
         rgy_liveness_remove (b->balancers_liveness, &r->id);
     }
 }
--- a/src/libragwortyoke/liveness.c
+++ b/src/libragwortyoke/liveness.c
@@ -37,6 +37,7 @@
   GArray *dead;   /* Elements are struct dead_member_, in the order
                      of their declaration.  */
   bool cut_protection;
+  int64_t monitor_contact_us; /* Set by rgy_liveness_set_monitor_contact().  */
 };
 
 static int
@@ -52,6 +53,7 @@
   struct rgy_liveness *liveness = g_new0 (struct rgy_liveness, 1);
 
   liveness->settings = *settings;
+  liveness->monitor_contact_us = INT64_MAX;
   liveness->members = g_tree_new_full (compare_ids_, NULL, NULL, g_free);
   liveness->dead = g_array_new (FALSE, FALSE, sizeof (struct dead_member_));
   return liveness;
@@ -159,6 +161,55 @@
   return liveness->cut_protection;
 }
 
+int64_t
+rgy_liveness_get_last_contact (const struct rgy_liveness *liveness,
+                               int64_t now_us)
+{
+  int64_t contact_us = 0;
+  bool is_alone = true;
+  GTreeNode *at;
+  guint i;
+
+  for (at = g_tree_node_first (liveness->members); at != NULL;
+       at = g_tree_node_next (at))
+    {
+      const struct member_ *m = g_tree_node_value (at);
+
+      is_alone = false;
+      contact_us = MAX (contact_us, m->last_direct_us);
+    }
+  for (i = 0; i < liveness->dead->len; i++)
+    if (now_us
+            - g_array_index (liveness->dead, struct dead_member_, i)
+                  .declared_us
+        <= liveness->settings.window_us)
+      is_alone = false;
+  return is_alone ? INT64_MAX : contact_us;
+}
+
+static gboolean
+clear_probe_ (void *key, void *value, void *ctx)
+{
+  struct member_ *m = value;
+
+  (void)key;
+  (void)ctx;
+  m->probed = false;
+  return FALSE;
+}
+
+void
+rgy_liveness_set_monitor_contact (struct rgy_liveness *liveness,
+                                  int64_t contact_us)
+{
+  /* Probes sent during a gap as long as this did not reach the other
+     monitors.  */
+  if (contact_us - liveness->monitor_contact_us
+      > liveness->settings.unresponsive_us)
+    g_tree_foreach (liveness->members, clear_probe_, NULL);
+  liveness->monitor_contact_us = contact_us;
+}
+
 /* Result of one pass over the members.  */
 struct scan_result_
 {
@@ -216,17 +267,6 @@
          && lost * 100 > total * liveness->settings.cut_protection_percent;
 }
 
-static gboolean
-clear_probe_ (void *key, void *value, void *ctx)
-{
-  struct member_ *m = value;
-
-  (void)key;
-  (void)ctx;
-  m->probed = false;
-  return FALSE;
-}
-
 static void
 probe_member_ (struct member_ *m, int64_t now_us,
                struct rgy_liveness_event *event)
@@ -273,6 +313,12 @@
       probe_member_ (s.due_again, now_us, event);
       return true;
     }
+  if (!protect && s.timed_out != NULL
+      && liveness->monitor_contact_us < s.timed_out->probed_us)
+    {
+      probe_member_ (s.timed_out, now_us, event);
+      return true;
+    }
   if (!protect && s.timed_out != NULL)
     {
       dead = (struct dead_member_){ .id = s.timed_out->id,
--- a/src/test_member/test_member.c
+++ b/src/test_member/test_member.c
@@ -893,6 +893,57 @@
   rgy_liveness_delete (f.liveness);
 }
 
+/* Guards against a balancer that is cut off from the others and declares an
+   agent dead that only it cannot reach: nobody could have acknowledged the
+   agent.  */
+static void
+no_member_dies_while_other_monitors_are_out_of_contact_ (void **state)
+{
+  struct fleet_ f;
+  unsigned i;
+
+  (void)state;
+  fleet_init_ (&f, 6, 11);
+  fleet_run_ (&f, RGY_US_PER_S);
+  rgy_liveness_set_monitor_contact (f.liveness, f.now_us);
+  fleet_set_members_up_ (&f, 0, 1, false);
+  fleet_run_ (&f, 8 * RGY_US_PER_S);
+  assert_int_equal (fleet_death_count_ (&f), 0);
+  /* Back in contact, the balancer probes once more before it decides.  */
+  for (i = 0; i < 5; i++)
+    {
+      rgy_liveness_set_monitor_contact (f.liveness, f.now_us);
+      fleet_run_ (&f, 100 * RGY_US_PER_MS);
+    }
+  assert_int_equal (fleet_death_count_ (&f), 0);
+  rgy_liveness_set_monitor_contact (f.liveness, INT64_MAX);
+  fleet_run_ (&f, 2 * RGY_US_PER_S);
+  assert_int_equal (fleet_death_count_ (&f), 1);
+  rgy_liveness_delete (f.liveness);
+}
+
+/* Guards against a survivor of two failures that never declares an agent dead:
+   deaths of other monitors count only within the window.  */
+static void
+last_contact_tells_apart_silent_and_absent_members_ (void **state)
+{
+  struct fleet_ f;
+
+  (void)state;
+  fleet_init_ (&f, 2, 3);
+  fleet_run_ (&f, RGY_US_PER_S);
+  assert_true (rgy_liveness_get_last_contact (f.liveness, f.now_us)
+               >= f.now_us - RGY_US_PER_S);
+  fleet_set_members_up_ (&f, 0, 2, false);
+  fleet_run_ (&f, 5 * RGY_US_PER_S);
+  assert_int_equal (fleet_death_count_ (&f), 2);
+  assert_true (rgy_liveness_get_last_contact (f.liveness, f.now_us) == 0);
+  fleet_run_ (&f, 12 * RGY_US_PER_S);
+  assert_true (rgy_liveness_get_last_contact (f.liveness, f.now_us)
+               == INT64_MAX);
+  rgy_liveness_delete (f.liveness);
+}
+
 int
 main (void)
 {
@@ -916,6 +967,8 @@
     cmocka_unit_test (deaths_within_window_count_for_cut_protection_),
     cmocka_unit_test (deaths_outside_window_do_not_count_),
     cmocka_unit_test (cut_protection_thresholds_are_exact_),
+    cmocka_unit_test (no_member_dies_while_other_monitors_are_out_of_contact_),
+    cmocka_unit_test (last_contact_tells_apart_silent_and_absent_members_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
