Let requests wait at the agent for a slot of the backend server

Cause: after a loss of power or a kill callers repeat what was lost while new requests arrive.

Change: the agent hands over one request more than the backend server has slots. Others wait in the agent, first those that can still meet the route's latency goal, then the late ones; a flow whose first segment arrived as a copy starts with its age. After four times the goal, when the agent stops, or when held bytes reach a limit, waiting requests are handed over, so that the backend server runs or rejects them.

--- a/include/ragwortyoke/segment.h
+++ b/include/ragwortyoke/segment.h
@@ -41,6 +41,8 @@
   uint32_t balancer_ip; /**< Balancer that gets the segment back if the agent
                              does not own the flow; 0 if none.  */
   enum rgy_segment_mark mark;
+  int64_t goal_us; /**< Time within which the route's requests should be
+                        answered; 0 if unknown.  */
 };
 
 /** A decoded segment.  The bytes in @c raw are forwarded; only the fields of
--- a/include/ragwortyoke/stream_manifest.h
+++ b/include/ragwortyoke/stream_manifest.h
@@ -28,6 +28,8 @@
 struct rgy_route
 {
   struct rgy_endpoint address; /**< Address to which callers send.  */
+  int64_t goal_us; /**< Time within which requests should be answered; 0 if
+                        none is stated.  */
   size_t n_targets;
   struct rgy_route_target targets[RGY_ROUTE_MAX_TARGETS];
 };
--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -5,7 +5,8 @@
  * @file
  * State of the agent core for sequenced flows, and functions shared by its
  * source files: stream_agent.c (set-up and timers), stream_agent_flow.c
- * (segments), stream_agent_backend.c (state of the backend server),
+ * (segments), stream_agent_queue.c (requests that wait for a slot of the
+ * backend server), stream_agent_backend.c (state of the backend server),
  * stream_agent_report.c (reports and control messages).
  */
 
@@ -84,6 +85,26 @@
 /* Maximum number of flow changes that are kept for lagging balancers of one
    failure domain.  */
 #define MAX_JOURNAL_CHANGES 8192
+/* Requests that the backend server may have beyond its slots, so that no slot
+   is idle until the agent has read the answer.  */
+#define QUEUED_AT_BACKEND 1
+/* Maximum number of segments that are held for one waiting request; a caller
+   has at most this many unacknowledged.  */
+#define MAX_HELD_SEGMENTS 16
+/* Maximum number of bytes held for all waiting requests; a thirtieth of the
+   memory of the smallest machines.  Further requests are handed over.  */
+#define MAX_HELD_BYTES 2500000
+/* Multiple of its latency goal after which a waiting request is handed over
+   even if no slot is free: the backend server then runs or rejects it while
+   the caller still has time to repeat it elsewhere.  */
+#define MAX_WAIT_GOALS 4
+/* Time after which a request that the backend server has got no longer counts
+   against its slots.  */
+#define RUN_EXPIRE_US RGY_US_PER_S
+/* Age of a flow whose first segment arrived as the first or the second
+   copy.  */
+#define FIRST_COPY_AGE_US (200 * RGY_US_PER_MS)
+#define SECOND_COPY_AGE_US (600 * RGY_US_PER_MS)
 /* Weight of the newest latency in the moving average, as a divisor.  */
 #define LATENCY_SMOOTHING 8
 
@@ -99,6 +120,16 @@
   FLOW_CLOSED     /* Both ends have finished, or one has reset the flow.  */
 };
 
+/* State of the request of a flow at the backend server.  */
+enum rgy_request_state
+{
+  REQUEST_NONE,
+  REQUEST_WAITING,      /* Waits for a slot and can be answered within its
+                           latency goal.  */
+  REQUEST_WAITING_LATE, /* Waits for a slot; its latency goal is missed.  */
+  REQUEST_RUNNING       /* Handed to the backend server.  */
+};
+
 /* The agent's state of a flow.  */
 struct rgy_agent_stream
 {
@@ -109,6 +140,8 @@
                                domain whose balancers were notified of the
                                flow.  */
   uint32_t caller_ack;      /* Last number that the caller acknowledged.  */
+  uint32_t backend_ack;     /* Last number that the backend server
+                               acknowledged.  */
   uint32_t balancer_ip;
   unsigned generation; /* Value of rgy_stream_agent.generation when the backend
                           server opened or last used the flow.  */
@@ -122,6 +155,13 @@
   int64_t request_us; /* Time of the caller's payload that awaits an answer; 0
                          if none.  While the flow opens, the time at which it
                          counted as unanswered.  */
+  enum rgy_request_state request_state;
+  int64_t running_since_us;
+  int64_t goal_us; /* Latency goal of the request; 0 if none.  */
+  int64_t age_us;  /* Time that the first request of the flow had waited at
+                      least when the flow opened.  */
+  GPtrArray *held; /* Segments of the waiting request, or NULL.  */
+  GList queue_link;
 };
 
 /* Flow changes for the balancers of one failure domain.  The routers send a
@@ -186,6 +226,14 @@
   /* The last tick came after a pause of the process.  */
   bool was_paused;
   uint32_t latency_us;
+  /* Requests that wait for a slot of the backend server, and those that it
+     has; entries are struct rgy_flow.  */
+  GQueue on_time;
+  GQueue late;
+  GQueue running; /* Requests at the backend server.  */
+  size_t held_bytes;
+  int64_t run_us; /* Mean time from the hand-over of a request to its
+                     answer.  */
 
   struct rgy_domain_view view;
   uint32_t cold_rate_milli;
@@ -242,6 +290,27 @@
 void rgy_stream_agent_adopt_flow_ (struct rgy_stream_agent *agent,
                                    struct rgy_flow *flow, int64_t now_us);
 
+/** Let a caller's segment start, continue or end a request.  Returns true if
+    the segment is held until the backend server has a free slot.  */
+bool rgy_stream_agent_queue_request_ (struct rgy_stream_agent *agent,
+                                      struct rgy_flow *flow,
+                                      const struct rgy_segment *segment,
+                                      uint32_t ip, int64_t now_us);
+/** End the request of a flow, because it was answered or its flow has ended,
+    and start those that can run now.  */
+void rgy_stream_agent_end_request_ (struct rgy_stream_agent *agent,
+                                    struct rgy_flow *flow, int64_t now_us);
+/** Update the mean run time from a request that is being answered.  */
+void rgy_stream_agent_note_run_time_ (struct rgy_stream_agent *agent,
+                                      const struct rgy_agent_stream *stream,
+                                      int64_t now_us);
+/** Hand over the requests that have waited for MAX_WAIT_GOALS times their
+    latency goal, or all of them.  */
+void rgy_stream_agent_hand_over_requests_ (struct rgy_stream_agent *agent,
+                                           bool all, int64_t now_us);
+/** Forget the request of a flow; for rgy_flow_table_foreach().  */
+bool rgy_stream_agent_drop_request_ (struct rgy_flow *flow, void *ctx);
+
 void rgy_stream_agent_set_backend_state_ (struct rgy_stream_agent *agent,
                                           enum rgy_backend_state state,
                                           const char *why, int64_t now_us);
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -69,6 +69,7 @@
 {
   if (agent == NULL)
     return;
+  rgy_flow_table_foreach (agent->flows, rgy_stream_agent_drop_request_, agent);
   rgy_flow_table_delete_all (agent->flows);
   g_array_unref (agent->balancers);
   g_ptr_array_unref (agent->journals);
@@ -172,6 +173,7 @@
     }
   while ((expired = rgy_flow_table_get_expired (agent->flows, now_us)) != NULL)
     rgy_stream_agent_remove_flow_ (agent, expired, now_us);
+  rgy_stream_agent_hand_over_requests_ (agent, false, now_us);
   rgy_stream_agent_check_heartbeats_ (agent, now_us);
   rgy_stream_agent_send_due_reports_ (agent, now_us);
 }
@@ -180,6 +182,7 @@
 rgy_stream_agent_stop (struct rgy_stream_agent *agent, int64_t now_us)
 {
   agent->stopping = true;
+  rgy_stream_agent_hand_over_requests_ (agent, true, now_us);
   if (agent->deregistered_us != 0)
     rgy_stream_agent_mark_backend_ended_ (agent, "ended", now_us);
   rgy_stream_agent_report_to_all_ (agent, now_us);
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -42,6 +42,8 @@
     }
   stream->state = state;
   stream->state_since_us = now_us;
+  if (!is_open)
+    rgy_stream_agent_end_request_ (agent, flow, now_us);
 }
 
 void
@@ -225,6 +227,9 @@
         }
       stream = flow->session;
       stream->balancer_ip = ip;
+      stream->age_us = segment->ack == 0   ? 0
+                       : segment->ack == 1 ? FIRST_COPY_AGE_US
+                                           : SECOND_COPY_AGE_US;
       deliver_segment_ (agent, segment, ip);
     }
 }
@@ -339,6 +344,9 @@
       break;
     }
   update_from_caller_ (stream, segment, now_us);
+  if (stream->state == FLOW_OPEN
+      && rgy_stream_agent_queue_request_ (agent, flow, segment, ip, now_us))
+    return;
   deliver_segment_ (agent, segment, ip);
   if (stream->state == FLOW_OPEN
       && ((segment->flags & RGY_SEGMENT_RST) != 0
@@ -467,6 +475,8 @@
   rgy_flow_table_touch (agent->flows, flow, now_us);
   stream->generation = agent->generation;
   stream->backend_confirmed = true;
+  if ((segment->flags & RGY_SEGMENT_ACK) != 0)
+    stream->backend_ack = segment->ack;
   if ((segment->flags & RGY_SEGMENT_RST) != 0 && stream->reported_open)
     rgy_stream_emit_flow_log (
         &agent->settings.out,
@@ -484,7 +494,9 @@
   if (segment->payload_len > 0 && stream->request_us != 0)
     {
       update_latency_ (agent, now_us - stream->request_us);
+      rgy_stream_agent_note_run_time_ (agent, stream, now_us);
       stream->request_us = 0;
+      rgy_stream_agent_end_request_ (agent, flow, now_us);
     }
   if ((segment->flags & RGY_SEGMENT_FIN) != 0)
     stream->backend_sent_fin = true;
--- a/src/libragwortyoke/stream_balancer_packet.c
+++ b/src/libragwortyoke/stream_balancer_packet.c
@@ -80,12 +80,14 @@
 {
   const struct rgy_known_agent *agent
       = rgy_stream_balancer_find_agent_ (b, agent_ip);
-
-  rgy_stream_emit_segment (&b->settings.out, RGY_STREAM_TO_AGENT, agent_ip,
-                           key, raw,
-                           (struct rgy_segment_trailer){
-                               .service_tag = agent == NULL ? 0 : agent->tag,
-                               .balancer_ip = b->settings.own_ip });
+  const struct rgy_route *route = rgy_stream_balancer_find_route_ (b, key);
+
+  rgy_stream_emit_segment (
+      &b->settings.out, RGY_STREAM_TO_AGENT, agent_ip, key, raw,
+      (struct rgy_segment_trailer){
+          .service_tag = agent == NULL ? 0 : agent->tag,
+          .balancer_ip = b->settings.own_ip,
+          .goal_us = route == NULL ? 0 : route->goal_us });
 }
 
 void
