Keep segments that arrive before the manifest

Cause: after all processes were killed the router uses all balancers of a failure domain, ready or not.

Change: a lookup that starts before the first manifest buffers its segments and begins when the manifest is there; new flows are offered at that moment.

--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -222,6 +222,8 @@
   GArray *candidates;   /**< Entries are struct rgy_lookup_candidate.  */
   bool all_queried;     /**< All agents were queried, not only the preferred
                              ones.  */
+  bool awaits_manifest; /**< The route is not known yet, because this balancer
+                             has just started.  */
   bool awaits_settling; /**< All agents denied the flow, but the balancer may
                              not know all of them.  */
   int64_t began_us;
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -140,6 +140,11 @@
   b->manifest = manifest;
   b->config_changed_us = now_us;
   rgy_stream_balancer_send_status_ (b, false, now_us);
+  if (b->previous_manifest == NULL)
+    {
+      rgy_stream_balancer_retry_opens_ (b, now_us);
+      rgy_stream_balancer_advance_lookups_ (b, now_us);
+    }
   return RGY_OK;
 }
 
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -334,6 +334,23 @@
     end_failed_lookup_ (b, lookup, true, now_us);
 }
 
+/* Queries the preferred agents.  Without a manifest the lookup only buffers
+   segments, because the preferred agents depend on the route.  */
+static void
+begin_lookup_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
+               int64_t now_us)
+{
+  lookup->queries_sent_us = now_us;
+  lookup->repeat_after_us = QUERY_REPEAT_US;
+  lookup->stage_since_us = now_us;
+  lookup->deadline_us = now_us + LOOKUP_ROUND_US;
+  lookup->awaits_manifest = b->manifest == NULL;
+  if (lookup->awaits_manifest)
+    return;
+  query_agents_ (b, lookup, false, now_us);
+  continue_lookup_ (b, lookup, now_us);
+}
+
 void
 rgy_stream_balancer_look_up_flow_ (struct rgy_stream_balancer *b,
                                    const struct rgy_segment *segment,
@@ -342,6 +359,11 @@
   struct rgy_lookup *lookup = g_hash_table_lookup (b->lookups, &segment->key);
   const struct rgy_route *route;
 
+  if (lookup != NULL && lookup->awaits_manifest)
+    {
+      buffer_segment_ (b, lookup, segment);
+      return;
+    }
   if (lookup != NULL)
     {
       struct rgy_lookup_candidate *candidate
@@ -369,9 +391,10 @@
       rgy_stream_emit_reset (&b->settings.out, &segment->key, segment->ack);
       return;
     }
-  if (route == NULL || g_hash_table_size (b->lookups) >= MAX_PENDING_FLOWS)
+  if ((route == NULL && b->manifest != NULL)
+      || g_hash_table_size (b->lookups) >= MAX_PENDING_FLOWS)
     {
-      ++*(route == NULL ? b->n_no_route : b->n_dropped);
+      ++*(route == NULL && b->manifest != NULL ? b->n_no_route : b->n_dropped);
       return;
     }
   ++*b->n_lookups;
@@ -380,10 +403,6 @@
   lookup->candidates
       = g_array_new (FALSE, TRUE, sizeof (struct rgy_lookup_candidate));
   lookup->began_us = now_us;
-  lookup->queries_sent_us = now_us;
-  lookup->repeat_after_us = QUERY_REPEAT_US;
-  lookup->stage_since_us = now_us;
-  lookup->deadline_us = now_us + LOOKUP_ROUND_US;
   buffer_segment_ (b, lookup, segment);
   g_hash_table_add (b->lookups, lookup);
   if (returned_by_ip != 0)
@@ -393,8 +412,7 @@
 
       g_array_append_val (lookup->candidates, returned_by);
     }
-  query_agents_ (b, lookup, false, now_us);
-  continue_lookup_ (b, lookup, now_us);
+  begin_lookup_ (b, lookup, now_us);
 }
 
 void
@@ -508,6 +526,18 @@
   bool is_repeat_due
       = now_us - lookup->queries_sent_us >= lookup->repeat_after_us;
 
+  if (lookup->awaits_manifest)
+    {
+      if (b->manifest != NULL
+          && rgy_stream_balancer_find_route_ (b, &lookup->key) != NULL)
+        begin_lookup_ (b, lookup, now_us);
+      else if (b->manifest != NULL || now_us >= lookup->deadline_us)
+        {
+          *b->n_dropped += lookup->n_buffered;
+          g_hash_table_remove (b->lookups, &lookup->key);
+        }
+      return;
+    }
   if (lookup->awaits_settling && settled)
     {
       lookup->awaits_settling = false;
--- a/src/test_stream_balancer/test_stream_balancer.c
+++ b/src/test_stream_balancer/test_stream_balancer.c
@@ -116,15 +116,8 @@
 }
 
 static void
-start_balancer_ (struct fixture_ *f, uint64_t incarnation)
+set_manifest_ (struct fixture_ *f)
 {
-  struct rgy_stream_balancer_settings settings
-      = { .own_ip = 0x0a010001,
-          .domain = rgy_name_from_c ("poa-a"),
-          .incarnation = incarnation,
-          .flow_ttl_us = 60 * RGY_US_PER_S,
-          .max_flows = 100,
-          .out = { .emit = count_action_, .ctx = f } };
   struct rgy_stream_manifest *manifest = rgy_stream_manifest_new (7);
   struct rgy_route route
       = { .address = { .ip = 0xc6120001, .port = 443 }, .n_targets = 1 };
@@ -132,12 +125,32 @@
   route.targets[0].service = rgy_name_from_c ("workshop");
   route.targets[0].weight = 1;
   assert_int_equal (rgy_stream_manifest_add_route (manifest, &route), RGY_OK);
-  f->balancer = rgy_stream_balancer_new (&settings, f->counters, f->now_us);
   assert_int_equal (
       rgy_stream_balancer_set_manifest (f->balancer, manifest, f->now_us),
       RGY_OK);
 }
 
+static void
+start_balancer_without_manifest_ (struct fixture_ *f, uint64_t incarnation)
+{
+  struct rgy_stream_balancer_settings settings
+      = { .own_ip = 0x0a010001,
+          .domain = rgy_name_from_c ("poa-a"),
+          .incarnation = incarnation,
+          .flow_ttl_us = 60 * RGY_US_PER_S,
+          .max_flows = 100,
+          .out = { .emit = count_action_, .ctx = f } };
+
+  f->balancer = rgy_stream_balancer_new (&settings, f->counters, f->now_us);
+}
+
+static void
+start_balancer_ (struct fixture_ *f, uint64_t incarnation)
+{
+  start_balancer_without_manifest_ (f, incarnation);
+  set_manifest_ (f);
+}
+
 static int
 set_up_ (void **state)
 {
@@ -257,6 +270,30 @@
   assert_int_equal (f->resets, 1);
 }
 
+/* After all processes were killed, routers send to balancers that have started
+   and wait for the manifest.  Each segment lost then costs a caller 200 ms or
+   its whole time.  */
+static void
+segments_before_the_manifest_are_kept_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  rgy_stream_balancer_delete (f->balancer);
+  start_balancer_without_manifest_ (f, 2);
+  f->next_report_us = f->now_us;
+  send_segment_from_ (f, 4000, 443, RGY_SEGMENT_ACK, 5);
+  send_segment_from_ (f, 4001, 443, RGY_SEGMENT_SYN, 0);
+  send_segment_from_ (f, 4002, 444, RGY_SEGMENT_ACK, 5);
+  advance_time_ (f, 60 * MS);
+  assert_int_equal (f->queries, 0);
+  assert_int_equal (f->to_agent, 0);
+  set_manifest_ (f);
+  assert_int_equal (f->queries, 1);
+  assert_int_equal (f->queried->len, RGY_FLOW_ENDPOINTS_BYTES);
+  assert_int_equal (f->to_agent, 1);
+  assert_int_equal (f->resets, 0);
+}
+
 /* The caller must get the reset as soon as the last agent has denied the flow,
    not at the time limit of the lookup.  */
 static void
@@ -533,6 +570,7 @@
     WITH_BALANCER (possibly_open_flow_is_not_reset_),
     WITH_BALANCER (unanswered_new_flow_is_reset_),
     WITH_BALANCER (new_flow_without_route_is_reset_at_once_),
+    WITH_BALANCER (segments_before_the_manifest_are_kept_),
     WITH_BALANCER (denied_flow_is_reset_at_once_),
     WITH_BALANCER (lost_query_is_repeated_),
     WITH_BALANCER (many_lost_flows_share_queries_),
