Start requests in the order in which they are due

Cause: requests that waited for a slot started in order of arrival, and the agent counted neither the time that segments travel nor that run times vary, so that requests started that could only be late.

Change: the latest start of a request follows from its latency goal, the age of the flow's opening, the round trip to the caller and one and a half mean run times; requests start in that order, and those that have passed it come after all others.

--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -98,6 +98,9 @@
    even if no slot is free: the backend server then runs or rejects it while
    the caller still has time to repeat it elsewhere.  */
 #define MAX_WAIT_GOALS 4
+/* Time reserved for a run when its latest start is computed, in tenths of the
+   mean run time; run times vary.  */
+#define RUN_MARGIN_X10 15
 /* Time after which a request that the backend server has got no longer counts
    against its slots.  */
 #define RUN_EXPIRE_US RGY_US_PER_S
@@ -158,9 +161,13 @@
   enum rgy_request_state request_state;
   int64_t running_since_us;
   int64_t goal_us; /* Latency goal of the request; 0 if none.  */
+  int64_t due_us;  /* Time at which the request must start at the latest to
+                      meet its latency goal.  */
   int64_t age_us;  /* Time that the first request of the flow had waited at
                       least when the flow opened.  */
-  GPtrArray *held; /* Segments of the waiting request, or NULL.  */
+  int64_t round_trip_us; /* Time from the backend server's first answer to the
+                            caller's next segment.  */
+  GPtrArray *held;       /* Segments of the waiting request, or NULL.  */
   GList queue_link;
 };
 
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -337,6 +337,8 @@
           return_segment_ (agent, segment, ip, "other-answer");
           return;
         }
+      stream->round_trip_us = now_us - stream->state_since_us;
+      stream->age_us += stream->round_trip_us;
       rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_OPEN, now_us);
       break;
     case FLOW_OPEN:
--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -131,12 +131,32 @@
     }
 }
 
-static bool
-is_late_ (const struct rgy_stream_agent *agent,
-          const struct rgy_agent_stream *stream, int64_t now_us)
+static int64_t
+get_due_us_ (const GList *link)
 {
-  return now_us - stream->request_us + stream->age_us + agent->run_us
-         > stream->goal_us;
+  const struct rgy_flow *flow = link->data;
+
+  return ((const struct rgy_agent_stream *)flow->session)->due_us;
+}
+
+/* Queues a request by the time at which it must start.  */
+static void
+enqueue_by_due_time_ (struct rgy_stream_agent *agent, struct rgy_flow *flow)
+{
+  struct rgy_agent_stream *stream = flow->session;
+  GList *after = agent->on_time.tail;
+
+  stream->due_us = stream->request_us + stream->goal_us - stream->age_us
+                   - stream->round_trip_us
+                   - agent->run_us * RUN_MARGIN_X10 / 10;
+  while (after != NULL && get_due_us_ (after) > stream->due_us)
+    after = after->prev;
+  stream->request_state = REQUEST_WAITING;
+  stream->queue_link = (GList){ .data = flow };
+  if (after == NULL)
+    g_queue_push_head_link (&agent->on_time, &stream->queue_link);
+  else
+    g_queue_insert_after_link (&agent->on_time, after, &stream->queue_link);
 }
 
 /* Moves requests that can no longer be answered within their latency goal
@@ -152,11 +172,10 @@
       struct rgy_agent_stream *stream = flow->session;
 
       link = link->next;
-      if (is_late_ (agent, stream, now_us))
-        {
-          dequeue_ (agent, stream);
-          enqueue_ (flow, &agent->late, REQUEST_WAITING_LATE);
-        }
+      if (stream->due_us > now_us)
+        return;
+      dequeue_ (agent, stream);
+      enqueue_ (flow, &agent->late, REQUEST_WAITING_LATE);
     }
 }
 
@@ -223,7 +242,7 @@
       return false;
     }
   hold_segment_ (agent, stream, segment, ip);
-  enqueue_ (flow, &agent->on_time, REQUEST_WAITING);
+  enqueue_by_due_time_ (agent, flow);
   return true;
 }
 
--- a/src/test_stream_agent_queue/test_stream_agent_queue.c
+++ b/src/test_stream_agent_queue/test_stream_agent_queue.c
@@ -160,8 +160,8 @@
 static void
 answer_ (struct fixture_ *f, uint16_t port)
 {
-  send_from_backend_ (
-      f, make_segment_ (port, RGY_SEGMENT_ACK, 1001, 101, 300));
+  send_from_backend_ (f,
+                      make_segment_ (port, RGY_SEGMENT_ACK, 1001, 101, 300));
 }
 
 static void
@@ -233,6 +233,53 @@
   assert_started_ (f, expected, 4);
 }
 
+/* Requests of several routes share a backend server.  In order of arrival
+   those with a short goal missed it behind others that had time.  */
+static void
+request_that_is_due_first_starts_first_ (void **state)
+{
+  struct fixture_ *f = *state;
+  static const uint16_t expected[] = { 1, 2, 3, 5, 4 };
+  struct rgy_segment patient
+      = make_segment_ (4, RGY_SEGMENT_ACK, 1, 1001, 100);
+
+  open_flows_ (f, 1, 5);
+  request_ (f, 1);
+  request_ (f, 2);
+  request_ (f, 3);
+  patient.trail.goal_us = 4 * GOAL_US;
+  send_from_caller_ (f, patient);
+  request_ (f, 5);
+  answer_ (f, 1);
+  answer_ (f, 2);
+  assert_started_ (f, expected, 5);
+}
+
+/* The caller's clock also runs while segments travel: a flow that took long to
+   open leaves less time for its first request.  */
+static void
+travel_time_counts_towards_the_goal_ (void **state)
+{
+  struct fixture_ *f = *state;
+  static const uint16_t expected[] = { 1, 2, 3, 5 };
+
+  open_flows_ (f, 1, 3);
+  open_flow_ (f, 5, 0);
+  send_from_caller_ (f, make_segment_ (4, RGY_SEGMENT_SYN, 0, 0, 0));
+  send_from_backend_ (
+      f, make_segment_ (4, RGY_SEGMENT_SYN | RGY_SEGMENT_ACK, 1000, 1, 0));
+  advance_time_ (f, 60 * RGY_US_PER_MS);
+  send_from_caller_ (f, make_segment_ (4, RGY_SEGMENT_ACK, 1, 1001, 0));
+  f->n_started = 0;
+  request_ (f, 1);
+  request_ (f, 2);
+  request_ (f, 3);
+  request_ (f, 4);
+  request_ (f, 5);
+  answer_ (f, 1);
+  assert_started_ (f, expected, 4);
+}
+
 /* Late segments of answered requests arrive in numbers after an outage; each
    one that counted as a request would occupy a slot for good.  */
 static void
@@ -367,6 +414,8 @@
     TEST (requests_beyond_the_slots_wait_for_an_answer_),
     TEST (requests_in_time_overtake_late_ones_),
     TEST (requests_of_repeated_openings_count_as_late_),
+    TEST (request_that_is_due_first_starts_first_),
+    TEST (travel_time_counts_towards_the_goal_),
     TEST (repeated_segments_occupy_no_slot_),
     TEST (unanswered_requests_free_their_slots_),
     TEST (requests_are_handed_over_after_four_goals_),
