--- a/src/test_stream_flow/simulation.c
+++ b/tests/simulation/simulation.c
@@ -1,139 +1,7 @@
-#include "simulation.h"
+#include "simulation_private.h"
 
-#include <glib.h>
 #include <string.h>
 
-#include "ragwortyoke/clock.h"
-#include "ragwortyoke/stream_agent.h"
-#include "ragwortyoke/stream_balancer.h"
-
-#define BALANCER_IP 0x0a010000U
-#define AGENT_IP 0x0a020000U
-#define CALLER_IP 0x64400000U
-#define SERVICE_IP 0xc6120001U
-#define SERVICE_PORT 443
-#define MIN_DELAY_US 300
-#define MAX_DELAY_US 6000
-#define LOCAL_DELAY_US 50
-#define REQUEST_INTERVAL_US (200 * RGY_US_PER_MS)
-#define FIRST_RETRY_US (200 * RGY_US_PER_MS)
-#define MAX_RETRIES 5
-#define LIST_UPDATE_INTERVAL_US (3 * RGY_US_PER_S)
-#define REQUEST_TIMEOUT_US (5 * RGY_US_PER_S)
-/* Time after the acknowledgement of a drain; the users allow no first segment
-   at the backend server after it.  */
-#define DRAIN_LIMIT_US (3 * RGY_US_PER_S)
-
-/* Bytes of a simulated segment.  */
-struct packet_
-{
-  uint32_t caller;
-  bool from_service;
-  uint8_t flags;
-  uint32_t seq;
-  uint32_t ack;
-  uint16_t payload_len;
-};
-
-enum delivery_kind_
-{
-  TO_ROUTER,
-  RETURNED_TO_BALANCER,
-  MESSAGE_TO_BALANCER,
-  TO_AGENT,
-  MESSAGE_TO_AGENT,
-  CHECK_RESULT_TO_AGENT, /* Result of a check of the backend server's
-                            process.  */
-  TO_BACKEND,
-  FROM_BACKEND,
-  TO_CALLER,
-  RESET_TO_CALLER
-};
-
-struct delivery_
-{
-  int64_t at_us;
-  uint64_t order;
-  enum delivery_kind_ kind;
-  size_t index;
-  uint32_t from_ip;
-  struct packet_ packet;
-  struct rgy_segment_trailer trail;
-  GByteArray *message;
-  int64_t request_us; /* Time at which the check was requested.  */
-};
-
-struct backend_
-{
-  bool alive;
-  bool draining;
-  bool crashed; /* Ended without deregistering.  */
-  int64_t drained_us;
-  int64_t started_ms;
-  unsigned generation;
-  uint64_t seq;
-  int64_t next_heartbeat_us;
-  GHashTable *flows; /* Caller's number to the backend server's first sequence
-                        number.  */
-  unsigned accepted;
-};
-
-struct caller_
-{
-  uint32_t number;
-  bool done;
-  bool open;
-  uint32_t seq;   /* Sequence number of the backend server's first segment.  */
-  size_t backend; /* Index of the backend server whose answer the caller
-                     accepted.  */
-  int64_t began_us;
-  int64_t ends_us;
-  int64_t request_us; /* Time of the request that awaits an answer; 0 if
-                         none.  */
-  int64_t next_us;    /* Time of the next request or repetition.  */
-  unsigned repeats;
-};
-
-struct process_
-{
-  struct simulation *simulation;
-  bool is_agent;
-  size_t index;
-};
-
-struct simulation
-{
-  GRand *rand;
-  double loss_share;
-  int64_t now_us;
-  uint64_t order;
-  GSequence *queue;
-  size_t n_balancers;
-  size_t n_agents;
-  size_t n_workshop;
-  struct rgy_stream_balancer *balancers[SIM_MAX_BALANCERS];
-  bool leaving[SIM_MAX_BALANCERS];
-  struct rgy_stream_agent *agents[SIM_MAX_AGENTS];
-  struct backend_ backends[SIM_MAX_AGENTS];
-  struct process_ balancer_processes[SIM_MAX_BALANCERS];
-  struct process_ agent_processes[SIM_MAX_AGENTS];
-  GPtrArray *callers;
-  struct rgy_counters *counters;
-  uint32_t weights[2];
-  uint64_t version;
-  uint64_t view_revision;
-  struct rgy_domain_view view;
-  bool ever_routed[2];
-  unsigned flows_per_s;
-  int64_t lifetime_us;
-  int64_t next_flow_us;
-  uint64_t next_incarnation;
-  GByteArray *stored_agents; /* List of agents in the simulated store.  */
-  int64_t next_list_update_us;
-  bool started;
-  struct sim_counts counts;
-};
-
 static gint
 compare_deliveries_ (gconstpointer a, gconstpointer b, gpointer data)
 {
@@ -156,8 +24,19 @@
   g_free (delivery);
 }
 
-static void
-queue_delivery_ (struct simulation *sim, struct delivery_ delivery, bool local)
+void
+sim_queue_event_ (struct simulation *sim, struct delivery_ delivery,
+                  int64_t delay_us)
+{
+  delivery.at_us = sim->now_us + delay_us;
+  delivery.order = sim->order++;
+  g_sequence_insert_sorted (sim->queue, g_memdup2 (&delivery, sizeof delivery),
+                            compare_deliveries_, NULL);
+}
+
+void
+sim_queue_delivery_ (struct simulation *sim, struct delivery_ delivery,
+                     bool local)
 {
   int64_t delay
       = local ? LOCAL_DELAY_US
@@ -169,10 +48,7 @@
         g_byte_array_unref (delivery.message);
       return;
     }
-  delivery.at_us = sim->now_us + delay;
-  delivery.order = sim->order++;
-  g_sequence_insert_sorted (sim->queue, g_memdup2 (&delivery, sizeof delivery),
-                            compare_deliveries_, NULL);
+  sim_queue_event_ (sim, delivery, delay);
 }
 
 static struct rgy_flow_key
@@ -236,7 +112,7 @@
     case RGY_STREAM_RESET:
       d.kind = RESET_TO_CALLER;
       d.packet.caller = get_caller_number_ (&action->u.reset.key);
-      queue_delivery_ (sim, d, false);
+      sim_queue_delivery_ (sim, d, false);
       return;
     case RGY_STREAM_MESSAGE:
       d.kind = action->ip >= AGENT_IP ? MESSAGE_TO_AGENT : MESSAGE_TO_BALANCER;
@@ -244,14 +120,14 @@
       d.message = g_byte_array_new ();
       g_byte_array_append (d.message, action->u.message.data,
                            (guint)action->u.message.len);
-      queue_delivery_ (sim, d, false);
+      sim_queue_delivery_ (sim, d, false);
       return;
     case RGY_STREAM_CHECK_BACKEND:
       d.kind = CHECK_RESULT_TO_AGENT;
       d.index = process->index;
       d.request_us = sim->now_us;
       if (!sim->backends[process->index].alive)
-        queue_delivery_ (sim, d, true);
+        sim_queue_delivery_ (sim, d, true);
       return;
     case RGY_STREAM_FETCH_MANIFEST:
       return; /* Every balancer gets each manifest from sim_set_weights().  */
@@ -266,21 +142,22 @@
   memcpy (&d.packet, action->u.segment.raw.data, sizeof d.packet);
   d.packet.flags &= (uint8_t)~RGY_SEGMENT_BOUNCED;
   d.trail = action->u.segment.trail;
-  queue_delivery_ (sim, d, d.kind == TO_BACKEND);
+  sim_queue_delivery_ (sim, d, d.kind == TO_BACKEND);
 }
 
-static void
-send_from_caller_ (struct simulation *sim, const struct caller_ *caller,
-                   uint8_t flags, uint16_t len)
+void
+sim_send_from_caller_ (struct simulation *sim, const struct caller_ *caller,
+                       uint8_t flags, uint16_t len)
 {
   struct delivery_ d
       = { .kind = TO_ROUTER,
           .packet = { .caller = caller->number,
                       .flags = flags,
+                      .seq = caller->open ? 1 + caller->sent : 0,
                       .ack = caller->open ? caller->seq + 1 : caller->repeats,
                       .payload_len = len } };
 
-  queue_delivery_ (sim, d, false);
+  sim_queue_delivery_ (sim, d, false);
 }
 
 static void
@@ -292,15 +169,15 @@
   caller->done = true;
 }
 
-static struct caller_ *
-find_caller_ (struct simulation *sim, uint32_t number)
+struct caller_ *
+sim_find_caller_ (struct simulation *sim, uint32_t number)
 {
   return number < sim->callers->len ? g_ptr_array_index (sim->callers, number)
                                     : NULL;
 }
 
-static void
-begin_flow_ (struct simulation *sim)
+struct caller_ *
+sim_begin_flow_ (struct simulation *sim)
 {
   struct caller_ *caller = g_new0 (struct caller_, 1);
 
@@ -309,7 +186,17 @@
   caller->ends_us = sim->now_us + sim->lifetime_us;
   caller->next_us = sim->now_us + FIRST_RETRY_US;
   g_ptr_array_add (sim->callers, caller);
-  send_from_caller_ (sim, caller, RGY_SEGMENT_SYN, 0);
+  sim_send_from_caller_ (sim, caller, RGY_SEGMENT_SYN, 0);
+  return caller;
+}
+
+void
+sim_send_request_ (struct simulation *sim, struct caller_ *caller)
+{
+  caller->request_us = sim->now_us;
+  caller->repeats = 1;
+  caller->next_us = sim->now_us + FIRST_RETRY_US;
+  sim_send_from_caller_ (sim, caller, RGY_SEGMENT_ACK, REQUEST_BYTES);
 }
 
 static void
@@ -322,18 +209,21 @@
       if (++caller->repeats > 2)
         {
           caller->done = true;
+          sim_handle_user_flow_end_ (sim, caller);
           return;
         }
       caller->next_us = sim->now_us + 2 * FIRST_RETRY_US;
-      send_from_caller_ (sim, caller, RGY_SEGMENT_SYN, 0);
+      sim_send_from_caller_ (sim, caller, RGY_SEGMENT_SYN, 0);
       return;
     }
+  if (caller->of_user && caller->request_us == 0)
+    return;
   if (caller->request_us == 0)
     {
       if (sim->now_us >= caller->ends_us)
         {
-          send_from_caller_ (sim, caller, RGY_SEGMENT_FIN | RGY_SEGMENT_ACK,
-                             0);
+          sim_send_from_caller_ (sim, caller,
+                                 RGY_SEGMENT_FIN | RGY_SEGMENT_ACK, 0);
           caller->done = true;
           return;
         }
@@ -345,7 +235,7 @@
       end_unanswered_caller_ (sim, caller);
       return;
     }
-  send_from_caller_ (sim, caller, RGY_SEGMENT_ACK, 100);
+  sim_send_from_caller_ (sim, caller, RGY_SEGMENT_ACK, REQUEST_BYTES);
   caller->next_us = sim->now_us + (FIRST_RETRY_US << MIN (caller->repeats, 3));
   caller->repeats++;
 }
@@ -367,7 +257,7 @@
 static void
 deliver_to_caller_ (struct simulation *sim, const struct delivery_ *d)
 {
-  struct caller_ *caller = find_caller_ (sim, d->packet.caller);
+  struct caller_ *caller = sim_find_caller_ (sim, d->packet.caller);
 
   if (caller == NULL || caller->done)
     return;
@@ -387,6 +277,7 @@
         sim->counts.resets++;
       caller->request_us = 0;
       caller->done = true;
+      sim_handle_user_flow_end_ (sim, caller);
       return;
     }
   if ((d->packet.flags & RGY_SEGMENT_SYN) != 0)
@@ -398,134 +289,29 @@
       caller->backend = d->index;
       caller->next_us = sim->now_us;
       sim->counts.opened++;
+      if (caller->request != NULL)
+        sim_send_request_ (sim, caller);
       return;
     }
-  if (caller->open && d->packet.payload_len > 0 && caller->request_us != 0)
+  if (caller->open && d->packet.payload_len > 0 && caller->request_us != 0
+      && d->packet.ack == 1 + caller->sent + REQUEST_BYTES)
     {
       caller->request_us = 0;
+      caller->sent += REQUEST_BYTES;
       caller->next_us = sim->now_us + REQUEST_INTERVAL_US;
       sim->counts.answered++;
+      if (caller->of_user)
+        sim_handle_user_answer_ (sim, caller, &d->packet);
     }
 }
 
-static size_t
-get_service_ (const struct simulation *sim, size_t agent)
-{
-  return agent < sim->n_workshop ? 0 : 1;
-}
-
-static void
-send_from_backend_ (struct simulation *sim, size_t i, struct packet_ packet,
-                    const struct rgy_segment_trailer *trail)
-{
-  struct delivery_ d = {
-    .kind = FROM_BACKEND, .index = i, .packet = packet, .trail = *trail
-  };
-
-  queue_delivery_ (sim, d, true);
-}
-
-static void
-deliver_to_backend_ (struct simulation *sim, const struct delivery_ *d)
-{
-  struct backend_ *backend = &sim->backends[d->index];
-  void *number = GUINT_TO_POINTER (d->packet.caller);
-  struct packet_ answer = { .caller = d->packet.caller,
-                            .from_service = true,
-                            .flags = RGY_SEGMENT_ACK };
-
-  if (!backend->alive)
-    return;
-  if (d->packet.flags == RGY_SEGMENT_SYN)
-    {
-      if (!g_hash_table_contains (backend->flows, number))
-        {
-          g_hash_table_insert (
-              backend->flows, number,
-              GUINT_TO_POINTER (g_rand_int_range (sim->rand, 1, G_MAXINT)));
-          backend->accepted++;
-          if (!sim->ever_routed[get_service_ (sim, d->index)])
-            sim->counts.wrong_service++;
-          if (backend->draining
-              && sim->now_us - backend->drained_us > DRAIN_LIMIT_US)
-            sim->counts.accepted_after_drain++;
-        }
-      answer.flags = RGY_SEGMENT_SYN | RGY_SEGMENT_ACK;
-      answer.seq
-          = GPOINTER_TO_UINT (g_hash_table_lookup (backend->flows, number));
-      send_from_backend_ (sim, d->index, answer,
-                          &(struct rgy_segment_trailer){ 0 });
-      return;
-    }
-  if (!g_hash_table_contains (backend->flows, number)
-      || d->packet.ack
-             != GPOINTER_TO_UINT (g_hash_table_lookup (backend->flows, number))
-                    + 1)
-    {
-      struct packet_ bounced = d->packet;
-
-      sim->counts.misdelivered++;
-      bounced.flags |= RGY_SEGMENT_BOUNCED;
-      send_from_backend_ (sim, d->index, bounced,
-                          &(struct rgy_segment_trailer){
-                              .balancer_ip = d->trail.balancer_ip });
-      return;
-    }
-  if ((d->packet.flags & RGY_SEGMENT_FIN) != 0)
-    {
-      answer.flags |= RGY_SEGMENT_FIN;
-      g_hash_table_remove (backend->flows, number);
-      send_from_backend_ (sim, d->index, answer,
-                          &(struct rgy_segment_trailer){ 0 });
-      return;
-    }
-  answer.payload_len = 200;
-  send_from_backend_ (sim, d->index, answer,
-                      &(struct rgy_segment_trailer){ 0 });
-}
-
-static struct rgy_name
-get_service_name_ (const struct simulation *sim, size_t agent)
-{
-  return rgy_name_from_c (get_service_ (sim, agent) == 0 ? "workshop"
-                                                         : "catalogue");
-}
-
-static struct rgy_name
-get_backend_name_ (const struct simulation *sim, size_t i)
-{
-  char *text = g_strdup_printf ("i-%zu-%u", i, sim->backends[i].generation);
-  struct rgy_name name = rgy_name_from_c (text);
-
-  g_free (text);
-  return name;
-}
-
-static void
-send_heartbeat_ (struct simulation *sim, size_t i)
-{
-  struct backend_ *backend = &sim->backends[i];
-  struct rgy_backend_heartbeat heartbeat
-      = { .id = get_backend_name_ (sim, i),
-          .service = get_service_name_ (sim, i),
-          .started_ms = backend->started_ms,
-          .seq = ++backend->seq,
-          .draining = backend->draining,
-          .slots = 4 };
-
-  backend->next_heartbeat_us = sim->now_us + SIM_HEARTBEAT_US;
-  if (sim->agents[i] != NULL
-      && rgy_stream_agent_heartbeat (sim->agents[i], &heartbeat, sim->now_us)
-             == RGY_OK
-      && backend->draining && backend->drained_us == 0)
-    backend->drained_us = sim->now_us;
-}
-
 static void
 route_segment_ (struct simulation *sim, const struct delivery_ *d)
 {
   size_t ready[SIM_MAX_BALANCERS];
+  size_t alive[SIM_MAX_BALANCERS];
   size_t n = 0;
+  size_t n_alive = 0;
   size_t i;
   struct rgy_segment segment
       = make_segment_ (&d->packet, &(struct rgy_segment_trailer){ 0 });
@@ -534,8 +320,19 @@
     if (sim->balancers[i] != NULL
         && rgy_stream_balancer_is_ready (sim->balancers[i], sim->now_us))
       ready[n++] = i;
-  if (n == 0)
+  /* Without a ready balancer the router uses all that run.  */
+  for (i = 0; n == 0 && i < sim->n_balancers; i++)
+    if (sim->balancers[i] != NULL && sim->load.users > 0)
+      alive[n_alive++] = i;
+  if (n + n_alive == 0)
     return;
+  if (n == 0)
+    {
+      i = alive[rgy_flow_key_hash (&segment.key) % n_alive];
+      rgy_stream_balancer_from_router (sim->balancers[i], &segment,
+                                       sim->now_us);
+      return;
+    }
   i = ready[rgy_flow_key_hash (&segment.key) % n];
   rgy_stream_balancer_from_router (sim->balancers[i], &segment, sim->now_us);
 }
@@ -579,7 +376,10 @@
                                               d->request_us, sim->now_us);
       return;
     case TO_BACKEND:
-      deliver_to_backend_ (sim, d);
+      sim_deliver_to_backend_ (sim, d);
+      return;
+    case RUN_ENDED:
+      sim_end_run_ (sim, d);
       return;
     case FROM_BACKEND:
       if (sim->agents[d->index] != NULL)
@@ -635,13 +435,14 @@
         rgy_stream_agent_tick (sim->agents[i], sim->now_us);
       if (sim->backends[i].alive
           && sim->now_us >= sim->backends[i].next_heartbeat_us)
-        send_heartbeat_ (sim, i);
+        sim_send_heartbeat_ (sim, i);
     }
   for (k = 0; k < sim->callers->len; k++)
     step_caller_ (sim, g_ptr_array_index (sim->callers, k));
+  sim_step_users_ (sim);
   while (sim->flows_per_s > 0 && sim->now_us >= sim->next_flow_us)
     {
-      begin_flow_ (sim);
+      (void)sim_begin_flow_ (sim);
       sim->next_flow_us += RGY_US_PER_S / sim->flows_per_s;
     }
 }
@@ -707,7 +508,12 @@
                                                    .index = i };
       sim->backends[i].flows
           = g_hash_table_new (g_direct_hash, g_direct_equal);
+      sim->backends[i].started
+          = g_hash_table_new (g_direct_hash, g_direct_equal);
     }
+  sim->pooled = g_array_new (FALSE, TRUE, sizeof (uint32_t));
+  sim->requests = g_ptr_array_new_with_free_func (g_free);
+  sim->seconds = g_array_new (FALSE, TRUE, sizeof (struct sim_second));
   return sim;
 }
 
@@ -721,8 +527,13 @@
   for (i = 0; i < sim->n_agents; i++)
     {
       rgy_stream_agent_delete (sim->agents[i]);
+      sim_clear_backend_ (&sim->backends[i]);
       g_hash_table_unref (sim->backends[i].flows);
+      g_hash_table_unref (sim->backends[i].started);
     }
+  g_array_unref (sim->pooled);
+  g_ptr_array_unref (sim->requests);
+  g_array_unref (sim->seconds);
   g_sequence_free (sim->queue);
   g_ptr_array_unref (sim->callers);
   rgy_counters_delete (sim->counters);
@@ -744,7 +555,8 @@
   struct rgy_stream_manifest *manifest
       = rgy_stream_manifest_new (sim->version);
   struct rgy_route route
-      = { .address = { .ip = SERVICE_IP, .port = SERVICE_PORT } };
+      = { .address = { .ip = SERVICE_IP, .port = SERVICE_PORT },
+          .goal_us = sim->load.goal_us };
   size_t i;
 
   for (i = 0; i < 2; i++)
@@ -818,7 +630,7 @@
 sim_start_agent (struct simulation *sim, size_t i)
 {
   struct rgy_stream_agent_settings settings
-      = { .service = get_service_name_ (sim, i),
+      = { .service = sim_get_service_name_ (sim, i),
           .domain = rgy_name_from_c (i % 2 == 0 ? "poa-a" : "poa-b"),
           .incarnation = ++sim->next_incarnation,
           .flow_ttl_us = 60 * RGY_US_PER_S,
@@ -851,39 +663,6 @@
   sim_kill_agent (sim, i);
 }
 
-void
-sim_start_backend (struct simulation *sim, size_t i)
-{
-  struct backend_ *backend = &sim->backends[i];
-
-  g_hash_table_remove_all (backend->flows);
-  backend->alive = true;
-  backend->draining = false;
-  backend->drained_us = 0;
-  backend->generation++;
-  backend->seq = 0;
-  backend->started_ms = sim->now_us / RGY_US_PER_MS;
-  backend->next_heartbeat_us
-      = sim->now_us + g_rand_int_range (sim->rand, 0, 100000);
-}
-
-void
-sim_end_backend (struct simulation *sim, size_t i, bool crashed)
-{
-  struct rgy_name name = get_backend_name_ (sim, i);
-
-  sim->backends[i].alive = false;
-  if (!crashed && sim->agents[i] != NULL)
-    (void)rgy_stream_agent_deregister (sim->agents[i], &name, sim->now_us);
-}
-
-void
-sim_drain_backend (struct simulation *sim, size_t i)
-{
-  sim->backends[i].draining = true;
-  send_heartbeat_ (sim, i);
-}
-
 void
 sim_set_domain_out (struct simulation *sim, const char *domain)
 {
--- a/src/test_stream_flow/simulation.h
+++ b/tests/simulation/simulation.h
@@ -39,6 +39,33 @@
   unsigned unanswered;   /**< Requests without an answer within 5 s.  */
 };
 
+/** Users who send requests, and the limits of the backend servers.  A user
+    keeps a flow open for its requests, but some requests take a flow of their
+    own.  A try that was reset or rejected is repeated on a new flow.  */
+struct sim_load
+{
+  unsigned users;
+  double requests_per_s; /**< Of all users, at random times.  */
+  double fresh_share;    /**< Share of requests on a flow of their own.  */
+  unsigned retries;
+  int64_t goal_us;  /**< Answers after this time are late.  */
+  int64_t limit_us; /**< Time after which a user gives up.  */
+  unsigned slots;   /**< Requests that a backend server runs at a time.  */
+  unsigned queue;   /**< Requests that it queues; it rejects further ones.  */
+  int64_t run_us;   /**< Mean run time of a request.  */
+  int64_t cold_us;  /**< Time after its start for which it is slow.  */
+  double cold_factor;
+};
+
+/** Outcomes of the requests that users began in one second.  */
+struct sim_second
+{
+  unsigned in_time;
+  unsigned late;
+  unsigned rejected;
+  unsigned failed; /**< Without an answer when the user gave up.  */
+};
+
 struct simulation;
 
 /**
@@ -69,6 +96,16 @@
 void sim_set_load (struct simulation *simulation, unsigned flows_per_s,
                    int64_t lifetime_us);
 
+/** Set the users and the limits of the backend servers; must be called before
+    sim_start(), so that the manifest states the latency goal.  */
+void sim_set_users (struct simulation *simulation,
+                    const struct sim_load *load);
+/** Let the users send requests from now on.  */
+void sim_begin_requests (struct simulation *simulation);
+/** Outcomes since sim_begin_requests(), one entry a second.  */
+size_t sim_get_seconds (const struct simulation *simulation,
+                        const struct sim_second **seconds);
+
 /** Announce the planned stop of a balancer; it runs until it is killed.  */
 void sim_stop_balancer (struct simulation *simulation, size_t i);
 void sim_kill_balancer (struct simulation *simulation, size_t i);
--- /dev/null
+++ b/tests/simulation/simulation_backend.c
@@ -0,0 +1,234 @@
+#include "simulation_private.h"
+
+size_t
+sim_get_service_ (const struct simulation *sim, size_t agent)
+{
+  return agent < sim->n_workshop ? 0 : 1;
+}
+
+static void
+send_from_backend_ (struct simulation *sim, size_t i, struct packet_ packet,
+                    const struct rgy_segment_trailer *trail)
+{
+  struct delivery_ d = {
+    .kind = FROM_BACKEND, .index = i, .packet = packet, .trail = *trail
+  };
+
+  sim_queue_delivery_ (sim, d, true);
+}
+
+static void
+answer_request_ (struct simulation *sim, size_t i,
+                 const struct packet_ *request, bool rejected)
+{
+  send_from_backend_ (
+      sim, i,
+      (struct packet_){ .caller = request->caller,
+                        .from_service = true,
+                        .flags = RGY_SEGMENT_ACK,
+                        .ack = request->seq + request->payload_len,
+                        .payload_len = ANSWER_BYTES,
+                        .rejected = rejected },
+      &(struct rgy_segment_trailer){ 0 });
+}
+
+static void
+run_request_ (struct simulation *sim, size_t i, const struct packet_ *request)
+{
+  struct backend_ *backend = &sim->backends[i];
+  struct delivery_ end = { .kind = RUN_ENDED,
+                           .index = i,
+                           .packet = *request,
+                           .generation = backend->generation };
+  double factor
+      = sim->now_us < backend->cold_until_us ? sim->load.cold_factor : 1;
+
+  backend->running++;
+  sim_queue_event_ (sim, end,
+                    (int64_t)((double)sim->load.run_us * factor
+                              * g_rand_double_range (sim->rand, 1 - RUN_SPREAD,
+                                                     1 + RUN_SPREAD)));
+}
+
+/* Runs, queues or rejects a request; a repetition does nothing.  */
+static void
+queue_request_ (struct simulation *sim, size_t i,
+                const struct packet_ *request)
+{
+  struct backend_ *backend = &sim->backends[i];
+  void *number = GUINT_TO_POINTER (request->caller);
+  uint32_t end = request->seq + request->payload_len;
+
+  if (GPOINTER_TO_UINT (g_hash_table_lookup (backend->started, number)) >= end)
+    return;
+  g_hash_table_insert (backend->started, number, GUINT_TO_POINTER (end));
+  if (backend->running < sim->load.slots)
+    run_request_ (sim, i, request);
+  else if (backend->waiting.length < sim->load.queue)
+    g_queue_push_tail (&backend->waiting,
+                       g_memdup2 (request, sizeof *request));
+  else
+    answer_request_ (sim, i, request, true);
+}
+
+void
+sim_deliver_to_backend_ (struct simulation *sim, const struct delivery_ *d)
+{
+  struct backend_ *backend = &sim->backends[d->index];
+  void *number = GUINT_TO_POINTER (d->packet.caller);
+  struct packet_ answer = { .caller = d->packet.caller,
+                            .from_service = true,
+                            .flags = RGY_SEGMENT_ACK };
+
+  if (!backend->alive)
+    return;
+  if (d->packet.flags == RGY_SEGMENT_SYN)
+    {
+      if (!g_hash_table_contains (backend->flows, number))
+        {
+          g_hash_table_insert (
+              backend->flows, number,
+              GUINT_TO_POINTER (g_rand_int_range (sim->rand, 1, G_MAXINT)));
+          backend->accepted++;
+          if (!sim->ever_routed[sim_get_service_ (sim, d->index)])
+            sim->counts.wrong_service++;
+          if (backend->draining
+              && sim->now_us - backend->drained_us > DRAIN_LIMIT_US)
+            sim->counts.accepted_after_drain++;
+        }
+      answer.flags = RGY_SEGMENT_SYN | RGY_SEGMENT_ACK;
+      answer.seq
+          = GPOINTER_TO_UINT (g_hash_table_lookup (backend->flows, number));
+      send_from_backend_ (sim, d->index, answer,
+                          &(struct rgy_segment_trailer){ 0 });
+      return;
+    }
+  if (!g_hash_table_contains (backend->flows, number)
+      || d->packet.ack
+             != GPOINTER_TO_UINT (g_hash_table_lookup (backend->flows, number))
+                    + 1)
+    {
+      struct packet_ bounced = d->packet;
+
+      sim->counts.misdelivered++;
+      bounced.flags |= RGY_SEGMENT_BOUNCED;
+      send_from_backend_ (sim, d->index, bounced,
+                          &(struct rgy_segment_trailer){
+                              .balancer_ip = d->trail.balancer_ip });
+      return;
+    }
+  if ((d->packet.flags & RGY_SEGMENT_FIN) != 0)
+    {
+      answer.flags |= RGY_SEGMENT_FIN;
+      g_hash_table_remove (backend->flows, number);
+      send_from_backend_ (sim, d->index, answer,
+                          &(struct rgy_segment_trailer){ 0 });
+      return;
+    }
+  if (sim->load.users == 0)
+    {
+      answer.payload_len = ANSWER_BYTES;
+      answer.ack = d->packet.seq + d->packet.payload_len;
+      send_from_backend_ (sim, d->index, answer,
+                          &(struct rgy_segment_trailer){ 0 });
+      return;
+    }
+  queue_request_ (sim, d->index, &d->packet);
+}
+
+void
+sim_end_run_ (struct simulation *sim, const struct delivery_ *d)
+{
+  struct backend_ *backend = &sim->backends[d->index];
+  struct packet_ *next;
+
+  if (!backend->alive || backend->generation != d->generation)
+    return;
+  backend->running--;
+  answer_request_ (sim, d->index, &d->packet, false);
+  next = g_queue_pop_head (&backend->waiting);
+  if (next != NULL)
+    run_request_ (sim, d->index, next);
+  g_free (next);
+}
+
+void
+sim_clear_backend_ (struct backend_ *backend)
+{
+  g_queue_clear_full (&backend->waiting, g_free);
+  g_hash_table_remove_all (backend->started);
+  g_hash_table_remove_all (backend->flows);
+  backend->running = 0;
+}
+
+struct rgy_name
+sim_get_service_name_ (const struct simulation *sim, size_t agent)
+{
+  return rgy_name_from_c (sim_get_service_ (sim, agent) == 0 ? "workshop"
+                                                             : "catalogue");
+}
+
+struct rgy_name
+sim_get_backend_name_ (const struct simulation *sim, size_t i)
+{
+  char *text = g_strdup_printf ("i-%zu-%u", i, sim->backends[i].generation);
+  struct rgy_name name = rgy_name_from_c (text);
+
+  g_free (text);
+  return name;
+}
+
+void
+sim_send_heartbeat_ (struct simulation *sim, size_t i)
+{
+  struct backend_ *backend = &sim->backends[i];
+  struct rgy_backend_heartbeat heartbeat
+      = { .id = sim_get_backend_name_ (sim, i),
+          .service = sim_get_service_name_ (sim, i),
+          .started_ms = backend->started_ms,
+          .seq = ++backend->seq,
+          .draining = backend->draining,
+          .cold_left_us = MAX (backend->cold_until_us - sim->now_us, 0),
+          .slots = sim->load.users == 0 ? DEFAULT_SLOTS : sim->load.slots };
+
+  backend->next_heartbeat_us = sim->now_us + SIM_HEARTBEAT_US;
+  if (sim->agents[i] != NULL
+      && rgy_stream_agent_heartbeat (sim->agents[i], &heartbeat, sim->now_us)
+             == RGY_OK
+      && backend->draining && backend->drained_us == 0)
+    backend->drained_us = sim->now_us;
+}
+
+void
+sim_start_backend (struct simulation *sim, size_t i)
+{
+  struct backend_ *backend = &sim->backends[i];
+
+  sim_clear_backend_ (backend);
+  backend->alive = true;
+  backend->draining = false;
+  backend->drained_us = 0;
+  backend->generation++;
+  backend->seq = 0;
+  backend->cold_until_us = sim->now_us + sim->load.cold_us;
+  backend->started_ms = sim->now_us / RGY_US_PER_MS;
+  backend->next_heartbeat_us
+      = sim->now_us + g_rand_int_range (sim->rand, 0, 100000);
+}
+
+void
+sim_end_backend (struct simulation *sim, size_t i, bool crashed)
+{
+  struct rgy_name name = sim_get_backend_name_ (sim, i);
+
+  sim->backends[i].alive = false;
+  if (!crashed && sim->agents[i] != NULL)
+    (void)rgy_stream_agent_deregister (sim->agents[i], &name, sim->now_us);
+}
+
+void
+sim_drain_backend (struct simulation *sim, size_t i)
+{
+  sim->backends[i].draining = true;
+  sim_send_heartbeat_ (sim, i);
+}
--- /dev/null
+++ b/tests/simulation/simulation_private.h
@@ -0,0 +1,216 @@
+#ifndef SIMULATION_PRIVATE_H
+#define SIMULATION_PRIVATE_H
+
+/**
+ * @file
+ * State of the simulation, shared by its source files: simulation.c (network,
+ * balancers, agents and callers), simulation_backend.c (backend servers) and
+ * simulation_users.c (users who send requests).
+ */
+
+#include <glib.h>
+
+#include "ragwortyoke/clock.h"
+#include "ragwortyoke/stream_agent.h"
+#include "ragwortyoke/stream_balancer.h"
+#include "simulation.h"
+
+#define BALANCER_IP 0x0a010000U
+#define AGENT_IP 0x0a020000U
+#define CALLER_IP 0x64400000U
+#define SERVICE_IP 0xc6120001U
+#define SERVICE_PORT 443
+#define MIN_DELAY_US 300
+#define MAX_DELAY_US 6000
+#define LOCAL_DELAY_US 50
+#define REQUEST_BYTES 100
+#define ANSWER_BYTES 200
+#define DEFAULT_SLOTS 4
+/* Run times vary evenly by this share of their mean.  */
+#define RUN_SPREAD 0.5
+#define REQUEST_INTERVAL_US (200 * RGY_US_PER_MS)
+#define FIRST_RETRY_US (200 * RGY_US_PER_MS)
+#define MAX_RETRIES 5
+#define LIST_UPDATE_INTERVAL_US (3 * RGY_US_PER_S)
+#define REQUEST_TIMEOUT_US (5 * RGY_US_PER_S)
+/* Time after the acknowledgement of a drain; the users allow no first segment
+   at the backend server after it.  */
+#define DRAIN_LIMIT_US (3 * RGY_US_PER_S)
+
+/* Bytes of a simulated segment.  */
+struct packet_
+{
+  uint32_t caller;
+  bool from_service;
+  uint8_t flags;
+  uint32_t seq;
+  uint32_t ack;
+  uint16_t payload_len;
+  bool rejected; /* The backend server did not run the request.  */
+};
+
+enum delivery_kind_
+{
+  TO_ROUTER,
+  RETURNED_TO_BALANCER,
+  MESSAGE_TO_BALANCER,
+  TO_AGENT,
+  MESSAGE_TO_AGENT,
+  CHECK_RESULT_TO_AGENT, /* Result of a check of the backend server's
+                            process.  */
+  TO_BACKEND,
+  RUN_ENDED, /* A request's run at a backend server ends.  */
+  FROM_BACKEND,
+  TO_CALLER,
+  RESET_TO_CALLER
+};
+
+struct delivery_
+{
+  int64_t at_us;
+  uint64_t order;
+  enum delivery_kind_ kind;
+  size_t index;
+  uint32_t from_ip;
+  struct packet_ packet;
+  struct rgy_segment_trailer trail;
+  GByteArray *message;
+  int64_t request_us;  /* Time at which the check was requested.  */
+  unsigned generation; /* Start of the backend server that runs a request.  */
+};
+
+struct backend_
+{
+  bool alive;
+  bool draining;
+  bool crashed; /* Ended without deregistering.  */
+  int64_t drained_us;
+  int64_t started_ms;
+  unsigned generation;
+  uint64_t seq;
+  int64_t next_heartbeat_us;
+  GHashTable *flows; /* Caller's number to the backend server's first sequence
+                        number.  */
+  unsigned accepted;
+  unsigned running;    /* Requests that occupy a slot.  */
+  GQueue waiting;      /* Requests in the queue; entries are struct packet_,
+                          owned.  */
+  GHashTable *started; /* Caller's number to the end of its last request that
+                          was queued, run or answered.  */
+  int64_t cold_until_us;
+};
+
+struct caller_
+{
+  uint32_t number;
+  bool done;
+  bool open;
+  uint32_t seq;   /* Sequence number of the backend server's first segment.  */
+  size_t backend; /* Index of the backend server whose answer the caller
+                     accepted.  */
+  int64_t began_us;
+  int64_t ends_us;
+  int64_t request_us; /* Time of the request that awaits an answer; 0 if
+                         none.  */
+  int64_t next_us;    /* Time of the next request or repetition.  */
+  unsigned repeats;
+  uint32_t sent;            /* Bytes of the requests before this one.  */
+  struct request_ *request; /* Request of a user that the flow carries, or
+                               NULL.  */
+  bool of_user;
+};
+
+/* A user's request, which may take several tries on different flows.  */
+struct request_
+{
+  size_t user;
+  bool fresh; /* Uses a flow of its own.  */
+  int64_t began_us;
+  unsigned tries;
+  uint32_t caller; /* Number of the flow of the present try.  */
+  bool ended;
+};
+
+struct process_
+{
+  struct simulation *simulation;
+  bool is_agent;
+  size_t index;
+};
+
+struct simulation
+{
+  GRand *rand;
+  double loss_share;
+  int64_t now_us;
+  uint64_t order;
+  GSequence *queue;
+  size_t n_balancers;
+  size_t n_agents;
+  size_t n_workshop;
+  struct rgy_stream_balancer *balancers[SIM_MAX_BALANCERS];
+  bool leaving[SIM_MAX_BALANCERS];
+  struct rgy_stream_agent *agents[SIM_MAX_AGENTS];
+  struct backend_ backends[SIM_MAX_AGENTS];
+  struct process_ balancer_processes[SIM_MAX_BALANCERS];
+  struct process_ agent_processes[SIM_MAX_AGENTS];
+  GPtrArray *callers;
+  struct rgy_counters *counters;
+  uint32_t weights[2];
+  uint64_t version;
+  uint64_t view_revision;
+  struct rgy_domain_view view;
+  bool ever_routed[2];
+  unsigned flows_per_s;
+  int64_t lifetime_us;
+  int64_t next_flow_us;
+  uint64_t next_incarnation;
+  GByteArray *stored_agents; /* List of agents in the simulated store.  */
+  int64_t next_list_update_us;
+  bool started;
+  struct sim_counts counts;
+  struct sim_load load; /* Without users unless sim_set_users() was called.  */
+  GArray *pooled;       /* For each user the number of its idle flow plus 1, or
+                           0.  */
+  GPtrArray *requests;  /* Requests that have not ended.  */
+  int64_t next_request_us;
+  int64_t users_since_us;
+  GArray *seconds; /* Entries are struct sim_second.  */
+};
+
+/* Queues a delivery after a random delay, or LOCAL; it may be lost.  */
+void sim_queue_delivery_ (struct simulation *sim, struct delivery_ delivery,
+                          bool local);
+/* Queues a delivery after DELAY_US; it is never lost.  */
+void sim_queue_event_ (struct simulation *sim, struct delivery_ delivery,
+                       int64_t delay_us);
+struct caller_ *sim_find_caller_ (struct simulation *sim, uint32_t number);
+/* Begins a new flow.  */
+struct caller_ *sim_begin_flow_ (struct simulation *sim);
+void sim_send_from_caller_ (struct simulation *sim,
+                            const struct caller_ *caller, uint8_t flags,
+                            uint16_t len);
+/* Sends the request of an open flow for the first time.  */
+void sim_send_request_ (struct simulation *sim, struct caller_ *caller);
+struct rgy_name sim_get_service_name_ (const struct simulation *sim,
+                                       size_t agent);
+struct rgy_name sim_get_backend_name_ (const struct simulation *sim, size_t i);
+size_t sim_get_service_ (const struct simulation *sim, size_t agent);
+
+void sim_deliver_to_backend_ (struct simulation *sim,
+                              const struct delivery_ *d);
+void sim_end_run_ (struct simulation *sim, const struct delivery_ *d);
+void sim_send_heartbeat_ (struct simulation *sim, size_t i);
+/* Drops the requests of a backend server.  */
+void sim_clear_backend_ (struct backend_ *backend);
+
+/* Begins and ends requests of users as their times require.  */
+void sim_step_users_ (struct simulation *sim);
+/* Handles an answer or a rejection on the flow of a user.  */
+void sim_handle_user_answer_ (struct simulation *sim, struct caller_ *caller,
+                              const struct packet_ *packet);
+/* Handles the end of a user's flow.  */
+void sim_handle_user_flow_end_ (struct simulation *sim,
+                                struct caller_ *caller);
+
+#endif
