Let the simulation's users close flows of draining backend servers

A draining backend server closes a flow with its next answer and answers a repeated request again; a user whose idle flow was reset opens a new one.

--- a/tests/simulation/simulation.c
+++ b/tests/simulation/simulation.c
@@ -510,6 +510,8 @@
           = g_hash_table_new (g_direct_hash, g_direct_equal);
       sim->backends[i].started
           = g_hash_table_new (g_direct_hash, g_direct_equal);
+      sim->backends[i].answered
+          = g_hash_table_new (g_direct_hash, g_direct_equal);
     }
   sim->pooled = g_array_new (FALSE, TRUE, sizeof (uint32_t));
   sim->requests = g_ptr_array_new_with_free_func (g_free);
@@ -530,6 +532,7 @@
       sim_clear_backend_ (&sim->backends[i]);
       g_hash_table_unref (sim->backends[i].flows);
       g_hash_table_unref (sim->backends[i].started);
+      g_hash_table_unref (sim->backends[i].answered);
     }
   g_array_unref (sim->pooled);
   g_ptr_array_unref (sim->requests);
--- a/tests/simulation/simulation_backend.c
+++ b/tests/simulation/simulation_backend.c
@@ -17,18 +17,23 @@
   sim_queue_delivery_ (sim, d, true);
 }
 
+/* Answers a request.  A draining backend server closes the flow with the
+   answer.  */
 static void
 answer_request_ (struct simulation *sim, size_t i,
                  const struct packet_ *request, bool rejected)
 {
   send_from_backend_ (
       sim, i,
-      (struct packet_){ .caller = request->caller,
-                        .from_service = true,
-                        .flags = RGY_SEGMENT_ACK,
-                        .ack = request->seq + request->payload_len,
-                        .payload_len = ANSWER_BYTES,
-                        .rejected = rejected },
+      (struct packet_){
+          .caller = request->caller,
+          .from_service = true,
+          .flags
+          = (uint8_t)(RGY_SEGMENT_ACK
+                      | (sim->backends[i].draining ? RGY_SEGMENT_FIN : 0)),
+          .ack = request->seq + request->payload_len,
+          .payload_len = ANSWER_BYTES,
+          .rejected = rejected },
       &(struct rgy_segment_trailer){ 0 });
 }
 
@@ -50,7 +55,14 @@
                                                      1 + RUN_SPREAD)));
 }
 
-/* Runs, queues or rejects a request; a repetition does nothing.  */
+static uint32_t
+get_end_ (GHashTable *ends, uint32_t caller)
+{
+  return GPOINTER_TO_UINT (
+      g_hash_table_lookup (ends, GUINT_TO_POINTER (caller)));
+}
+
+/* Runs, queues or rejects a request.  A repetition only repeats the answer. */
 static void
 queue_request_ (struct simulation *sim, size_t i,
                 const struct packet_ *request)
@@ -59,7 +71,12 @@
   void *number = GUINT_TO_POINTER (request->caller);
   uint32_t end = request->seq + request->payload_len;
 
-  if (GPOINTER_TO_UINT (g_hash_table_lookup (backend->started, number)) >= end)
+  if (get_end_ (backend->answered, request->caller) >= end)
+    {
+      answer_request_ (sim, i, request, false);
+      return;
+    }
+  if (get_end_ (backend->started, request->caller) >= end)
     return;
   g_hash_table_insert (backend->started, number, GUINT_TO_POINTER (end));
   if (backend->running < sim->load.slots)
@@ -145,6 +162,9 @@
   if (!backend->alive || backend->generation != d->generation)
     return;
   backend->running--;
+  g_hash_table_insert (
+      backend->answered, GUINT_TO_POINTER (d->packet.caller),
+      GUINT_TO_POINTER (d->packet.seq + d->packet.payload_len));
   answer_request_ (sim, d->index, &d->packet, false);
   next = g_queue_pop_head (&backend->waiting);
   if (next != NULL)
@@ -157,6 +177,7 @@
 {
   g_queue_clear_full (&backend->waiting, g_free);
   g_hash_table_remove_all (backend->started);
+  g_hash_table_remove_all (backend->answered);
   g_hash_table_remove_all (backend->flows);
   backend->running = 0;
 }
--- a/tests/simulation/simulation_private.h
+++ b/tests/simulation/simulation_private.h
@@ -92,11 +92,12 @@
   GHashTable *flows; /* Caller's number to the backend server's first sequence
                         number.  */
   unsigned accepted;
-  unsigned running;    /* Requests that occupy a slot.  */
-  GQueue waiting;      /* Requests in the queue; entries are struct packet_,
-                          owned.  */
-  GHashTable *started; /* Caller's number to the end of its last request that
-                          was queued, run or answered.  */
+  unsigned running;     /* Requests that occupy a slot.  */
+  GQueue waiting;       /* Requests in the queue; entries are struct packet_,
+                           owned.  */
+  GHashTable *started;  /* Caller's number to the end of its last request that
+                           was queued, run or answered.  */
+  GHashTable *answered; /* The same for answered requests.  */
   int64_t cold_until_us;
 };
 
--- a/tests/simulation/simulation_users.c
+++ b/tests/simulation/simulation_users.c
@@ -47,8 +47,9 @@
   if (request->tries == 1 && !request->fresh && *pooled > 0)
     caller = sim_find_caller_ (sim, *pooled - 1);
   if (caller != NULL)
+    *pooled = 0; /* Not idle until the answer.  */
+  if (caller != NULL && !caller->done)
     {
-      *pooled = 0; /* Not idle until the answer.  */
       caller->request = request;
       request->caller = caller->number;
       sim_send_request_ (sim, caller);
@@ -102,7 +103,8 @@
     return;
   caller->request = NULL;
   pooled = &g_array_index (sim->pooled, uint32_t, request->user);
-  if (!request->fresh && *pooled == 0)
+  if (!request->fresh && *pooled == 0
+      && (packet->flags & RGY_SEGMENT_FIN) == 0)
     *pooled = caller->number + 1;
   else
     close_flow_ (sim, caller);
@@ -144,6 +146,11 @@
 {
   struct caller_ *caller = sim_find_caller_ (sim, request->caller);
 
+  if (g_getenv ("WORLD_LOG") != NULL)
+    g_printerr ("%10.4f gave_up flow=%u open=%d backend=%zu tries=%u "
+                "repeats=%u\n",
+                (double)sim->now_us / 1e6, caller->number, caller->open,
+                caller->backend, request->tries, caller->repeats);
   close_flow_ (sim, caller);
   request->ended = true;
   get_second_ (sim, request->began_us)->failed++;
