Remove functions, fields and constants that nothing uses

rgy_steering_note_forwarded() was never called, so the bits that rgy_steering_age_forwarded() aged were never set; both go, with their period and the test of the bits in may_own_flow_(). The literals of balancer_push.c get names. The golden traces are unchanged.

--- a/include/ragwortyoke/steering.h
+++ b/include/ragwortyoke/steering.h
@@ -217,14 +217,6 @@
                                const struct rgy_name *peer, uint64_t sequence,
                                uint64_t peer_sequence);
 
-/** Record that a packet that may open a flow is forwarded to @p peer.  The
-    peer counts as a possible owner of flows in the bucket until
-    rgy_steering_age_forwarded() is called twice.  */
-void rgy_steering_note_forwarded (struct rgy_steering *steering,
-                                  unsigned bucket,
-                                  const struct rgy_name *peer);
-void rgy_steering_age_forwarded (struct rgy_steering *steering);
-
 /** @return true once every live peer has sent its state and acknowledged this
     agent's.  */
 bool rgy_steering_is_settled (const struct rgy_steering *steering);
--- a/include/ragwortyoke/str.h
+++ b/include/ragwortyoke/str.h
@@ -60,8 +60,6 @@
     name is invalid.  */
 struct rgy_name rgy_name_from_c (const char *text);
 
-struct rgy_str rgy_name_str (const struct rgy_name *name);
-
 /** Compare two names; the result is negative, zero or positive
     as for memcmp().  */
 int rgy_name_compare (const struct rgy_name *a, const struct rgy_name *b);
--- a/src/libragwortyoke/agent_peers.c
+++ b/src/libragwortyoke/agent_peers.c
@@ -42,11 +42,6 @@
 void
 rgy_agent_peer_state_tick (struct rgy_agent *a)
 {
-  if (a->now_us >= a->next_forwarded_age_us)
-    {
-      a->next_forwarded_age_us = a->now_us + RGY_FORWARDED_AGE_US;
-      rgy_steering_age_forwarded (a->steering);
-    }
   if (a->now_us >= a->next_peer_state_us
       || (a->settle_deadline_us != 0 && !rgy_steering_is_settled (a->steering)
           && a->now_us >= a->state_sent_us + RGY_SETTLE_RETRY_US)
--- a/src/libragwortyoke/balancer_push.c
+++ b/src/libragwortyoke/balancer_push.c
@@ -4,6 +4,9 @@
 
 /* Pushes new entries to the agents that this balancer monitors.  */
 
+/* Bytes of a datagram that the frame of the message takes.  */
+#define PUSH_OVERHEAD_BYTES 100
+
 static bool
 concerns_agent_ (const struct rgy_balancer *b, const struct rgy_entry *entry,
                  const struct rgy_agent_record *agent)
@@ -29,13 +32,14 @@
   for (i = 0; i < b->pending_pushes->len; i++)
     {
       struct rgy_pending_push *copy = g_ptr_array_index (b->pending_pushes, i);
-      size_t size = copy->entry.value.len + copy->entry.key.len + 32;
+      size_t size = copy->entry.value.len + copy->entry.key.len
+                    + RGY_ENTRY_OVERHEAD_BYTES;
 
       if (!concerns_agent_ (b, &copy->entry, agent)
-          || size > RGY_WIRE_DATAGRAM_BYTES - 100)
+          || size > RGY_WIRE_DATAGRAM_BYTES - PUSH_OVERHEAD_BYTES)
         continue;
       if (e->count == RGY_WIRE_MAX_ENTRIES
-          || bytes + size > RGY_WIRE_DATAGRAM_BYTES - 100)
+          || bytes + size > RGY_WIRE_DATAGRAM_BYTES - PUSH_OVERHEAD_BYTES)
         {
           rgy_balancer_send_message (b, agent->endpoint, m, actions);
           e->count = 0;
--- a/src/libragwortyoke/include/private/agent_private.h
+++ b/src/libragwortyoke/include/private/agent_private.h
@@ -29,9 +29,6 @@
 /** Longest wait for the acknowledgements of peers after a change of the
     group.  */
 #define RGY_SETTLE_TIMEOUT_US INT64_C (1000000)
-/** Forwarded flows are remembered for one to two of these periods, so that the
-    peer has sent its state at least twice.  */
-#define RGY_FORWARDED_AGE_US INT64_C (1000000)
 /** While peers have not acknowledged a change, PEER_STATE is sent this often:
     lost datagrams must not use up RGY_SETTLE_TIMEOUT_US.  */
 #define RGY_SETTLE_RETRY_US INT64_C (100000)
@@ -151,7 +148,6 @@
   uint64_t state_sent_sequence; /**< Sequence of the last PEER_STATE.  */
   int64_t settle_deadline_us;
   int64_t state_sent_us; /**< Time of the last PEER_STATE.  */
-  int64_t next_forwarded_age_us;
   int64_t next_heartbeat_us;
   int64_t next_peer_state_us;
   int64_t next_sync_us;
@@ -164,7 +160,6 @@
   int64_t last_ack_us; /**< Time of any balancer's last acknowledgement.  */
   int64_t next_store_read_us;
   int64_t store_write_due_us; /**< Time to write the record; 0: not due.  */
-  int64_t last_digest_match_us;
   bool synced;
   bool domain_out; /**< The own failure domain is out of service.  */
   bool record_changed;
--- a/src/libragwortyoke/include/private/balancer_private.h
+++ b/src/libragwortyoke/include/private/balancer_private.h
@@ -23,7 +23,6 @@
 /** Interval of the messages to balancers that are dead or unknown to this
     balancer, so that separated groups rejoin.  */
 #define RGY_REJOIN_INTERVAL_US INT64_C (5000000)
-#define RGY_RECORD_INTERVAL_US INT64_C (1000000)
 /** Shortest interval at which a balancer publishes its own demand.  */
 #define RGY_DEMAND_INTERVAL_US INT64_C (2000000)
 /** The interval between demand reports of one balancer grows by this much for
@@ -169,7 +168,6 @@
   int64_t next_gossip_us;
   int64_t next_probe_us;
   int64_t next_rejoin_us;
-  int64_t next_record_us;
   int64_t next_demand_us;
   int64_t next_report_us;
   int64_t next_sync_us;
--- a/src/libragwortyoke/include/private/steering_state.h
+++ b/src/libragwortyoke/include/private/steering_state.h
@@ -16,10 +16,6 @@
   uint64_t epoch;
   uint64_t sequence;
   struct rgy_bucket_set may_hold;
-  /* Buckets of new flows that were forwarded to the peer, which it may own
-     before its state shows them.  Index 0: since the last
-     rgy_steering_age_forwarded(), index 1: in the period before.  */
-  struct rgy_bucket_set forwarded[2];
   uint64_t acked_sequence;  /* The highest sequence of this agent that the peer
                                has acknowledged.  */
   uint64_t needed_sequence; /* The peer's own sequence when it acknowledged
--- a/src/libragwortyoke/steering.c
+++ b/src/libragwortyoke/steering.c
@@ -188,7 +188,6 @@
       peer->needed_sequence = 0;
       peer->claim_sequence = 0;
       memset (&peer->may_hold, 0, sizeof peer->may_hold);
-      memset (peer->forwarded, 0, sizeof peer->forwarded);
     }
   g_ptr_array_unref (steering->live);
   steering->live = live;
@@ -386,32 +385,6 @@
   rgy_steering_note_ack_at (steering, peer, sequence, 0);
 }
 
-void
-rgy_steering_note_forwarded (struct rgy_steering *steering, unsigned bucket,
-                             const struct rgy_name *peer)
-{
-  struct rgy_steering_peer *record = rgy_steering_find_peer (steering, peer);
-
-  if (record != NULL)
-    rgy_bucket_set_add (&record->forwarded[0], bucket);
-}
-
-void
-rgy_steering_age_forwarded (struct rgy_steering *steering)
-{
-  GHashTableIter iter;
-  gpointer value = NULL;
-
-  g_hash_table_iter_init (&iter, steering->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct rgy_steering_peer *peer = value;
-
-      peer->forwarded[1] = peer->forwarded[0];
-      memset (&peer->forwarded[0], 0, sizeof peer->forwarded[0]);
-    }
-}
-
 void
 rgy_steering_force_settled (struct rgy_steering *steering)
 {
--- a/src/libragwortyoke/steering_decide.c
+++ b/src/libragwortyoke/steering_decide.c
@@ -119,9 +119,7 @@
 static bool
 may_own_flow_ (const struct rgy_steering_peer *peer, unsigned bucket)
 {
-  return !peer->state_known || rgy_bucket_set_has (&peer->may_hold, bucket)
-         || rgy_bucket_set_has (&peer->forwarded[0], bucket)
-         || rgy_bucket_set_has (&peer->forwarded[1], bucket);
+  return !peer->state_known || rgy_bucket_set_has (&peer->may_hold, bucket);
 }
 
 /* Returns the first live peer in rendezvous order that is not in the trail;
--- a/src/libragwortyoke/str.c
+++ b/src/libragwortyoke/str.c
@@ -50,12 +50,6 @@
   return name;
 }
 
-struct rgy_str
-rgy_name_str (const struct rgy_name *name)
-{
-  return (struct rgy_str){ .data = name->data, .len = name->len };
-}
-
 int
 rgy_name_compare (const struct rgy_name *a, const struct rgy_name *b)
 {
--- a/src/ragwortyoked/balancer_main.c
+++ b/src/ragwortyoked/balancer_main.c
@@ -10,8 +10,6 @@
 /* Daemon of the balancer role: sockets, timers and HTTP around
    the balancer core.  */
 
-#define MAX_STORE_RECORDS 64
-
 struct balancer_daemon_
 {
   struct rgy_daemon d; /* First member, since the handles of the event loop
--- a/tests/fleet/fleet.c
+++ b/tests/fleet/fleet.c
@@ -460,7 +460,6 @@
   memcpy (s.key, f->key, sizeof s.key);
   b->counters = rgy_counters_new ();
   b->core = rgy_balancer_new (&s, b->counters);
-  b->alive = true;
   g_ptr_array_add (f->balancers, b);
   /* A random start spreads the ticks of the balancers over the interval.  */
   push_event_ (f, (struct event_){ .kind = EVENT_BALANCER_TICK, .node = i },
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -57,7 +57,6 @@
   struct fleet_traffic out;
   int64_t cpu_ns; /**< CPU time of the control-plane calls.  */
   bool reader;    /**< The balancer watches the store.  */
-  bool alive;     /**< Set when the balancer is added.  */
 };
 
 /** A whole agent core, or a stand-in that sends heartbeats with configuration
--- a/tests/harness/harness.c
+++ b/tests/harness/harness.c
@@ -8,7 +8,6 @@
 #define TICK_US (50 * H_MS)
 #define LOCAL_DELAY_US 250   /* One way within a failure domain.  */
 #define LOOPBACK_DELAY_US 50 /* From an agent to its backend server.  */
-#define STORE_DELAY_US (5 * H_MS)
 #define STORE_DELAY_STEPS 3
 #define STORE_POLL_US (100 * H_MS)
 #define BACKLOG_MAX 500 /* Queued events of a frozen process.  */
@@ -488,16 +487,6 @@
   return order.number;
 }
 
-uint64_t
-harness_order_domain_directly (struct harness *h, unsigned domain, bool out,
-                               struct node *balancer)
-{
-  struct rgy_domain_order order = harness_make_order (h, domain, out);
-
-  harness_send_order (h, &order, balancer);
-  return order.number;
-}
-
 void
 harness_set_store_delay (struct harness *h, int64_t delay_us)
 {
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -204,9 +204,6 @@
                                uint64_t revision);
 /** Write a domain order to the store; returns its number.  */
 uint64_t harness_order_domain (struct harness *h, unsigned domain, bool out);
-/** Send a domain order to one balancer directly; returns its number.  */
-uint64_t harness_order_domain_directly (struct harness *h, unsigned domain,
-                                        bool out, struct node *balancer);
 /** Make an order with the next number; harness_put_order() or
     harness_send_order() must then publish it.  */
 struct rgy_domain_order harness_make_order (struct harness *h, unsigned domain,
--- a/tests/harness/harness_private.h
+++ b/tests/harness/harness_private.h
@@ -19,8 +19,7 @@
   EVENT_TO_CALLER,    /**< Datagram from the fabric to a caller.  */
   EVENT_CALLER_TIMER, /**< Timer of a caller.  */
   EVENT_SYNC_REQUEST, /**< Synchronisation request to the serving balancer. */
-  EVENT_SYNC_REPLY,   /**< Synchronisation frame to the requesting node.  */
-  EVENT_STORE_ENTRY   /**< Store watch event to a balancer.  */
+  EVENT_SYNC_REPLY    /**< Synchronisation frame to the requesting node.  */
 };
 
 struct event
--- a/tests/harness/trace.c
+++ b/tests/harness/trace.c
@@ -167,7 +167,6 @@
     case EVENT_TICK:
     case EVENT_WORK_DONE:
     case EVENT_CALLER_TIMER:
-    case EVENT_STORE_ENTRY:
       break;
     }
   return false;
