--- a/src/test_platform_store/test_platform_store.c
+++ b/src/test_platform_store/test_platform_store.c
@@ -85,7 +85,9 @@
         {
           /* The write must fail if another balancer has written the list.  */
           assert_non_null (strstr (
-              text, "{\"key\":\"ragwortyoke/agents\",\"revision\":0}"));
+              text, f->agents == NULL
+                        ? "{\"key\":\"ragwortyoke/agents\",\"revision\":0}"
+                        : "{\"key\":\"ragwortyoke/agents\",\"revision\":9}"));
           value += strlen (agents);
           *strchr (value, '"') = '\0';
           g_free (f->agents);
@@ -235,6 +237,19 @@
   assert_true (f->agent_list_reads >= 2);
 }
 
+/* A damaged list was passed on: its whole part named agents that do not
+   exist, and starting balancers waited for them.  */
+static void
+damaged_list_of_agents_is_written_again_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  f->agents = g_strdup ("CgIAAQo=");
+  f->writes_agents = true;
+  uv_run (&f->loop, UV_RUN_DEFAULT);
+  assert_string_equal (f->agents, "CgIAAQoCAAI=");
+}
+
 int
 main (void)
 {
@@ -244,6 +259,7 @@
     WITH_STORE (watches_keep_a_minimum_interval_),
     WITH_STORE (lost_history_causes_a_full_read_),
     WITH_STORE (list_of_agents_is_written_and_read_back_),
+    WITH_STORE (damaged_list_of_agents_is_written_again_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
