Test what keeps withdrawn state and expired permissions from being used

Removing each of these mechanisms in a trial build left all tests green: the revision of the view of failure domains at balancer and agent, the drop of first segments that queued while an agent was paused, the new settling time of a balancer after a pause, the refusal of heartbeats after the deregistration, and the order of reports. Each has a test now; the product needed no change.

--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -526,6 +526,89 @@
   assert_int_equal (rgy_stream_agent_get_state (f->agent), RGY_BACKEND_READY);
 }
 
+/* Acknowledges a report with a view of the failure domains.  */
+static void
+send_view_ (struct fixture_ *f, uint64_t revision, const char *domain_out)
+{
+  struct rgy_stream_message ack
+      = { .kind = RGY_STREAM_REPORT_ACK,
+          .u.ack = { .balancer_incarnation = 1,
+                     .agent_incarnation = 1,
+                     .seq = 1,
+                     .view = { .revision = revision } } };
+
+  if (domain_out != NULL)
+    ack.u.ack.view.out[ack.u.ack.view.n_out++]
+        = rgy_name_from_c (domain_out);
+  send_message_ (f, &ack, BALANCER_IP);
+}
+
+/* A late acknowledgement with an earlier view put the agent's failure domain
+   back into service.  */
+static void
+older_view_is_ignored_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  send_heartbeat_ (f, "i-1", 5, 1, false);
+  send_view_ (f, 5, "poa-a");
+  send_view_ (f, 4, NULL);
+  send_from_caller_ (f, 1, RGY_SEGMENT_SYN, 0);
+  assert_int_equal (f->to_backend, 0);
+  assert_int_equal (f->refused, 1);
+}
+
+/* First segments that were queued while the agent's process was paused were
+   delivered after the balancer had offered the flows to other agents.  */
+static void
+paused_agent_delivers_no_old_first_segment_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  send_heartbeat_ (f, "i-1", 5, 1, false);
+  advance_time_ (f, RGY_STREAM_TICK_US);
+  f->now_us += 3 * RGY_US_PER_S;
+  rgy_stream_agent_tick (f->agent, f->now_us);
+  send_from_caller_ (f, 1, RGY_SEGMENT_SYN, 0);
+  assert_int_equal (f->to_backend, 0);
+  advance_time_ (f, RGY_STREAM_TICK_US);
+  send_from_caller_ (f, 2, RGY_SEGMENT_SYN, 0);
+  assert_int_equal (f->to_backend, 1);
+}
+
+/* A heartbeat that was delayed past the deregistration returned a backend
+   server that had left to service.  */
+static void
+heartbeat_after_deregistration_is_ignored_ (void **state)
+{
+  struct fixture_ *f = *state;
+  struct rgy_name id = rgy_name_from_c ("i-1");
+
+  send_heartbeat_ (f, "i-1", 5, 1, false);
+  assert_int_equal (rgy_stream_agent_deregister (f->agent, &id, f->now_us),
+                    RGY_OK);
+  assert_int_equal (send_heartbeat_ (f, "i-1", 5, 2, false), RGY_ERR_STALE);
+  send_from_caller_ (f, 1, RGY_SEGMENT_SYN, 0);
+  assert_int_equal (f->to_backend, 0);
+  /* The next start has the same name and is served.  */
+  assert_int_equal (send_heartbeat_ (f, "i-1", 9, 1, false), RGY_OK);
+  send_from_caller_ (f, 2, RGY_SEGMENT_SYN, 0);
+  assert_int_equal (f->to_backend, 1);
+}
+
+/* A heartbeat of an earlier start that arrives after the next start's must not
+   replace it.  */
+static void
+heartbeat_of_an_earlier_start_is_ignored_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  send_heartbeat_ (f, "i-1", 5, 3, true);
+  assert_int_equal (send_heartbeat_ (f, "i-2", 9, 1, false), RGY_OK);
+  assert_int_equal (send_heartbeat_ (f, "i-1", 5, 4, true), RGY_ERR_STALE);
+  assert_int_equal (rgy_stream_agent_get_state (f->agent), RGY_BACKEND_READY);
+}
+
 int
 main (void)
 {
@@ -545,6 +628,10 @@
     WITH_AGENT (missing_heartbeat_detects_a_crashed_backend_),
     WITH_AGENT (bounce_of_an_open_flow_triggers_a_check_),
     WITH_AGENT (heartbeat_overrules_an_older_check_),
+    WITH_AGENT (older_view_is_ignored_),
+    WITH_AGENT (paused_agent_delivers_no_old_first_segment_),
+    WITH_AGENT (heartbeat_after_deregistration_is_ignored_),
+    WITH_AGENT (heartbeat_of_an_earlier_start_is_ignored_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/test_stream_balancer/test_stream_balancer.c
+++ b/src/test_stream_balancer/test_stream_balancer.c
@@ -576,6 +576,62 @@
   assert_int_equal (rgy_stream_balancer_get_version (f->balancer), 7);
 }
 
+/* A late message with an earlier view put a failure domain back into
+   service.  */
+static void
+older_view_is_ignored_ (void **state)
+{
+  struct fixture_ *f = *state;
+  struct rgy_domain_view out = { .revision = 5, .n_out = 1 };
+  struct rgy_domain_view earlier = { .revision = 4 };
+
+  out.out[0] = rgy_name_from_c ("poa-a");
+  rgy_stream_balancer_set_domain_view (f->balancer, &out, f->now_us);
+  rgy_stream_balancer_set_domain_view (f->balancer, &earlier, f->now_us);
+  send_segment_ (f, 443, RGY_SEGMENT_SYN, 0);
+  assert_int_equal (f->to_agent, 0);
+}
+
+/* A report that was overtaken by a later one must not return a draining
+   backend server to service.  */
+static void
+overtaken_report_changes_no_state_ (void **state)
+{
+  struct fixture_ *f = *state;
+  struct rgy_stream_message report
+      = { .kind = RGY_STREAM_REPORT,
+          .u.report = { .incarnation = 1,
+                        .seq = f->seq + 2,
+                        .service = rgy_name_from_c ("workshop"),
+                        .domain = rgy_name_from_c ("poa-a"),
+                        .state = RGY_BACKEND_DRAINING,
+                        .complete = true,
+                        .slots = 4 } };
+
+  send_agent_message_ (f, &report);
+  report.u.report.seq--;
+  report.u.report.state = RGY_BACKEND_READY;
+  send_agent_message_ (f, &report);
+  send_segment_ (f, 443, RGY_SEGMENT_SYN, 0);
+  assert_int_equal (f->to_agent, 0);
+}
+
+/* A balancer that was paused may have missed agents; on what it knew before it
+   must not reset a flow at once.  */
+static void
+balancer_settles_again_after_a_pause_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  f->now_us += RGY_US_PER_S;
+  rgy_stream_balancer_tick (f->balancer, f->now_us);
+  send_segment_ (f, 443, RGY_SEGMENT_ACK, 5);
+  deny_queried_flows_ (f);
+  assert_int_equal (f->resets, 0);
+  advance_time_ (f, 1100 * MS);
+  assert_int_equal (f->resets, 1);
+}
+
 int
 main (void)
 {
@@ -587,6 +643,9 @@
     WITH_BALANCER (new_flow_without_route_is_reset_at_once_),
     WITH_BALANCER (segments_before_the_manifest_are_kept_),
     WITH_BALANCER (few_agents_are_queried_at_once_),
+    WITH_BALANCER (older_view_is_ignored_),
+    WITH_BALANCER (overtaken_report_changes_no_state_),
+    WITH_BALANCER (balancer_settles_again_after_a_pause_),
     WITH_BALANCER (denied_flow_is_reset_at_once_),
     WITH_BALANCER (lost_query_is_repeated_),
     WITH_BALANCER (many_lost_flows_share_queries_),
