Remove the exclusion of agents after unanswered first segments

Hypothesis: an agent that leaves two first segments in a row unanswered is best avoided for a second. It guards no rule: an agent counts as alive for 1.5 s after its last report, and each new flow goes to the next agent after 80 ms.

--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -75,10 +75,6 @@
    service may still recover.  Only then is it placed on another service of its
    route, where it stays.  */
 #define OTHER_SERVICE_WAIT_US INT64_C (400000)
-/* Time for which an agent gets no new flows after it left FAILURES_TO_EXCLUDE
-   first segments in a row unanswered.  */
-#define EXCLUSION_US INT64_C (1000000)
-#define FAILURES_TO_EXCLUDE 2
 /* Stages of a lookup.  Each stage forwards the segment to more of the agents
    that do not know whether they own the flow.  */
 #define STAGE_OWN_DOMAIN 0 /* Preferred agents of the own failure domain.  */
@@ -146,15 +142,14 @@
   int64_t acked_config_us; /**< Value of rgy_stream_balancer.config_changed_us
                                 at the last acknowledgement.  */
   uint64_t changes_upto;
-  uint32_t placed;     /**< New flows placed on the agent since its last
-                            report.  */
-  GByteArray *queried; /**< Ends of the flows in the next query.  */
-  int64_t queried_us;  /**< Time of the last query sent.  */
-  bool from_store;     /**< Listed in the store and has not reported
-                            yet.  */
-  unsigned failures;   /**< First segments in a row that the agent left
-                            unanswered.  */
-  int64_t excluded_until_us;
+  uint32_t placed;           /**< New flows placed on the agent since its last
+                                  report.  */
+  GByteArray *queried;       /**< Ends of the flows in the next query.  */
+  int64_t queried_us;        /**< Time of the last query sent.  */
+  bool from_store;           /**< Listed in the store and has not reported
+                                  yet.  */
+  int64_t excluded_until_us; /**< The agent refused a new flow and gets none
+                                  until this time.  */
 };
 
 struct rgy_stream_peer
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -334,8 +334,9 @@
     end_failed_lookup_ (b, lookup, true, now_us);
 }
 
-/* Queries the preferred agents, or all if they are few.  Without a manifest the lookup only buffers
-   segments, because the preferred agents depend on the route.  */
+/* Queries the preferred agents, or all if they are few.  Without a manifest
+   the lookup only buffers segments, because the preferred agents depend on the
+   route.  */
 static void
 begin_lookup_ (struct rgy_stream_balancer *b, struct rgy_lookup *lookup,
                int64_t now_us)
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -404,7 +404,6 @@
   if (is_first || report->incarnation != agent->report.incarnation)
     {
       agent->changes_upto = 0;
-      agent->failures = 0;
       agent->excluded_until_us = 0;
     }
   if (is_first || previous_state != report->state
--- a/src/libragwortyoke/stream_balancer_open.c
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -286,18 +286,6 @@
     g_hash_table_remove (b->opens, &segment->key);
 }
 
-static void
-record_agent_failure_ (struct rgy_stream_balancer *b, uint32_t ip,
-                       int64_t now_us)
-{
-  struct rgy_known_agent *agent = rgy_stream_balancer_find_agent_ (b, ip);
-
-  if (agent == NULL || ++agent->failures < FAILURES_TO_EXCLUDE)
-    return;
-  agent->failures = 0;
-  agent->excluded_until_us = now_us + EXCLUSION_US;
-}
-
 void
 rgy_stream_balancer_delay_open_timers_ (struct rgy_stream_balancer *b,
                                         int64_t late_us)
@@ -326,8 +314,6 @@
           && (open->current_ip != 0
               || now_us - open->sent_us < OPEN_RETRY_US / 2))
         continue;
-      if (open->current_ip != 0)
-        record_agent_failure_ (b, open->current_ip, now_us);
       if (!offer_flow_ (b, open, now_us))
         g_hash_table_iter_remove (&iter);
     }
@@ -345,7 +331,6 @@
       ++*b->n_unknown_agents;
       return;
     }
-  agent->failures = 0;
   agent->excluded_until_us = 0;
   rgy_stream_balancer_cache_flow_ (b, key, ip, RGY_FLOW_ACCEPTED, now_us);
 }
