--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -538,8 +538,7 @@
                      .view = { .revision = revision } } };
 
   if (domain_out != NULL)
-    ack.u.ack.view.out[ack.u.ack.view.n_out++]
-        = rgy_name_from_c (domain_out);
+    ack.u.ack.view.out[ack.u.ack.view.n_out++] = rgy_name_from_c (domain_out);
   send_message_ (f, &ack, BALANCER_IP);
 }
 
