Count and log requests that wait at the agent

Operators see how long requests waited for a slot, how many missed the latest start for their latency goal, and each one that was handed over without a free slot.

--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -249,6 +249,10 @@
                               if none.  */
 
   struct rgy_histogram *answer_time;
+  struct rgy_histogram *wait_time; /* Time for which a request waited for a
+                                      slot.  */
+  uint64_t *n_late;        /* Requests that missed their latest start.  */
+  uint64_t *n_handed_over; /* Requests handed over without a free slot.  */
   uint64_t *n_opened;
   uint64_t *n_refused[RGY_STREAM_REFUSAL_COUNT];
   uint64_t *n_returned;
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -18,6 +18,14 @@
       .name = "stream_probes_total",
       .help = "Segments of unknown flows delivered to find out whether the "
               "backend server serves the flow." },
+    { .value = &agent->n_late,
+      .name = "stream_requests_late_total",
+      .help = "Waiting requests that passed the latest start at which they "
+              "could meet their latency goal." },
+    { .value = &agent->n_handed_over,
+      .name = "stream_requests_handed_over_total",
+      .help = "Waiting requests given to the backend server without a free "
+              "slot." },
     { .value = &agent->n_stale_heartbeats,
       .name = "backend_heartbeats_stale_total",
       .help = "Heartbeats older than the last one processed." },
@@ -31,6 +39,9 @@
   agent->answer_time = rgy_counters_add_histogram (
       counters, "backend_answer_seconds",
       "Time from a caller's payload to the first payload that answers it.");
+  agent->wait_time = rgy_counters_add_histogram (
+      counters, "request_wait_seconds",
+      "Time for which a request waited at the agent for a slot.");
   for (i = 0; i < RGY_STREAM_REFUSAL_COUNT; i++)
     {
       char *label
--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -100,6 +100,8 @@
   struct rgy_agent_stream *stream = flow->session;
   guint i;
 
+  if (stream->request_state != REQUEST_NONE)
+    rgy_histogram_observe (agent->wait_time, now_us - stream->request_us);
   dequeue_ (agent, stream);
   enqueue_ (flow, &agent->running, REQUEST_RUNNING);
   stream->running_since_us = now_us;
@@ -174,6 +176,7 @@
       link = link->next;
       if (stream->due_us > now_us)
         return;
+      ++*agent->n_late;
       dequeue_ (agent, stream);
       enqueue_ (flow, &agent->late, REQUEST_WAITING_LATE);
     }
@@ -274,6 +277,28 @@
                               / LATENCY_SMOOTHING;
 }
 
+/* Hands a request over although no slot is free.  */
+static void
+hand_over_request_ (struct rgy_stream_agent *agent, struct rgy_flow *flow,
+                    int64_t now_us)
+{
+  const struct rgy_agent_stream *stream = flow->session;
+  char text[RGY_FLOW_TEXT_BYTES];
+
+  ++*agent->n_handed_over;
+  rgy_stream_emit_flow_log (
+      &agent->settings.out,
+      "request_handed_over flow=%s waited_ms=%" G_GINT64_FORMAT
+      " goal_ms=%" G_GINT64_FORMAT " running=%u on_time=%u late=%u slots=%u "
+      "stopping=%d",
+      rgy_flow_key_format (&flow->key, text),
+      (now_us - stream->request_us) / RGY_US_PER_MS,
+      stream->goal_us / RGY_US_PER_MS, agent->running.length,
+      agent->on_time.length, agent->late.length, agent->slots,
+      agent->stopping);
+  start_request_ (agent, flow, now_us);
+}
+
 void
 rgy_stream_agent_hand_over_requests_ (struct rgy_stream_agent *agent, bool all,
                                       int64_t now_us)
@@ -292,7 +317,7 @@
         if (!all
             && now_us - stream->request_us < MAX_WAIT_GOALS * stream->goal_us)
           break;
-        start_request_ (agent, flow, now_us);
+        hand_over_request_ (agent, flow, now_us);
       }
 }
 
