--- a/src/test_stream_agent_queue/test_stream_agent_queue.c
+++ b/src/test_stream_agent_queue/test_stream_agent_queue.c
@@ -17,7 +17,7 @@
 #define BALANCER_IP 0x0a010001U
 #define SLOTS 2
 /* The agent hands over one request more than there are slots.  */
-#define AT_BACKEND (SLOTS + 1)
+#define AT_BACKEND ((uint16_t)(SLOTS + 1))
 #define GOAL_US (120 * RGY_US_PER_MS)
 #define MAX_PORTS 64
 #define SEGMENT_BYTES 200
@@ -296,7 +296,7 @@
       request_ (f, port);
     }
   f->n_started = 0;
-  for (port = 4; port < 4 + AT_BACKEND; port++)
+  for (port = 4; port < (uint16_t)(4 + AT_BACKEND); port++)
     request_ (f, port);
   assert_int_equal (f->n_started, AT_BACKEND);
 }
@@ -313,7 +313,7 @@
     request_ (f, port);
   advance_time_ (f, 1100 * RGY_US_PER_MS);
   f->n_started = 0;
-  for (port = 11; port < 11 + AT_BACKEND; port++)
+  for (port = 11; port < (uint16_t)(11 + AT_BACKEND); port++)
     request_ (f, port);
   assert_int_equal (f->n_started, AT_BACKEND);
 }
