--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -595,19 +595,6 @@
   assert_int_equal (f->to_backend, 1);
 }
 
-/* A heartbeat of an earlier start that arrives after the next start's must not
-   replace it.  */
-static void
-heartbeat_of_an_earlier_start_is_ignored_ (void **state)
-{
-  struct fixture_ *f = *state;
-
-  send_heartbeat_ (f, "i-1", 5, 3, true);
-  assert_int_equal (send_heartbeat_ (f, "i-2", 9, 1, false), RGY_OK);
-  assert_int_equal (send_heartbeat_ (f, "i-1", 5, 4, true), RGY_ERR_STALE);
-  assert_int_equal (rgy_stream_agent_get_state (f->agent), RGY_BACKEND_READY);
-}
-
 int
 main (void)
 {
@@ -630,7 +617,6 @@
     WITH_AGENT (older_view_is_ignored_),
     WITH_AGENT (paused_agent_delivers_no_old_first_segment_),
     WITH_AGENT (heartbeat_after_deregistration_is_ignored_),
-    WITH_AGENT (heartbeat_of_an_earlier_start_is_ignored_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
