--- a/src/test_platform_head/test_platform_head.c
+++ b/src/test_platform_head/test_platform_head.c
@@ -119,6 +119,42 @@
   assert_memory_equal (out, syn_, sizeof syn_);
 }
 
+/* The latency goal shares a byte with the mark.  An agent that read one as the
+   other would return segments, or let requests wait for the wrong time; a goal
+   beyond the field must not wrap.  */
+static void
+goal_and_mark_share_a_byte_ (void **state)
+{
+  static const struct
+  {
+    int64_t sent_us;
+    int64_t read_us;
+  } goals[]
+      = { { 0, 0 },           { 9999, 0 },          { 120000, 120000 },
+          { 125000, 120000 }, { 1270000, 1270000 }, { 60000000, 1270000 } };
+  static const enum rgy_segment_mark marks[]
+      = { RGY_MARK_NONE, RGY_MARK_NOT_OWNED };
+  uint8_t out[RGY_PACKET_MAX_BYTES];
+  struct rgy_segment segment;
+  size_t i;
+  size_t m;
+
+  (void)state;
+  for (i = 0; i < sizeof goals / sizeof goals[0]; i++)
+    for (m = 0; m < 2; m++)
+      {
+        struct rgy_segment_trailer trail
+            = { .mark = marks[m], .goal_us = goals[i].sent_us };
+
+        rgy_packet_copy (make_bytes_ (syn_, sizeof syn_), &trail, out);
+        assert_int_equal (rgy_packet_decode (make_bytes_ (out, sizeof syn_),
+                                             false, &segment),
+                          RGY_OK);
+        assert_int_equal (segment.trail.goal_us, goals[i].read_us);
+        assert_int_equal (segment.trail.mark, marks[m]);
+      }
+}
+
 /* A truncated packet, or one with a wrong length field, must be rejected;
    otherwise the decoder reads beyond its end.  */
 static void
@@ -145,6 +181,7 @@
     cmocka_unit_test (reset_is_built_for_the_caller_),
     cmocka_unit_test (both_directions_share_a_flow_key_),
     cmocka_unit_test (copy_changes_only_the_trailer_),
+    cmocka_unit_test (goal_and_mark_share_a_byte_),
     cmocka_unit_test (wrong_lengths_are_rejected_),
   };
 
