--- /dev/null
+++ b/review/rig/main.c
@@ -0,0 +1,394 @@
+#include "rig.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Scenarios: each case of the review has one.  */
+
+/* Ports of the routes.  */
+#define ROUTE 443
+#define OTHER_ROUTE 8443
+#define N_NODES 4
+#define N_ZONES 3
+/* Routes that see no traffic.  */
+#define N_IDLE_ROUTES 110
+/* Time until all processes know each other, before traffic starts.  */
+#define WARM_UP_S 4.0
+/* Bounds of the pages, as in the sample settings.  */
+#define CONTACT_S 4.0
+#define CONFIG_APPLY_S 3.0
+#define DRAIN_S 3.0
+#define EVACUATE_S 5.0
+
+static const char *const zones_[] = { "poa-a", "poa-b", "cxs-c" };
+static const char services_[]
+    = "[{\"name\":\"huvo11a\",\"health_path\":\"/health\",\"max_conns\":2000,"
+      "\"protocol\":\"h1\",\"tls\":false,\"warmup_s\":2.0,"
+      "\"warmup_per_s\":0.0}]";
+
+static struct rig_process *agents_[RIG_MAX_HOSTS];
+
+static const char *
+get_zone_ (size_t i)
+{
+  return zones_[i % N_ZONES];
+}
+
+static void
+append_route_ (GString *routes, const char *name, const char *ip,
+               unsigned port, unsigned timeout_ms)
+{
+  g_string_append_printf (
+      routes,
+      "%s{\"name\":\"%s\",\"hostname\":\"%s\",\"prefix\":\"/%u/\","
+      "\"type\":\"unsafe\",\"timeout_ms\":%u,\"latency_goal_ms\":200,"
+      "\"priority\":1,\"service\":\"huvo11a\",\"attempts\":2}",
+      routes->len > 0 ? "," : "", name, ip, port, timeout_ms);
+}
+
+/* Writes a manifest with the route PORT, a time-out of the idle routes, and
+   N_IDLE of these.  */
+static void
+put_manifest_ (unsigned port, size_t n_idle, unsigned timeout_ms,
+               const char *note)
+{
+  GString *routes = g_string_new (NULL);
+  size_t i;
+
+  append_route_ (routes, "r-a3hwrr6", "198.18.0.1", port, 1500);
+  for (i = 0; i < n_idle; i++)
+    {
+      char *name = g_strdup_printf ("r-i%05zu", i);
+      char *ip = g_strdup_printf ("198.18.%zu.%zu", 1 + i / 250, 1 + i % 250);
+
+      append_route_ (routes, name, ip, 8080, timeout_ms);
+      g_free (ip);
+      g_free (name);
+    }
+  rig_put_manifest (routes->str, services_, note);
+  g_string_free (routes, TRUE);
+}
+
+/* Starts an agent and its host.  */
+static void
+start_host_ (size_t i, bool first)
+{
+  agents_[i] = rig_start_agent (i, get_zone_ (i), "huvo11a", first);
+  if (!first)
+    rig_run (0.3);
+  rig_host_start (i, "huvo11a", get_zone_ (i), 1, 0);
+}
+
+static void
+start_ (size_t n_hosts)
+{
+  size_t i;
+
+  rig_store_start ();
+  put_manifest_ (ROUTE, N_IDLE_ROUTES, 1500, "the first one");
+  for (i = 0; i < N_NODES; i++)
+    rig_start_node (i, get_zone_ (i), true);
+  for (i = 0; i < n_hosts; i++)
+    start_host_ (i, true);
+  rig_clients_start (N_NODES);
+  rig_run (WARM_UP_S);
+}
+
+static void
+record_counts_ (void)
+{
+  const struct rig_counts *c = &rig_counts;
+
+  rig_record ("flows begun=%u opened=%u refused=%u unopened=%u; requests "
+              "sent=%u answered=%u; open flows reset=%u with a request under "
+              "way=%u; foreign=%u",
+              c->begun, c->opened, c->refused, c->unopened, c->sent,
+              c->answered, c->resets, c->lost, c->foreign);
+  if (c->answered < c->sent / 2 || c->answered == 0)
+    rig_cannot_run ("fewer than half of the requests were answered");
+}
+
+/* Check of CONFIG: a manifest has replaced ROUTE by OTHER_ROUTE.  */
+
+static struct
+{
+  double acked_s;
+  double in_touch_s; /* All machines are in touch from then on.  */
+  unsigned n_dropped;
+  unsigned n_refused;
+} change_;
+
+/* True if a flow that a client began must be handled by the new manifest.  */
+static bool
+is_bound_ (double sent_s)
+{
+  return change_.acked_s > 0 && sent_s > change_.acked_s + CONFIG_APPLY_S
+         && sent_s > change_.in_touch_s;
+}
+
+static void
+check_dropped_route_ (const struct rig_arrival *arrival)
+{
+  if (arrival->route_port != ROUTE || !is_bound_ (arrival->sent_s))
+    return;
+  change_.n_dropped++;
+  rig_record ("BROKEN CONFIG: host=%zu took a flow on the dropped route, "
+              "sent %.3f s after the ack of the manifest",
+              arrival->host, arrival->sent_s - change_.acked_s);
+}
+
+static void
+check_refusal_ (uint16_t route_port, double sent_s)
+{
+  if (route_port != OTHER_ROUTE || !is_bound_ (sent_s))
+    return;
+  change_.n_refused++;
+  rig_record ("BROKEN CONFIG: a flow on the added route was refused, sent "
+              "%.3f s after the ack of the manifest",
+              sent_s - change_.acked_s);
+}
+
+/* Replaces the route, and plays the rest of the run.  */
+static void
+replace_route_ (size_t n_idle, double rest_s)
+{
+  put_manifest_ (OTHER_ROUTE, n_idle, 1500, "route 443 dropped, 8443 added");
+  change_.acked_s = rig_now ();
+  rig_open_flows (OTHER_ROUTE, 10, rig_now () + rest_s - 3, 2, 0.2);
+  rig_run (rest_s);
+  rig_store_record_losses ();
+  record_counts_ ();
+  rig_record ("after the bound: flows run on the dropped route: %u, flows "
+              "refused on the added route: %u",
+              change_.n_dropped, change_.n_refused);
+}
+
+static bool
+has_broken_config_ (void)
+{
+  return change_.n_dropped > 0 || change_.n_refused > 0;
+}
+
+/* large-manifest: a large manifest changes in quick succession.  Afterwards a
+   route is replaced, and a zone is evacuated.  */
+
+#define EVACUATED_ZONE "poa-b"
+
+#define BIG_STEPS 4
+#define BIG_ROUTES 1360
+#define FAST_CHANGES 25
+#define FAST_GAP_S 0.06
+
+static double evacuated_s_; /* Time of the ack; 0 if none.  */
+static unsigned n_evacuated_;
+
+static void
+check_evacuation_ (const struct rig_arrival *arrival)
+{
+  check_dropped_route_ (arrival);
+  if (evacuated_s_ <= 0 || arrival->arrived_s < evacuated_s_ + EVACUATE_S
+      || strcmp (rig_hosts[arrival->host].zone, EVACUATED_ZONE) != 0)
+    return;
+  n_evacuated_++;
+  rig_record ("BROKEN EVAC: host=%zu got a new flow %.3f s after the ack of "
+              "the evacuation of its zone",
+              arrival->host, arrival->arrived_s - evacuated_s_);
+}
+
+static void
+run_large_manifest_ (void)
+{
+  size_t n_idle = N_IDLE_ROUTES;
+  int i;
+
+  rig_on_arrival = check_evacuation_;
+  rig_on_refusal = check_refusal_;
+  start_ (5);
+  rig_open_flows (ROUTE, 30, rig_now () + 40, 2, 0.2);
+  rig_run (2);
+  for (i = 0; i < BIG_STEPS; i++)
+    {
+      n_idle += BIG_ROUTES;
+      put_manifest_ (ROUTE, n_idle, 1500, "more routes");
+      rig_run (2);
+    }
+  for (i = 0; rig_has_trouble () && i < FAST_CHANGES; i++)
+    {
+      put_manifest_ (ROUTE, n_idle, 1600 + (unsigned)i, "another time-out");
+      rig_run (FAST_GAP_S);
+    }
+  rig_run (2);
+  rig_store_put ("op/evacuate/" EVACUATED_ZONE, "{}");
+  evacuated_s_ = rig_now ();
+  rig_record ("evacuation of " EVACUATED_ZONE " acknowledged");
+  replace_route_ (n_idle, 30);
+  rig_record ("new flows at hosts of the evacuated zone: %u", n_evacuated_);
+  rig_finish (has_broken_config_ () || n_evacuated_ > 0);
+}
+
+/* lost-answers: the store loses answers while manifests come; a later manifest
+   isn't applied.  */
+
+#define LOST_SHARE 0.35
+#define LOST_S 2.6
+#define STORM_GAP_S 0.26
+#define STORM_CHANGES 10
+
+static void
+run_lost_answers_ (void)
+{
+  int i;
+
+  rig_on_arrival = check_dropped_route_;
+  rig_on_refusal = check_refusal_;
+  start_ (5);
+  rig_open_flows (ROUTE, 30, rig_now () + 24, 2, 0.2);
+  rig_run (3);
+  put_manifest_ (ROUTE, N_IDLE_ROUTES, 1600, "another time-out");
+  rig_run (0.3);
+  rig_store_record_losses ();
+  if (rig_has_trouble ())
+    {
+      rig_record ("store begins to lose answers share=%.2f", LOST_SHARE);
+      rig_store_lose_answers (LOST_SHARE);
+    }
+  for (i = 0; i < STORM_CHANGES; i++)
+    {
+      put_manifest_ (ROUTE, N_IDLE_ROUTES, 1700 + (unsigned)i,
+                     "another time-out");
+      rig_run (STORM_GAP_S);
+    }
+  rig_store_lose_answers (0);
+  rig_record ("store answers all calls again, after %.1f s", LOST_S);
+  rig_store_record_losses ();
+  rig_run (CONTACT_S + 0.1);
+  change_.in_touch_s = rig_now ();
+  rig_record ("all machines are in touch");
+  replace_route_ (N_IDLE_ROUTES, 14);
+  rig_finish (has_broken_config_ ());
+}
+
+/* other-writer: a heartbeat without an address arrives from another writer. */
+
+static unsigned n_late_drain_;
+
+static void
+check_draining_ (const struct rig_arrival *arrival)
+{
+  const struct rig_host *host = &rig_hosts[arrival->host];
+
+  if (host->drain_acked_s <= 0
+      || arrival->arrived_s < host->drain_acked_s + DRAIN_S)
+    return;
+  n_late_drain_++;
+  rig_record ("BROKEN DRAIN: host=%zu got a new flow %.3f s after the ack of "
+              "draining",
+              arrival->host, arrival->arrived_s - host->drain_acked_s);
+}
+
+static void
+on_other_answer_ (unsigned status, void *ctx)
+{
+  (void)ctx;
+  rig_record ("the other writer's heartbeat was answered with %u", status);
+}
+
+static void
+record_wrong_reset_ (const struct rig_host *host, double opened_s)
+{
+  rig_record ("BROKEN FLOW: the system reset a flow of host=%zu, open for "
+              "%.3f s, which the host serves",
+              host->index, rig_now () - opened_s);
+}
+
+static void
+run_other_writer_ (void)
+{
+  char *body;
+
+  rig_on_arrival = check_draining_;
+  rig_on_wrong_reset = record_wrong_reset_;
+  start_ (4);
+  rig_open_flows (ROUTE, 20, rig_now () + 24, 20, 0.4);
+  rig_run (6);
+  if (rig_has_trouble ())
+    {
+      body = g_strdup_printf (
+          "{\"service\":\"huvo11a\",\"zone\":\"%s\",\"version\":2,"
+          "\"concurrency\":4,\"state\":\"ready\",\"warmup_left_ms\":0,"
+          "\"seq\":1,\"born\":%" G_GINT64_FORMAT "}",
+          get_zone_ (0), g_get_real_time () / 1000);
+      rig_record ("another writer sends to the agent of host=0: %s", body);
+      rig_http_call (rig_host_ip (0), rig_port (RIG_PORT_CONTROL), "POST",
+                     "/instances/i-other/heartbeat", body, 1000,
+                     on_other_answer_, NULL);
+      g_free (body);
+    }
+  rig_run (8);
+  rig_host_drain (0);
+  rig_run (10);
+  record_counts_ ();
+  rig_record ("open flows reset: %u, new flows at a draining host: %u",
+              rig_counts.resets, n_late_drain_);
+  rig_finish (rig_counts.resets > 0 || n_late_drain_ > 0);
+}
+
+/* young-host: the agents beside hosts that have just started are stopped and
+   started in turn.  */
+
+#define COUNTING_HOST 3 /* Counts its heartbeats from 0.  */
+#define LATE_HOST 4     /* Sends the first one after an interval.  */
+
+static void
+run_young_host_ (void)
+{
+  rig_on_wrong_reset = record_wrong_reset_;
+  start_ (3);
+  rig_open_flows (ROUTE, 40, rig_now () + 16, 6, 2.0);
+  rig_run (2);
+  agents_[COUNTING_HOST]
+      = rig_start_agent (COUNTING_HOST, get_zone_ (0), "huvo11a", false);
+  rig_run (0.3);
+  rig_host_start (COUNTING_HOST, "huvo11a", get_zone_ (0), 0, 0);
+  rig_run (0.5);
+  if (rig_has_trouble ())
+    rig_restart (agents_[COUNTING_HOST], 0.3);
+  rig_run (5);
+  agents_[LATE_HOST]
+      = rig_start_agent (LATE_HOST, get_zone_ (1), "huvo11a", false);
+  rig_run (0.3);
+  rig_host_start (LATE_HOST, "huvo11a", get_zone_ (1), 1, 1.2);
+  rig_run (0.5);
+  if (rig_has_trouble ())
+    rig_restart (agents_[LATE_HOST], 0.3);
+  rig_run (14);
+  record_counts_ ();
+  rig_finish (rig_counts.resets > 0);
+}
+
+struct scenario_
+{
+  const char *name;
+  void (*run) (void);
+};
+
+int
+main (int argc, char **argv)
+{
+  static const struct scenario_ scenarios[]
+      = { { "large-manifest", run_large_manifest_ },
+          { "lost-answers", run_lost_answers_ },
+          { "other-writer", run_other_writer_ },
+          { "young-host", run_young_host_ } };
+  size_t i;
+
+  if (argc == 3)
+    for (i = 0; i < G_N_ELEMENTS (scenarios); i++)
+      if (strcmp (argv[1], scenarios[i].name) == 0)
+        {
+          rig_init (argv[2]);
+          scenarios[i].run ();
+        }
+  fputs ("usage: rig SCENARIO RECORD\n", stderr);
+  return 2;
+}
