--- a/review/rig/client.c
+++ b/review/rig/client.c
@@ -35,6 +35,7 @@
   double opened_s;
   bool open;
   bool done;
+  bool forget;   /* The client forgets the flow instead of closing it.  */
   char *request; /* Not answered yet.  */
   unsigned request_number;
   unsigned retries;
@@ -185,25 +186,51 @@
   return G_SOURCE_REMOVE;
 }
 
-void
-rig_open_flow (uint16_t route_port, unsigned requests, double pause_s)
+static void
+begin_ (struct flow_ *flow, uint16_t route_port, unsigned requests,
+        double pause_s)
 {
-  struct flow_ *flow = g_new0 (struct flow_, 1);
-
-  flow->port = (uint16_t)(FIRST_PORT + flows_->len);
   flow->route_port = route_port;
   flow->first_seq = g_random_int ();
   flow->next_seq = flow->first_seq + 1;
   flow->requests = requests;
   flow->pause_s = pause_s;
   flow->begun_s = rig_now ();
-  g_ptr_array_add (flows_, flow);
   rig_counts.begun++;
   rig_record ("begin flow=%u route=%u", flow->port, route_port);
   send_on_flow_ (flow, RIG_SYN, flow->first_seq, 0, NULL);
   flow->timer = g_timeout_add (copy_ms_[0], on_copy_due_, flow);
 }
 
+uint16_t
+rig_open_flow (uint16_t route_port, unsigned requests, double pause_s)
+{
+  struct flow_ *flow = g_new0 (struct flow_, 1);
+
+  flow->port = (uint16_t)(FIRST_PORT + flows_->len);
+  g_ptr_array_add (flows_, flow);
+  begin_ (flow, route_port, requests, pause_s);
+  return flow->port;
+}
+
+void
+rig_forget_flow (uint16_t port)
+{
+  ((struct flow_ *)g_ptr_array_index (flows_, port - FIRST_PORT))->forget
+      = true;
+}
+
+void
+rig_reuse_port (uint16_t port, unsigned requests, double pause_s)
+{
+  struct flow_ *flow = g_ptr_array_index (flows_, port - FIRST_PORT);
+  uint16_t route_port = flow->route_port;
+
+  end_flow_ (flow);
+  *flow = (struct flow_){ .port = port };
+  begin_ (flow, route_port, requests, pause_s);
+}
+
 double
 rig_flow_sent_s (uint16_t port)
 {
@@ -294,8 +321,8 @@
       flow->timer = 0;
       if (flow->request_number == flow->requests)
         {
-          send_on_flow_ (flow, RIG_FIN | RIG_ACK, flow->next_seq,
-                         flow->service_next, NULL);
+          send_on_flow_ (flow, flow->forget ? RIG_ACK : RIG_FIN | RIG_ACK,
+                         flow->next_seq, flow->service_next, NULL);
           end_flow_ (flow);
         }
       else
--- a/review/rig/host.c
+++ b/review/rig/host.c
@@ -12,6 +12,10 @@
 #define RETRY_MS 200
 #define MAX_RETRY_MS 1600
 #define MAX_RETRIES 8
+/* Time after which a host discards an idle flow: `idle_timeout_ms` of the
+   manifests.  */
+#define IDLE_S 15.0
+#define IDLE_CHECK_MS 100
 
 /* A flow at a host.  */
 struct host_flow_
@@ -27,6 +31,7 @@
   char *answer;  /* Not acknowledged yet.  */
   unsigned retries;
   guint timer;
+  double active_s; /* Time of the last packet.  */
 };
 
 struct rig_host rig_hosts[RIG_MAX_HOSTS];
@@ -151,9 +156,27 @@
       if (rig_on_arrival != NULL)
         rig_on_arrival (&arrival);
     }
+  flow->active_s = rig_now ();
   send_on_flow_ (flow, RIG_SYN | RIG_ACK, flow->first_seq, NULL);
 }
 
+static gboolean
+is_idle_ (gpointer key, gpointer value, gpointer data)
+{
+  (void)key;
+  (void)data;
+  return rig_now () - ((struct host_flow_ *)value)->active_s > IDLE_S;
+}
+
+static gboolean
+on_idle_timer_ (gpointer data)
+{
+  struct rig_host *host = data;
+
+  g_hash_table_foreach_remove (host->flows, is_idle_, NULL);
+  return G_SOURCE_CONTINUE;
+}
+
 /* Takes data of a caller: a request, or a repetition of one.  */
 static void
 take_data_ (struct host_flow_ *flow, const struct rig_packet *packet)
@@ -181,6 +204,7 @@
       return;
     }
   flow->open = true;
+  flow->active_s = rig_now ();
   if (flow->answer != NULL && packet->ack == flow->next_seq)
     {
       g_clear_pointer (&flow->answer, g_free);
@@ -319,6 +343,7 @@
     rig_cannot_run ("cannot bind a host");
   g_unix_fd_add (host->udp, G_IO_IN, on_packet_, host);
   rig_http_listen (rig_host_ip (i), rig_port (RIG_PORT_APP), on_health_);
+  g_timeout_add (IDLE_CHECK_MS, on_idle_timer_, host);
   rig_record ("start host=%zu service=%s zone=%s", i, service, zone);
   g_timeout_add ((guint)(first_beat_s * 1e3), on_first_beat_, host);
 }
--- a/review/rig/main.c
+++ b/review/rig/main.c
@@ -21,10 +21,16 @@
 #define EVACUATE_S 5.0
 
 static const char *const zones_[] = { "poa-a", "poa-b", "cxs-c" };
+#define SERVICE "huvo11a"
+#define OTHER_SERVICE "wuno96b"
+#define SERVICE_JSON(name)                                                    \
+  "{\"name\":\"" name "\",\"health_path\":\"/health\",\"max_conns\":2000,"    \
+  "\"protocol\":\"h1\",\"tls\":false,\"warmup_s\":2.0,\"warmup_per_s\":0.0}"
 static const char services_[]
-    = "[{\"name\":\"huvo11a\",\"health_path\":\"/health\",\"max_conns\":2000,"
-      "\"protocol\":\"h1\",\"tls\":false,\"warmup_s\":2.0,"
-      "\"warmup_per_s\":0.0}]";
+    = "[" SERVICE_JSON (SERVICE) "," SERVICE_JSON (OTHER_SERVICE) "]";
+
+/* Service of the route that sees traffic.  */
+static const char *route_service_ = SERVICE;
 
 static struct rig_process *agents_[RIG_MAX_HOSTS];
 
@@ -36,14 +42,14 @@
 
 static void
 append_route_ (GString *routes, const char *name, const char *ip,
-               unsigned port, unsigned timeout_ms)
+               unsigned port, unsigned timeout_ms, const char *service)
 {
   g_string_append_printf (
       routes,
       "%s{\"name\":\"%s\",\"hostname\":\"%s\",\"prefix\":\"/%u/\","
       "\"type\":\"unsafe\",\"timeout_ms\":%u,\"latency_goal_ms\":200,"
-      "\"priority\":1,\"service\":\"huvo11a\",\"attempts\":2}",
-      routes->len > 0 ? "," : "", name, ip, port, timeout_ms);
+      "\"priority\":1,\"service\":\"%s\",\"attempts\":2}",
+      routes->len > 0 ? "," : "", name, ip, port, timeout_ms, service);
 }
 
 /* Writes a manifest with the route PORT, a time-out of the idle routes, and
@@ -55,13 +61,14 @@
   GString *routes = g_string_new (NULL);
   size_t i;
 
-  append_route_ (routes, "r-a3hwrr6", "198.18.0.1", port, 1500);
+  append_route_ (routes, "r-a3hwrr6", "198.18.0.1", port, 1500,
+                 route_service_);
   for (i = 0; i < n_idle; i++)
     {
       char *name = g_strdup_printf ("r-i%05zu", i);
       char *ip = g_strdup_printf ("198.18.%zu.%zu", 1 + i / 250, 1 + i % 250);
 
-      append_route_ (routes, name, ip, 8080, timeout_ms);
+      append_route_ (routes, name, ip, 8080, timeout_ms, SERVICE);
       g_free (ip);
       g_free (name);
     }
@@ -71,16 +78,14 @@
 
 /* Starts an agent and its host.  */
 static void
-start_host_ (size_t i, bool first)
+start_host_ (size_t i, const char *service)
 {
-  agents_[i] = rig_start_agent (i, get_zone_ (i), "huvo11a", first);
-  if (!first)
-    rig_run (0.3);
-  rig_host_start (i, "huvo11a", get_zone_ (i), 1, 0);
+  agents_[i] = rig_start_agent (i, get_zone_ (i), service, true);
+  rig_host_start (i, service, get_zone_ (i), 1, 0);
 }
 
 static void
-start_ (size_t n_hosts)
+start_ (size_t n_hosts, size_t n_other_hosts)
 {
   size_t i;
 
@@ -88,8 +93,8 @@
   put_manifest_ (ROUTE, N_IDLE_ROUTES, 1500, "the first one");
   for (i = 0; i < N_NODES; i++)
     rig_start_node (i, get_zone_ (i), true);
-  for (i = 0; i < n_hosts; i++)
-    start_host_ (i, true);
+  for (i = 0; i < n_hosts + n_other_hosts; i++)
+    start_host_ (i, i < n_hosts ? SERVICE : OTHER_SERVICE);
   rig_clients_start (N_NODES);
   rig_run (WARM_UP_S);
 }
@@ -174,8 +179,9 @@
 
 #define EVACUATED_ZONE "poa-b"
 
-#define BIG_STEPS 4
-#define BIG_ROUTES 1360
+#define BIG_STEPS 16
+#define BIG_ROUTES 340
+#define BIG_GAP_S 0.5
 #define FAST_CHANGES 25
 #define FAST_GAP_S 0.06
 
@@ -199,23 +205,25 @@
 run_large_manifest_ (void)
 {
   size_t n_idle = N_IDLE_ROUTES;
+  double storm_s;
   int i;
 
   rig_on_arrival = check_evacuation_;
   rig_on_refusal = check_refusal_;
-  start_ (5);
+  start_ (5, 0);
   rig_open_flows (ROUTE, 30, rig_now () + 40, 2, 0.2);
   rig_run (2);
   for (i = 0; i < BIG_STEPS; i++)
     {
       n_idle += BIG_ROUTES;
       put_manifest_ (ROUTE, n_idle, 1500, "more routes");
-      rig_run (2);
+      rig_run (BIG_GAP_S);
     }
+  storm_s = rig_now ();
   for (i = 0; rig_has_trouble () && i < FAST_CHANGES; i++)
     {
       put_manifest_ (ROUTE, n_idle, 1600 + (unsigned)i, "another time-out");
-      rig_run (FAST_GAP_S);
+      rig_run (MAX (storm_s + (i + 1) * FAST_GAP_S - rig_now (), 0));
     }
   rig_run (2);
   rig_store_put ("op/evacuate/" EVACUATED_ZONE, "{}");
@@ -241,7 +249,7 @@
 
   rig_on_arrival = check_dropped_route_;
   rig_on_refusal = check_refusal_;
-  start_ (5);
+  start_ (5, 0);
   rig_open_flows (ROUTE, 30, rig_now () + 24, 2, 0.2);
   rig_run (3);
   put_manifest_ (ROUTE, N_IDLE_ROUTES, 1600, "another time-out");
@@ -308,7 +316,7 @@
 
   rig_on_arrival = check_draining_;
   rig_on_wrong_reset = record_wrong_reset_;
-  start_ (4);
+  start_ (4, 0);
   rig_open_flows (ROUTE, 20, rig_now () + 24, 20, 0.4);
   rig_run (6);
   if (rig_has_trouble ())
@@ -343,21 +351,21 @@
 run_young_host_ (void)
 {
   rig_on_wrong_reset = record_wrong_reset_;
-  start_ (3);
+  start_ (3, 0);
   rig_open_flows (ROUTE, 40, rig_now () + 16, 6, 2.0);
   rig_run (2);
   agents_[COUNTING_HOST]
-      = rig_start_agent (COUNTING_HOST, get_zone_ (0), "huvo11a", false);
+      = rig_start_agent (COUNTING_HOST, get_zone_ (0), SERVICE, false);
   rig_run (0.3);
-  rig_host_start (COUNTING_HOST, "huvo11a", get_zone_ (0), 0, 0);
+  rig_host_start (COUNTING_HOST, SERVICE, get_zone_ (0), 0, 0);
   rig_run (0.5);
   if (rig_has_trouble ())
     rig_restart (agents_[COUNTING_HOST], 0.3);
   rig_run (5);
   agents_[LATE_HOST]
-      = rig_start_agent (LATE_HOST, get_zone_ (1), "huvo11a", false);
+      = rig_start_agent (LATE_HOST, get_zone_ (1), SERVICE, false);
   rig_run (0.3);
-  rig_host_start (LATE_HOST, "huvo11a", get_zone_ (1), 1, 1.2);
+  rig_host_start (LATE_HOST, SERVICE, get_zone_ (1), 1, 1.2);
   rig_run (0.5);
   if (rig_has_trouble ())
     rig_restart (agents_[LATE_HOST], 0.3);
@@ -366,6 +374,69 @@
   rig_finish (rig_counts.resets > 0);
 }
 
+/* reused-port: clients open flows from ports whose earlier flows lie idle for
+   longer than the idle timeout, after the route has moved to another
+   service.  */
+
+#define N_FORGOTTEN 60
+/* Pause before the ports are used again; longer than the idle timeout.  */
+#define IDLE_PAUSE_S 17.0
+/* Time from the ack of the manifest until then.  */
+#define AFTER_MANIFEST_S 8.0
+
+static unsigned n_old_service_;
+
+static void
+check_service_ (const struct rig_arrival *arrival)
+{
+  const char *service = rig_hosts[arrival->host].service;
+
+  if (!is_bound_ (arrival->sent_s) || strcmp (service, SERVICE) != 0)
+    return;
+  n_old_service_++;
+  rig_record ("BROKEN CONFIG: host=%zu of the old service took a flow, sent "
+              "%.3f s after the ack of the manifest",
+              arrival->host, arrival->sent_s - change_.acked_s);
+}
+
+static void
+run_reused_port_ (void)
+{
+  uint16_t ports[N_FORGOTTEN];
+  size_t i;
+
+  rig_on_arrival = check_service_;
+  start_ (3, 2);
+  rig_open_flows (ROUTE, 20, rig_now () + 30, 2, 0.2);
+  rig_run (1);
+  for (i = 0; i < N_FORGOTTEN; i++)
+    {
+      ports[i] = rig_open_flow (ROUTE, 2, 0.2);
+      rig_forget_flow (ports[i]);
+      rig_run (0.02);
+    }
+  rig_run (IDLE_PAUSE_S - AFTER_MANIFEST_S);
+  if (rig_has_trouble ())
+    {
+      route_service_ = OTHER_SERVICE;
+      put_manifest_ (ROUTE, N_IDLE_ROUTES, 1500,
+                     "route 443 goes to " OTHER_SERVICE);
+      change_.acked_s = rig_now ();
+    }
+  rig_run (AFTER_MANIFEST_S);
+  rig_record ("ports of idle flows are used again");
+  for (i = 0; i < N_FORGOTTEN; i++)
+    {
+      rig_reuse_port (ports[i], 2, 0.2);
+      rig_run (0.02);
+    }
+  rig_run (3);
+  record_counts_ ();
+  rig_record ("flows run by the old service after the bound: %u",
+              n_old_service_);
+  rig_finish (n_old_service_ > 0);
+}
+
 struct scenario_
 {
   const char *name;
@@ -379,7 +450,8 @@
       = { { "large-manifest", run_large_manifest_ },
           { "lost-answers", run_lost_answers_ },
           { "other-writer", run_other_writer_ },
-          { "young-host", run_young_host_ } };
+          { "young-host", run_young_host_ },
+          { "reused-port", run_reused_port_ } };
   size_t i;
 
   if (argc == 3)
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -171,8 +171,14 @@
 /** Use COUNT nodes, of which the node I is in zone I % 3, and route packets
     to them.  */
 void rig_clients_start (size_t n_nodes);
-/** Open a flow that sends REQUESTS requests with a pause between them.  */
-void rig_open_flow (uint16_t route_port, unsigned requests, double pause_s);
+/** Open a flow that sends REQUESTS requests with a pause between them.
+    @return its port.  */
+uint16_t rig_open_flow (uint16_t route_port, unsigned requests,
+                        double pause_s);
+/** After its last answer, let a flow lie idle instead of closing it.  */
+void rig_forget_flow (uint16_t port);
+/** Open another flow from the port of a flow that was forgotten.  */
+void rig_reuse_port (uint16_t port, unsigned requests, double pause_s);
 /** Open flows at a rate until the time.  */
 void rig_open_flows (uint16_t route_port, double per_s, double until_s,
                      unsigned requests, double pause_s);
