--- a/review/rig/host.c
+++ b/review/rig/host.c
@@ -320,7 +320,7 @@
   struct rig_host *host = data;
 
   on_beat_timer_ (host);
-  g_timeout_add (HEARTBEAT_MS, on_beat_timer_, host);
+  host->beat_timer = g_timeout_add (HEARTBEAT_MS, on_beat_timer_, host);
   return G_SOURCE_REMOVE;
 }
 
@@ -341,11 +341,13 @@
   host->udp = rig_bind (SOCK_DGRAM, rig_host_ip (i), rig_port (RIG_PORT_APP));
   if (host->udp < 0)
     rig_cannot_run ("cannot bind a host");
-  g_unix_fd_add (host->udp, G_IO_IN, on_packet_, host);
-  rig_http_listen (rig_host_ip (i), rig_port (RIG_PORT_APP), on_health_);
-  g_timeout_add (IDLE_CHECK_MS, on_idle_timer_, host);
+  host->udp_watch = g_unix_fd_add (host->udp, G_IO_IN, on_packet_, host);
+  host->health
+      = rig_http_listen (rig_host_ip (i), rig_port (RIG_PORT_APP), on_health_);
+  host->idle_timer = g_timeout_add (IDLE_CHECK_MS, on_idle_timer_, host);
   rig_record ("start host=%zu service=%s zone=%s", i, service, zone);
-  g_timeout_add ((guint)(first_beat_s * 1e3), on_first_beat_, host);
+  host->beat_timer
+      = g_timeout_add ((guint)(first_beat_s * 1e3), on_first_beat_, host);
 }
 
 void
@@ -356,6 +358,21 @@
   on_beat_timer_ (&rig_hosts[i]);
 }
 
+void
+rig_host_crash (size_t i)
+{
+  struct rig_host *host = &rig_hosts[i];
+
+  rig_record ("crash host=%zu", i);
+  host->alive = false;
+  g_source_remove (host->udp_watch);
+  g_source_remove (host->beat_timer);
+  g_source_remove (host->idle_timer);
+  close (host->udp);
+  rig_http_stop (host->health);
+  g_hash_table_unref (host->flows);
+}
+
 struct rig_host *
 rig_host_of_flow (uint16_t caller_port, uint32_t service_seq)
 {
--- a/review/rig/http.c
+++ b/review/rig/http.c
@@ -17,6 +17,7 @@
 struct listener_
 {
   rig_request_fn fn;
+  guint watch;
   int fd;
 };
 
@@ -32,6 +33,8 @@
   void (*on_close) (struct rig_connection *connection);
 };
 
+static GPtrArray *listeners_; /* struct listener_, owned.  */
+
 static void
 close_connection_ (struct rig_connection *c)
 {
@@ -189,7 +192,7 @@
   return G_SOURCE_CONTINUE;
 }
 
-void
+int
 rig_http_listen (uint32_t ip, uint16_t port, rig_request_fn fn)
 {
   struct listener_ *listener = g_new0 (struct listener_, 1);
@@ -198,7 +201,30 @@
   if (listener->fd < 0 || listen (listener->fd, BACKLOG) != 0)
     rig_cannot_run ("cannot listen");
   listener->fn = fn;
-  g_unix_fd_add (listener->fd, G_IO_IN, on_connection_, listener);
+  listener->watch
+      = g_unix_fd_add (listener->fd, G_IO_IN, on_connection_, listener);
+  if (listeners_ == NULL)
+    listeners_ = g_ptr_array_new ();
+  g_ptr_array_add (listeners_, listener);
+  return listener->fd;
+}
+
+void
+rig_http_stop (int descriptor)
+{
+  guint i;
+
+  for (i = 0; i < listeners_->len; i++)
+    {
+      struct listener_ *listener = g_ptr_array_index (listeners_, i);
+
+      if (listener->fd != descriptor)
+        continue;
+      g_source_remove (listener->watch);
+      close (listener->fd);
+      listener->fd = -1;
+      return;
+    }
 }
 
 /* Client: one call on a connection of its own.  */
--- a/review/rig/loop.c
+++ b/review/rig/loop.c
@@ -148,7 +148,7 @@
   int i;
 
   started_us_ = g_get_monotonic_time ();
-  record_ = fopen (record_path, "w");
+  record_ = fopen (record_path, "a");
   if (record_ == NULL)
     {
       perror (record_path);
--- a/review/rig/main.c
+++ b/review/rig/main.c
@@ -161,7 +161,6 @@
   change_.acked_s = rig_now ();
   rig_open_flows (OTHER_ROUTE, 10, rig_now () + rest_s - 3, 2, 0.2);
   rig_run (rest_s);
-  rig_store_record_losses ();
   record_counts_ ();
   rig_record ("after the bound: flows run on the dropped route: %u, flows "
               "refused on the added route: %u",
@@ -234,46 +233,38 @@
   rig_finish (has_broken_config_ () || n_evacuated_ > 0);
 }
 
-/* lost-answers: the store loses answers while manifests come; a later manifest
-   isn't applied.  */
+/* silent-store: the store is down for a while; a manifest and an evacuation
+   that come when it is back aren't applied.  */
 
-#define LOST_SHARE 0.35
-#define LOST_S 2.6
-#define STORM_GAP_S 0.26
-#define STORM_CHANGES 10
+/* Time from a change until the store goes down: shortly before the watches
+   that began with the change end.  */
+#define BEFORE_DOWN_S 9.5
+#define DOWN_S 4.5
 
 static void
-run_lost_answers_ (void)
+run_silent_store_ (void)
 {
-  int i;
-
-  rig_on_arrival = check_dropped_route_;
+  rig_on_arrival = check_evacuation_;
   rig_on_refusal = check_refusal_;
   start_ (5, 0);
-  rig_open_flows (ROUTE, 30, rig_now () + 24, 2, 0.2);
-  rig_run (3);
+  rig_open_flows (ROUTE, 30, rig_now () + 40, 2, 0.2);
   put_manifest_ (ROUTE, N_IDLE_ROUTES, 1600, "another time-out");
-  rig_run (0.3);
-  rig_store_record_losses ();
+  rig_run (BEFORE_DOWN_S);
   if (rig_has_trouble ())
-    {
-      rig_record ("store begins to lose answers share=%.2f", LOST_SHARE);
-      rig_store_lose_answers (LOST_SHARE);
-    }
-  for (i = 0; i < STORM_CHANGES; i++)
-    {
-      put_manifest_ (ROUTE, N_IDLE_ROUTES, 1700 + (unsigned)i,
-                     "another time-out");
-      rig_run (STORM_GAP_S);
-    }
-  rig_store_lose_answers (0);
-  rig_record ("store answers all calls again, after %.1f s", LOST_S);
-  rig_store_record_losses ();
-  rig_run (CONTACT_S + 0.1);
-  change_.in_touch_s = rig_now ();
+    rig_store_set_silent (true);
+  rig_run (DOWN_S);
+  if (rig_has_trouble ())
+    rig_store_set_silent (false);
+  change_.in_touch_s = rig_now () + CONTACT_S;
+  rig_run (0.2);
+  rig_store_put ("op/evacuate/" EVACUATED_ZONE, "{}");
+  evacuated_s_ = rig_now ();
+  rig_record ("evacuation of " EVACUATED_ZONE " acknowledged");
+  rig_run (CONTACT_S);
   rig_record ("all machines are in touch");
   replace_route_ (N_IDLE_ROUTES, 14);
-  rig_finish (has_broken_config_ ());
+  rig_record ("new flows at hosts of the evacuated zone: %u", n_evacuated_);
+  rig_finish (has_broken_config_ () || n_evacuated_ > 0);
 }
 
 /* other-writer: a heartbeat without an address arrives from another writer. */
@@ -437,6 +428,70 @@
   rig_finish (n_old_service_ > 0);
 }
 
+/* reused-address: the address of a host goes to another service; clients open
+   flows from ports whose earlier flows lie idle for longer than the idle
+   timeout.  */
+
+#define LOST_HOST 0
+/* Pause until an address is used again.  */
+#define REUSE_DELAY_S 2.5
+#define REUSED_AFTER_S 6.0
+
+static unsigned n_other_service_;
+
+static void
+check_route_ (const struct rig_arrival *arrival)
+{
+  if (strcmp (rig_hosts[arrival->host].service, SERVICE) == 0)
+    return;
+  n_other_service_++;
+  rig_record ("BROKEN ROUTE: host=%zu of service %s took a flow that no "
+              "manifest lets go there",
+              arrival->host, rig_hosts[arrival->host].service);
+}
+
+static void
+run_reused_address_ (void)
+{
+  uint16_t ports[N_FORGOTTEN];
+  size_t i;
+
+  rig_on_arrival = check_route_;
+  start_ (3, 2);
+  rig_open_flows (ROUTE, 20, rig_now () + 30, 2, 0.2);
+  rig_run (1);
+  for (i = 0; i < N_FORGOTTEN; i++)
+    {
+      ports[i] = rig_open_flow (ROUTE, 2, 0.2);
+      rig_forget_flow (ports[i]);
+      rig_run (0.02);
+    }
+  rig_run (IDLE_PAUSE_S - REUSE_DELAY_S - REUSED_AFTER_S);
+  if (rig_has_trouble ())
+    {
+      rig_host_crash (LOST_HOST);
+      rig_kill (agents_[LOST_HOST]);
+      rig_run (REUSE_DELAY_S);
+      /* The host sends its first heartbeat before the agent listens.  */
+      rig_host_start (LOST_HOST, OTHER_SERVICE, get_zone_ (LOST_HOST), 1, 0);
+      rig_run (0.05);
+      agents_[LOST_HOST] = rig_start_agent (LOST_HOST, get_zone_ (LOST_HOST),
+                                            OTHER_SERVICE, false);
+    }
+  rig_run (REUSED_AFTER_S);
+  rig_record ("ports of idle flows are used again");
+  for (i = 0; i < N_FORGOTTEN; i++)
+    {
+      rig_reuse_port (ports[i], 2, 0.2);
+      rig_run (0.02);
+    }
+  rig_run (3);
+  record_counts_ ();
+  rig_record ("flows run by a service that no manifest allows: %u",
+              n_other_service_);
+  rig_finish (n_other_service_ > 0);
+}
+
 struct scenario_
 {
   const char *name;
@@ -448,10 +503,11 @@
 {
   static const struct scenario_ scenarios[]
       = { { "large-manifest", run_large_manifest_ },
-          { "lost-answers", run_lost_answers_ },
+          { "silent-store", run_silent_store_ },
           { "other-writer", run_other_writer_ },
           { "young-host", run_young_host_ },
-          { "reused-port", run_reused_port_ } };
+          { "reused-port", run_reused_port_ },
+          { "reused-address", run_reused_address_ } };
   size_t i;
 
   if (argc == 3)
--- a/review/rig/process.c
+++ b/review/rig/process.c
@@ -157,6 +157,15 @@
   return G_SOURCE_REMOVE;
 }
 
+void
+rig_kill (struct rig_process *p)
+{
+  rig_record ("SIGKILL process=%s", p->name);
+  kill (p->pid, SIGKILL);
+  waitpid (p->pid, NULL, 0);
+  p->pid = 0;
+}
+
 void
 rig_restart (struct rig_process *p, double pause_s)
 {
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -61,8 +61,10 @@
 typedef void (*rig_request_fn) (struct rig_connection *connection,
                                 const char *method, const char *target,
                                 const char *body);
-/** Listen for requests.  */
-void rig_http_listen (uint32_t ip, uint16_t port, rig_request_fn fn);
+/** Listen for requests.  @return the descriptor.  */
+int rig_http_listen (uint32_t ip, uint16_t port, rig_request_fn fn);
+/** Stop to listen; open connections stay.  */
+void rig_http_stop (int descriptor);
 /** Answer a request.  */
 void rig_http_answer (struct rig_connection *connection, unsigned status,
                       const char *body);
@@ -83,10 +85,9 @@
 void rig_store_start (void);
 /** Write a key as the operator does.  The return is the acknowledgement.  */
 void rig_store_put (const char *key, const char *value);
-/** Lose this share of all answers; 0 ends the trouble.  */
-void rig_store_lose_answers (double share);
-/** Write in percent how many answers were lost since the last call.  */
-void rig_store_record_losses (void);
+/** Take the store down without a word, or bring it back.  Calls that it gets
+    or would answer meanwhile are never answered.  */
+void rig_store_set_silent (bool silent);
 
 /** Write the manifest of the next version.
     @param routes  objects of a JSON array, without the brackets.
@@ -101,6 +102,8 @@
 struct rig_process *rig_start_node (size_t i, const char *zone, bool first);
 struct rig_process *rig_start_agent (size_t i, const char *zone,
                                      const char *service, bool first);
+/** Kill a process, which doesn't start again.  */
+void rig_kill (struct rig_process *process);
 /** Send SIGTERM and start the process again some time after its end.  */
 void rig_restart (struct rig_process *process, double pause_s);
 void rig_end_processes (void);
@@ -153,6 +156,10 @@
   int64_t born_ms;
   uint64_t seq;
   int udp;
+  unsigned udp_watch;
+  unsigned beat_timer;
+  unsigned idle_timer;
+  int health;
   GHashTable *flows;
 };
 
@@ -163,6 +170,8 @@
 void rig_host_start (size_t i, const char *service, const char *zone,
                      unsigned first_seq, double first_beat_s);
 void rig_host_drain (size_t i);
+/** Crash a host: it ends without a word, and its flows with it.  */
+void rig_host_crash (size_t i);
 /** The host that serves a flow of a client; NULL if none.  */
 struct rig_host *rig_host_of_flow (uint16_t caller_port, uint32_t service_seq);
 
--- a/review/rig/store.c
+++ b/review/rig/store.c
@@ -45,9 +45,7 @@
   json_int_t dropped; /* Revision of the last change that was dropped.  */
   GHashTable *leases; /* ID to struct lease_.  */
   GPtrArray *watches; /* struct watch_.  */
-  double lost_share;
-  unsigned answers;
-  unsigned lost;
+  bool silent;        /* Answers nothing.  */
   unsigned version;
 } store_ = { .revision = 400 };
 
@@ -62,17 +60,14 @@
   g_free (item);
 }
 
-/* Sends an answer, or loses it while answers are lost.  */
+/* Sends an answer.  While the store is silent, the connection returns nothing
+   further.  */
 static void
 answer_text_ (struct rig_connection *connection, unsigned status,
               const char *text)
 {
-  store_.answers++;
-  if (store_.lost_share > 0 && g_random_double () < store_.lost_share)
-    {
-      store_.lost++;
-      rig_http_mute (connection);
-    }
+  if (store_.silent)
+    rig_http_mute (connection);
   else
     rig_http_answer (connection, status, text);
 }
@@ -419,7 +414,9 @@
   char *wait_ms = get_query_ (target, "wait_ms");
 
   (void)method;
-  if (g_str_has_prefix (target, "/kv-range") && prefix != NULL)
+  if (store_.silent)
+    rig_http_mute (connection);
+  else if (g_str_has_prefix (target, "/kv-range") && prefix != NULL)
     serve_range_ (connection, prefix);
   else if (g_str_has_prefix (target, "/kv-watch") && prefix != NULL
            && after != NULL && wait_ms != NULL)
@@ -461,17 +458,10 @@
 }
 
 void
-rig_store_lose_answers (double share)
-{
-  store_.lost_share = share;
-}
-
-void
-rig_store_record_losses (void)
+rig_store_set_silent (bool silent)
 {
-  rig_record ("store lost %u of %u answers", store_.lost, store_.answers);
-  store_.lost = 0;
-  store_.answers = 0;
+  store_.silent = silent;
+  rig_record ("store is %s", silent ? "down and silent" : "back");
 }
 
 void
