--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/rig ] || exit 2
 rm -f review/3/record.txt
-exec target/review/rig young-host review/3/record.txt
+exec target/review/rig other-writer review/3/record.txt
--- a/review/rig/main.c
+++ b/review/rig/main.c
@@ -29,8 +29,10 @@
 static const char services_[]
     = "[" SERVICE_JSON (SERVICE) "," SERVICE_JSON (OTHER_SERVICE) "]";
 
-/* Service of the route that sees traffic.  */
-static const char *route_service_ = SERVICE;
+/* Weight of SERVICE in the route that sees traffic, in percent; OTHER_SERVICE
+   has the rest.  NO_SPLIT: the route names SERVICE only.  */
+#define NO_SPLIT (-1)
+static int service_weight_ = NO_SPLIT;
 
 static struct rig_process *agents_[RIG_MAX_HOSTS];
 
@@ -40,16 +42,17 @@
   return zones_[i % N_ZONES];
 }
 
+/* @param target  where new flows go: a field of the route.  */
 static void
 append_route_ (GString *routes, const char *name, const char *ip,
-               unsigned port, unsigned timeout_ms, const char *service)
+               unsigned port, unsigned timeout_ms, const char *target)
 {
   g_string_append_printf (
       routes,
       "%s{\"name\":\"%s\",\"hostname\":\"%s\",\"prefix\":\"/%u/\","
       "\"type\":\"unsafe\",\"timeout_ms\":%u,\"latency_goal_ms\":200,"
-      "\"priority\":1,\"service\":\"%s\",\"attempts\":2}",
-      routes->len > 0 ? "," : "", name, ip, port, timeout_ms, service);
+      "\"priority\":1,%s,\"attempts\":2}",
+      routes->len > 0 ? "," : "", name, ip, port, timeout_ms, target);
 }
 
 /* Writes a manifest with the route PORT, a time-out of the idle routes, and
@@ -58,21 +61,27 @@
 put_manifest_ (unsigned port, size_t n_idle, unsigned timeout_ms,
                const char *note)
 {
+  static const char only_service[] = "\"service\":\"" SERVICE "\"";
   GString *routes = g_string_new (NULL);
+  char *split = g_strdup_printf (
+      "\"traffic_split\":[{\"service\":\"" SERVICE "\",\"weight\":%d},"
+      "{\"service\":\"" OTHER_SERVICE "\",\"weight\":%d}]",
+      service_weight_, 100 - service_weight_);
   size_t i;
 
   append_route_ (routes, "r-a3hwrr6", "198.18.0.1", port, 1500,
-                 route_service_);
+                 service_weight_ == NO_SPLIT ? only_service : split);
   for (i = 0; i < n_idle; i++)
     {
       char *name = g_strdup_printf ("r-i%05zu", i);
       char *ip = g_strdup_printf ("198.18.%zu.%zu", 1 + i / 250, 1 + i % 250);
 
-      append_route_ (routes, name, ip, 8080, timeout_ms, SERVICE);
+      append_route_ (routes, name, ip, 8080, timeout_ms, only_service);
       g_free (ip);
       g_free (name);
     }
   rig_put_manifest (routes->str, services_, note);
+  g_free (split);
   g_string_free (routes, TRUE);
 }
 
@@ -397,6 +406,7 @@
   size_t i;
 
   rig_on_arrival = check_service_;
+  service_weight_ = 100;
   start_ (3, 2);
   rig_open_flows (ROUTE, 20, rig_now () + 30, 2, 0.2);
   rig_run (1);
@@ -409,9 +419,9 @@
   rig_run (IDLE_PAUSE_S - AFTER_MANIFEST_S);
   if (rig_has_trouble ())
     {
-      route_service_ = OTHER_SERVICE;
+      service_weight_ = 0;
       put_manifest_ (ROUTE, N_IDLE_ROUTES, 1500,
-                     "route 443 goes to " OTHER_SERVICE);
+                     "weights of route 443: 0 and 100");
       change_.acked_s = rig_now ();
     }
   rig_run (AFTER_MANIFEST_S);
