--- a/review/rig/client.c
+++ b/review/rig/client.c
@@ -9,7 +9,8 @@
 #define READINESS_MS 500
 #define READINESS_TIMEOUT_MS 450
 #define MISSES 2
-#define ROUTE_IP 0xc6120001U /* 198.18.0.1 */
+/* Address in the heads of packets; nothing is sent there.  */
+#define ROUTE_IP 0x7f120001U /* 127.18.0.1 */
 #define FIRST_PORT 20000
 /* Times after which copies of the first packet are sent, and after which the
    attempt ends.  */
--- a/review/rig/main.c
+++ b/review/rig/main.c
@@ -69,12 +69,12 @@
       service_weight_, 100 - service_weight_);
   size_t i;
 
-  append_route_ (routes, "r-a3hwrr6", "198.18.0.1", port, 1500,
+  append_route_ (routes, "r-a3hwrr6", "127.18.0.1", port, 1500,
                  service_weight_ == NO_SPLIT ? only_service : split);
   for (i = 0; i < n_idle; i++)
     {
       char *name = g_strdup_printf ("r-i%05zu", i);
-      char *ip = g_strdup_printf ("198.18.%zu.%zu", 1 + i / 250, 1 + i % 250);
+      char *ip = g_strdup_printf ("127.18.%zu.%zu", 1 + i / 250, 1 + i % 250);
 
       append_route_ (routes, name, ip, 8080, timeout_ms, only_service);
       g_free (ip);
