--- a/include/ragwortyoke/stream_agent.h
+++ b/include/ragwortyoke/stream_agent.h
@@ -39,8 +39,7 @@
 {
   struct rgy_name id;
   struct rgy_name service;
-  int64_t started_ms; /**< Unix time at which the backend server started; 0 if
-                           not given.  */
+  int64_t started_ms; /**< Unix time at which the backend server started.  */
   uint64_t seq;       /**< Number of the heartbeat; restarts when the backend
                            server starts.  */
   bool draining;
