Keep the flows when an unknown backend server deregisters

Cause: before the first heartbeat, as after a restart of the agent, any deregistration was taken for that of the agent's own backend server, and 0.3 s later the agent reset all flows that it had found. Evidence: unknown_deregistration_resets_no_ flow_ failed before with one reset, and so did ..._is_followed_by_the_end_.

Change: such a deregistration only stops new flows and asks for a check of the process, which tells whether the backend server has ended.

--- a/include/ragwortyoke/stream_agent.h
+++ b/include/ragwortyoke/stream_agent.h
@@ -92,8 +92,10 @@
 rgy_stream_agent_heartbeat (struct rgy_stream_agent *agent,
                             const struct rgy_backend_heartbeat *heartbeat,
                             int64_t now_us);
-/** Process the deregistration of the backend server @p id.  @return RGY_OK, or
-    RGY_ERR_STALE if another backend server has taken its place.  */
+/** Process the deregistration of the backend server @p id.  Before the first
+    heartbeat it may be that of another one: the flows then stay until
+    RGY_STREAM_CHECK_BACKEND finds that the process has ended.  @return RGY_OK,
+    or RGY_ERR_STALE if another backend server has taken its place.  */
 enum rgy_outcome rgy_stream_agent_deregister (struct rgy_stream_agent *agent,
                                               const struct rgy_name *id,
                                               int64_t now_us);
--- a/src/libragwortyoke/stream_agent_backend.c
+++ b/src/libragwortyoke/stream_agent_backend.c
@@ -128,8 +128,12 @@
     return RGY_ERR_STALE;
   if (agent->heartbeat_us == 0)
     {
-      agent->backend = *id;
-      agent->heartbeat_us = now_us;
+      /* The agent does not know yet whether ID is its backend server.  The
+         flows stay until the process has been found to have ended.  */
+      rgy_stream_agent_set_backend_state_ (agent, RGY_BACKEND_DRAINING,
+                                           "unknown-deregistered", now_us);
+      rgy_stream_agent_request_check_ (agent, now_us);
+      return RGY_OK;
     }
   /* The backend server ends once its deregistration is acknowledged; until
      then it keeps its flows.  */
--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -595,6 +595,53 @@
   assert_int_equal (f->to_backend, 1);
 }
 
+/* Before the first heartbeat, any deregistration was taken for one of the
+   agent's own backend server: 0.3 s later the flows were reset, although the
+   backend server served them.  Another program can send one, and a restarted
+   agent does not know the name of its backend server yet.  */
+static void
+unknown_deregistration_resets_no_flow_ (void **state)
+{
+  struct fixture_ *f = *state;
+  struct rgy_name other = rgy_name_from_c ("i-other");
+
+  send_from_caller_ (f, 1, RGY_SEGMENT_ACK, 1001);
+  send_from_backend_ (f, 1, RGY_SEGMENT_ACK, 1001);
+  assert_int_equal (f->ownership_answers[RGY_FLOW_OWNED], 1);
+  assert_int_equal (rgy_stream_agent_deregister (f->agent, &other, f->now_us),
+                    RGY_OK);
+  advance_time_ (f, RGY_US_PER_S);
+  assert_int_equal (f->resets, 0);
+  /* It may have been the backend server, which then gets no new flows.  */
+  assert_int_equal (f->reported_state, RGY_BACKEND_DRAINING);
+  assert_true (f->checks > 0);
+  assert_int_equal (send_heartbeat_ (f, "i-1", 5, 40, false), RGY_OK);
+  assert_int_equal (rgy_stream_agent_get_state (f->agent), RGY_BACKEND_READY);
+  /* The agent still does not know all flows of its backend server.  */
+  send_from_caller_ (f, 2, RGY_SEGMENT_ACK, 1001);
+  assert_int_equal (f->ownership_answers[RGY_FLOW_NOT_OWNED], 0);
+  assert_int_equal (f->resets, 0);
+}
+
+/* A backend server that deregisters before its first heartbeat to a restarted
+   agent ends; its flows must be reset once nothing listens at its address.  */
+static void
+unknown_deregistration_is_followed_by_the_end_ (void **state)
+{
+  struct fixture_ *f = *state;
+  struct rgy_name id = rgy_name_from_c ("i-1");
+
+  send_from_caller_ (f, 1, RGY_SEGMENT_ACK, 1001);
+  send_from_backend_ (f, 1, RGY_SEGMENT_ACK, 1001);
+  assert_int_equal (rgy_stream_agent_deregister (f->agent, &id, f->now_us),
+                    RGY_OK);
+  advance_time_ (f, RGY_US_PER_S);
+  assert_true (f->checks > 0);
+  rgy_stream_agent_backend_not_running (f->agent, f->now_us, f->now_us);
+  assert_int_equal (f->resets, 1);
+  assert_int_equal (f->reported_state, RGY_BACKEND_ENDED);
+}
+
 int
 main (void)
 {
@@ -617,6 +664,8 @@
     WITH_AGENT (older_view_is_ignored_),
     WITH_AGENT (paused_agent_delivers_no_old_first_segment_),
     WITH_AGENT (heartbeat_after_deregistration_is_ignored_),
+    WITH_AGENT (unknown_deregistration_resets_no_flow_),
+    WITH_AGENT (unknown_deregistration_is_followed_by_the_end_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
