End each watch of the store within the recovery time

Cause: the store had taken the watches that began in the outage and lost their answers. A watch was given up after 12 s, and the calls that succeeded meanwhile on the other connection said nothing about it.

Change: the watch waits 2 s of a recovery time of 4 s (recovery-ms, the platform's contact_ms) and is given up after 2.75 s; the next one begins at once. A call that is answered again replaces a watch that began before it, and an answered watch ends the back-off of the calls. Calls are counted by kind (store_calls_total, store_calls_failed_total).

--- a/include/ragwortyoke-io/http_client.h
+++ b/include/ragwortyoke-io/http_client.h
@@ -38,6 +38,10 @@
     and close the connection.  */
 void rgy_http_client_delete (struct rgy_http_client *client);
 
+/** Cancel the call in progress, if any, without its callback, and close its
+    connection.  The client can be used further.  */
+void rgy_http_client_cancel (struct rgy_http_client *client);
+
 /** True while a call is in progress.  */
 bool rgy_http_client_is_busy (const struct rgy_http_client *client);
 
--- a/src/libragwortyoke-io/http_client.c
+++ b/src/libragwortyoke-io/http_client.c
@@ -271,6 +271,16 @@
   g_free (client);
 }
 
+void
+rgy_http_client_cancel (struct rgy_http_client *client)
+{
+  if (client->fn == NULL)
+    return;
+  client->fn = NULL;
+  uv_timer_stop (client->timer);
+  close_connection_ (client);
+}
+
 bool
 rgy_http_client_is_busy (const struct rgy_http_client *client)
 {
--- a/src/test_http_client/test_http_client.c
+++ b/src/test_http_client/test_http_client.c
@@ -4,6 +4,7 @@
 #include <stdint.h>
 #include <string.h>
 
+#include <arpa/inet.h>
 #include <cmocka.h>
 #include <glib.h>
 #include <uv.h>
@@ -189,6 +190,71 @@
   assert_false (f->done);
 }
 
+static void
+on_silent_connection_ (uv_stream_t *listener, int status)
+{
+  (void)listener;
+  (void)status;
+}
+
+/* A server that takes connections and never answers must not hold a call for
+   longer than its timeout, and the next call must work as soon as the server
+   does: a balancer fetches manifests from its peers in this way.  */
+static void
+silent_server_ends_the_call_at_its_timeout_ (void **state)
+{
+  struct fixture_ *f = *state;
+  struct sockaddr_in addr;
+  int len = sizeof addr;
+  struct rgy_http_client *client;
+  uint64_t began_ms = uv_now (&f->loop);
+  uv_tcp_t listener;
+
+  uv_ip4_addr ("127.0.0.1", 0, &addr);
+  uv_tcp_init (&f->loop, &listener);
+  assert_int_equal (uv_tcp_bind (&listener, (struct sockaddr *)&addr, 0), 0);
+  assert_int_equal (
+      uv_listen ((uv_stream_t *)&listener, 8, on_silent_connection_), 0);
+  uv_tcp_getsockname (&listener, (struct sockaddr *)&addr, &len);
+  client = rgy_http_client_new (
+      &f->loop,
+      (struct rgy_endpoint){ .ip = LOOPBACK, .port = ntohs (addr.sin_port) });
+  rgy_http_client_call (client, "GET", "/", (struct rgy_bytes){ 0 }, 200,
+                        on_answer_, f);
+  while (!f->done)
+    uv_run (&f->loop, UV_RUN_ONCE);
+  assert_int_equal (f->outcome, RGY_ERR_TIMEOUT);
+  assert_in_range (uv_now (&f->loop) - began_ms, 190, 1200);
+  assert_false (rgy_http_client_is_busy (client));
+  rgy_http_client_delete (client);
+  uv_close ((uv_handle_t *)&listener, NULL);
+  call_and_wait_ (f, "GET", "/large", "");
+  assert_int_equal (f->outcome, RGY_OK);
+}
+
+/* A cancelled call must not run its callback, and the next call must get its
+   own answer, on another connection.  */
+static void
+cancelled_call_leaves_the_client_usable_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  rgy_http_client_cancel (f->client); /* No call is in progress.  */
+  start_call_ (f, "GET", "/large", "");
+  uv_run (&f->loop, UV_RUN_ONCE);
+  rgy_http_client_cancel (f->client);
+  assert_false (rgy_http_client_is_busy (f->client));
+  call_and_wait_ (f, "POST", "/echo", "one");
+  assert_int_equal (f->outcome, RGY_OK);
+  assert_string_equal (f->body, "one");
+  start_call_ (f, "GET", "/large", "");
+  rgy_http_client_cancel (f->client); /* Before the connection is made.  */
+  uv_run (&f->loop, UV_RUN_NOWAIT);
+  assert_false (f->done);
+  call_and_wait_ (f, "POST", "/echo", "two");
+  assert_string_equal (f->body, "two");
+}
+
 int
 main (void)
 {
@@ -198,6 +264,8 @@
     WITH_SERVER (large_response_is_complete_),
     WITH_SERVER (consecutive_calls_get_their_responses_),
     WITH_SERVER (refused_connection_is_reported_),
+    WITH_SERVER (silent_server_ends_the_call_at_its_timeout_),
+    WITH_SERVER (cancelled_call_leaves_the_client_usable_),
     WITH_SERVER (delete_cancels_the_call_without_callback_),
   };
 
--- a/src/test_platform_store/test_platform_store.c
+++ b/src/test_platform_store/test_platform_store.c
@@ -20,6 +20,7 @@
 {
   uv_loop_t loop;
   struct rgy_http *http;
+  struct rgy_counters *counters;
   struct rgy_platform_store *store;
   unsigned revision;
   unsigned operator_reads;
@@ -158,16 +159,18 @@
                                               .balancer = on_balancer_,
                                               .agents = on_agents_,
                                               .ctx = f };
+  struct rgy_platform_store_settings settings = {
+    .address = { .ip = LOOPBACK }, .own_ip = OWN_IP, .recovery_ms = 4000
+  };
 
   f->revision = 5;
   uv_loop_init (&f->loop);
   f->http = rgy_http_new (&f->loop, (struct rgy_endpoint){ .ip = LOOPBACK },
                           handle_request_, f);
-  f->store = rgy_platform_store_watch (
-      &f->loop,
-      (struct rgy_endpoint){ .ip = LOOPBACK,
-                             .port = rgy_http_get_port (f->http) },
-      OWN_IP, &events);
+  settings.address.port = rgy_http_get_port (f->http);
+  f->counters = rgy_counters_new ();
+  f->store
+      = rgy_platform_store_watch (&f->loop, &settings, f->counters, &events);
   *state = f;
   return 0;
 }
@@ -178,6 +181,7 @@
   struct fixture_ *f = *state;
 
   rgy_platform_store_delete (f->store);
+  rgy_counters_delete (f->counters);
   rgy_http_delete (f->http);
   uv_run (&f->loop, UV_RUN_DEFAULT);
   assert_int_equal (uv_loop_close (&f->loop), 0);
