--- a/include/ragwortyoke/address.h
+++ b/include/ragwortyoke/address.h
@@ -35,6 +35,10 @@
 /** Parse "A.B.C.D".  @return RGY_OK or RGY_ERR_INVALID.  */
 enum rgy_outcome rgy_ip_parse (struct rgy_str text, uint32_t *ip);
 
+/** True if a host may have the address: it is neither 0.0.0.0 nor a multicast,
+    reserved or broadcast address.  */
+bool rgy_ip_is_host (uint32_t ip);
+
 /** Format an address into @p text (RGY_IP_TEXT_BYTES bytes); returns
     @p text.  */
 const char *rgy_ip_format (uint32_t ip, char *text);
--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -16,6 +16,8 @@
 
 /** Maximum number of balancers in one list.  */
 #define RGY_STREAM_MAX_BALANCERS 512
+/** Maximum number of agents in one list.  */
+#define RGY_STREAM_MAX_AGENTS 8192
 /** Maximum number of failure domains out of service in one view.  */
 #define RGY_STREAM_MAX_DOMAINS 32
 /** Maximum number of flow changes in one report; it keeps the message within
--- a/src/libragwortyoke/address.c
+++ b/src/libragwortyoke/address.c
@@ -7,6 +7,8 @@
 
 #define PREFIX_MAX_BITS 32
 #define PORT_MAX 65535
+/* 224.0.0.0; all addresses from there on are multicast or reserved.  */
+#define FIRST_MULTICAST_IP 0xe0000000U
 
 enum rgy_outcome
 rgy_ip_parse (struct rgy_str text, uint32_t *ip)
@@ -24,6 +26,12 @@
   return RGY_OK;
 }
 
+bool
+rgy_ip_is_host (uint32_t ip)
+{
+  return ip != 0 && ip < FIRST_MULTICAST_IP;
+}
+
 const char *
 rgy_ip_format (uint32_t ip, char *text)
 {
--- a/src/libragwortyoke/stream_agent_report.c
+++ b/src/libragwortyoke/stream_agent_report.c
@@ -230,7 +230,7 @@
 {
   struct rgy_agent_balancer added = { .ip = ip, .added_us = now_us };
 
-  if (ip == 0 || find_balancer_ (agent, ip) != NULL
+  if (!rgy_ip_is_host (ip) || find_balancer_ (agent, ip) != NULL
       || agent->balancers->len >= RGY_STREAM_MAX_BALANCERS)
     return;
   g_array_append_val (agent->balancers, added);
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -126,7 +126,8 @@
 {
   struct rgy_stream_peer peer = { .ip = ip, .last_seen_us = now_us };
 
-  if (ip == 0 || ip == b->settings.own_ip || find_peer_ (b, ip) != NULL
+  if (!rgy_ip_is_host (ip) || ip == b->settings.own_ip
+      || find_peer_ (b, ip) != NULL
       || b->peers->len + 1 >= RGY_STREAM_MAX_BALANCERS)
     return;
   g_array_append_val (b->peers, peer);
@@ -179,7 +180,9 @@
   uint8_t state = listed[RGY_STREAM_IP_BYTES];
   struct rgy_known_agent *agent = rgy_stream_balancer_find_agent_ (b, ip);
 
-  if (agent != NULL && !agent->from_store)
+  if (!rgy_ip_is_host (ip) || (agent != NULL && !agent->from_store)
+      || (agent == NULL
+          && g_hash_table_size (b->agents) >= RGY_STREAM_MAX_AGENTS))
     return;
   request_report_ (b, ip);
   if (!settled)
@@ -238,7 +241,9 @@
     {
       uint32_t ip = rgy_stream_decode_ip (ips.data + i);
 
-      if (rgy_stream_balancer_find_agent_ (b, ip) != NULL)
+      if (!rgy_ip_is_host (ip)
+          || rgy_stream_balancer_find_agent_ (b, ip) != NULL
+          || g_hash_table_size (b->agents) >= RGY_STREAM_MAX_AGENTS)
         continue;
       add_agent_ (b, ip, now_us)->from_store = true;
       request_report_ (b, ip);
@@ -280,7 +285,8 @@
   for (i = 0; i + RGY_STREAM_IP_BYTES <= listed.len; i += RGY_STREAM_IP_BYTES)
     {
       ip = rgy_stream_decode_ip (listed.data + i);
-      if (rgy_stream_balancer_find_agent_ (b, ip) == NULL)
+      if (rgy_ip_is_host (ip)
+          && rgy_stream_balancer_find_agent_ (b, ip) == NULL)
         g_array_append_val (ips, ip);
     }
   g_hash_table_iter_init (&iter, b->agents);
--- a/src/libragwortyoke/stream_message.c
+++ b/src/libragwortyoke/stream_message.c
@@ -5,8 +5,6 @@
 #include "private/msgpack_io.h"
 #include "ragwortyoke/bytes.h"
 
-#define MAX_LISTED_AGENTS 8192
-
 const char *const rgy_backend_state_string[] = {
   [RGY_BACKEND_UNKNOWN] = "unknown",   [RGY_BACKEND_READY] = "ready",
   [RGY_BACKEND_DRAINING] = "draining", [RGY_BACKEND_UNRESPONSIVE] = "silent",
@@ -251,7 +249,8 @@
 {
   size_t i;
 
-  *agents = read_records_ (reader, RGY_STREAM_AGENT_BYTES, MAX_LISTED_AGENTS);
+  *agents
+      = read_records_ (reader, RGY_STREAM_AGENT_BYTES, RGY_STREAM_MAX_AGENTS);
   for (i = RGY_STREAM_IP_BYTES; i < agents->len; i += RGY_STREAM_AGENT_BYTES)
     if ((agents->data[i] & ~RGY_STREAM_AGENT_RESTARTING)
         >= RGY_BACKEND_STATE_COUNT)
--- a/src/test_platform_manifest/test_platform_manifest.c
+++ b/src/test_platform_manifest/test_platform_manifest.c
@@ -55,6 +55,54 @@
     }
 }
 
+/* A valid manifest but for one value: nested too deeply, too large for a
+   number, or a port or weight out of range.  It must be rejected with a
+   reason, and the process must go on.  */
+static void
+manifests_with_an_odd_value_are_rejected_ (void **state)
+{
+  static const char form[]
+      = "{\"version\":%s,\"routes\":[{\"hostname\":\"%s\",\"prefix\":\"%s\","
+        "\"traffic_split\":[{\"service\":\"a\",\"weight\":%s},"
+        "{\"service\":\"b\",\"weight\":1}]}],\"new\":%s}";
+  char *nested = g_strnfill (5000, '[');
+  const char *const values[][5] = {
+    { "1e99999", "198.18.0.1", "/443/", "9", "1" },
+    { "99999999999999999999", "198.18.0.1", "/443/", "9", "1" },
+    { "7.5", "198.18.0.1", "/443/", "9", "1" },
+    { "-7", "198.18.0.1", "/443/", "9", "1" },
+    { "7", "198.18.0.256", "/443/", "9", "1" },
+    { "7", "198.18.0.1:1", "/443/", "9", "1" },
+    { "7", "\xff", "/443/", "9", "1" },
+    { "7", "198.18.0.1", "/65536/", "9", "1" },
+    { "7", "198.18.0.1", "/0/", "9", "1" },
+    { "7", "198.18.0.1", "/-1/", "9", "1" },
+    { "7", "198.18.0.1", "//", "9", "1" },
+    { "7", "198.18.0.1", "/443/", "4294967296", "1" },
+    { "7", "198.18.0.1", "/443/", "\"9\"", "1" },
+    { "7", "198.18.0.1", "/443/", "1.5", "1" },
+    { "7", "198.18.0.1", "/443/", "null", "1" },
+    { "7", "198.18.0.1", "/443/", "9", "1e99999" },
+    { "7", "198.18.0.1", "/443/", "9", "\"\\udcff\"" },
+    { "7", "198.18.0.1", "/443/", "9", nested },
+  };
+  size_t i;
+
+  (void)state;
+  for (i = 0; i < G_N_ELEMENTS (values); i++)
+    {
+      char *text = g_strdup_printf (form, values[i][0], values[i][1],
+                                    values[i][2], values[i][3], values[i][4]);
+      char *why = NULL;
+
+      assert_null (rgy_platform_manifest_decode (make_bytes_ (text), &why));
+      assert_non_null (why);
+      g_free (why);
+      g_free (text);
+    }
+  g_free (nested);
+}
+
 /* Routes in both forms, weights, warm-up rates and the idle timeout must be
    decoded, and unknown members must be ignored.  */
 static void
@@ -100,6 +148,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (malformed_manifests_are_rejected_),
+    cmocka_unit_test (manifests_with_an_odd_value_are_rejected_),
     cmocka_unit_test (manifest_is_decoded_),
   };
 
--- a/src/test_platform_outage/test_platform_outage.c
+++ b/src/test_platform_outage/test_platform_outage.c
@@ -24,6 +24,7 @@
 #define MAX_CHANGES 64
 #define MANIFEST_KEY "op/config"
 #define DOMAIN_KEY "op/evacuate/poa-b"
+#define BALANCER_KEY "ragwortyoke/balancer/10.1.0.10"
 /* Time for the client to load the keys and to begin its first watch.  */
 #define START_MS 400
 
@@ -50,6 +51,7 @@
   struct standin_platform_store *standin;
   struct rgy_platform_store *client;
   struct rgy_counters *counters;
+  struct rgy_rejections *rejections;
   uv_timer_t begin;
   uv_timer_t end;
   uv_timer_t change;
@@ -175,10 +177,12 @@
   run->scenario = scenario;
   run->loop = loop;
   run->counters = rgy_counters_new ();
+  run->rejections = rgy_rejections_new (run->counters);
+  settings.counters = run->counters;
+  settings.rejections = run->rejections;
   run->standin = standin_platform_store_new (loop, scenario->seed);
   settings.address.port = standin_platform_store_get_port (run->standin);
-  run->client
-      = rgy_platform_store_watch (loop, &settings, run->counters, &events);
+  run->client = rgy_platform_store_watch (loop, &settings, &events);
   uv_timer_init (loop, &run->begin);
   uv_timer_init (loop, &run->end);
   uv_timer_init (loop, &run->change);
@@ -229,6 +233,7 @@
   uv_close ((uv_handle_t *)&run->begin, NULL);
   uv_close ((uv_handle_t *)&run->end, NULL);
   uv_close ((uv_handle_t *)&run->change, NULL);
+  rgy_rejections_delete (run->rejections);
   rgy_counters_delete (run->counters);
 }
 
@@ -377,8 +382,8 @@
 on_silence_ended_ (uv_timer_t *timer)
 {
   standin_platform_store_lose_answers (timer->data, 0);
-  standin_platform_store_put (timer->data, "ragwortyoke/balancer/10.1.0.10",
-                              "MTAuMS4wLjEw");
+  standin_platform_store_put_len (timer->data, BALANCER_KEY,
+                                  strlen (BALANCER_KEY), "MTAuMS4wLjEw", 7);
 }
 
 /* An agent that starts in a silent outage must find a balancer as soon: each
@@ -394,6 +399,7 @@
   uv_timer_t ends[G_N_ELEMENTS (lengths_ms)];
   uint64_t found_ms[G_N_ELEMENTS (lengths_ms)] = { 0 };
   struct rgy_counters *counters = rgy_counters_new ();
+  struct rgy_rejections *rejections = rgy_rejections_new (counters);
   uint64_t began_ms = (uint64_t)(g_get_monotonic_time () / 1000);
   size_t i;
 
@@ -404,13 +410,15 @@
       struct rgy_platform_store_events events
           = { .balancer = on_discovered_, .ctx = &found_ms[i] };
       struct rgy_platform_store_settings settings
-          = { .address = { .ip = LOOPBACK }, .recovery_ms = RECOVERY_MS };
+          = { .address = { .ip = LOOPBACK },
+              .recovery_ms = RECOVERY_MS,
+              .counters = counters,
+              .rejections = rejections };
 
       standins[i] = standin_platform_store_new (&loop, (uint32_t)i);
       standin_platform_store_lose_answers (standins[i], 1);
       settings.address.port = standin_platform_store_get_port (standins[i]);
-      clients[i]
-          = rgy_platform_store_discover (&loop, &settings, counters, &events);
+      clients[i] = rgy_platform_store_discover (&loop, &settings, &events);
       uv_timer_init (&loop, &ends[i]);
       ends[i].data = standins[i];
       uv_timer_start (&ends[i], on_silence_ended_, lengths_ms[i], 0);
@@ -430,6 +438,7 @@
   uv_close ((uv_handle_t *)&done, NULL);
   uv_run (&loop, UV_RUN_DEFAULT);
   assert_int_equal (uv_loop_close (&loop), 0);
+  rgy_rejections_delete (rejections);
   rgy_counters_delete (counters);
 }
 
--- a/src/test_platform_store/test_platform_store.c
+++ b/src/test_platform_store/test_platform_store.c
@@ -21,6 +21,7 @@
   uv_loop_t loop;
   struct rgy_http *http;
   struct rgy_counters *counters;
+  struct rgy_rejections *rejections;
   struct rgy_platform_store *store;
   unsigned revision;
   unsigned operator_reads;
@@ -49,7 +50,7 @@
       f->revision++;
       response->body = g_strdup_printf (
           "{\"events\":[{\"key\":\"op/config\",\"value\":\"e30=\","
-          "\"revision\":%u}],\"current_rev\":%u}",
+          "\"revision\":%u,\"create_rev\":1,\"lease\":0}],\"current_rev\":%u}",
           f->revision, f->revision);
       if (f->history_lost)
         response->status = 410;
@@ -61,7 +62,8 @@
       if (f->agents != NULL && strcmp (prefix, "ragwortyoke/") == 0)
         response->body = g_strdup_printf (
             "{\"items\":[{\"key\":\"ragwortyoke/agents\",\"revision\":9,"
-            "\"value\":\"%s\"}],\"more_pages\":false,\"current_rev\":%u}",
+            "\"create_rev\":8,\"lease\":0,\"value\":\"%s\"}],\"more_pages\":"
+            "false,\"current_rev\":%u}",
             f->agents, f->revision);
       else
         response->body = g_strdup_printf (
@@ -169,8 +171,10 @@
                           handle_request_, f);
   settings.address.port = rgy_http_get_port (f->http);
   f->counters = rgy_counters_new ();
-  f->store
-      = rgy_platform_store_watch (&f->loop, &settings, f->counters, &events);
+  f->rejections = rgy_rejections_new (f->counters);
+  settings.counters = f->counters;
+  settings.rejections = f->rejections;
+  f->store = rgy_platform_store_watch (&f->loop, &settings, &events);
   *state = f;
   return 0;
 }
@@ -181,6 +185,7 @@
   struct fixture_ *f = *state;
 
   rgy_platform_store_delete (f->store);
+  rgy_rejections_delete (f->rejections);
   rgy_counters_delete (f->counters);
   rgy_http_delete (f->http);
   uv_run (&f->loop, UV_RUN_DEFAULT);
--- a/src/test_stream_balancer/test_stream_balancer.c
+++ b/src/test_stream_balancer/test_stream_balancer.c
@@ -30,6 +30,7 @@
   unsigned statuses;
   unsigned status_lists; /* Statuses among them that carry a list of
                             balancers.  */
+  unsigned requests;     /* Requests for reports.  */
   unsigned queries;
   size_t queried_bytes;
   GByteArray *queried; /* Flows in the last query.  */
@@ -55,6 +56,7 @@
           f->statuses++;
           f->status_lists += message.u.status.balancers.len > 0;
         }
+      f->requests += message.kind == RGY_STREAM_REPORT_REQUEST;
       if (message.kind != RGY_STREAM_QUERY)
         return;
       f->queries++;
@@ -521,6 +523,41 @@
   g_byte_array_unref (wanted);
 }
 
+/* Addresses that no host can have must neither be used nor stay in the stored
+   list; a starting balancer would wait for them.  */
+static void
+odd_addresses_are_not_used_ (void **state)
+{
+  static const uint8_t listed[] = { 0, 0, 0,  0, 10, 2, 0,   1,   224, 0,
+                                    0, 1, 10, 2, 0,  1, 255, 255, 255, 255 };
+  static const uint8_t valid[4] = { 10, 2, 0, 1 };
+  struct fixture_ *f = *state;
+  struct rgy_bytes odd = { .data = listed, .len = sizeof listed };
+  struct rgy_stream_message status = {
+    .kind = RGY_STREAM_STATUS,
+    .u.status = { .incarnation = 5, .settled = true, .balancers = odd },
+  };
+  GByteArray *wanted = g_byte_array_new ();
+  unsigned statuses;
+
+  rgy_stream_balancer_delete (f->balancer);
+  start_balancer_ (f, 2);
+  f->requests = 0;
+  rgy_stream_balancer_add_stored_agents (f->balancer, odd, f->now_us);
+  assert_int_equal (f->requests, 1);
+  f->next_report_us = f->now_us;
+  advance_time_ (f, 2 * RGY_US_PER_S);
+  assert_true (rgy_stream_balancer_update_agent_list (f->balancer, odd, wanted,
+                                                      f->now_us));
+  assert_int_equal (wanted->len, sizeof valid);
+  assert_memory_equal (wanted->data, valid, sizeof valid);
+  g_byte_array_unref (wanted);
+  /* The sender and 10.2.0.1 are the only new balancers.  */
+  statuses = f->statuses;
+  send_message_from_ (f, &status, PEER_IP);
+  assert_int_equal (f->statuses - statuses, 2);
+}
+
 /* A balancer without reports from any agent is partitioned: it must not reset
    flows and must report that it is not ready.  */
 static void
@@ -655,6 +692,7 @@
     WITH_BALANCER (restarting_agent_listed_by_a_peer_is_waited_for_longer_),
     WITH_BALANCER (drain_state_is_learned_from_a_peer_),
     WITH_BALANCER (stored_list_of_agents_is_updated_),
+    WITH_BALANCER (odd_addresses_are_not_used_),
     WITH_BALANCER (partitioned_balancer_resets_no_flow_),
     WITH_BALANCER (list_of_balancers_is_sent_only_if_it_differs_),
     WITH_BALANCER (older_manifest_is_rejected_),
--- a/src/test_stream_message/test_stream_message.c
+++ b/src/test_stream_message/test_stream_message.c
@@ -6,6 +6,7 @@
 
 #include <cmocka.h>
 #include <glib.h>
+#include <msgpack.h>
 
 #include "ragwortyoke/stream_message.h"
 
@@ -236,6 +237,87 @@
   assert_false (rgy_domain_view_is_out (&view, &in));
 }
 
+/* Returns the encoded message with element INDEX replaced by ODD.  */
+static GByteArray *
+replace_element_ (const GByteArray *bytes, size_t index, const GString *odd)
+{
+  GByteArray *out = g_byte_array_new ();
+  /* The header of an array of 16 elements takes 3 bytes.  */
+  size_t at = bytes->data[0] == 0xdc ? 3 : 1;
+  size_t i;
+
+  g_byte_array_append (out, bytes->data, (guint)at);
+  for (i = 0; at < bytes->len; i++)
+    {
+      size_t end = at;
+      msgpack_unpacked unpacked;
+
+      msgpack_unpacked_init (&unpacked);
+      assert_int_equal (msgpack_unpack_next (&unpacked,
+                                             (const char *)bytes->data,
+                                             bytes->len, &end),
+                        MSGPACK_UNPACK_SUCCESS);
+      msgpack_unpacked_destroy (&unpacked);
+      if (i == index)
+        g_byte_array_append (out, (const guint8 *)odd->str, (guint)odd->len);
+      else
+        g_byte_array_append (out, bytes->data + at, (guint)(end - at));
+      at = end;
+    }
+  return out;
+}
+
+/* A field of another type, nested too deeply, out of range, too long or not
+   UTF-8 must make the whole message invalid, wherever it stands.  */
+static void
+messages_with_an_odd_field_are_rejected_ (void **state)
+{
+  GString *odd[] = {
+    g_string_new_len ("\xc0", 1),                     /* nil */
+    g_string_new_len ("\xcb\x7f\xf0\0\0\0\0\0\0", 9), /* infinity */
+    g_string_new_len ("\xd3\x80\0\0\0\0\0\0\0", 9),   /* smallest integer */
+    g_string_new_len ("\x81\x01\x02", 3),             /* map */
+    g_string_new_len ("\xa3\xff\xfe\x80", 4),         /* not UTF-8 */
+    g_string_new_len ("\x91\xc0", 2),                 /* array of nil */
+    g_string_new (NULL),                              /* too deep */
+    g_string_new_len ("\xda\x01\x2c", 3),             /* 300 characters */
+  };
+  size_t n_odd = G_N_ELEMENTS (odd);
+  int kind;
+  size_t i;
+  size_t k;
+
+  (void)state;
+  for (i = 0; i < 5000; i++)
+    g_string_append_c (odd[n_odd - 2], '\x91');
+  g_string_append_c (odd[n_odd - 2], '\xc0');
+  for (i = 0; i < 300; i++)
+    g_string_append_c (odd[n_odd - 1], 'a');
+  for (kind = 0; kind < RGY_STREAM_MESSAGE_KIND_COUNT; kind++)
+    {
+      GByteArray *bytes = encode_sample_ ((enum rgy_stream_message_kind)kind);
+      size_t n = bytes->data[0] == 0xdc ? 16 : bytes->data[0] & 0x0f;
+
+      for (i = 0; i < n; i++)
+        for (k = 0; k < n_odd; k++)
+          {
+            GByteArray *message = replace_element_ (bytes, i, odd[k]);
+            struct rgy_stream_message decoded;
+
+            assert_int_not_equal (
+                rgy_stream_message_decode (
+                    (struct rgy_bytes){ .data = message->data,
+                                        .len = message->len },
+                    &decoded),
+                RGY_OK);
+            g_byte_array_unref (message);
+          }
+      g_byte_array_unref (bytes);
+    }
+  for (k = 0; k < n_odd; k++)
+    g_string_free (odd[k], TRUE);
+}
+
 int
 main (void)
 {
@@ -244,6 +326,7 @@
     cmocka_unit_test (truncated_messages_are_rejected_),
     cmocka_unit_test (damaged_messages_do_not_crash_),
     cmocka_unit_test (unknown_answers_and_states_are_rejected_),
+    cmocka_unit_test (messages_with_an_odd_field_are_rejected_),
     cmocka_unit_test (view_contains_only_its_domains_),
   };
 
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -116,9 +116,10 @@
   if (item->value == NULL)
     return json_pack ("{s:s, s:I, s:b}", "key", item->key, "revision",
                       (json_int_t)item->revision, "tombstone", 1);
-  return json_pack ("{s:s, s:s, s:I, s:I}", "key", item->key, "value",
+  return json_pack ("{s:s, s:s, s:I, s:I, s:I}", "key", item->key, "value",
                     item->value, "revision", (json_int_t)item->revision,
-                    "lease", (json_int_t)item->lease);
+                    "create_rev", (json_int_t)item->revision, "lease",
+                    (json_int_t)item->lease);
 }
 
 /* Lists the items whose keys start with PREFIX and whose revision is greater
