Add another writer to the soak

It sends heartbeats with one field missing or odd and deregistrations of an unknown backend server to the agents, and leaves odd entries in the store, with random numbers of its own: the faults of a seed stay as they are.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -672,6 +672,7 @@
   soak_.now_us = (int64_t)(uv_hrtime () / 1000);
   update_processes_ ();
   update_backends_ ();
+  soak_writer_tick (soak_.now_us);
   if (soak_.now_us >= soak_.next_readiness_us)
     {
       soak_.next_readiness_us = soak_.now_us + READINESS_INTERVAL_US;
@@ -811,6 +812,7 @@
       stop_deployment_ (false);
       return 2;
     }
+  soak_writer_start (&soak_.loop, (uint32_t)seed);
   soak_.next_flow_us = soak_.now_us + 2 * RGY_US_PER_S;
   soak_.next_fault_us = soak_.now_us + START_UP_US;
   soak_.end_us
@@ -820,6 +822,9 @@
   uv_run (&soak_.loop, UV_RUN_DEFAULT);
   /* Flows begun in the last 3 seconds may not be open yet.  */
   served = soak_.fault_free_opened + FLOWS_PER_S * 3 > soak_.fault_free_begun;
+  if (soak_writer_get_accepted () > 0)
+    report_violation_ ("%u odd heartbeats were acknowledged",
+                       soak_writer_get_accepted ());
   if (!served)
     report_violation_ ("after the faults only %u of %u new flows were opened",
                        soak_.fault_free_opened, soak_.fault_free_begun);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -85,4 +85,12 @@
 /** Close the port of the store.  */
 void soak_store_stop (void);
 
+/* Another writer, which sends odd input.  */
+
+void soak_writer_start (uv_loop_t *loop, uint32_t seed);
+/** Send or leave the next odd input when it is due.  */
+void soak_writer_tick (int64_t now_us);
+/** Number of odd heartbeats that an agent has acknowledged.  */
+unsigned soak_writer_get_accepted (void);
+
 #endif
