Count and log the invalid entries of the product's key-value service

The balancer of the product's own interface left out an invalid contract, order or agent record without a line. The conversion of events tells now what is wrong, and the balancer counts it as rejected_total{source="store-entry"} and logs it once for each reason.

--- a/include/ragwortyoke-io/store_client.h
+++ b/include/ragwortyoke-io/store_client.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 #include <uv.h>
 
+#include "ragwortyoke/contract.h"
 #include "ragwortyoke/outcome.h"
 #include "ragwortyoke/replica.h"
 #include "ragwortyoke/str.h"
@@ -132,8 +133,10 @@
     agent its encoded record.  The version of a contract is (mod_revision, 0),
     of a domain order (number, id) and of an agent (epoch, sequence).
     @return RGY_OK, RGY_ERR_NOT_FOUND (a key of another kind, or the deletion
-    of a domain or agent key, which has no effect) or RGY_ERR_INVALID.  */
+    of a domain or agent key, which has no effect) or RGY_ERR_INVALID, with
+    @p error set to what is wrong.  */
 enum rgy_outcome rgy_store_event_to_entry (const struct rgy_store_event *event,
-                                           struct rgy_entry *entry);
+                                           struct rgy_entry *entry,
+                                           struct rgy_check_error *error);
 
 #endif
--- a/src/ragwortyoked/balancer_main.c
+++ b/src/ragwortyoked/balancer_main.c
@@ -144,19 +144,37 @@
   run_actions_ (b);
 }
 
+static void
+reject_store_event_ (struct balancer_daemon_ *b,
+                     const struct rgy_store_event *event,
+                     const struct rgy_check_error *error)
+{
+  char *reason = g_strdup_printf ("%.*s: %s", (int)event->key.len,
+                                  event->key.data, error->text);
+
+  (void)rgy_rejections_add (b->d.rejections, "store-entry", reason,
+                            rgy_daemon_now_us (&b->d));
+  g_free (reason);
+}
+
 static void
 on_store_event_ (const struct rgy_store_event *event, void *ctx)
 {
   struct balancer_daemon_ *b = ctx;
+  struct rgy_check_error error;
   struct rgy_entry entry;
   struct rgy_name domain;
+  enum rgy_outcome rc;
 
   if (rgy_daemon_get_rollup_domain (event, &domain))
     rgy_balancer_note_rollup (
         b->core, &domain,
         (struct rgy_str){ .data = (const char *)event->value.data,
                           .len = event->value.len });
-  if (rgy_store_event_to_entry (event, &entry) != RGY_OK)
+  rc = rgy_store_event_to_entry (event, &entry, &error);
+  if (rc == RGY_ERR_INVALID)
+    reject_store_event_ (b, event, &error);
+  if (rc != RGY_OK)
     return;
   rgy_balancer_from_store (b->core, &entry, b->d.actions);
   run_actions_ (b);
--- a/src/ragwortyoked/daemon.c
+++ b/src/ragwortyoked/daemon.c
@@ -39,6 +39,7 @@
   g_assert_cmpint (rc, ==, 0);
   d->clock = (struct rgy_clock){ .now = monotonic_now_ };
   d->counters = rgy_counters_new ();
+  d->rejections = rgy_rejections_new (d->counters);
   d->send_failed = rgy_counters_add (d->counters, "send_failed_total", NULL,
                                      "Datagrams that could not be sent.");
   d->store_calls = rgy_counters_add (d->counters, "store_calls_total", NULL,
@@ -87,6 +88,7 @@
   uv_run (&d->loop, UV_RUN_DEFAULT);
   uv_loop_close (&d->loop);
   rgy_actions_delete (d->actions);
+  rgy_rejections_delete (d->rejections);
   rgy_counters_delete (d->counters);
 }
 
--- a/src/ragwortyoked/daemon.h
+++ b/src/ragwortyoked/daemon.h
@@ -9,6 +9,7 @@
 #include <uv.h>
 
 #include "ragwortyoke-io/http.h"
+#include "ragwortyoke-io/rejection.h"
 #include "ragwortyoke-io/settings.h"
 #include "ragwortyoke-io/store_client.h"
 #include "ragwortyoke-io/sync.h"
@@ -30,6 +31,7 @@
   uv_signal_t sigint;
   struct rgy_clock clock;
   struct rgy_counters *counters;
+  struct rgy_rejections *rejections;
   uint64_t *send_failed;
   uint64_t *store_calls;
   uint64_t *store_up;
--- a/src/test_contract/test_contract.c
+++ b/src/test_contract/test_contract.c
@@ -172,8 +172,12 @@
                                      "{}",
                                      "{\"customer\":\"a\",",
                                      "{\"customer\":\"a\",\"customer\":\"b\"}",
-                                     "{\"customer\":\"\\u0000\"}" };
+                                     "{\"customer\":\"\\u0000\"}",
+                                     "{\"customer\":\"\xff\"}",
+                                     "{\"customer\":1e99999}",
+                                     "{\"customer\":99999999999999999999}" };
   struct rgy_check_error error;
+  char *nested;
   char *big;
   size_t i;
 
@@ -184,6 +188,10 @@
       assert_null (rgy_contract_parse (rgy_str_from_c (bad[i]), &error));
       assert_true (strlen (error.text) > 10);
     }
+  nested = g_strnfill (5000, '[');
+  assert_null (rgy_contract_parse (rgy_str_from_c (nested), &error));
+  assert_true (strlen (error.text) > 10);
+  g_free (nested);
   big = g_strnfill (RGY_CONTRACT_MAX_JSON_BYTES + 1, ' ');
   assert_null (rgy_contract_parse (rgy_str_from_c (big), &error));
   assert_string_equal (
--- a/src/test_store_client/test_store_client.c
+++ b/src/test_store_client/test_store_client.c
@@ -568,47 +568,49 @@
                                      .service = { 0x7f000001, 2 } };
   GByteArray *encoded = rgy_agent_record_encode (&record);
   struct rgy_store_event event = { .mod_revision = 42 };
+  struct rgy_check_error error = { 0 };
   struct rgy_entry entry;
 
   (void)state;
   event.key = RGY_STR (CONTRACT_A);
   event.value
       = (struct rgy_bytes){ (const uint8_t *)contract, sizeof contract - 1 };
-  assert_int_equal (rgy_store_event_to_entry (&event, &entry), RGY_OK);
+  assert_int_equal (rgy_store_event_to_entry (&event, &entry, &error), RGY_OK);
   assert_int_equal (entry.class, RGY_ENTRY_CONTRACT);
   assert_string_equal (entry.key.data, "a");
   assert_int_equal (entry.version.major, 42);
   event.key = RGY_STR (CONTRACT_B);
-  assert_int_equal (rgy_store_event_to_entry (&event, &entry),
+  assert_int_equal (rgy_store_event_to_entry (&event, &entry, &error),
                     RGY_ERR_INVALID);
   event.deleted = true;
   event.value.len = 0;
-  assert_int_equal (rgy_store_event_to_entry (&event, &entry), RGY_OK);
+  assert_int_equal (rgy_store_event_to_entry (&event, &entry, &error), RGY_OK);
   assert_true (entry.deleted);
   event.deleted = false;
   event.key = RGY_STR ("/ragwortyoke/domains/d");
   event.value = (struct rgy_bytes){ (const uint8_t *)order, sizeof order - 1 };
-  assert_int_equal (rgy_store_event_to_entry (&event, &entry), RGY_OK);
+  assert_int_equal (rgy_store_event_to_entry (&event, &entry, &error), RGY_OK);
   assert_int_equal (entry.class, RGY_ENTRY_DOMAIN);
   assert_int_equal (entry.version.major, 7);
   assert_int_equal (entry.version.minor, 255);
   event.deleted = true;
-  assert_int_equal (rgy_store_event_to_entry (&event, &entry),
+  assert_int_equal (rgy_store_event_to_entry (&event, &entry, &error),
                     RGY_ERR_NOT_FOUND);
   event.deleted = false;
   event.key = RGY_STR (AGENT);
-  assert_int_equal (rgy_store_event_to_entry (&event, &entry),
+  assert_int_equal (rgy_store_event_to_entry (&event, &entry, &error),
                     RGY_ERR_INVALID);
+  assert_true (g_str_has_prefix (error.text, "value"));
   event.value = (struct rgy_bytes){ encoded->data, encoded->len };
-  assert_int_equal (rgy_store_event_to_entry (&event, &entry), RGY_OK);
+  assert_int_equal (rgy_store_event_to_entry (&event, &entry, &error), RGY_OK);
   assert_int_equal (entry.class, RGY_ENTRY_AGENT);
   assert_int_equal (entry.version.major, 5);
   assert_int_equal (entry.version.minor, 6);
   event.key = RGY_STR ("/ragwortyoke/audit/0001");
-  assert_int_equal (rgy_store_event_to_entry (&event, &entry),
+  assert_int_equal (rgy_store_event_to_entry (&event, &entry, &error),
                     RGY_ERR_NOT_FOUND);
   event.key = RGY_STR ("/ragwortyoke/contracts/a/b");
-  assert_int_equal (rgy_store_event_to_entry (&event, &entry),
+  assert_int_equal (rgy_store_event_to_entry (&event, &entry, &error),
                     RGY_ERR_INVALID);
   g_byte_array_unref (encoded);
 }
--- a/tests/fuzz/fuzz_store.c
+++ b/tests/fuzz/fuzz_store.c
@@ -129,9 +129,12 @@
 {
   struct rgy_counters *counters;
   struct rgy_blackboard *bb;
+  struct rgy_check_error error = { 0 };
   struct rgy_entry entry;
+  enum rgy_outcome rc = rgy_store_event_to_entry (event, &entry, &error);
 
-  if (rgy_store_event_to_entry (event, &entry) != RGY_OK)
+  g_assert ((rc == RGY_ERR_INVALID) == (error.text[0] != '\0'));
+  if (rc != RGY_OK)
     return;
   counters = rgy_counters_new ();
   bb = rgy_blackboard_new (counters);
