Draw the delay before the balancer in the harness, on every machine

test_golden failed on arm64: other times and other balancers. Cause: the harness drew the balancer and the delay of a caller's datagram in two arguments of one call, whose order is the compiler's choice. Evidence: the first difference is the first datagram of a caller, while the 334 control datagrams before it have the recorded digest.

Change: the delay is drawn first, as x86-64 did. The golden traces are as they were. Other tests draw twice in one expression too, but compare no traces.

--- a/tests/harness/harness.c
+++ b/tests/harness/harness.c
@@ -289,12 +289,18 @@
   g_byte_array_append (packet, datagram->data, datagram->len);
   data = g_byte_array_free_to_bytes (packet);
   while (copies-- > 0)
-    h_schedule (
-        h,
-        (struct event){ .kind = EVENT_FABRIC,
-                        .node = ready[g_rand_int_range (h->random, 0, n)],
-                        .data = g_bytes_ref (data) },
-        draw_path_delay_ (h, h->settings.client_delay_us));
+    {
+      /* Drawn one after the other: compilers evaluate the arguments of a call
+         in different orders.  */
+      int64_t delay_us = draw_path_delay_ (h, h->settings.client_delay_us);
+      struct node *node = ready[g_rand_int_range (h->random, 0, n)];
+
+      h_schedule (h,
+                  (struct event){ .kind = EVENT_FABRIC,
+                                  .node = node,
+                                  .data = g_bytes_ref (data) },
+                  delay_us);
+    }
   g_bytes_unref (data);
 }
 
