--- a/src/test_platform_outage/test_platform_outage.c
+++ b/src/test_platform_outage/test_platform_outage.c
@@ -366,6 +366,42 @@
   assert_int_equal (play_ (scenarios, G_N_ELEMENTS (scenarios)), 0);
 }
 
+/* Changes that come faster than watches begin made an answer larger than the
+   client reads.  The watch was repeated after the same revision, with a larger
+   answer each time, and the balancer followed no change (review case 5).  */
+static void
+changes_are_read_after_a_large_answer_ (void **state)
+{
+  static char value[1024 * 1024 + 1];
+  struct scenario_ scenario = { .name = "large answer",
+                                .begin_ms = 900,
+                                .length_ms = 100,
+                                .first_ms = 30,
+                                .interval_ms = 900,
+                                .n_changes = 4 };
+  struct run_ run = { 0 };
+  uv_loop_t loop;
+  uv_timer_t done;
+  int i;
+
+  (void)state;
+  memset (value, 'A', sizeof value - 1);
+  uv_loop_init (&loop);
+  start_run_ (&run, &loop, &scenario);
+  uv_timer_init (&loop, &done);
+  uv_timer_start (&done, on_all_done_, START_MS + 200, 0);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  for (i = 0; i < 6; i++)
+    standin_platform_store_put (run.standin, "op/large", value);
+  uv_timer_start (&done, on_all_done_, 6000, 0);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  assert_int_equal (count_late_changes_ (&run), 0);
+  finish_run_ (&run);
+  uv_close ((uv_handle_t *)&done, NULL);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  assert_int_equal (uv_loop_close (&loop), 0);
+}
+
 /* Agents that poll for balancers.  */
 
 static void
@@ -449,6 +485,7 @@
     cmocka_unit_test (changes_are_read_after_a_silent_outage_),
     cmocka_unit_test (changes_are_read_after_lost_answers_),
     cmocka_unit_test (changes_are_read_after_a_lost_history_),
+    cmocka_unit_test (changes_are_read_after_a_large_answer_),
     cmocka_unit_test (balancers_are_found_after_a_silent_outage_),
   };
 
