Let an agent deny flows only if it was there before its backend server

Cause: a first heartbeat numbered 0 or 1 counted as a proof that the agent knew all flows. Evidence: with the old condition agent_restarted_beside_a_young_ backend_denies_no_flow_ gets the answer "not owned".

Change: the agent knows all flows at the first start of the deployment, when it has seen an earlier start, or when nothing listened at the backend server's address as the agent started. The tests that count checks start after that one.

--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -223,6 +223,8 @@
   int64_t cold_until_us;
   /* Time of the deregistration; 0 if none, or once the flows were reset.  */
   int64_t deregistered_us;
+  bool start_checked;    /* The check at the start of the process was
+                            requested.  */
   int64_t last_check_us; /* Time of the last check of the backend server's
                             process; 0 if none.  */
   int64_t cold_opened_us[COLD_RING_SIZE];
--- a/src/libragwortyoke/stream_agent_backend.c
+++ b/src/libragwortyoke/stream_agent_backend.c
@@ -76,10 +76,11 @@
       "backend_started backend=%s started_ms=%" G_GINT64_FORMAT
       " seq=%" G_GUINT64_FORMAT " first=%d",
       heartbeat->id.data, heartbeat->started_ms, heartbeat->seq, is_first);
-  /* The agent knows all flows of this start: a first heartbeat comes before
-     any flow, and a start that follows an earlier one was seen from its
-     beginning.  */
-  if (!is_first || heartbeat->seq <= 1)
+  /* A start that follows an earlier one was seen from its beginning, so the
+     agent knows all of its flows.  The first one that this process sees may
+     have flows of before the process, whatever the number of its
+     heartbeat.  */
+  if (!is_first)
     agent->complete = true;
   if (!is_first)
     reset_flows_opened_before_ (agent, now_us - uptime_us, "backend-restarted",
@@ -174,6 +175,14 @@
   if (agent->state == RGY_BACKEND_ENDED
       || agent->heartbeat_us > check_emitted_us)
     return;
+  if (agent->heartbeat_us == 0 && !agent->stopping
+      && check_emitted_us - agent->started_us < FIRST_CHECK_US)
+    {
+      /* The backend server will start later, and all of its flows will pass
+         through this process.  */
+      agent->complete = true;
+      return;
+    }
   /* The flows of the ended process are lost, and the agent will see the next
      start from its beginning.  */
   agent->complete = true;
@@ -202,6 +211,14 @@
   if (agent->deregistered_us != 0
       && now_us - agent->deregistered_us > DEREGISTERED_RESET_US)
     rgy_stream_agent_mark_backend_ended_ (agent, "ended", now_us);
+  if (!agent->start_checked)
+    {
+      agent->start_checked = true;
+      if (!agent->complete)
+        agent->settings.out.emit (
+            agent->settings.out.ctx,
+            &(struct rgy_stream_action){ .kind = RGY_STREAM_CHECK_BACKEND });
+    }
   if (is_heartbeat_overdue_ (agent, now_us))
     rgy_stream_agent_request_check_ (agent, now_us);
   if (agent->heartbeat_us == 0 || agent->state == RGY_BACKEND_ENDED
--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -107,6 +107,10 @@
   f->now_us = START_US;
   f->agent = rgy_stream_agent_new (&settings, f->counters, f->now_us);
   rgy_stream_agent_add_balancer (f->agent, BALANCER_IP, f->now_us);
+  /* The check at the start, whose result is not known yet.  */
+  rgy_stream_agent_tick (f->agent, f->now_us);
+  assert_int_equal (f->checks, 1);
+  f->checks = 0;
   *state = f;
   return 0;
 }
@@ -642,6 +646,46 @@
   assert_int_equal (f->reported_state, RGY_BACKEND_ENDED);
 }
 
+/* An agent that was restarted within the first heartbeat interval of its
+   backend server took the number of the first heartbeat that it got for a
+   proof that no flow had been opened before, and denied those that had (review
+   case 2).  */
+static void
+agent_restarted_beside_a_young_backend_denies_no_flow_ (void **state)
+{
+  uint64_t seq;
+
+  for (seq = 0; seq <= 2; seq++)
+    {
+      struct fixture_ *f = *state;
+
+      assert_int_equal (send_heartbeat_ (f, "i-1", 5, seq, false), RGY_OK);
+      send_from_caller_ (f, 1, RGY_SEGMENT_ACK, 1001);
+      assert_int_equal (f->ownership_answers[RGY_FLOW_NOT_OWNED], 0);
+      assert_int_equal (f->to_backend, 1);
+      send_from_backend_ (f, 1, RGY_SEGMENT_ACK, 1001);
+      assert_int_equal (f->ownership_answers[RGY_FLOW_OWNED], 1);
+      assert_int_equal (f->resets, 0);
+      tear_down_ (state);
+      set_up_ (state);
+    }
+}
+
+/* An agent that was there before its backend server knows all flows, and must
+   deny others at once: each lookup of a lost flow waits for its answer.  */
+static void
+agent_started_before_its_backend_knows_all_flows_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  rgy_stream_agent_backend_not_running (f->agent, f->now_us, f->now_us);
+  assert_int_not_equal (f->reported_state, RGY_BACKEND_ENDED);
+  assert_int_equal (send_heartbeat_ (f, "i-1", 5, 1, false), RGY_OK);
+  send_from_caller_ (f, 1, RGY_SEGMENT_ACK, 1001);
+  assert_int_equal (f->to_backend, 0);
+  assert_int_equal (f->to_balancer, 1);
+}
+
 int
 main (void)
 {
@@ -664,6 +708,8 @@
     WITH_AGENT (older_view_is_ignored_),
     WITH_AGENT (paused_agent_delivers_no_old_first_segment_),
     WITH_AGENT (heartbeat_after_deregistration_is_ignored_),
+    WITH_AGENT (agent_restarted_beside_a_young_backend_denies_no_flow_),
+    WITH_AGENT (agent_started_before_its_backend_knows_all_flows_),
     WITH_AGENT (unknown_deregistration_resets_no_flow_),
     WITH_AGENT (unknown_deregistration_is_followed_by_the_end_),
   };
