Tell a new flow from a used port from a copy of the first segment

Cause: balancer and agent forwarded a first segment of a known flow without the checks of a new one. Evidence: the four tests below.

Change: both keep the sequence number of the first segment.

Two tests of test_stream_agent and two of test_stream_balancer fail with the comparison taken out and pass with it.

--- a/include/ragwortyoke/segment.h
+++ b/include/ragwortyoke/segment.h
@@ -60,6 +60,10 @@
   struct rgy_bytes raw;
 };
 
+/** Time after which no copy of the first segment of a flow arrives: a caller
+    sends the last one after 0.6 s and gives up after 1.4 s.  */
+#define RGY_SEGMENT_OPENING_US INT64_C (2000000)
+
 /** True for the first segment of a flow: SYN without ACK.  */
 static inline bool
 rgy_segment_is_opening (const struct rgy_segment *segment)
--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -154,6 +154,8 @@
   bool reported_open;
   bool backend_confirmed; /* The backend server has sent a segment on the
                              flow.  */
+  bool has_caller_seq;    /* The first segment passed this process.  */
+  uint32_t caller_seq;    /* Sequence number of the caller's first segment.  */
   int64_t state_since_us;
   int64_t request_us; /* Time of the caller's payload that awaits an answer; 0
                          if none.  While the flow opens, the time at which it
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -175,6 +175,9 @@
 {
   uint32_t agent_ip;
   enum rgy_flow_certainty certainty;
+  bool has_caller_seq; /**< This balancer placed the flow; others are known
+                            from reports.  */
+  uint32_t caller_seq; /**< Sequence number of the caller's first segment.  */
 };
 
 /** A new flow that no agent has accepted yet.  The key must be the first
@@ -184,6 +187,7 @@
   struct rgy_flow_key key;
   uint8_t *raw;
   size_t raw_len;
+  uint32_t caller_seq; /**< Sequence number of the first segment.  */
   int64_t began_us;
   int64_t sent_us;
   uint32_t current_ip; /**< Agent that the flow is offered to; 0 while it
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -184,6 +184,24 @@
   return true;
 }
 
+/* True if a first segment is a copy of the one that opened FLOW, and not that
+   of a new flow from the same port.  Of a flow that was opened before this
+   process started only the idle timeout tells.  */
+static bool
+is_copy_of_first_segment_ (const struct rgy_stream_agent *agent,
+                           const struct rgy_flow *flow,
+                           const struct rgy_segment *segment, int64_t now_us)
+{
+  const struct rgy_agent_stream *stream = flow->session;
+
+  if (stream->state > FLOW_OPEN)
+    return false;
+  if (stream->has_caller_seq)
+    return stream->caller_seq == segment->seq;
+  return agent->idle_timeout_us == 0
+         || now_us - flow->last_active_us <= agent->idle_timeout_us;
+}
+
 static void
 handle_first_segment_ (struct rgy_stream_agent *agent,
                        const struct rgy_segment *segment, uint32_t ip,
@@ -196,8 +214,7 @@
       refuse_flow_ (agent, segment, ip, RGY_REFUSED_SERVICE);
       return;
     }
-  if (flow != NULL
-      && ((struct rgy_agent_stream *)flow->session)->state <= FLOW_OPEN)
+  if (flow != NULL && is_copy_of_first_segment_ (agent, flow, segment, now_us))
     {
       stream = flow->session;
       stream->balancer_ip = ip;
@@ -227,6 +244,8 @@
         }
       stream = flow->session;
       stream->balancer_ip = ip;
+      stream->has_caller_seq = true;
+      stream->caller_seq = segment->seq;
       stream->age_us = segment->ack == 0   ? 0
                        : segment->ack == 1 ? FIRST_COPY_AGE_US
                                            : SECOND_COPY_AGE_US;
--- a/src/libragwortyoke/stream_balancer_open.c
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -187,6 +187,39 @@
   rgy_stream_emit_reset (&b->settings.out, &open->key, 0);
 }
 
+static void
+record_caller_seq_ (struct rgy_stream_balancer *b,
+                    const struct rgy_pending_open *open)
+{
+  const struct rgy_flow *flow = rgy_flow_table_find (b->flows, &open->key);
+  struct rgy_cached_flow *cached = flow == NULL ? NULL : flow->session;
+
+  if (cached == NULL)
+    return;
+  cached->has_caller_seq = true;
+  cached->caller_seq = open->caller_seq;
+}
+
+/* Finds the cached flow of a first segment.  A flow that the caller has
+   forgotten, because it uses its port for a new one, is removed from the
+   cache.  */
+static const struct rgy_cached_flow *
+find_opening_flow_ (struct rgy_stream_balancer *b,
+                    const struct rgy_segment *segment, int64_t now_us)
+{
+  struct rgy_flow *flow = rgy_flow_table_find (b->flows, &segment->key);
+  const struct rgy_cached_flow *cached = flow == NULL ? NULL : flow->session;
+
+  if (cached == NULL)
+    return NULL;
+  if (cached->has_caller_seq
+          ? cached->caller_seq == segment->seq
+          : now_us - flow->opened_us <= RGY_SEGMENT_OPENING_US)
+    return cached;
+  rgy_stream_balancer_uncache_flow_ (b, flow);
+  return NULL;
+}
+
 /* Offers a new flow to the next agent.  Returns false if the placement has
    ended because the flow was rejected or its time is over.  */
 static bool
@@ -230,6 +263,7 @@
   agent->placed++;
   rgy_stream_balancer_cache_flow_ (b, &open->key, agent->ip, RGY_FLOW_PLACED,
                                    now_us);
+  record_caller_seq_ (b, open);
   rgy_stream_balancer_forward_segment_ (
       b, &open->key,
       (struct rgy_bytes){ .data = open->raw, .len = open->raw_len },
@@ -244,9 +278,13 @@
 {
   struct rgy_pending_open *open
       = g_hash_table_lookup (b->opens, &segment->key);
-  const struct rgy_flow *flow;
   const struct rgy_cached_flow *cached;
 
+  if (open != NULL && open->caller_seq != segment->seq)
+    {
+      g_hash_table_remove (b->opens, &segment->key);
+      open = NULL;
+    }
   if (open != NULL)
     {
       /* The segment is a copy of the first one; the timer offers the flow to
@@ -254,8 +292,7 @@
       open->copies = MAX (open->copies, segment->ack);
       return;
     }
-  flow = rgy_flow_table_find (b->flows, &segment->key);
-  cached = flow == NULL ? NULL : flow->session;
+  cached = find_opening_flow_ (b, segment, now_us);
   if (cached != NULL && cached->certainty != RGY_FLOW_PLACED
       && segment->ack < 2
       && rgy_stream_balancer_find_agent_ (b, cached->agent_ip) != NULL)
@@ -277,6 +314,7 @@
   open->key = segment->key;
   open->raw = g_memdup2 (segment->raw.data, segment->raw.len);
   open->raw_len = segment->raw.len;
+  open->caller_seq = segment->seq;
   open->began_us = now_us;
   open->missed_first = segment->ack > 0;
   if (cached != NULL)
--- a/src/libragwortyoke/stream_balancer_packet.c
+++ b/src/libragwortyoke/stream_balancer_packet.c
@@ -50,6 +50,14 @@
   if (cached != NULL && cached->certainty > certainty
       && rgy_stream_balancer_find_agent_ (b, cached->agent_ip) != NULL)
     return;
+  if (cached != NULL && certainty == RGY_FLOW_OPEN
+      && cached->agent_ip != agent_ip)
+    {
+      /* It may be another flow, which the caller opened from the same port
+         through another balancer.  */
+      rgy_stream_balancer_uncache_flow_ (b, flow);
+      flow = NULL;
+    }
   if (flow == NULL)
     {
       if (rgy_flow_table_open (b->flows, key, now_us, &flow) != RGY_OK)
--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -686,6 +686,69 @@
   assert_int_equal (f->to_balancer, 1);
 }
 
+static void
+send_first_segment_ (struct fixture_ *f, uint16_t port, uint32_t seq,
+                     uint32_t copy)
+{
+  struct rgy_segment segment
+      = make_segment_ (port, RGY_SEGMENT_SYN, seq, copy);
+
+  rgy_stream_agent_from_balancer (f->agent, &segment, BALANCER_IP, f->now_us);
+}
+
+/* A caller opened a new flow from a port whose earlier flow it had forgotten.
+   The agent took the first segment for a copy and delivered it although its
+   backend server was draining (review case 4).  A real copy must still be
+   delivered.  */
+static void
+new_flow_from_a_used_port_is_checked_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  send_heartbeat_ (f, "i-1", 5, 1, false);
+  send_first_segment_ (f, 1, 70, 0);
+  send_from_backend_ (f, 1, RGY_SEGMENT_SYN | RGY_SEGMENT_ACK, 1000);
+  send_from_caller_ (f, 1, RGY_SEGMENT_ACK, 1001);
+  assert_int_equal (f->to_backend, 2);
+  send_heartbeat_ (f, "i-1", 5, 2, true);
+  send_first_segment_ (f, 1, 70, 1);
+  assert_int_equal (f->to_backend, 3);
+  assert_int_equal (f->refused, 0);
+  send_first_segment_ (f, 1, 99, 0);
+  assert_int_equal (f->to_backend, 3);
+  assert_int_equal (f->refused, 1);
+  send_heartbeat_ (f, "i-1", 5, 3, false);
+  send_first_segment_ (f, 1, 99, 1);
+  assert_int_equal (f->to_backend, 4);
+  /* The flow is a new one, whose answer the caller has not accepted yet.  */
+  send_from_caller_ (f, 1, RGY_SEGMENT_ACK, 1001);
+  assert_int_equal (f->to_backend, 4);
+}
+
+/* A flow that was opened before the agent started is known without the number
+   of its first segment; it counts as forgotten after the idle timeout.  */
+static void
+adopted_flow_is_forgotten_after_the_idle_timeout_ (void **state)
+{
+  struct fixture_ *f = *state;
+  struct rgy_stream_message ack = { .kind = RGY_STREAM_REPORT_ACK,
+                                    .u.ack = { .balancer_incarnation = 1,
+                                               .agent_incarnation = 1,
+                                               .idle_timeout_ms = 15000 } };
+
+  send_message_ (f, &ack, BALANCER_IP);
+  send_from_caller_ (f, 1, RGY_SEGMENT_ACK, 1001);
+  send_from_backend_ (f, 1, RGY_SEGMENT_ACK, 1001);
+  send_heartbeat_ (f, "i-1", 5, 40, true);
+  send_first_segment_ (f, 1, 70, 0);
+  assert_int_equal (f->to_backend, 2);
+  f->now_us += 17 * RGY_US_PER_S;
+  send_heartbeat_ (f, "i-1", 5, 54, true);
+  send_first_segment_ (f, 1, 99, 0);
+  assert_int_equal (f->to_backend, 2);
+  assert_int_equal (f->refused, 1);
+}
+
 int
 main (void)
 {
@@ -710,6 +773,8 @@
     WITH_AGENT (heartbeat_after_deregistration_is_ignored_),
     WITH_AGENT (agent_restarted_beside_a_young_backend_denies_no_flow_),
     WITH_AGENT (agent_started_before_its_backend_knows_all_flows_),
+    WITH_AGENT (new_flow_from_a_used_port_is_checked_),
+    WITH_AGENT (adopted_flow_is_forgotten_after_the_idle_timeout_),
     WITH_AGENT (unknown_deregistration_resets_no_flow_),
     WITH_AGENT (unknown_deregistration_is_followed_by_the_end_),
   };
--- a/src/test_stream_balancer/test_stream_balancer.c
+++ b/src/test_stream_balancer/test_stream_balancer.c
@@ -523,6 +523,79 @@
   g_byte_array_unref (wanted);
 }
 
+static void
+send_first_segment_ (struct fixture_ *f, uint32_t seq, uint32_t copy)
+{
+  static const uint8_t raw[1];
+  struct rgy_segment segment
+      = { .key = rgy_flow_key_segment (
+              (struct rgy_endpoint){ .ip = 0x64400007, .port = 4000 },
+              (struct rgy_endpoint){ .ip = 0xc6120001, .port = 443 }),
+          .flags = RGY_SEGMENT_SYN,
+          .seq = seq,
+          .ack = copy,
+          .raw = { .data = raw, .len = sizeof raw } };
+
+  rgy_stream_balancer_from_router (f->balancer, &segment, f->now_us);
+}
+
+/* The agent accepts the flow of send_first_segment_().  */
+static void
+accept_flow_ (struct fixture_ *f)
+{
+  struct rgy_stream_message accepted = {
+    .kind = RGY_STREAM_ACCEPTED,
+    .u.flow.key = rgy_flow_key_segment (
+        (struct rgy_endpoint){ .ip = 0x64400007, .port = 4000 },
+        (struct rgy_endpoint){ .ip = 0xc6120001, .port = 443 }),
+  };
+
+  send_agent_message_ (f, &accepted);
+}
+
+/* A caller opened a new flow from a port whose earlier flow it had forgotten.
+   The balancer took the first segment for a copy and forwarded it to the agent
+   of the earlier flow, whatever the manifest said by then (review case 4).  */
+static void
+new_flow_from_a_used_port_is_placed_anew_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  send_first_segment_ (f, 70, 0);
+  accept_flow_ (f);
+  assert_int_equal (f->to_agent, 1);
+  /* No agent is left for new flows.  */
+  f->state = RGY_BACKEND_DRAINING;
+  f->next_report_us = f->now_us;
+  advance_time_ (f, 100 * MS);
+  send_first_segment_ (f, 70, 1);
+  assert_int_equal (f->to_agent, 2);
+  advance_time_ (f, 17 * RGY_US_PER_S);
+  send_first_segment_ (f, 99, 0);
+  advance_time_ (f, 100 * MS);
+  assert_int_equal (f->to_agent, 2);
+  assert_int_equal (f->resets, 1);
+}
+
+/* The same for a flow that is known from its agent's report only: no copy of
+   its first segment arrives so late.  */
+static void
+reported_flow_is_forgotten_after_its_opening_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  accept_flow_ (f);
+  f->state = RGY_BACKEND_DRAINING;
+  f->next_report_us = f->now_us;
+  advance_time_ (f, 600 * MS);
+  send_first_segment_ (f, 70, 1);
+  assert_int_equal (f->to_agent, 1);
+  advance_time_ (f, RGY_SEGMENT_OPENING_US);
+  send_first_segment_ (f, 99, 0);
+  advance_time_ (f, 100 * MS);
+  assert_int_equal (f->to_agent, 1);
+}
+
 /* Addresses that no host can have must neither be used nor stay in the stored
    list; a starting balancer would wait for them.  */
 static void
@@ -693,6 +766,8 @@
     WITH_BALANCER (drain_state_is_learned_from_a_peer_),
     WITH_BALANCER (stored_list_of_agents_is_updated_),
     WITH_BALANCER (odd_addresses_are_not_used_),
+    WITH_BALANCER (new_flow_from_a_used_port_is_placed_anew_),
+    WITH_BALANCER (reported_flow_is_forgotten_after_its_opening_),
     WITH_BALANCER (partitioned_balancer_resets_no_flow_),
     WITH_BALANCER (list_of_balancers_is_sent_only_if_it_differs_),
     WITH_BALANCER (older_manifest_is_rejected_),
