Reject an empty text as an address without reading it

Change: an empty text is no address. Measured: test_platform_store_answer and the new case of test_base pass with the sanitizers.

--- a/src/libragwortyoke/address.c
+++ b/src/libragwortyoke/address.c
@@ -16,7 +16,7 @@
   char buf[RGY_IP_TEXT_BYTES];
   struct in_addr addr;
 
-  if (text.len >= sizeof buf)
+  if (text.len == 0 || text.len >= sizeof buf)
     return RGY_ERR_INVALID;
   memcpy (buf, text.data, text.len);
   buf[text.len] = '\0';
--- a/src/test_base/test_base.c
+++ b/src/test_base/test_base.c
@@ -27,6 +27,9 @@
   for (i = 0; i < sizeof bad / sizeof bad[0]; i++)
     assert_int_equal (rgy_endpoint_parse (rgy_str_from_c (bad[i]), &ep),
                       RGY_ERR_INVALID);
+  /* A text without bytes may have no address.  */
+  assert_int_equal (rgy_ip_parse ((struct rgy_str){ 0 }, &ep.ip),
+                    RGY_ERR_INVALID);
   assert_int_equal (rgy_endpoint_parse (RGY_STR ("127.0.0.1:5683"), &ep),
                     RGY_OK);
   assert_int_equal (ep.ip, 0x7f000001);
@@ -108,10 +111,24 @@
   rgy_actions_delete (actions);
 }
 
+/* Addresses that no host can have must not be used for messages.  */
+static void
+host_addresses_are_told_from_others_ (void **state)
+{
+  (void)state;
+  assert_false (rgy_ip_is_host (0));
+  assert_true (rgy_ip_is_host (1));
+  assert_true (rgy_ip_is_host (0x7f000001));
+  assert_true (rgy_ip_is_host (0xdfffffff));
+  assert_false (rgy_ip_is_host (0xe0000000));
+  assert_false (rgy_ip_is_host (UINT32_MAX));
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (host_addresses_are_told_from_others_),
     cmocka_unit_test (endpoint_parse_rejects_malformed_text_),
     cmocka_unit_test (prefix_parse_rejects_host_bits_),
     cmocka_unit_test (proxy_header_survives_a_round_trip_),
