--- a/src/test_platform_settings/test_platform_settings.c
+++ b/src/test_platform_settings/test_platform_settings.c
@@ -20,7 +20,7 @@
       "heartbeat-ms=1200\n"
       "[listen]\npackets=10.1.0.12:8172\nfrom-backend-server=10.1.0.12:8162\n"
       "readiness=\nheartbeats=10.1.0.12:8166\ninternal-ports=7720,7735\n"
-      "[store]\naddress=10.200.1.7:8169\n"
+      "[store]\naddress=10.200.1.7:8169\nrecovery-ms=3000\n"
       "[flows]\nlifetime-s=60\nmemory-mb=128\ncold-overshoot=1.5\n"
       "cold-slack=5\nunknown=1\n";
 
@@ -58,6 +58,7 @@
   assert_int_equal (s.heartbeat_us, 1200 * RGY_US_PER_MS);
   assert_int_equal (s.control_port, 7720);
   assert_int_equal (s.returned_port, 7721);
+  assert_int_equal (s.store_recovery_ms, 3000);
   assert_int_equal (s.flow_ttl_us, 60 * RGY_US_PER_S);
   assert_true (s.cold_overshoot > 1.49 && s.cold_overshoot < 1.51);
 }
@@ -78,6 +79,7 @@
               { "service", "" },
               { "address", "nowhere" },
               { "heartbeat-ms", "-5" },
+              { "recovery-ms", "soon" },
               { "packets", "10.1.0.12" },
               { "from-backend-server", "" },
               { "heartbeats", "10.1.0.12:0" },
