Let an agent that started with its backend server know all flows

Cause: after a loss of power backend servers start just before the agents, and every agent probed for flows for 17 s.

Change: the check at the start goes. A backend server that has been up for at most 0.1 s longer than the agent counts as started with it; its uptime comes from born and the machine's clock, and a clock that was set back proves nothing. The soak's and the simulation's backend servers tell their true start.

--- a/include/ragwortyoke/stream_agent.h
+++ b/include/ragwortyoke/stream_agent.h
@@ -40,6 +40,8 @@
   struct rgy_name id;
   struct rgy_name service;
   int64_t started_ms; /**< Unix time at which the backend server started.  */
+  int64_t uptime_us;  /**< Time since then, by the clock of its machine;
+                           negative if that clock was set back.  */
   uint64_t seq;       /**< Number of the heartbeat; restarts when the backend
                            server starts.  */
   bool draining;
--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -58,6 +58,10 @@
 /* Time after the agent's start until the first check.  A backend server that
    starts together with the agent listens by then.  */
 #define FIRST_CHECK_US (300 * RGY_US_PER_MS)
+/* Time by which the backend server may start before the agent when the machine
+   starts both.  A process that has ended is started again later than this, so
+   that no flow can have passed through it meanwhile.  */
+#define START_TOGETHER_US (100 * RGY_US_PER_MS)
 /* Heartbeat intervals, in tenths, without a heartbeat after which the backend
    server's process is checked.  A heartbeat that is late by less is still on
    its way.  */
@@ -225,8 +229,6 @@
   int64_t cold_until_us;
   /* Time of the deregistration; 0 if none, or once the flows were reset.  */
   int64_t deregistered_us;
-  bool start_checked;    /* The check at the start of the process was
-                            requested.  */
   int64_t last_check_us; /* Time of the last check of the backend server's
                             process; 0 if none.  */
   int64_t cold_opened_us[COLD_RING_SIZE];
--- a/src/libragwortyoke/stream_agent_backend.c
+++ b/src/libragwortyoke/stream_agent_backend.c
@@ -52,6 +52,18 @@
   rgy_flow_table_foreach (agent->flows, reset_lost_flow_, &lost);
 }
 
+/* True if no flow of the backend server can have been opened before this
+   process: the machine started both, or the backend server later.  */
+static bool
+has_started_with_agent_ (const struct rgy_stream_agent *agent,
+                         const struct rgy_backend_heartbeat *heartbeat,
+                         int64_t now_us)
+{
+  return heartbeat->uptime_us >= 0
+         && heartbeat->uptime_us
+                <= now_us - agent->started_us + START_TOGETHER_US;
+}
+
 /* Records the start of a backend server.  Flows that were opened before the
    server's first heartbeat can have been sent belong to its predecessor and
    are reset; lost flows that were opened later are detected when their
@@ -78,9 +90,9 @@
       heartbeat->id.data, heartbeat->started_ms, heartbeat->seq, is_first);
   /* A start that follows an earlier one was seen from its beginning, so the
      agent knows all of its flows.  The first one that this process sees may
-     have flows of before the process, whatever the number of its
-     heartbeat.  */
-  if (!is_first)
+     have flows that passed through an earlier process, whatever the number of
+     its heartbeat.  */
+  if (!is_first || has_started_with_agent_ (agent, heartbeat, now_us))
     agent->complete = true;
   if (!is_first)
     reset_flows_opened_before_ (agent, now_us - uptime_us, "backend-restarted",
@@ -175,14 +187,6 @@
   if (agent->state == RGY_BACKEND_ENDED
       || agent->heartbeat_us > check_emitted_us)
     return;
-  if (agent->heartbeat_us == 0 && !agent->stopping
-      && check_emitted_us - agent->started_us < FIRST_CHECK_US)
-    {
-      /* The backend server will start later, and all of its flows will pass
-         through this process.  */
-      agent->complete = true;
-      return;
-    }
   /* The flows of the ended process are lost, and the agent will see the next
      start from its beginning.  */
   agent->complete = true;
@@ -211,14 +215,6 @@
   if (agent->deregistered_us != 0
       && now_us - agent->deregistered_us > DEREGISTERED_RESET_US)
     rgy_stream_agent_mark_backend_ended_ (agent, "ended", now_us);
-  if (!agent->start_checked)
-    {
-      agent->start_checked = true;
-      if (!agent->complete)
-        agent->settings.out.emit (
-            agent->settings.out.ctx,
-            &(struct rgy_stream_action){ .kind = RGY_STREAM_CHECK_BACKEND });
-    }
   if (is_heartbeat_overdue_ (agent, now_us))
     rgy_stream_agent_request_check_ (agent, now_us);
   if (agent->heartbeat_us == 0 || agent->state == RGY_BACKEND_ENDED
--- a/src/test_platform_heartbeat/test_platform_heartbeat.c
+++ b/src/test_platform_heartbeat/test_platform_heartbeat.c
@@ -99,6 +99,7 @@
   assert_int_equal (heartbeat.slots, 4);
   assert_int_equal (heartbeat.seq, 4);
   assert_int_equal (heartbeat.started_ms, BORN_MS);
+  assert_int_equal (heartbeat.uptime_us, (NOW_MS - BORN_MS) * RGY_US_PER_MS);
   assert_int_equal (heartbeat.cold_left_us, 1500 * RGY_US_PER_MS + 500);
 }
 
--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -107,10 +107,6 @@
   f->now_us = START_US;
   f->agent = rgy_stream_agent_new (&settings, f->counters, f->now_us);
   rgy_stream_agent_add_balancer (f->agent, BALANCER_IP, f->now_us);
-  /* The check at the start, whose result is not known yet.  */
-  rgy_stream_agent_tick (f->agent, f->now_us);
-  assert_int_equal (f->checks, 1);
-  f->checks = 0;
   *state = f;
   return 0;
 }
@@ -200,6 +196,7 @@
       = { .id = rgy_name_from_c (id),
           .service = rgy_name_from_c ("workshop"),
           .started_ms = started_ms,
+          .uptime_us = (int64_t)seq * RGY_US_PER_S,
           .seq = seq,
           .draining = draining,
           .slots = 4 };
@@ -646,20 +643,38 @@
   assert_int_equal (f->reported_state, RGY_BACKEND_ENDED);
 }
 
+static enum rgy_outcome
+send_young_heartbeat_ (struct fixture_ *f, uint64_t seq, int64_t uptime_us)
+{
+  struct rgy_backend_heartbeat heartbeat
+      = { .id = rgy_name_from_c ("i-1"),
+          .service = rgy_name_from_c ("workshop"),
+          .started_ms = 5,
+          .uptime_us = uptime_us,
+          .seq = seq,
+          .slots = 4 };
+
+  return rgy_stream_agent_heartbeat (f->agent, &heartbeat, f->now_us);
+}
+
 /* An agent that was restarted within the first heartbeat interval of its
    backend server took the number of the first heartbeat that it got for a
    proof that no flow had been opened before, and denied those that had (review
-   case 2).  */
+   case 2).  The same after the clock was set back.  */
 static void
 agent_restarted_beside_a_young_backend_denies_no_flow_ (void **state)
 {
-  uint64_t seq;
+  static const int64_t uptimes_ms[] = { 210, 830, 1200, 5000, -4000 };
+  size_t i;
 
-  for (seq = 0; seq <= 2; seq++)
+  for (i = 0; i < 3 * G_N_ELEMENTS (uptimes_ms); i++)
     {
       struct fixture_ *f = *state;
 
-      assert_int_equal (send_heartbeat_ (f, "i-1", 5, seq, false), RGY_OK);
+      advance_time_ (f, 100 * RGY_US_PER_MS);
+      assert_int_equal (
+          send_young_heartbeat_ (f, i % 3, uptimes_ms[i / 3] * RGY_US_PER_MS),
+          RGY_OK);
       send_from_caller_ (f, 1, RGY_SEGMENT_ACK, 1001);
       assert_int_equal (f->ownership_answers[RGY_FLOW_NOT_OWNED], 0);
       assert_int_equal (f->to_backend, 1);
@@ -671,19 +686,28 @@
     }
 }
 
-/* An agent that was there before its backend server knows all flows, and must
-   deny others at once: each lookup of a lost flow waits for its answer.  */
+/* An agent that started with its backend server or before it knows all flows,
+   and must deny others at once: each lookup of a lost flow waits for its
+   answer.  */
 static void
-agent_started_before_its_backend_knows_all_flows_ (void **state)
+agent_started_with_its_backend_knows_all_flows_ (void **state)
 {
-  struct fixture_ *f = *state;
+  static const int64_t uptimes_ms[] = { 0, 200, 1050, 1100 };
+  size_t i;
 
-  rgy_stream_agent_backend_not_running (f->agent, f->now_us, f->now_us);
-  assert_int_not_equal (f->reported_state, RGY_BACKEND_ENDED);
-  assert_int_equal (send_heartbeat_ (f, "i-1", 5, 1, false), RGY_OK);
-  send_from_caller_ (f, 1, RGY_SEGMENT_ACK, 1001);
-  assert_int_equal (f->to_backend, 0);
-  assert_int_equal (f->to_balancer, 1);
+  for (i = 0; i < G_N_ELEMENTS (uptimes_ms); i++)
+    {
+      struct fixture_ *f = *state;
+
+      advance_time_ (f, RGY_US_PER_S);
+      assert_int_equal (
+          send_young_heartbeat_ (f, 1, uptimes_ms[i] * RGY_US_PER_MS), RGY_OK);
+      send_from_caller_ (f, 1, RGY_SEGMENT_ACK, 1001);
+      assert_int_equal (f->to_backend, 0);
+      assert_int_equal (f->to_balancer, 1);
+      tear_down_ (state);
+      set_up_ (state);
+    }
 }
 
 static void
@@ -772,7 +796,7 @@
     WITH_AGENT (paused_agent_delivers_no_old_first_segment_),
     WITH_AGENT (heartbeat_after_deregistration_is_ignored_),
     WITH_AGENT (agent_restarted_beside_a_young_backend_denies_no_flow_),
-    WITH_AGENT (agent_started_before_its_backend_knows_all_flows_),
+    WITH_AGENT (agent_started_with_its_backend_knows_all_flows_),
     WITH_AGENT (new_flow_from_a_used_port_is_checked_),
     WITH_AGENT (adopted_flow_is_forgotten_after_the_idle_timeout_),
     WITH_AGENT (unknown_deregistration_resets_no_flow_),
--- a/tests/simulation/simulation_backend.c
+++ b/tests/simulation/simulation_backend.c
@@ -207,6 +207,7 @@
       = { .id = sim_get_backend_name_ (sim, i),
           .service = sim_get_service_name_ (sim, i),
           .started_ms = backend->started_ms,
+          .uptime_us = sim->now_us - backend->started_ms * RGY_US_PER_MS,
           .seq = ++backend->seq,
           .draining = backend->draining,
           .cold_left_us = MAX (backend->cold_until_us - sim->now_us, 0),
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -49,6 +49,7 @@
   int64_t drain_acknowledged_us; /* Time when the agent acknowledged the
                                     draining; 0: not acknowledged.  */
   unsigned generation;           /* Number of starts.  */
+  int64_t started_ms;            /* Unix time of the last start.  */
   uint64_t seq;                  /* Sequence number of the last report.  */
   int64_t next_heartbeat_us;
   GHashTable *flows; /* Caller port to sequence number of the first segment of
@@ -402,12 +403,13 @@
   body = g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"%s\","
       "\"version\":\"v1\",\"concurrency\":4,\"state\":\"%s\","
-      "\"warmup_left_ms\":0,\"seq\":%" G_GUINT64_FORMAT ",\"born\":%u}",
+      "\"warmup_left_ms\":0,\"seq\":%" G_GUINT64_FORMAT
+      ",\"born\":%" G_GINT64_FORMAT "}",
       i < SOAK_WORKSHOP_AGENTS ? "workshop" : "catalogue",
       rgy_ip_format (SOAK_AGENT_IP + (uint32_t)i, ip), SOAK_BACKEND_PORT,
       i % 2 == 0 ? "domain-a" : "domain-b",
       backend->draining ? "draining" : "ready", ++backend->seq,
-      1000 + backend->generation);
+      backend->started_ms);
   rgy_http_client_call (backend->heartbeats, "POST", target,
                         (struct rgy_bytes){ .data = (const uint8_t *)body,
                                             .len = strlen (body) },
@@ -453,6 +455,7 @@
   backend->draining = false;
   backend->drain_acknowledged_us = 0;
   backend->generation++;
+  backend->started_ms = g_get_real_time () / 1000;
   backend->seq = 0;
   backend->next_heartbeat_us = soak_.now_us;
 }
--- a/tests/soak/writer.c
+++ b/tests/soak/writer.c
@@ -68,6 +68,8 @@
   char *address = g_strdup_printf (
       "\"%s:%d\"", rgy_ip_format (SOAK_AGENT_IP + (uint32_t)agent, ip),
       SOAK_BACKEND_PORT);
+  char *born
+      = g_strdup_printf ("%" G_GINT64_FORMAT, g_get_real_time () / 1000);
   const char *const valid[G_N_ELEMENTS (field_names_)]
       = { agent < SOAK_WORKSHOP_AGENTS ? "\"workshop\"" : "\"catalogue\"",
           address,
@@ -77,7 +79,7 @@
           "\"ready\"",
           "0",
           "1",
-          "1000000" };
+          born };
   GString *text = g_string_new ("{");
   char *deep = g_strnfill (TOO_DEEP, '[');
   size_t i;
@@ -93,6 +95,7 @@
           !is_odd ? valid[i] : (odd == -2 ? deep : odd_values_[odd]));
     }
   g_string_append_c (text, '}');
+  g_free (born);
   g_free (deep);
   g_free (address);
   return g_string_free (text, FALSE);
