Count control bytes by kind and failure domain, and simulate the large deployment

Both cores count them in stream_message_bytes_total{kind,domain}. The simulation takes 64 balancers and 160 agents in up to five failure domains, counts control bytes by role and direction, cuts paths between failure domains, and can be without its store.

--- a/include/ragwortyoke/stream_action.h
+++ b/include/ragwortyoke/stream_action.h
@@ -83,10 +83,11 @@
                             const struct rgy_flow_key *key, uint32_t seq);
 
 struct rgy_stream_message;
-/** Encode a control message and emit it to @p ip.  */
-void rgy_stream_emit_message (const struct rgy_stream_action_sink *out,
-                              uint32_t ip,
-                              const struct rgy_stream_message *message);
+/** Encode a control message and emit it to @p ip.
+    @return bytes of the encoded message.  */
+size_t rgy_stream_emit_message (const struct rgy_stream_action_sink *out,
+                                uint32_t ip,
+                                const struct rgy_stream_message *message);
 /** Emit RGY_STREAM_LOG with a formatted line; texts above 399 bytes are
     truncated.  */
 void rgy_stream_emit_log (const struct rgy_stream_action_sink *out,
--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -195,6 +195,8 @@
   RGY_STREAM_MESSAGE_KIND_COUNT
 };
 
+extern const char *const rgy_stream_message_kind_string[];
+
 /** A decoded message.  Its byte ranges point into the buffer that was
     decoded.  */
 struct rgy_stream_message
--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -12,6 +12,7 @@
 
 #include <glib.h>
 
+#include "private/stream_traffic.h"
 #include "ragwortyoke/clock.h"
 #include "ragwortyoke/stream_agent.h"
 
@@ -254,6 +255,7 @@
   int64_t idle_timeout_us; /* Longest idle timeout that a balancer has sent; 0
                               if none.  */
 
+  struct rgy_stream_traffic traffic;
   struct rgy_histogram *answer_time;
   struct rgy_histogram *wait_time; /* Time for which a request waited for a
                                       slot.  */
@@ -268,6 +270,10 @@
   uint64_t *n_bad_messages;
 };
 
+/** Send a control message to the balancer at @p ip.  */
+void rgy_stream_agent_send_message_ (struct rgy_stream_agent *agent,
+                                     uint32_t ip,
+                                     const struct rgy_stream_message *message);
 void rgy_stream_agent_report_to_all_ (struct rgy_stream_agent *agent,
                                       int64_t now_us);
 /** Record that a flow was opened or closed, for the balancers of a failure
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -13,6 +13,7 @@
 
 #include <glib.h>
 
+#include "private/stream_traffic.h"
 #include "ragwortyoke/placement.h"
 #include "ragwortyoke/stream_balancer.h"
 
@@ -272,6 +273,7 @@
   int64_t status_sent_us;
   bool stopping;
 
+  struct rgy_stream_traffic traffic;
   struct rgy_histogram *open_time;   /**< Time from a first segment until an
                                           agent accepts the flow.  */
   struct rgy_histogram *lookup_time; /**< Time from the start of a lookup until
@@ -317,6 +319,10 @@
                                          uint32_t tag, int64_t now_us,
                                          struct rgy_preference *preference);
 
+/** Send a control message to an agent or another balancer.  */
+void
+rgy_stream_balancer_send_message_ (struct rgy_stream_balancer *b, uint32_t ip,
+                                   const struct rgy_stream_message *message);
 void rgy_stream_balancer_send_status_ (struct rgy_stream_balancer *b,
                                        bool wants_reply, int64_t now_us);
 /** Ask all agents for a report, so that they get the new view at once: the
--- a/src/libragwortyoke/stream_action.c
+++ b/src/libragwortyoke/stream_action.c
@@ -43,18 +43,21 @@
   out->emit (out->ctx, &action);
 }
 
-void
+size_t
 rgy_stream_emit_message (const struct rgy_stream_action_sink *out, uint32_t ip,
                          const struct rgy_stream_message *message)
 {
   GByteArray *bytes = g_byte_array_new ();
   struct rgy_stream_action action = { .kind = RGY_STREAM_MESSAGE, .ip = ip };
+  size_t len;
 
   rgy_stream_message_encode (message, bytes);
   action.u.message
       = (struct rgy_bytes){ .data = bytes->data, .len = bytes->len };
   out->emit (out->ctx, &action);
+  len = bytes->len;
   g_byte_array_unref (bytes);
+  return len;
 }
 
 static void
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -36,6 +36,7 @@
   int i;
 
   rgy_counters_add_all (counters, specs, G_N_ELEMENTS (specs));
+  rgy_stream_traffic_init (&agent->traffic, counters);
   agent->answer_time = rgy_counters_add_histogram (
       counters, "backend_answer_seconds",
       "Time from a caller's payload to the first payload that answers it.");
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -112,7 +112,7 @@
   struct rgy_stream_message message
       = { .kind = RGY_STREAM_ACCEPTED, .u.flow = { .key = *key } };
 
-  rgy_stream_emit_message (&agent->settings.out, ip, &message);
+  rgy_stream_agent_send_message_ (agent, ip, &message);
 }
 
 static void
@@ -123,7 +123,7 @@
       = { .kind = RGY_STREAM_REFUSED,
           .u.flow = { .key = *key, .reason = reason } };
 
-  rgy_stream_emit_message (&agent->settings.out, ip, &message);
+  rgy_stream_agent_send_message_ (agent, ip, &message);
 }
 
 void
@@ -138,7 +138,7 @@
 
   rgy_flow_endpoints_encode (key, answer);
   answer[RGY_FLOW_ENDPOINTS_BYTES] = (uint8_t)ownership;
-  rgy_stream_emit_message (&agent->settings.out, ip, &message);
+  rgy_stream_agent_send_message_ (agent, ip, &message);
 }
 
 static void
--- a/src/libragwortyoke/stream_agent_report.c
+++ b/src/libragwortyoke/stream_agent_report.c
@@ -16,6 +16,26 @@
   return NULL;
 }
 
+static enum rgy_receiver_domain
+get_receiver_domain_ (const struct rgy_stream_agent *agent, uint32_t ip)
+{
+  const struct rgy_agent_balancer *b = find_balancer_ (agent, ip);
+
+  if (b == NULL || b->domain == 0)
+    return RGY_RECEIVER_UNKNOWN_DOMAIN;
+  return b->domain == rgy_stream_hash_domain (&agent->settings.domain)
+             ? RGY_RECEIVER_SAME_DOMAIN
+             : RGY_RECEIVER_OTHER_DOMAIN;
+}
+
+void
+rgy_stream_agent_send_message_ (struct rgy_stream_agent *agent, uint32_t ip,
+                                const struct rgy_stream_message *message)
+{
+  rgy_stream_traffic_send (&agent->traffic, &agent->settings.out, ip, message,
+                           get_receiver_domain_ (agent, ip));
+}
+
 static uint64_t
 hash_balancers_ (const struct rgy_stream_agent *agent)
 {
@@ -98,7 +118,7 @@
               .changes = changes } };
 
   b->sent_us = now_us;
-  rgy_stream_emit_message (&agent->settings.out, b->ip, &message);
+  rgy_stream_agent_send_message_ (agent, b->ip, &message);
 }
 
 struct flow_snapshot_
@@ -371,7 +391,7 @@
       answer[RGY_FLOW_ENDPOINTS_BYTES] = (uint8_t)get_ownership_ (agent, &key);
       message.u.answers.len += RGY_FLOW_ANSWER_BYTES;
     }
-  rgy_stream_emit_message (&agent->settings.out, from_ip, &message);
+  rgy_stream_agent_send_message_ (agent, from_ip, &message);
 }
 
 enum rgy_outcome
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -42,6 +42,7 @@
   };
 
   rgy_counters_add_all (counters, specs, G_N_ELEMENTS (specs));
+  rgy_stream_traffic_init (&b->traffic, counters);
   b->open_time = rgy_counters_add_histogram (
       counters, "stream_open_seconds",
       "Time from a first segment until an agent accepts the flow.");
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -30,6 +30,28 @@
   return NULL;
 }
 
+/* The domains of other balancers are not known here.  */
+static enum rgy_receiver_domain
+get_receiver_domain_ (const struct rgy_stream_balancer *b, uint32_t ip)
+{
+  const struct rgy_known_agent *agent
+      = rgy_stream_balancer_find_agent_ (b, ip);
+
+  if (agent == NULL || agent->tag == 0)
+    return RGY_RECEIVER_UNKNOWN_DOMAIN;
+  return rgy_name_equal (&agent->report.domain, &b->settings.domain)
+             ? RGY_RECEIVER_SAME_DOMAIN
+             : RGY_RECEIVER_OTHER_DOMAIN;
+}
+
+void
+rgy_stream_balancer_send_message_ (struct rgy_stream_balancer *b, uint32_t ip,
+                                   const struct rgy_stream_message *message)
+{
+  rgy_stream_traffic_send (&b->traffic, &b->settings.out, ip, message,
+                           get_receiver_domain_ (b, ip));
+}
+
 /* Appends an agent to the list in a status.  */
 static void
 append_agent_ (GByteArray *list, const struct rgy_known_agent *agent)
@@ -101,7 +123,7 @@
       = (struct rgy_bytes){ .data = balancers->data, .len = balancers->len };
   message.u.status.agents
       = (struct rgy_bytes){ .data = agents->data, .len = agents->len };
-  rgy_stream_emit_message (&b->settings.out, ip, &message);
+  rgy_stream_balancer_send_message_ (b, ip, &message);
   g_byte_array_unref (agents);
   g_byte_array_unref (balancers);
 }
@@ -139,7 +161,7 @@
 {
   struct rgy_stream_message message = { .kind = RGY_STREAM_REPORT_REQUEST };
 
-  rgy_stream_emit_message (&b->settings.out, ip, &message);
+  rgy_stream_balancer_send_message_ (b, ip, &message);
 }
 
 /* Asks all agents for a report, so that they get the new view at once: the
@@ -343,7 +365,7 @@
   balancers = knows_balancers ? g_byte_array_new () : list_balancers_ (b);
   message.u.ack.balancers
       = (struct rgy_bytes){ .data = balancers->data, .len = balancers->len };
-  rgy_stream_emit_message (&b->settings.out, agent->ip, &message);
+  rgy_stream_balancer_send_message_ (b, agent->ip, &message);
   g_byte_array_unref (balancers);
 }
 
--- a/src/libragwortyoke/stream_balancer_query.c
+++ b/src/libragwortyoke/stream_balancer_query.c
@@ -14,7 +14,7 @@
   if (agent->queried->len == 0)
     return;
   agent->queried_us = now_us;
-  rgy_stream_emit_message (&b->settings.out, agent->ip, &message);
+  rgy_stream_balancer_send_message_ (b, agent->ip, &message);
   g_byte_array_set_size (agent->queried, 0);
 }
 
--- a/src/libragwortyoke/stream_message.c
+++ b/src/libragwortyoke/stream_message.c
@@ -20,6 +20,17 @@
   [RGY_REFUSED_RESTARTING] = "agent-restarting",
 };
 
+const char *const rgy_stream_message_kind_string[] = {
+  [RGY_STREAM_REPORT] = "report",
+  [RGY_STREAM_REPORT_ACK] = "report-ack",
+  [RGY_STREAM_STATUS] = "status",
+  [RGY_STREAM_REPORT_REQUEST] = "report-request",
+  [RGY_STREAM_ACCEPTED] = "accepted",
+  [RGY_STREAM_REFUSED] = "refused",
+  [RGY_STREAM_QUERY] = "query",
+  [RGY_STREAM_ANSWER] = "answer",
+};
+
 uint32_t
 rgy_stream_decode_ip (const uint8_t *in)
 {
--- a/tests/simulation/simulation.c
+++ b/tests/simulation/simulation.c
@@ -82,6 +82,38 @@
                                         .len = sizeof *packet } };
 }
 
+static struct rgy_name
+get_domain_name_ (const struct simulation *sim, size_t instance)
+{
+  static const char *const names[SIM_MAX_DOMAINS]
+      = { "poa-a", "poa-b", "cxs-c", "fln-d", "jve-e" };
+
+  return rgy_name_from_c (names[instance % sim->n_domains]);
+}
+
+static void
+count_message_ (struct simulation *sim, const struct process_ *from,
+                bool to_agent, size_t to, size_t bytes)
+{
+  *(from->is_agent ? &sim->traffic.from_agents : &sim->traffic.from_balancers)
+      += bytes;
+  *(to_agent ? &sim->traffic.to_agents : &sim->traffic.to_balancers) += bytes;
+  if (from->index % sim->n_domains != to % sim->n_domains)
+    sim->traffic.between_domains += bytes;
+}
+
+/* Queues a delivery from one instance to another unless the path between
+   their failure domains is cut.  */
+static void
+queue_delivery_between_ (struct simulation *sim, struct delivery_ d,
+                         size_t from)
+{
+  if (!sim->cut[from % sim->n_domains][d.index % sim->n_domains])
+    sim_queue_delivery_ (sim, d, false);
+  else if (d.message != NULL)
+    g_byte_array_unref (d.message);
+}
+
 static void
 run_action_ (void *ctx, const struct rgy_stream_action *action)
 {
@@ -120,7 +152,9 @@
       d.message = g_byte_array_new ();
       g_byte_array_append (d.message, action->u.message.data,
                            (guint)action->u.message.len);
-      sim_queue_delivery_ (sim, d, false);
+      count_message_ (sim, process, d.kind == MESSAGE_TO_AGENT, d.index,
+                      d.message->len);
+      queue_delivery_between_ (sim, d, process->index);
       return;
     case RGY_STREAM_CHECK_BACKEND:
       d.kind = CHECK_RESULT_TO_AGENT;
@@ -142,7 +176,10 @@
   memcpy (&d.packet, action->u.segment.raw.data, sizeof d.packet);
   d.packet.flags &= (uint8_t)~RGY_SEGMENT_BOUNCED;
   d.trail = action->u.segment.trail;
-  sim_queue_delivery_ (sim, d, d.kind == TO_BACKEND);
+  if (d.kind == TO_AGENT || d.kind == RETURNED_TO_BALANCER)
+    queue_delivery_between_ (sim, d, process->index);
+  else
+    sim_queue_delivery_ (sim, d, d.kind == TO_BACKEND);
 }
 
 void
@@ -424,7 +461,7 @@
   guint k;
   size_t i;
 
-  if (sim->now_us >= sim->next_list_update_us)
+  if (sim->now_us >= sim->next_list_update_us && !sim->store_down)
     update_agent_list_ (sim);
   for (i = 0; i < sim->n_balancers; i++)
     if (sim->balancers[i] != NULL)
@@ -493,6 +530,7 @@
   sim->n_balancers = n_balancers;
   sim->n_agents = n_agents;
   sim->n_workshop = n_agents;
+  sim->n_domains = 2;
   sim->callers = g_ptr_array_new_with_free_func (g_free);
   sim->counters = rgy_counters_new ();
   sim->stored_agents = g_byte_array_new ();
@@ -545,6 +583,31 @@
   g_free (sim);
 }
 
+void
+sim_set_domains (struct simulation *sim, size_t n)
+{
+  sim->n_domains = n;
+}
+
+void
+sim_cut_domains (struct simulation *sim, size_t a, size_t b, bool cut)
+{
+  sim->cut[a][b] = cut;
+  sim->cut[b][a] = cut;
+}
+
+void
+sim_set_store_down (struct simulation *sim, bool down)
+{
+  sim->store_down = down;
+}
+
+const struct sim_traffic *
+sim_get_traffic (const struct simulation *sim)
+{
+  return &sim->traffic;
+}
+
 void
 sim_set_workshop (struct simulation *sim, size_t n)
 {
@@ -593,7 +656,7 @@
 {
   struct rgy_stream_balancer_settings settings
       = { .own_ip = (uint32_t)(BALANCER_IP + i),
-          .domain = rgy_name_from_c (i % 2 == 0 ? "poa-a" : "poa-b"),
+          .domain = get_domain_name_ (sim, i),
           .incarnation = ++sim->next_incarnation,
           .flow_ttl_us = 60 * RGY_US_PER_S,
           .max_flows = 100000,
@@ -609,11 +672,12 @@
   for (k = 0; k < sim->n_balancers; k++)
     rgy_stream_balancer_add_peer (sim->balancers[i],
                                   (uint32_t)(BALANCER_IP + k), sim->now_us);
-  rgy_stream_balancer_add_stored_agents (
-      sim->balancers[i],
-      (struct rgy_bytes){ .data = sim->stored_agents->data,
-                          .len = sim->stored_agents->len },
-      sim->now_us);
+  if (!sim->store_down)
+    rgy_stream_balancer_add_stored_agents (
+        sim->balancers[i],
+        (struct rgy_bytes){ .data = sim->stored_agents->data,
+                            .len = sim->stored_agents->len },
+        sim->now_us);
 }
 
 void
@@ -634,7 +698,7 @@
 {
   struct rgy_stream_agent_settings settings
       = { .service = sim_get_service_name_ (sim, i),
-          .domain = rgy_name_from_c (i % 2 == 0 ? "poa-a" : "poa-b"),
+          .domain = get_domain_name_ (sim, i),
           .incarnation = ++sim->next_incarnation,
           .flow_ttl_us = 60 * RGY_US_PER_S,
           .heartbeat_us = SIM_HEARTBEAT_US,
--- a/tests/simulation/simulation.h
+++ b/tests/simulation/simulation.h
@@ -15,8 +15,9 @@
 #include "ragwortyoke/stream_manifest.h"
 #include "ragwortyoke/stream_message.h"
 
-#define SIM_MAX_BALANCERS 8
-#define SIM_MAX_AGENTS 24
+#define SIM_MAX_BALANCERS 64
+#define SIM_MAX_AGENTS 160
+#define SIM_MAX_DOMAINS 5
 /** Interval of the backend servers' heartbeats.  */
 #define SIM_HEARTBEAT_US INT64_C (1000000)
 
@@ -66,6 +67,17 @@
   unsigned failed; /**< Without an answer when the user gave up.  */
 };
 
+/** Bytes of the control messages since the start of the simulation, without
+    the datagrams' headers.  */
+struct sim_traffic
+{
+  uint64_t from_balancers;
+  uint64_t to_balancers;
+  uint64_t from_agents;
+  uint64_t to_agents;
+  uint64_t between_domains; /**< Of the bytes sent.  */
+};
+
 struct simulation;
 
 /**
@@ -77,6 +89,10 @@
                             double loss_share);
 void sim_delete (struct simulation *simulation);
 
+/** Spread the balancers and agents over @p n failure domains, 2 by default;
+    must be called before sim_start().  */
+void sim_set_domains (struct simulation *simulation, size_t n);
+
 /** Let agents with an index below @p n serve "workshop", others
     "catalogue".  */
 void sim_set_workshop (struct simulation *simulation, size_t n);
@@ -121,6 +137,16 @@
 /** Take one failure domain out of service; with NULL none is out.  */
 void sim_set_domain_out (struct simulation *simulation, const char *domain);
 
+/** Cut the paths between two failure domains, or join them again.  */
+void sim_cut_domains (struct simulation *simulation, size_t a, size_t b,
+                      bool cut);
+
+/** Let balancers that start find no list of agents in the store, and let none
+    be written.  */
+void sim_set_store_down (struct simulation *simulation, bool down);
+
+const struct sim_traffic *
+sim_get_traffic (const struct simulation *simulation);
 const struct sim_counts *sim_get_counts (const struct simulation *simulation);
 /** Number of first segments that the backend server @p i has accepted.  */
 unsigned sim_get_accepted (const struct simulation *simulation, size_t i);
--- a/tests/simulation/simulation_private.h
+++ b/tests/simulation/simulation_private.h
@@ -149,6 +149,11 @@
   size_t n_balancers;
   size_t n_agents;
   size_t n_workshop;
+  size_t n_domains;
+  bool cut[SIM_MAX_DOMAINS][SIM_MAX_DOMAINS]; /* Pairs of failure domains that
+                                                 cannot reach each other.  */
+  struct sim_traffic traffic;
+  bool store_down;
   struct rgy_stream_balancer *balancers[SIM_MAX_BALANCERS];
   bool leaving[SIM_MAX_BALANCERS];
   struct rgy_stream_agent *agents[SIM_MAX_AGENTS];
