Send distant reports half as often, and only the load in quiet ones

Cause: every agent reports to every balancer each 400 ms.

Change: a report whose facts are the ones of the last full report carries the load and a fingerprint of the facts only (about 20 bytes instead of 65); a balancer with another fingerprint requests a full one. Only balancers that have said that they decode it get it, so that earlier versions keep working. Balancers of other failure domains get reports every 800 ms unless there is news for them; they request one that is overdue, and declare such an agent dead after 2.4 s instead of 2.0 s: the silence that this takes after a report was due stays 1.6 s. Statuses without news go every 1.5 s.

A balancer that restarts must still hear of each agent before it may reset flows: an agent that the store's list does not name is asked for reports every 2 s, which keeps it at 400 ms, and so does a restart of half of the balancers in its own domain.

--- a/include/ragwortyoke/stream_balancer.h
+++ b/include/ragwortyoke/stream_balancer.h
@@ -85,10 +85,10 @@
  * @return true if the list differs and this balancer knows all agents, so that
  *         the new list must be written.
  */
-bool
-rgy_stream_balancer_update_agent_list (const struct rgy_stream_balancer *b,
-                                       struct rgy_bytes listed,
-                                       GByteArray *wanted, int64_t now_us);
+bool rgy_stream_balancer_update_agent_list (struct rgy_stream_balancer *b,
+                                            struct rgy_bytes listed,
+                                            GByteArray *wanted,
+                                            int64_t now_us);
 
 /** Process a caller's segment that the router sent.  */
 void rgy_stream_balancer_from_router (struct rgy_stream_balancer *balancer,
--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -129,6 +129,22 @@
                                  closed.  */
 };
 
+/** Hash of what a brief report does not carry: all of a report but its number,
+    the load and the flow changes.  It is the same in every process.  */
+uint64_t
+rgy_stream_report_fingerprint (const struct rgy_stream_report *report);
+
+/** A report in which only the load has changed.  */
+struct rgy_stream_brief_report
+{
+  uint64_t seq; /**< Number of the report, counted with the full ones.  */
+  uint64_t fingerprint; /**< rgy_stream_report_fingerprint() of the last full
+                             report; the receiver requests a full one if it
+                             has another one.  */
+  uint32_t open_flows;
+  uint32_t latency_us;
+};
+
 /** Bytes of one flow change in a report.  */
 #define RGY_FLOW_CHANGE_BYTES (RGY_FLOW_ENDPOINTS_BYTES + 1)
 
@@ -192,6 +208,11 @@
   RGY_STREAM_QUERY,    /**< A balancer asks which of these flows the agent
                             owns.  */
   RGY_STREAM_ANSWER,
+  RGY_STREAM_BRIEF_REPORT,    /**< Only to balancers that have sent
+                                   RGY_STREAM_BRIEF_SUPPORTED.  */
+  RGY_STREAM_BRIEF_SUPPORTED, /**< A balancer tells an agent that it decodes
+                                   brief reports.  Earlier versions ignore
+                                   it.  */
   RGY_STREAM_MESSAGE_KIND_COUNT
 };
 
@@ -217,6 +238,9 @@
                                            of each flow.  */
     struct rgy_bytes answers;         /**< Set for RGY_STREAM_ANSWER: entries
                                            of RGY_FLOW_ANSWER_BYTES.  */
+    struct rgy_stream_brief_report brief;
+    uint64_t balancer_incarnation; /**< Set for
+                                        RGY_STREAM_BRIEF_SUPPORTED.  */
   } u;
 };
 
--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -16,9 +16,29 @@
 #include "ragwortyoke/clock.h"
 #include "ragwortyoke/stream_agent.h"
 
-/* Interval of reports without a change.  A balancer misses four of them before
-   it declares the agent dead.  */
+/* Interval of reports to balancers of the own failure domain, and to others
+   that need news.  A balancer misses four of them before it declares the agent
+   dead.  */
 #define REPORT_INTERVAL_US (400 * RGY_US_PER_MS)
+/* Interval of reports without news to balancers of other failure domains,
+   which place few flows here.  They request a report that is overdue.  */
+#define DISTANT_REPORT_INTERVAL_US (800 * RGY_US_PER_MS)
+/* Time since its request for a report for which a balancer gets reports at
+   REPORT_INTERVAL_US.  Balancers request one every 2 s of an agent that the
+   store's list does not name: when all balancers restart, such an agent must
+   report to them before they assume that they know all agents.  */
+#define REQUESTED_US (5 * RGY_US_PER_S)
+/* Time for which all balancers get reports at REPORT_INTERVAL_US after half of
+   those in the own failure domain have restarted: others have probably
+   restarted too and may not know this agent.  */
+#define MASS_RESTART_US (3 * RGY_US_PER_S)
+/* Time since the last acknowledgement after which one is overdue.  Balancers
+   acknowledge at least every second report to them.  */
+#define ACK_OVERDUE_US (2 * RGY_US_PER_S)
+/* Change of the number of open flows that is news: this many flows, and this
+   part of the number last reported.  */
+#define LOAD_NEWS_FLOWS 4
+#define LOAD_NEWS_DIVISOR 4
 /* A balancer that has not acknowledged a report for BALANCER_SLOW_US gets
    reports at BALANCER_SLOW_INTERVAL_US, and is removed after
    BALANCER_EXPIRE_US.  */
@@ -197,6 +217,15 @@
   int64_t added_us;
   int64_t last_ack_us; /* Time of the last acknowledgement; 0 if none.  */
   int64_t sent_us;
+  int64_t requested_us;         /* Time of its last request for a report, or at
+                                   which it was added.  */
+  int64_t incarnation_since_us; /* Time at which the incarnation was first
+                                   seen.  */
+  uint64_t brief_incarnation;   /* Incarnation that decodes brief reports; 0 if
+                                   none is known to.  */
+  uint64_t sent_fingerprint;    /* Fingerprint of the last full report sent; 0
+                                   if the next one must be full.  */
+  uint32_t sent_flows;          /* Open flows in the last report sent.  */
   uint64_t changes_acked; /* Number that follows the last flow change that the
                              balancer has acknowledged.  */
   bool synced; /* All flows were sent to the balancer since its start.  */
@@ -210,6 +239,8 @@
   uint32_t n_open;
   GArray *balancers; /* Entries are struct rgy_agent_balancer.  */
   uint64_t seq;
+  int64_t prompt_until_us; /* Time until which all balancers get reports at
+                              REPORT_INTERVAL_US.  */
 
   GPtrArray *journals; /* Entries are struct rgy_flow_journal, owned.  */
 
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -17,12 +17,32 @@
 #include "ragwortyoke/placement.h"
 #include "ragwortyoke/stream_balancer.h"
 
-/* Time since the last report up to which an agent counts as alive.  Agents
-   report every 400 ms, and three reports may be lost.  */
+/* Time since the last report up to which an agent counts as alive.  Agents of
+   the own failure domain report every 400 ms, and three reports may be
+   lost.  */
 #define AGENT_ALIVE_US INT64_C (1500000)
 /* Time since the last report after which an agent's machine is declared
    dead.  */
 #define AGENT_DEAD_US INT64_C (2000000)
+/* The same for agents of other failure domains, which report every 800 ms:
+   both allow a silence of 1.6 s after the time at which a report was due.  */
+#define DISTANT_AGENT_ALIVE_US INT64_C (1900000)
+#define DISTANT_AGENT_DEAD_US INT64_C (2400000)
+/* Time since the last report of an agent of another failure domain after which
+   the next one is requested: one interval and the time that a loaded machine
+   may take.  */
+#define REPORT_OVERDUE_US INT64_C (1000000)
+/* Interval of requests for an overdue report, so that several may be lost
+   before the agent is declared dead.  */
+#define REPORT_REQUEST_INTERVAL_US INT64_C (200000)
+/* Interval of requests for reports of an agent that the store's list does not
+   name.  Agents report at their short interval for 5 s after each.  */
+#define UNLISTED_REQUEST_INTERVAL_US INT64_C (2000000)
+/* Interval at which the agents are checked for overdue reports.  */
+#define REPORT_CHECK_INTERVAL_US INT64_C (100000)
+/* Interval at which an agent that sends full reports without news is told that
+   brief ones suffice.  */
+#define BRIEF_OFFER_INTERVAL_US INT64_C (2000000)
 /* Time after which an agent is declared dead that has announced its restart.
    The users' machines are back within a few seconds.  */
 #define AGENT_RESTART_US INT64_C (6000000)
@@ -56,8 +76,13 @@
 #define LATE_TICK_US INT64_C (10000)
 /* Interval of acknowledgements for reports that bring nothing new.  */
 #define ACK_INTERVAL_US INT64_C (1000000)
-/* Interval of status messages to the other balancers.  */
+/* Interval of status messages to the other balancers while this one does not
+   know the manifest and all agents.  */
 #define STATUS_INTERVAL_US INT64_C (500000)
+/* Interval of status messages without news.  Changes are sent at once; the
+   message after a lost one must arrive well within the 3 s in which a manifest
+   must be in force.  */
+#define QUIET_STATUS_INTERVAL_US INT64_C (1500000)
 /* Time since the last status after which another balancer is removed.  */
 #define PEER_EXPIRE_US INT64_C (60000000)
 /* Time after which a new flow is offered to the next agent.  It covers the
@@ -147,6 +172,14 @@
                                   report.  */
   GByteArray *queried;       /**< Ends of the flows in the next query.  */
   int64_t queried_us;        /**< Time of the last query sent.  */
+  uint64_t fingerprint;      /**< rgy_stream_report_fingerprint() of the last
+                                  report.  */
+  bool distant;              /**< Belongs to another failure domain.  */
+  bool listed;               /**< Named by the store's list when it was last
+                                  read.  */
+  int64_t requested_us;      /**< Time of the last request for a report.  */
+  int64_t brief_offered_us;  /**< Time of the last
+                                  RGY_STREAM_BRIEF_SUPPORTED.  */
   bool from_store;           /**< Listed in the store and has not reported
                                   yet.  */
   int64_t excluded_until_us; /**< The agent refused a new flow and gets none
@@ -271,6 +304,8 @@
   bool peer_listed_agents;   /**< A peer that knows all agents has listed them
                                   since settling_since_us.  */
   int64_t status_sent_us;
+  int64_t reports_checked_us; /**< Time of the last check for overdue
+                                   reports.  */
   bool stopping;
 
   struct rgy_stream_traffic traffic;
@@ -329,6 +364,10 @@
     acknowledgement carries it.  */
 void rgy_stream_balancer_request_reports_ (struct rgy_stream_balancer *b,
                                            int64_t now_us);
+/** Request reports that are overdue, and those of agents that the store's list
+    does not name.  */
+void rgy_stream_balancer_request_due_reports_ (struct rgy_stream_balancer *b,
+                                               int64_t now_us);
 /** Remove agents and balancers that have not sent anything for long.  */
 void rgy_stream_balancer_expire_members_ (struct rgy_stream_balancer *b,
                                           int64_t now_us);
@@ -336,6 +375,9 @@
 rgy_stream_balancer_handle_report_ (struct rgy_stream_balancer *b,
                                     const struct rgy_stream_report *report,
                                     uint32_t ip, int64_t now_us);
+void rgy_stream_balancer_handle_brief_report_ (
+    struct rgy_stream_balancer *b,
+    const struct rgy_stream_brief_report *report, uint32_t ip, int64_t now_us);
 void
 rgy_stream_balancer_handle_status_ (struct rgy_stream_balancer *b,
                                     const struct rgy_stream_status *status,
--- a/src/libragwortyoke/stream_agent_report.c
+++ b/src/libragwortyoke/stream_agent_report.c
@@ -93,34 +93,86 @@
              : rgy_stream_hash_domain (&agent->settings.domain);
 }
 
+/* Makes a report without flow changes.  */
+static struct rgy_stream_report
+make_report_ (const struct rgy_stream_agent *agent, int64_t now_us)
+{
+  return (struct rgy_stream_report){
+    .incarnation = agent->settings.incarnation,
+    .service = agent->settings.service,
+    .domain = agent->settings.domain,
+    .backend_id
+    = rgy_name_hash (&agent->backend, (uint64_t)agent->backend_started_ms),
+    .state = agent->state,
+    .restarting = agent->stopping,
+    .complete = agent->complete,
+    .cold = agent->cold_until_us > now_us,
+    .slots = agent->slots,
+    .open_flows = agent->n_open,
+    .latency_us = agent->latency_us,
+    .balancers_hash = hash_balancers_ (agent)
+  };
+}
+
+static uint64_t
+get_fingerprint_ (const struct rgy_stream_agent *agent, int64_t now_us)
+{
+  struct rgy_stream_report report = make_report_ (agent, now_us);
+
+  return rgy_stream_report_fingerprint (&report);
+}
+
 static void
 send_report_ (struct rgy_stream_agent *agent, struct rgy_agent_balancer *b,
               uint64_t from, struct rgy_bytes changes, int64_t now_us)
 {
   struct rgy_stream_message message
       = { .kind = RGY_STREAM_REPORT,
-          .u.report
-          = { .incarnation = agent->settings.incarnation,
-              .seq = ++agent->seq,
-              .service = agent->settings.service,
-              .domain = agent->settings.domain,
-              .backend_id = rgy_name_hash (
-                  &agent->backend, (uint64_t)agent->backend_started_ms),
-              .state = agent->state,
-              .restarting = agent->stopping,
-              .complete = agent->complete,
-              .cold = agent->cold_until_us > now_us,
-              .slots = agent->slots,
-              .open_flows = agent->n_open,
-              .latency_us = agent->latency_us,
-              .balancers_hash = hash_balancers_ (agent),
-              .changes_from = from,
-              .changes = changes } };
+          .u.report = make_report_ (agent, now_us) };
+
+  message.u.report.seq = ++agent->seq;
+  message.u.report.changes_from = from;
+  message.u.report.changes = changes;
+  b->sent_us = now_us;
+  b->sent_flows = agent->n_open;
+  b->sent_fingerprint = rgy_stream_report_fingerprint (&message.u.report);
+  rgy_stream_agent_send_message_ (agent, b->ip, &message);
+}
+
+static void
+send_brief_report_ (struct rgy_stream_agent *agent,
+                    struct rgy_agent_balancer *b, int64_t now_us)
+{
+  struct rgy_stream_message message
+      = { .kind = RGY_STREAM_BRIEF_REPORT,
+          .u.brief = { .seq = ++agent->seq,
+                       .fingerprint = b->sent_fingerprint,
+                       .open_flows = agent->n_open,
+                       .latency_us = agent->latency_us } };
 
   b->sent_us = now_us;
+  b->sent_flows = agent->n_open;
   rgy_stream_agent_send_message_ (agent, b->ip, &message);
 }
 
+static int64_t
+get_ack_age_us_ (const struct rgy_agent_balancer *b, int64_t now_us)
+{
+  return now_us - MAX (b->last_ack_us, b->added_us);
+}
+
+/* True if a brief report tells the balancer all that it needs.  A balancer
+   that does not acknowledge may have been replaced by an earlier version,
+   which decodes full reports only.  */
+static bool
+is_brief_sufficient_ (const struct rgy_stream_agent *agent,
+                      const struct rgy_agent_balancer *b, int64_t now_us)
+{
+  return b->synced && b->brief_incarnation == b->incarnation
+         && get_ack_age_us_ (b, now_us) <= ACK_OVERDUE_US
+         && b->sent_fingerprint == get_fingerprint_ (agent, now_us);
+}
+
 struct flow_snapshot_
 {
   struct rgy_stream_agent *agent;
@@ -202,6 +254,12 @@
     }
   journal = get_journal_ (agent, b->domain);
   from = MAX (b->changes_acked, journal->from);
+  if (from == get_journal_end_ (journal)
+      && is_brief_sufficient_ (agent, b, now_us))
+    {
+      send_brief_report_ (agent, b, now_us);
+      return;
+    }
   offset = (size_t)(from - journal->from) * RGY_FLOW_CHANGE_BYTES;
   len = MIN (journal->changes->len - offset,
              RGY_STREAM_MAX_CHANGES * RGY_FLOW_CHANGE_BYTES);
@@ -248,7 +306,8 @@
 rgy_stream_agent_add_balancer (struct rgy_stream_agent *agent, uint32_t ip,
                                int64_t now_us)
 {
-  struct rgy_agent_balancer added = { .ip = ip, .added_us = now_us };
+  struct rgy_agent_balancer added
+      = { .ip = ip, .added_us = now_us, .requested_us = now_us };
 
   if (!rgy_ip_is_host (ip) || find_balancer_ (agent, ip) != NULL
       || agent->balancers->len >= RGY_STREAM_MAX_BALANCERS)
@@ -278,29 +337,100 @@
   return false;
 }
 
+static bool
+is_in_own_domain_ (const struct rgy_stream_agent *agent,
+                   const struct rgy_agent_balancer *b)
+{
+  return get_receiver_domain_ (agent, b->ip) == RGY_RECEIVER_SAME_DOMAIN;
+}
+
+/* True if the balancer of another failure domain has not got all flow changes,
+   or a report of about the present load.  */
+static bool
+has_news_for_ (const struct rgy_stream_agent *agent,
+               const struct rgy_agent_balancer *b, uint64_t fingerprint)
+{
+  uint32_t change = b->sent_flows > agent->n_open
+                        ? b->sent_flows - agent->n_open
+                        : agent->n_open - b->sent_flows;
+
+  return fingerprint != b->sent_fingerprint
+         || b->changes_acked
+                < get_journal_end_ (get_journal_ (agent, b->domain))
+         || change > MAX (LOAD_NEWS_FLOWS, b->sent_flows / LOAD_NEWS_DIVISOR);
+}
+
+static int64_t
+get_report_interval_us_ (const struct rgy_stream_agent *agent,
+                         const struct rgy_agent_balancer *b,
+                         uint64_t fingerprint, int64_t now_us)
+{
+  int64_t ack_age_us = get_ack_age_us_ (b, now_us);
+
+  if (ack_age_us > BALANCER_SLOW_US)
+    return BALANCER_SLOW_INTERVAL_US;
+  if (!b->synced || is_in_own_domain_ (agent, b)
+      || now_us < agent->prompt_until_us
+      || now_us - b->requested_us < REQUESTED_US || ack_age_us > ACK_OVERDUE_US
+      || has_news_for_ (agent, b, fingerprint))
+    return REPORT_INTERVAL_US;
+  return DISTANT_REPORT_INTERVAL_US;
+}
+
 void
 rgy_stream_agent_send_due_reports_ (struct rgy_stream_agent *agent,
                                     int64_t now_us)
 {
+  uint64_t fingerprint = get_fingerprint_ (agent, now_us);
+  bool has_near = false;
   guint i;
 
   for (i = 0; i < agent->balancers->len;)
     {
       struct rgy_agent_balancer *b
           = &g_array_index (agent->balancers, struct rgy_agent_balancer, i);
-      int64_t ack_age_us = now_us - MAX (b->last_ack_us, b->added_us);
-      bool is_slow = ack_age_us > BALANCER_SLOW_US;
 
-      if (ack_age_us > BALANCER_EXPIRE_US)
+      if (get_ack_age_us_ (b, now_us) > BALANCER_EXPIRE_US)
         {
           g_array_remove_index_fast (agent->balancers, i);
           continue;
         }
+      has_near = has_near
+                 || (get_ack_age_us_ (b, now_us) <= ACK_OVERDUE_US
+                     && is_in_own_domain_ (agent, b));
       if (now_us - b->sent_us
-          >= (is_slow ? BALANCER_SLOW_INTERVAL_US : REPORT_INTERVAL_US))
+          >= get_report_interval_us_ (agent, b, fingerprint, now_us))
         report_to_balancer_ (agent, b, now_us);
       i++;
     }
+  /* Without a balancer in the own failure domain the others place the flows
+     here, and a restart of all of them would not show.  */
+  if (!has_near)
+    agent->prompt_until_us = now_us + MASS_RESTART_US;
+}
+
+/* Records that a balancer has started.  */
+static void
+note_balancer_start_ (struct rgy_stream_agent *agent,
+                      struct rgy_agent_balancer *started, int64_t now_us)
+{
+  unsigned near = 0;
+  unsigned started_lately = 0;
+  guint i;
+
+  started->incarnation_since_us = now_us;
+  for (i = 0; i < agent->balancers->len; i++)
+    {
+      const struct rgy_agent_balancer *b
+          = &g_array_index (agent->balancers, struct rgy_agent_balancer, i);
+
+      if (!is_in_own_domain_ (agent, b))
+        continue;
+      near++;
+      started_lately += now_us - b->incarnation_since_us < MASS_RESTART_US;
+    }
+  if (started_lately * 2 >= near)
+    agent->prompt_until_us = now_us + MASS_RESTART_US;
 }
 
 static void
@@ -335,6 +465,7 @@
     {
       b->incarnation = ack->balancer_incarnation;
       b->domain = ack->balancer_domain;
+      note_balancer_start_ (agent, b, now_us);
       send_snapshot_ (agent, b, now_us);
     }
   else if (ack->changes_upto > b->changes_acked
@@ -347,6 +478,33 @@
         agent, rgy_stream_decode_ip (ack->balancers.data + i), now_us);
 }
 
+/* A balancer requests a report because it does not know what the agent has
+   reported, so brief reports do not help it.  */
+static void
+handle_report_request_ (struct rgy_stream_agent *agent, uint32_t from_ip,
+                        int64_t now_us)
+{
+  struct rgy_agent_balancer *b;
+
+  rgy_stream_agent_add_balancer (agent, from_ip, now_us);
+  b = find_balancer_ (agent, from_ip);
+  if (b == NULL)
+    return;
+  b->requested_us = now_us;
+  b->sent_fingerprint = 0;
+  report_to_balancer_ (agent, b, now_us);
+}
+
+static void
+handle_brief_supported_ (struct rgy_stream_agent *agent,
+                         uint64_t balancer_incarnation, uint32_t from_ip)
+{
+  struct rgy_agent_balancer *b = find_balancer_ (agent, from_ip);
+
+  if (b != NULL)
+    b->brief_incarnation = balancer_incarnation;
+}
+
 static enum rgy_flow_ownership
 get_ownership_ (const struct rgy_stream_agent *agent,
                 const struct rgy_flow_key *key)
@@ -413,8 +571,10 @@
       handle_report_ack_ (agent, &message.u.ack, from_ip, now_us);
       return RGY_OK;
     case RGY_STREAM_REPORT_REQUEST:
-      rgy_stream_agent_add_balancer (agent, from_ip, now_us);
-      report_to_balancer_ (agent, find_balancer_ (agent, from_ip), now_us);
+      handle_report_request_ (agent, from_ip, now_us);
+      return RGY_OK;
+    case RGY_STREAM_BRIEF_SUPPORTED:
+      handle_brief_supported_ (agent, message.u.balancer_incarnation, from_ip);
       return RGY_OK;
     case RGY_STREAM_QUERY:
       answer_query_ (agent, message.u.queried, from_ip);
@@ -424,6 +584,7 @@
     case RGY_STREAM_ACCEPTED:
     case RGY_STREAM_REFUSED:
     case RGY_STREAM_ANSWER:
+    case RGY_STREAM_BRIEF_REPORT:
     case RGY_STREAM_MESSAGE_KIND_COUNT:
       break;
     }
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -199,8 +199,9 @@
 bool
 rgy_known_agent_is_alive_ (const struct rgy_known_agent *agent, int64_t now_us)
 {
-  return agent->last_seen_us != 0
-         && now_us - agent->last_seen_us < AGENT_ALIVE_US;
+  int64_t limit_us = agent->distant ? DISTANT_AGENT_ALIVE_US : AGENT_ALIVE_US;
+
+  return agent->last_seen_us != 0 && now_us - agent->last_seen_us < limit_us;
 }
 
 bool
@@ -208,6 +209,7 @@
 {
   int64_t limit_us = agent->report.restarting ? AGENT_RESTART_US
                      : agent->from_store      ? STORED_AGENT_DEAD_US
+                     : agent->distant         ? DISTANT_AGENT_DEAD_US
                                               : AGENT_DEAD_US;
 
   return agent->report.state == RGY_BACKEND_ENDED
@@ -308,6 +310,7 @@
 {
   struct rgy_flow *expired;
   int64_t late_us = now_us - b->last_tick_us - RGY_STREAM_TICK_US;
+  int64_t status_interval_us;
 
   if (late_us > LATE_TICK_US)
     {
@@ -330,6 +333,11 @@
   rgy_stream_balancer_advance_lookups_ (b, now_us);
   rgy_stream_balancer_send_queries_ (b, now_us);
   rgy_stream_balancer_expire_members_ (b, now_us);
-  if (now_us - b->status_sent_us >= STATUS_INTERVAL_US)
+  rgy_stream_balancer_request_due_reports_ (b, now_us);
+  status_interval_us
+      = b->manifest != NULL && rgy_stream_balancer_is_settled_ (b, now_us)
+            ? QUIET_STATUS_INTERVAL_US
+            : STATUS_INTERVAL_US;
+  if (now_us - b->status_sent_us >= status_interval_us)
     rgy_stream_balancer_send_status_ (b, false, now_us);
 }
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -164,6 +164,14 @@
   rgy_stream_balancer_send_message_ (b, ip, &message);
 }
 
+static void
+request_report_of_ (struct rgy_stream_balancer *b,
+                    struct rgy_known_agent *agent, int64_t now_us)
+{
+  agent->requested_us = now_us;
+  request_report_ (b, agent->ip);
+}
+
 /* Asks all agents for a report, so that they get the new view at once: the
    acknowledgement carries it.  */
 void
@@ -171,12 +179,47 @@
                                       int64_t now_us)
 {
   GHashTableIter iter;
-  void *key;
+  void *value;
+
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    request_report_of_ (b, value, now_us);
+}
+
+/* True if an agent should have reported by now.  One that has not reported yet
+   was requested to when it became known.  */
+static bool
+is_report_overdue_ (const struct rgy_known_agent *agent, int64_t now_us)
+{
+  return agent->tag == 0
+         || (agent->distant
+             && now_us - agent->last_seen_us > REPORT_OVERDUE_US);
+}
+
+void
+rgy_stream_balancer_request_due_reports_ (struct rgy_stream_balancer *b,
+                                          int64_t now_us)
+{
+  GHashTableIter iter;
+  void *value;
 
-  (void)now_us;
+  if (now_us - b->reports_checked_us < REPORT_CHECK_INTERVAL_US)
+    return;
+  b->reports_checked_us = now_us;
   g_hash_table_iter_init (&iter, b->agents);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    request_report_ (b, GPOINTER_TO_UINT (key));
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct rgy_known_agent *agent = value;
+      bool is_overdue = is_report_overdue_ (agent, now_us);
+
+      if (agent->report.restarting || rgy_known_agent_is_dead_ (agent, now_us)
+          || (!is_overdue && (agent->listed || !agent->distant)))
+        continue;
+      if (now_us - agent->requested_us >= (is_overdue
+                                               ? REPORT_REQUEST_INTERVAL_US
+                                               : UNLISTED_REQUEST_INTERVAL_US))
+        request_report_of_ (b, agent, now_us);
+    }
 }
 
 static struct rgy_known_agent *
@@ -262,13 +305,16 @@
   for (i = 0; i + RGY_STREAM_IP_BYTES <= ips.len; i += RGY_STREAM_IP_BYTES)
     {
       uint32_t ip = rgy_stream_decode_ip (ips.data + i);
+      struct rgy_known_agent *agent;
 
       if (!rgy_ip_is_host (ip)
           || rgy_stream_balancer_find_agent_ (b, ip) != NULL
           || g_hash_table_size (b->agents) >= RGY_STREAM_MAX_AGENTS)
         continue;
-      add_agent_ (b, ip, now_us)->from_store = true;
-      request_report_ (b, ip);
+      agent = add_agent_ (b, ip, now_us);
+      agent->from_store = true;
+      agent->listed = true;
+      request_report_of_ (b, agent, now_us);
     }
   b->stored_agents_added = true;
   rgy_stream_emit_log (&b->settings.out, "agents_named count=%zu known=%u",
@@ -294,7 +340,7 @@
 }
 
 bool
-rgy_stream_balancer_update_agent_list (const struct rgy_stream_balancer *b,
+rgy_stream_balancer_update_agent_list (struct rgy_stream_balancer *b,
                                        struct rgy_bytes listed,
                                        GByteArray *wanted, int64_t now_us)
 {
@@ -304,11 +350,18 @@
   uint32_t ip;
   size_t i;
 
+  g_hash_table_iter_init (&iter, b->agents);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct rgy_known_agent *)value)->listed = false;
   for (i = 0; i + RGY_STREAM_IP_BYTES <= listed.len; i += RGY_STREAM_IP_BYTES)
     {
+      struct rgy_known_agent *agent;
+
       ip = rgy_stream_decode_ip (listed.data + i);
-      if (rgy_ip_is_host (ip)
-          && rgy_stream_balancer_find_agent_ (b, ip) == NULL)
+      agent = rgy_stream_balancer_find_agent_ (b, ip);
+      if (agent != NULL)
+        agent->listed = true;
+      else if (rgy_ip_is_host (ip))
         g_array_append_val (ips, ip);
     }
   g_hash_table_iter_init (&iter, b->agents);
@@ -369,6 +422,18 @@
   g_byte_array_unref (balancers);
 }
 
+static void
+offer_brief_reports_ (struct rgy_stream_balancer *b,
+                      struct rgy_known_agent *agent, int64_t now_us)
+{
+  struct rgy_stream_message message
+      = { .kind = RGY_STREAM_BRIEF_SUPPORTED,
+          .u.balancer_incarnation = b->settings.incarnation };
+
+  agent->brief_offered_us = now_us;
+  rgy_stream_balancer_send_message_ (b, agent->ip, &message);
+}
+
 static void
 apply_flow_changes_ (struct rgy_stream_balancer *b,
                      struct rgy_known_agent *agent,
@@ -406,6 +471,7 @@
 {
   struct rgy_known_agent *agent = rgy_stream_balancer_find_agent_ (b, ip);
   bool is_first = agent == NULL;
+  bool is_new_incarnation;
   bool is_needed;
   enum rgy_backend_state previous_state;
 
@@ -418,8 +484,9 @@
       apply_flow_changes_ (b, agent, report, now_us);
       return;
     }
-  is_needed = is_first || report->incarnation != agent->report.incarnation
-              || report->changes.len > 0
+  is_new_incarnation
+      = is_first || report->incarnation != agent->report.incarnation;
+  is_needed = is_new_incarnation || report->changes.len > 0
               || agent->acked_config_us != b->config_changed_us;
   previous_state = agent->report.state;
   if (!is_first
@@ -429,7 +496,7 @@
     rgy_stream_balancer_uncache_agent_flows_ (b, ip);
   if (report->state != RGY_BACKEND_UNKNOWN)
     agent->last_state = report->state;
-  if (is_first || report->incarnation != agent->report.incarnation)
+  if (is_new_incarnation)
     {
       agent->changes_upto = 0;
       agent->excluded_until_us = 0;
@@ -453,11 +520,47 @@
   agent->report.changes = (struct rgy_bytes){ 0 };
   agent->tag = rgy_service_tag (&report->service);
   agent->domain_hash = rgy_stream_hash_domain (&report->domain);
+  agent->distant = !rgy_name_equal (&report->domain, &b->settings.domain);
+  agent->fingerprint = rgy_stream_report_fingerprint (report);
   agent->last_seen_us = now_us;
   agent->from_store = false;
   agent->placed = 0;
   apply_flow_changes_ (b, agent, report, now_us);
   acknowledge_report_ (b, agent, is_needed, now_us);
+  if (is_new_incarnation
+      || (!is_needed
+          && now_us - agent->brief_offered_us >= BRIEF_OFFER_INTERVAL_US))
+    offer_brief_reports_ (b, agent, now_us);
+}
+
+void
+rgy_stream_balancer_handle_brief_report_ (
+    struct rgy_stream_balancer *b,
+    const struct rgy_stream_brief_report *report, uint32_t ip, int64_t now_us)
+{
+  struct rgy_known_agent *agent = rgy_stream_balancer_find_agent_ (b, ip);
+
+  if (agent == NULL)
+    {
+      request_report_ (b, ip);
+      return;
+    }
+  if (agent->tag == 0 || agent->fingerprint != report->fingerprint)
+    {
+      /* A full report was lost.  */
+      if (now_us - agent->requested_us >= REPORT_CHECK_INTERVAL_US)
+        request_report_of_ (b, agent, now_us);
+      return;
+    }
+  if (report->seq <= agent->report.seq)
+    return;
+  agent->report.seq = report->seq;
+  agent->report.open_flows = report->open_flows;
+  agent->report.latency_us = report->latency_us;
+  agent->last_seen_us = now_us;
+  agent->placed = 0;
+  acknowledge_report_ (b, agent,
+                       agent->acked_config_us != b->config_changed_us, now_us);
 }
 
 void
--- a/src/libragwortyoke/stream_message.c
+++ b/src/libragwortyoke/stream_message.c
@@ -29,6 +29,8 @@
   [RGY_STREAM_REFUSED] = "refused",
   [RGY_STREAM_QUERY] = "query",
   [RGY_STREAM_ANSWER] = "answer",
+  [RGY_STREAM_BRIEF_REPORT] = "brief-report",
+  [RGY_STREAM_BRIEF_SUPPORTED] = "brief-supported",
 };
 
 uint32_t
@@ -62,6 +64,28 @@
   return false;
 }
 
+uint64_t
+rgy_stream_report_fingerprint (const struct rgy_stream_report *report)
+{
+  const uint64_t numbers[] = { report->incarnation,
+                               rgy_name_hash (&report->service, 0),
+                               rgy_name_hash (&report->domain, 0),
+                               report->backend_id,
+                               (uint64_t)report->state,
+                               report->restarting,
+                               report->complete,
+                               report->cold,
+                               report->slots,
+                               report->balancers_hash };
+  uint8_t bytes[sizeof numbers];
+  size_t i;
+
+  for (i = 0; i < sizeof numbers / sizeof numbers[0]; i++)
+    rgy_put_be (bytes + i * sizeof numbers[0], numbers[i], sizeof numbers[0]);
+  return rgy_hash_bytes (
+      (struct rgy_bytes){ .data = bytes, .len = sizeof bytes }, 0);
+}
+
 static void
 pack_domain_view_ (msgpack_packer *pk, const struct rgy_domain_view *view)
 {
@@ -126,6 +150,18 @@
   rgy_pack_bytes (pk, s->agents);
 }
 
+static void
+pack_brief_report_ (msgpack_packer *pk,
+                    const struct rgy_stream_brief_report *r)
+{
+  msgpack_pack_array (pk, 5);
+  msgpack_pack_uint8 (pk, RGY_STREAM_BRIEF_REPORT);
+  msgpack_pack_uint64 (pk, r->seq);
+  msgpack_pack_uint64 (pk, r->fingerprint);
+  msgpack_pack_uint32 (pk, r->open_flows);
+  msgpack_pack_uint32 (pk, r->latency_us);
+}
+
 static void
 pack_records_ (msgpack_packer *pk, enum rgy_stream_message_kind kind,
                struct rgy_bytes records)
@@ -183,6 +219,14 @@
     case RGY_STREAM_ANSWER:
       pack_records_ (&pk, message->kind, message->u.answers);
       return;
+    case RGY_STREAM_BRIEF_REPORT:
+      pack_brief_report_ (&pk, &message->u.brief);
+      return;
+    case RGY_STREAM_BRIEF_SUPPORTED:
+      msgpack_pack_array (&pk, 2);
+      msgpack_pack_uint8 (&pk, RGY_STREAM_BRIEF_SUPPORTED);
+      msgpack_pack_uint64 (&pk, message->u.balancer_incarnation);
+      return;
     case RGY_STREAM_MESSAGE_KIND_COUNT:
       break;
     }
@@ -240,6 +284,16 @@
       = read_records_ (reader, RGY_FLOW_CHANGE_BYTES, RGY_STREAM_MAX_CHANGES);
 }
 
+static void
+read_brief_report_ (struct rgy_reader *reader,
+                    struct rgy_stream_brief_report *r)
+{
+  r->seq = rgy_read_u64 (reader);
+  r->fingerprint = rgy_read_u64 (reader);
+  r->open_flows = (uint32_t)rgy_read_u64_max (reader, UINT32_MAX);
+  r->latency_us = (uint32_t)rgy_read_u64_max (reader, UINT32_MAX);
+}
+
 static void
 read_report_ack_ (struct rgy_reader *reader, struct rgy_stream_report_ack *a)
 {
@@ -319,10 +373,11 @@
                            struct rgy_stream_message *message)
 {
   static const size_t n_fields[] = {
-    [RGY_STREAM_REPORT] = 16,  [RGY_STREAM_REPORT_ACK] = 10,
-    [RGY_STREAM_STATUS] = 9,   [RGY_STREAM_REPORT_REQUEST] = 1,
-    [RGY_STREAM_ACCEPTED] = 3, [RGY_STREAM_REFUSED] = 3,
-    [RGY_STREAM_QUERY] = 2,    [RGY_STREAM_ANSWER] = 2,
+    [RGY_STREAM_REPORT] = 16,      [RGY_STREAM_REPORT_ACK] = 10,
+    [RGY_STREAM_STATUS] = 9,       [RGY_STREAM_REPORT_REQUEST] = 1,
+    [RGY_STREAM_ACCEPTED] = 3,     [RGY_STREAM_REFUSED] = 3,
+    [RGY_STREAM_QUERY] = 2,        [RGY_STREAM_ANSWER] = 2,
+    [RGY_STREAM_BRIEF_REPORT] = 5, [RGY_STREAM_BRIEF_SUPPORTED] = 2,
   };
   msgpack_zone zone;
   msgpack_object object;
@@ -372,6 +427,12 @@
     case RGY_STREAM_ANSWER:
       read_answers_ (&reader, &message->u.answers);
       break;
+    case RGY_STREAM_BRIEF_REPORT:
+      read_brief_report_ (&reader, &message->u.brief);
+      break;
+    case RGY_STREAM_BRIEF_SUPPORTED:
+      message->u.balancer_incarnation = rgy_read_u64 (&reader);
+      break;
     case RGY_STREAM_MESSAGE_KIND_COUNT:
       abort ();
     }
--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -28,6 +28,9 @@
   unsigned refused;
   unsigned accepted;
   unsigned checks;
+  uint64_t heartbeats;
+  unsigned full_reports[2];  /* To each balancer.  */
+  unsigned brief_reports[2]; /* To each balancer.  */
   size_t changes_sent[2]; /* Flow changes in the reports to each balancer.  */
   enum rgy_backend_state reported_state;
 };
@@ -43,6 +46,8 @@
     for (i = 0; i < message.u.answers.len; i += RGY_FLOW_ANSWER_BYTES)
       f->ownership_answers[message.u.answers
                                .data[i + RGY_FLOW_ENDPOINTS_BYTES]]++;
+  else if (message.kind == RGY_STREAM_BRIEF_REPORT)
+    f->brief_reports[ip == BALANCER_IP ? 0 : 1]++;
   else if (message.kind == RGY_STREAM_REFUSED)
     f->refused++;
   else if (message.kind == RGY_STREAM_ACCEPTED)
@@ -50,6 +55,7 @@
   else if (message.kind == RGY_STREAM_REPORT)
     {
       f->reported_state = message.u.report.state;
+      f->full_reports[ip == BALANCER_IP ? 0 : 1]++;
       f->changes_sent[ip == BALANCER_IP ? 0 : 1]
           += message.u.report.changes.len / RGY_FLOW_CHANGE_BYTES;
     }
@@ -386,6 +392,80 @@
   send_message_ (f, &ack, ip);
 }
 
+/* Lets the balancers acknowledge once a second, and the backend server send
+   heartbeats.  */
+static void
+run_acknowledged_ (struct fixture_ *f, unsigned seconds)
+{
+  for (; seconds > 0; seconds--)
+    {
+      advance_time_ (f, RGY_US_PER_S);
+      send_heartbeat_ (f, "i-1", 5, ++f->heartbeats, false);
+      acknowledge_report_ (f, BALANCER_IP, "poa-a");
+      acknowledge_report_ (f, OTHER_DOMAIN_BALANCER_IP, "poa-b");
+    }
+}
+
+static void
+reset_report_counts_ (struct fixture_ *f)
+{
+  memset (f->full_reports, 0, sizeof f->full_reports);
+  memset (f->brief_reports, 0, sizeof f->brief_reports);
+}
+
+/* An earlier version decodes full reports only.  It would declare an agent
+   dead that sends brief ones, at an upgrade as well as after a way back.  */
+static void
+brief_reports_need_a_balancer_that_decodes_them_ (void **state)
+{
+  struct fixture_ *f = *state;
+  const struct rgy_stream_message supported
+      = { .kind = RGY_STREAM_BRIEF_SUPPORTED, .u.balancer_incarnation = 1 };
+  const struct rgy_stream_message request
+      = { .kind = RGY_STREAM_REPORT_REQUEST };
+
+  rgy_stream_agent_add_balancer (f->agent, OTHER_DOMAIN_BALANCER_IP,
+                                 f->now_us);
+  run_acknowledged_ (f, 2);
+  assert_int_equal (f->brief_reports[0], 0);
+  send_message_ (f, &supported, BALANCER_IP);
+  reset_report_counts_ (f);
+  run_acknowledged_ (f, 1);
+  assert_int_equal (f->full_reports[0], 0);
+  assert_true (f->brief_reports[0] >= 2);
+  assert_int_equal (f->brief_reports[1], 0);
+  send_message_ (f, &request, BALANCER_IP);
+  assert_int_equal (f->full_reports[0], 1);
+  advance_time_ (f, 2100 * RGY_US_PER_MS);
+  reset_report_counts_ (f);
+  advance_time_ (f, RGY_US_PER_S);
+  assert_int_equal (f->brief_reports[0], 0);
+  assert_true (f->full_reports[0] >= 2);
+}
+
+/* Pattern: quiet hours.  Reports to balancers of other failure domains are
+   sent at twice the interval, unless a balancer needs them: all agents'
+   reports to all balancers grow with the product of both.  */
+static void
+distant_balancers_get_fewer_reports_ (void **state)
+{
+  struct fixture_ *f = *state;
+  const struct rgy_stream_message request
+      = { .kind = RGY_STREAM_REPORT_REQUEST };
+
+  rgy_stream_agent_add_balancer (f->agent, OTHER_DOMAIN_BALANCER_IP,
+                                 f->now_us);
+  run_acknowledged_ (f, 8);
+  reset_report_counts_ (f);
+  run_acknowledged_ (f, 4);
+  assert_in_range (f->full_reports[0], 9, 11);
+  assert_in_range (f->full_reports[1], 4, 6);
+  send_message_ (f, &request, OTHER_DOMAIN_BALANCER_IP);
+  reset_report_counts_ (f);
+  run_acknowledged_ (f, 4);
+  assert_in_range (f->full_reports[1], 9, 11);
+}
+
 /* Flow changes went to the balancers of all failure domains, although routers
    send a flow only to those of one.  The traffic grew with balancers times
    flows (sweep of rodaforte-sul-grown, 300 machines).  */
@@ -801,6 +881,8 @@
     WITH_AGENT (adopted_flow_is_forgotten_after_the_idle_timeout_),
     WITH_AGENT (unknown_deregistration_resets_no_flow_),
     WITH_AGENT (unknown_deregistration_is_followed_by_the_end_),
+    WITH_AGENT (brief_reports_need_a_balancer_that_decodes_them_),
+    WITH_AGENT (distant_balancers_get_fewer_reports_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/test_stream_message/test_stream_message.c
+++ b/src/test_stream_message/test_stream_message.c
@@ -96,6 +96,14 @@
     case RGY_STREAM_ACCEPTED:
       message.u.flow.key = rgy_flow_endpoints_decode (change_);
       break;
+    case RGY_STREAM_BRIEF_REPORT:
+      message.u.brief = (struct rgy_stream_brief_report){
+        .seq = 10, .fingerprint = 7, .open_flows = 13, .latency_us = 21
+      };
+      break;
+    case RGY_STREAM_BRIEF_SUPPORTED:
+      message.u.balancer_incarnation = UINT64_MAX;
+      break;
     }
   return message;
 }
@@ -318,6 +326,41 @@
     g_string_free (odd[k], TRUE);
 }
 
+/* A changed fact with the same fingerprint would never reach the balancer.  */
+static void
+fingerprint_covers_all_facts_ (void **state)
+{
+  const struct rgy_stream_report report
+      = make_sample_ (RGY_STREAM_REPORT).u.report;
+  uint64_t fingerprint = rgy_stream_report_fingerprint (&report);
+  struct rgy_stream_report changed[10];
+  size_t i;
+
+  (void)state;
+  for (i = 0; i < G_N_ELEMENTS (changed); i++)
+    changed[i] = report;
+  changed[0].incarnation--;
+  changed[1].service = report.domain;
+  changed[2].domain = report.service;
+  changed[3].backend_id++;
+  changed[4].state = RGY_BACKEND_READY;
+  changed[5].restarting = false;
+  changed[6].complete = false;
+  changed[7].cold = false;
+  changed[8].slots++;
+  changed[9].balancers_hash++;
+  for (i = 0; i < G_N_ELEMENTS (changed); i++)
+    assert_int_not_equal (rgy_stream_report_fingerprint (&changed[i]),
+                          fingerprint);
+  changed[0] = report;
+  changed[0].seq++;
+  changed[0].open_flows++;
+  changed[0].latency_us++;
+  changed[0].changes_from++;
+  changed[0].changes = (struct rgy_bytes){ 0 };
+  assert_int_equal (rgy_stream_report_fingerprint (&changed[0]), fingerprint);
+}
+
 int
 main (void)
 {
@@ -328,6 +371,7 @@
     cmocka_unit_test (unknown_answers_and_states_are_rejected_),
     cmocka_unit_test (messages_with_an_odd_field_are_rejected_),
     cmocka_unit_test (view_contains_only_its_domains_),
+    cmocka_unit_test (fingerprint_covers_all_facts_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
