Let one balancer at a time write the store's list of agents

Cause: in a release or scaling the list differs all the time. Each of the 59 balancers writes it every 6 s, and all but one of these calls end in a conflict.

Change: the balancers that run write in the order of their hashes; each waits 8 s for each one before it, at most 24 s.

Test: one_balancer_writes_the_list_, fails without the rank.

--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -139,6 +139,15 @@
    limit of queries reached.  */
 #define QUERY_REPEAT_US INT64_C (150000)
 #define QUERY_REPEAT_LATER_US INT64_C (300000)
+/* Time since its last status up to which another balancer counts as running
+   when the writer of the store's list of agents is chosen.  */
+#define LIST_WRITER_ALIVE_US INT64_C (5000000)
+/* Time after which the next balancer in order writes the list if it still
+   differs: the one before reads it every 3 s, and the change shows in the next
+   read, which may be some seconds old.  */
+#define LIST_WRITER_DELAY_US INT64_C (8000000)
+/* Number of balancers that wait for each other.  */
+#define MAX_LIST_WRITERS 3
 /* Time for which a lookup is extended while an agent may still answer or be
    declared dead.  The shortest time limit of the users' requests is a little
    longer.  */
@@ -299,10 +308,13 @@
   int64_t last_tick_us;
   int64_t settling_since_us; /**< Time of the start, or of the end of the last
                                   pause of the process.  */
-  bool stored_agents_added;  /**< The agents listed in the store were
-                                  added since settling_since_us.  */
-  bool peer_listed_agents;   /**< A peer that knows all agents has listed them
-                                  since settling_since_us.  */
+  int64_t list_differs_since_us; /**< Time since which the store's list of
+                                      agents has differed from the known ones;
+                                      0 if it does not.  */
+  bool stored_agents_added;      /**< The agents listed in the store were
+                                      added since settling_since_us.  */
+  bool peer_listed_agents; /**< A peer that knows all agents has listed them
+                                since settling_since_us.  */
   int64_t status_sent_us;
   int64_t reports_checked_us; /**< Time of the last check for overdue
                                    reports.  */
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -339,6 +339,42 @@
          || now_us - agent->last_seen_us > PARTITION_WINDOW_US;
 }
 
+/* Returns the number of running balancers before this one in the order of
+   those that write the list, at most MAX_LIST_WRITERS.  */
+static unsigned
+get_list_writer_rank_ (const struct rgy_stream_balancer *b, int64_t now_us)
+{
+  uint64_t own = rgy_stream_hash_balancer (b->settings.own_ip);
+  unsigned rank = 0;
+  guint i;
+
+  for (i = 0; i < b->peers->len && rank < MAX_LIST_WRITERS; i++)
+    {
+      const struct rgy_stream_peer *peer
+          = &g_array_index (b->peers, struct rgy_stream_peer, i);
+
+      rank += now_us - peer->last_seen_us < LIST_WRITER_ALIVE_US
+              && rgy_stream_hash_balancer (peer->ip) < own;
+    }
+  return rank;
+}
+
+/* True if this balancer is to write the list, which differs from the agents
+   that it knows.  All balancers see a change, and each write is a call of the
+   store that ends all others' with a conflict.  */
+static bool
+is_list_write_due_ (struct rgy_stream_balancer *b, bool differs,
+                    int64_t now_us)
+{
+  if (!differs)
+    b->list_differs_since_us = 0;
+  else if (b->list_differs_since_us == 0)
+    b->list_differs_since_us = now_us;
+  return differs && rgy_stream_balancer_is_settled_ (b, now_us)
+         && now_us - b->list_differs_since_us
+                >= get_list_writer_rank_ (b, now_us) * LIST_WRITER_DELAY_US;
+}
+
 bool
 rgy_stream_balancer_update_agent_list (struct rgy_stream_balancer *b,
                                        struct rgy_bytes listed,
@@ -377,9 +413,11 @@
   for (i = 0; i < ips->len; i++)
     append_ip_ (wanted, g_array_index (ips, uint32_t, i));
   g_array_unref (ips);
-  return rgy_stream_balancer_is_settled_ (b, now_us)
-         && (wanted->len != listed.len
-             || memcmp (wanted->data, listed.data, listed.len) != 0);
+  return is_list_write_due_ (
+      b,
+      wanted->len != listed.len
+          || memcmp (wanted->data, listed.data, listed.len) != 0,
+      now_us);
 }
 
 /* Acknowledges a report.  A report without news from an agent that knows the
--- a/src/test_stream_balancer/test_stream_balancer.c
+++ b/src/test_stream_balancer/test_stream_balancer.c
@@ -845,6 +845,55 @@
   assert_in_range (f->requests, 3, 4);
 }
 
+/* Pattern: a release at the large deployment, in which the list differs all
+   the time.  Every balancer wrote it, and all but one of the calls ended in a
+   conflict.  */
+static void
+one_balancer_writes_the_list_ (void **state)
+{
+  struct fixture_ *f = *state;
+  GByteArray *wanted = g_byte_array_new ();
+  struct rgy_stream_message status
+      = { .kind = RGY_STREAM_STATUS, .u.status = { .incarnation = 3 } };
+  /* The hash of the first address is below the balancer's own, that of the
+     second one is above it.  */
+  uint32_t before_ip = PEER_IP;
+  uint32_t after_ip = PEER_IP;
+  uint64_t own = rgy_stream_hash_balancer (0x0a010001);
+  bool is_written;
+  unsigned round;
+
+  while (rgy_stream_hash_balancer (before_ip) > own)
+    before_ip++;
+  while (rgy_stream_hash_balancer (after_ip) < own)
+    after_ip++;
+  send_message_from_ (f, &status, after_ip);
+  is_written = rgy_stream_balancer_update_agent_list (
+      f->balancer, (struct rgy_bytes){ 0 }, wanted, f->now_us);
+  assert_true (is_written);
+  send_message_from_ (f, &status, before_ip);
+  for (round = 0; round < 4; round++)
+    {
+      g_byte_array_set_size (wanted, 0);
+      is_written = rgy_stream_balancer_update_agent_list (
+          f->balancer, (struct rgy_bytes){ 0 }, wanted, f->now_us);
+      /* The other one has not written it for 8 s.  */
+      assert_int_equal (is_written, round == 3);
+      advance_time_ (f, 3 * RGY_US_PER_S);
+      send_message_from_ (f, &status, before_ip);
+    }
+  /* It runs no longer.  */
+  rgy_stream_balancer_delete (f->balancer);
+  start_balancer_ (f, 2);
+  send_message_from_ (f, &status, before_ip);
+  advance_time_ (f, 6 * RGY_US_PER_S);
+  g_byte_array_set_size (wanted, 0);
+  is_written = rgy_stream_balancer_update_agent_list (
+      f->balancer, (struct rgy_bytes){ 0 }, wanted, f->now_us);
+  assert_true (is_written);
+  g_byte_array_unref (wanted);
+}
+
 int
 main (void)
 {
@@ -877,6 +926,7 @@
     WITH_BALANCER (brief_report_counts_only_with_known_facts_),
     WITH_BALANCER (overdue_report_is_requested_),
     WITH_BALANCER (unlisted_agent_is_asked_for_reports_),
+    WITH_BALANCER (one_balancer_writes_the_list_),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
