Keep the open flows of each failure domain in the store

Balancers, agents and backend servers forget all flows, but callers keep pools of connections and learn that one is lost only by sending on it: 2,774 lookups end in a reset from 35.9 to 47 s, and from 36 s on 381 records (fitting-post, not idempotent) are lost one by one while every other request is served.

Change: each agent sends its open flows (ends and last acknowledged number, 16 bytes each) every 3 s to one balancer of its failure domain, the keeper. The keeper writes them to the store every 4 s under its lease. An agent that restarts asks the keeper, which reads the store when it begins: flows of a backend server that is gone are reset at once, flows of one that runs are restored, so that lookups find them by a query. Balancers therefore query restarted agents too before they probe them.

A list is only a hint. A reset needs an agent that knows all flows of its backend server, a backend server with another identity, and a flow that the agent does not know; a restored flow that the backend server returns is looked up like any other. Values are checked whole before use; half a value, one of another writer or of a later version counts for nothing; the lease removes it 10 s after its keeper. Lists stay within 4 kB/s at the keeper, and 512 kB in the store. Earlier versions get none of the new messages: a balancer states its features, an agent sends nothing to one that has not.

A fault found by the new test of the list's age: a balancer that restarts may reset flows 0.4 s after its start, and agents report every 0.4 s; an agent that the store's list does not name could miss that time by a tick.

--- a/include/ragwortyoke/stream_action.h
+++ b/include/ragwortyoke/stream_action.h
@@ -30,6 +30,12 @@
                                   rgy_stream_agent_backend_not_running().  */
   RGY_STREAM_FETCH_MANIFEST, /**< Request the active manifest of the balancer
                                   at @c ip.  */
+  RGY_STREAM_SAVE_FLOWS,     /**< Write the open flows of the balancer's
+                                  failure domain to the store, to be removed
+                                  some seconds after this process has
+                                  ended.  */
+  RGY_STREAM_LOAD_FLOWS,     /**< Read them and call
+                                  rgy_stream_balancer_set_stored_flows().  */
   RGY_STREAM_LOG,            /**< Log a change in the state of agents,
                                   balancers or the configuration.  */
   RGY_STREAM_LOG_FLOW        /**< Log a decision about one flow.  */
@@ -54,6 +60,7 @@
                          number of the reset.  */
     } reset;
     struct rgy_bytes message;
+    struct rgy_bytes stored; /**< What RGY_STREAM_SAVE_FLOWS writes.  */
     const char *log;
   } u;
 };
--- a/include/ragwortyoke/stream_balancer.h
+++ b/include/ragwortyoke/stream_balancer.h
@@ -90,6 +90,12 @@
                                             GByteArray *wanted,
                                             int64_t now_us);
 
+/** Process the stored open flows of the balancer's failure domain, which
+    RGY_STREAM_LOAD_FLOWS has requested; empty if there are none.  */
+void rgy_stream_balancer_set_stored_flows (struct rgy_stream_balancer *b,
+                                           struct rgy_bytes bytes,
+                                           int64_t now_us);
+
 /** Process a caller's segment that the router sent.  */
 void rgy_stream_balancer_from_router (struct rgy_stream_balancer *balancer,
                                       const struct rgy_segment *segment,
--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -145,6 +145,36 @@
   uint32_t latency_us;
 };
 
+/** Messages besides those of the first version that a balancer decodes.  */
+#define RGY_STREAM_DECODES_BRIEF_REPORTS 1U
+#define RGY_STREAM_KEEPS_OPEN_FLOWS 2U
+
+struct rgy_stream_features
+{
+  uint64_t balancer_incarnation;
+  uint32_t flags; /**< RGY_STREAM_DECODES_BRIEF_REPORTS and others.  */
+};
+
+/** Open flows of one backend server.  */
+struct rgy_stream_open_flows
+{
+  uint64_t agent_incarnation; /**< Of the agent that sends the list, or that
+                                   receives the reply.  */
+  uint64_t backend_id; /**< As in struct rgy_stream_report, 0 before the first
+                            heartbeat; in the reply that of the backend server
+                            which had the flows.  */
+  uint32_t max_flows;  /**< Flows that the agent may list, stated in the
+                            reply.  */
+  struct rgy_bytes flows; /**< Entries of RGY_OPEN_FLOW_BYTES.  */
+};
+
+/** Bytes of one open flow: its ends and the number that the caller has
+    acknowledged last.  */
+#define RGY_OPEN_FLOW_BYTES (RGY_FLOW_ENDPOINTS_BYTES + 4)
+/** Maximum number of flows in one list; it keeps the message within one
+    Ethernet frame.  */
+#define RGY_STREAM_MAX_OPEN_FLOWS 72
+
 /** Bytes of one flow change in a report.  */
 #define RGY_FLOW_CHANGE_BYTES (RGY_FLOW_ENDPOINTS_BYTES + 1)
 
@@ -208,11 +238,13 @@
   RGY_STREAM_QUERY,    /**< A balancer asks which of these flows the agent
                             owns.  */
   RGY_STREAM_ANSWER,
-  RGY_STREAM_BRIEF_REPORT,    /**< Only to balancers that have sent
-                                   RGY_STREAM_BRIEF_SUPPORTED.  */
-  RGY_STREAM_BRIEF_SUPPORTED, /**< A balancer tells an agent that it decodes
-                                   brief reports.  Earlier versions ignore
-                                   it.  */
+  RGY_STREAM_BRIEF_REPORT,
+  RGY_STREAM_FEATURES,   /**< A balancer tells an agent which messages it
+                              decodes.  Earlier versions ignore it.  */
+  RGY_STREAM_OPEN_FLOWS, /**< An agent's open flows, to the balancer that keeps
+                              those of its failure domain.  */
+  RGY_STREAM_FORMER_FLOWS, /**< The reply: the open flows that the agent
+                                before this one has listed.  */
   RGY_STREAM_MESSAGE_KIND_COUNT
 };
 
@@ -239,8 +271,10 @@
     struct rgy_bytes answers;         /**< Set for RGY_STREAM_ANSWER: entries
                                            of RGY_FLOW_ANSWER_BYTES.  */
     struct rgy_stream_brief_report brief;
-    uint64_t balancer_incarnation; /**< Set for
-                                        RGY_STREAM_BRIEF_SUPPORTED.  */
+    struct rgy_stream_features features;
+    struct rgy_stream_open_flows open_flows; /**< Set for
+                                                  RGY_STREAM_OPEN_FLOWS and
+                                                  RGY_STREAM_FORMER_FLOWS.  */
   } u;
 };
 
--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -7,7 +7,8 @@
  * source files: stream_agent.c (set-up and timers), stream_agent_flow.c
  * (segments), stream_agent_queue.c (requests that wait for a slot of the
  * backend server), stream_agent_backend.c (state of the backend server),
- * stream_agent_report.c (reports and control messages).
+ * stream_agent_report.c (reports and control messages), stream_agent_former.c
+ * (flows that the agent before has listed).
  */
 
 #include <glib.h>
@@ -23,18 +24,26 @@
 /* Interval of reports without news to balancers of other failure domains,
    which place few flows here.  They request a report that is overdue.  */
 #define DISTANT_REPORT_INTERVAL_US (800 * RGY_US_PER_MS)
+/* Interval of reports to balancers that may not know this agent after a
+   restart.  They assume 400 ms after their start that all agents have
+   reported.  */
+#define PROMPT_REPORT_INTERVAL_US (300 * RGY_US_PER_MS)
 /* Time since its request for a report for which a balancer gets reports at
-   REPORT_INTERVAL_US.  Balancers request one every 2 s of an agent that the
-   store's list does not name: when all balancers restart, such an agent must
-   report to them before they assume that they know all agents.  */
+   PROMPT_REPORT_INTERVAL_US.  Balancers request one every 2 s of an agent that
+   the store's list does not name: when all balancers restart, such an agent
+   must report to them before they assume that they know all agents.  */
 #define REQUESTED_US (5 * RGY_US_PER_S)
-/* Time for which all balancers get reports at REPORT_INTERVAL_US after half of
-   those in the own failure domain have restarted: others have probably
+/* Time for which all balancers get reports at PROMPT_REPORT_INTERVAL_US after
+   half of those in the own failure domain have restarted: others have probably
    restarted too and may not know this agent.  */
 #define MASS_RESTART_US (3 * RGY_US_PER_S)
 /* Time since the last acknowledgement after which one is overdue.  Balancers
    acknowledge at least every second report to them.  */
 #define ACK_OVERDUE_US (2 * RGY_US_PER_S)
+/* Interval of the lists of open flows to the balancer that keeps them.  A flow
+   is in the store about half of this time and of the keeper's interval after
+   its opening.  */
+#define OPEN_FLOWS_INTERVAL_US (3 * RGY_US_PER_S)
 /* Change of the number of open flows that is news: this many flows, and this
    part of the number last reported.  */
 #define LOAD_NEWS_FLOWS 4
@@ -179,6 +188,7 @@
   bool reported_open;
   bool backend_confirmed; /* The backend server has sent a segment on the
                              flow.  */
+  bool restored;          /* Known from the list of the agent before.  */
   bool has_caller_seq;    /* The first segment passed this process.  */
   uint32_t caller_seq;    /* Sequence number of the caller's first segment.  */
   int64_t state_since_us;
@@ -217,15 +227,17 @@
   int64_t added_us;
   int64_t last_ack_us; /* Time of the last acknowledgement; 0 if none.  */
   int64_t sent_us;
-  int64_t requested_us;         /* Time of its last request for a report, or at
-                                   which it was added.  */
-  int64_t incarnation_since_us; /* Time at which the incarnation was first
-                                   seen.  */
-  uint64_t brief_incarnation;   /* Incarnation that decodes brief reports; 0 if
-                                   none is known to.  */
-  uint64_t sent_fingerprint;    /* Fingerprint of the last full report sent; 0
-                                   if the next one must be full.  */
-  uint32_t sent_flows;          /* Open flows in the last report sent.  */
+  int64_t requested_us; /* Time of its last request for a report; 0 if
+                           none.  */
+  int64_t
+      restarted_us; /* Time at which its last restart was seen; 0 if none.  */
+  uint64_t features_incarnation; /* Incarnation that has stated its
+                                    features; 0 if none.  */
+  uint32_t features;             /* RGY_STREAM_DECODES_BRIEF_REPORTS and
+                                    others.  */
+  uint64_t sent_fingerprint;     /* Fingerprint of the last full report sent; 0
+                                    if the next one must be full.  */
+  uint32_t sent_flows;           /* Open flows in the last report sent.  */
   uint64_t changes_acked; /* Number that follows the last flow change that the
                              balancer has acknowledged.  */
   bool synced; /* All flows were sent to the balancer since its start.  */
@@ -239,8 +251,14 @@
   uint32_t n_open;
   GArray *balancers; /* Entries are struct rgy_agent_balancer.  */
   uint64_t seq;
-  int64_t prompt_until_us; /* Time until which all balancers get reports at
-                              REPORT_INTERVAL_US.  */
+  bool has_near_balancer; /* A balancer of the own failure domain acknowledges
+                             reports.  */
+  int64_t open_flows_sent_us; /* Time of the last list of open flows.  */
+  uint32_t max_open_flows;    /* Flows that the list may have.  */
+  uint64_t former_backend_id; /* Backend server that had the flows in the
+                                 keeper's reply; 0 if none came yet.  */
+  int64_t prompt_until_us;    /* Time until which all balancers get reports at
+                                 REPORT_INTERVAL_US.  */
 
   GPtrArray *journals; /* Entries are struct rgy_flow_journal, owned.  */
 
@@ -296,6 +314,8 @@
   uint64_t *n_refused[RGY_STREAM_REFUSAL_COUNT];
   uint64_t *n_returned;
   uint64_t *n_resets;
+  uint64_t *n_former_reset;
+  uint64_t *n_former_restored;
   uint64_t *n_probes;
   uint64_t *n_stale_heartbeats;
   uint64_t *n_bad_messages;
@@ -317,6 +337,31 @@
 uint64_t
 rgy_stream_agent_get_balancer_domain_ (const struct rgy_stream_agent *agent,
                                        uint32_t balancer_ip);
+/** True if the balancer has acknowledged lately and has stated a feature.  */
+bool rgy_agent_balancer_has_feature_ (const struct rgy_agent_balancer *b,
+                                      uint32_t feature, int64_t now_us);
+/** True if the balancer is in the agent's failure domain.  */
+bool rgy_stream_agent_is_near_balancer_ (const struct rgy_stream_agent *agent,
+                                         const struct rgy_agent_balancer *b);
+/** Identifier of the backend server in reports.  */
+uint64_t
+rgy_stream_agent_get_backend_id_ (const struct rgy_stream_agent *agent);
+/** Send the list of open flows if it is due.  */
+void rgy_stream_agent_send_open_flows_ (struct rgy_stream_agent *agent,
+                                        int64_t now_us);
+/** Reset or restore the flows that the agent before has listed.  */
+void rgy_stream_agent_handle_former_flows_ (
+    struct rgy_stream_agent *agent, const struct rgy_stream_open_flows *former,
+    int64_t now_us);
+/** Reset the restored flows if the first heartbeat shows that their backend
+    server is gone.  */
+void rgy_stream_agent_check_restored_flows_ (struct rgy_stream_agent *agent,
+                                             int64_t now_us);
+/** Open a flow that the agent before has listed; the backend server has not
+    confirmed it yet.  Returns false if the flow is known.  */
+bool rgy_stream_agent_restore_flow_ (struct rgy_stream_agent *agent,
+                                     const struct rgy_flow_key *key,
+                                     uint32_t caller_ack, int64_t now_us);
 void rgy_flow_journal_free_ (void *data);
 /** Send the periodic reports that are due and remove balancers that have not
     acknowledged any for long.  */
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -8,7 +8,8 @@
  * stream_balancer_open.c (new flows), stream_balancer_lookup.c (lookups of
  * flows that this balancer has not cached), stream_balancer_query.c (queries
  * to agents), stream_balancer_packet.c (cached flows, segments and messages),
- * stream_balancer_member.c (agents and other balancers).
+ * stream_balancer_member.c (agents and other balancers),
+ * stream_balancer_keep.c (open flows of the own failure domain).
  */
 
 #include <glib.h>
@@ -36,13 +37,13 @@
    before the agent is declared dead.  */
 #define REPORT_REQUEST_INTERVAL_US INT64_C (200000)
 /* Interval of requests for reports of an agent that the store's list does not
-   name.  Agents report at their short interval for 5 s after each.  */
+   name.  Agents report every 300 ms for 5 s after each.  */
 #define UNLISTED_REQUEST_INTERVAL_US INT64_C (2000000)
 /* Interval at which the agents are checked for overdue reports.  */
 #define REPORT_CHECK_INTERVAL_US INT64_C (100000)
-/* Interval at which an agent that sends full reports without news is told that
-   brief ones suffice.  */
-#define BRIEF_OFFER_INTERVAL_US INT64_C (2000000)
+/* Interval at which an agent that sends full reports without news is told the
+   balancer's features again.  */
+#define FEATURES_INTERVAL_US INT64_C (2000000)
 /* Time after which an agent is declared dead that has announced its restart.
    The users' machines are back within a few seconds.  */
 #define AGENT_RESTART_US INT64_C (6000000)
@@ -59,7 +60,7 @@
    the store has listed them.  The balancer waits for each listed agent
    besides; this time is for agents that started after the list was written.
    Such agents find the balancer through the store when they start, within a
-   second of each other.  */
+   second of each other, or have been asked for reports every 300 ms.  */
 #define SETTLE_WITH_STORE_US INT64_C (400000)
 /* Time after which an agent that is listed in the store and has not reported
    counts as removed.  Agents report every 400 ms.  */
@@ -187,8 +188,7 @@
   bool listed;               /**< Named by the store's list when it was last
                                   read.  */
   int64_t requested_us;      /**< Time of the last request for a report.  */
-  int64_t brief_offered_us;  /**< Time of the last
-                                  RGY_STREAM_BRIEF_SUPPORTED.  */
+  int64_t features_sent_us;  /**< Time of the last RGY_STREAM_FEATURES.  */
   bool from_store;           /**< Listed in the store and has not reported
                                   yet.  */
   int64_t excluded_until_us; /**< The agent refused a new flow and gets none
@@ -319,6 +319,12 @@
   int64_t reports_checked_us; /**< Time of the last check for overdue
                                    reports.  */
   bool stopping;
+  struct rgy_flow_keeper *keeper; /**< NULL unless agents have chosen this
+                                       balancer to keep their open flows.  */
+  bool flows_loaded;              /**< The stored flows were read.  */
+  int64_t flows_heard_us;         /**< Time of the last list of an agent.  */
+  int64_t flows_saved_us; /**< Time of the last write, or at which the balancer
+                               became the keeper.  */
 
   struct rgy_stream_traffic traffic;
   struct rgy_histogram *open_time;   /**< Time from a first segment until an
@@ -387,6 +393,12 @@
 rgy_stream_balancer_handle_report_ (struct rgy_stream_balancer *b,
                                     const struct rgy_stream_report *report,
                                     uint32_t ip, int64_t now_us);
+void rgy_stream_balancer_handle_open_flows_ (
+    struct rgy_stream_balancer *b, const struct rgy_stream_open_flows *flows,
+    uint32_t ip, int64_t now_us);
+/** Write the kept flows to the store when that is due.  */
+void rgy_stream_balancer_save_flows_ (struct rgy_stream_balancer *b,
+                                      int64_t now_us);
 void rgy_stream_balancer_handle_brief_report_ (
     struct rgy_stream_balancer *b,
     const struct rgy_stream_brief_report *report, uint32_t ip, int64_t now_us);
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -14,6 +14,14 @@
     { .value = &agent->n_resets,
       .name = "stream_resets_total",
       .help = "Flows reset because the backend server lost them." },
+    { .value = &agent->n_former_reset,
+      .name = "stream_former_resets_total",
+      .help = "Flows of a backend server before this one that were reset "
+              "from the kept list." },
+    { .value = &agent->n_former_restored,
+      .name = "stream_former_restored_total",
+      .help = "Flows that were known from the kept list after a restart of "
+              "the agent." },
     { .value = &agent->n_probes,
       .name = "stream_probes_total",
       .help = "Segments of unknown flows delivered to find out whether the "
@@ -63,6 +71,7 @@
 
   agent->settings = *settings;
   agent->service_tag = rgy_service_tag (&settings->service);
+  agent->max_open_flows = RGY_STREAM_MAX_OPEN_FLOWS;
   agent->flows
       = rgy_flow_table_new (settings->max_flows, settings->flow_ttl_us);
   agent->balancers
@@ -188,6 +197,7 @@
   rgy_stream_agent_hand_over_requests_ (agent, false, now_us);
   rgy_stream_agent_check_heartbeats_ (agent, now_us);
   rgy_stream_agent_send_due_reports_ (agent, now_us);
+  rgy_stream_agent_send_open_flows_ (agent, now_us);
 }
 
 void
--- a/src/libragwortyoke/stream_agent_backend.c
+++ b/src/libragwortyoke/stream_agent_backend.c
@@ -94,6 +94,8 @@
      its heartbeat.  */
   if (!is_first || has_started_with_agent_ (agent, heartbeat, now_us))
     agent->complete = true;
+  if (is_first)
+    rgy_stream_agent_check_restored_flows_ (agent, now_us);
   if (!is_first)
     reset_flows_opened_before_ (agent, now_us - uptime_us, "backend-restarted",
                                 now_us);
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -328,6 +328,11 @@
       return;
     }
   rgy_flow_table_touch (agent->flows, flow, now_us);
+  /* The balancer may have sent the segment as a probe.  */
+  if (stream->restored && stream->state == FLOW_OPEN
+      && stream->balancer_ip != ip)
+    rgy_stream_agent_send_ownership_ (agent, &segment->key, ip,
+                                      RGY_FLOW_OWNED);
   update_flow_balancer_ (agent, flow, ip);
   switch (stream->state)
     {
@@ -375,6 +380,23 @@
     rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_CLOSED, now_us);
 }
 
+bool
+rgy_stream_agent_restore_flow_ (struct rgy_stream_agent *agent,
+                                const struct rgy_flow_key *key,
+                                uint32_t caller_ack, int64_t now_us)
+{
+  struct rgy_flow *flow = add_flow_ (agent, key, FLOW_NOT_OWNED, now_us);
+  struct rgy_agent_stream *stream = flow == NULL ? NULL : flow->session;
+
+  if (stream == NULL)
+    return false;
+  stream->caller_ack = caller_ack;
+  stream->restored = true;
+  ++*agent->n_former_restored;
+  rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_OPEN, now_us);
+  return true;
+}
+
 /* Opens a flow that the backend server turned out to serve, and notifies the
    flow's balancer.  */
 void
--- a/src/libragwortyoke/stream_agent_report.c
+++ b/src/libragwortyoke/stream_agent_report.c
@@ -93,6 +93,12 @@
              : rgy_stream_hash_domain (&agent->settings.domain);
 }
 
+uint64_t
+rgy_stream_agent_get_backend_id_ (const struct rgy_stream_agent *agent)
+{
+  return rgy_name_hash (&agent->backend, (uint64_t)agent->backend_started_ms);
+}
+
 /* Makes a report without flow changes.  */
 static struct rgy_stream_report
 make_report_ (const struct rgy_stream_agent *agent, int64_t now_us)
@@ -101,8 +107,7 @@
     .incarnation = agent->settings.incarnation,
     .service = agent->settings.service,
     .domain = agent->settings.domain,
-    .backend_id
-    = rgy_name_hash (&agent->backend, (uint64_t)agent->backend_started_ms),
+    .backend_id = rgy_stream_agent_get_backend_id_ (agent),
     .state = agent->state,
     .restarting = agent->stopping,
     .complete = agent->complete,
@@ -161,15 +166,25 @@
   return now_us - MAX (b->last_ack_us, b->added_us);
 }
 
-/* True if a brief report tells the balancer all that it needs.  A balancer
-   that does not acknowledge may have been replaced by an earlier version,
-   which decodes full reports only.  */
+/* A balancer that does not acknowledge may have been replaced by an earlier
+   version without the feature.  */
+bool
+rgy_agent_balancer_has_feature_ (const struct rgy_agent_balancer *b,
+                                 uint32_t feature, int64_t now_us)
+{
+  return b->incarnation != 0 && b->features_incarnation == b->incarnation
+         && (b->features & feature) != 0
+         && get_ack_age_us_ (b, now_us) <= ACK_OVERDUE_US;
+}
+
+/* True if a brief report tells the balancer all that it needs.  */
 static bool
 is_brief_sufficient_ (const struct rgy_stream_agent *agent,
                       const struct rgy_agent_balancer *b, int64_t now_us)
 {
-  return b->synced && b->brief_incarnation == b->incarnation
-         && get_ack_age_us_ (b, now_us) <= ACK_OVERDUE_US
+  return b->synced
+         && rgy_agent_balancer_has_feature_ (
+             b, RGY_STREAM_DECODES_BRIEF_REPORTS, now_us)
          && b->sent_fingerprint == get_fingerprint_ (agent, now_us);
 }
 
@@ -306,8 +321,7 @@
 rgy_stream_agent_add_balancer (struct rgy_stream_agent *agent, uint32_t ip,
                                int64_t now_us)
 {
-  struct rgy_agent_balancer added
-      = { .ip = ip, .added_us = now_us, .requested_us = now_us };
+  struct rgy_agent_balancer added = { .ip = ip, .added_us = now_us };
 
   if (!rgy_ip_is_host (ip) || find_balancer_ (agent, ip) != NULL
       || agent->balancers->len >= RGY_STREAM_MAX_BALANCERS)
@@ -337,9 +351,9 @@
   return false;
 }
 
-static bool
-is_in_own_domain_ (const struct rgy_stream_agent *agent,
-                   const struct rgy_agent_balancer *b)
+bool
+rgy_stream_agent_is_near_balancer_ (const struct rgy_stream_agent *agent,
+                                    const struct rgy_agent_balancer *b)
 {
   return get_receiver_domain_ (agent, b->ip) == RGY_RECEIVER_SAME_DOMAIN;
 }
@@ -369,10 +383,14 @@
 
   if (ack_age_us > BALANCER_SLOW_US)
     return BALANCER_SLOW_INTERVAL_US;
-  if (!b->synced || is_in_own_domain_ (agent, b)
-      || now_us < agent->prompt_until_us
-      || now_us - b->requested_us < REQUESTED_US || ack_age_us > ACK_OVERDUE_US
-      || has_news_for_ (agent, b, fingerprint))
+  if (now_us < agent->prompt_until_us
+      || (b->requested_us != 0 && now_us - b->requested_us < REQUESTED_US))
+    return PROMPT_REPORT_INTERVAL_US;
+  /* Without a balancer in the own failure domain the others place the flows
+     here, and a restart of all of them would not show.  */
+  if (!b->synced || !agent->has_near_balancer
+      || rgy_stream_agent_is_near_balancer_ (agent, b)
+      || ack_age_us > ACK_OVERDUE_US || has_news_for_ (agent, b, fingerprint))
     return REPORT_INTERVAL_US;
   return DISTANT_REPORT_INTERVAL_US;
 }
@@ -397,39 +415,37 @@
         }
       has_near = has_near
                  || (get_ack_age_us_ (b, now_us) <= ACK_OVERDUE_US
-                     && is_in_own_domain_ (agent, b));
+                     && rgy_stream_agent_is_near_balancer_ (agent, b));
       if (now_us - b->sent_us
           >= get_report_interval_us_ (agent, b, fingerprint, now_us))
         report_to_balancer_ (agent, b, now_us);
       i++;
     }
-  /* Without a balancer in the own failure domain the others place the flows
-     here, and a restart of all of them would not show.  */
-  if (!has_near)
-    agent->prompt_until_us = now_us + MASS_RESTART_US;
+  agent->has_near_balancer = has_near;
 }
 
-/* Records that a balancer has started.  */
+/* Records that a balancer has restarted.  */
 static void
-note_balancer_start_ (struct rgy_stream_agent *agent,
-                      struct rgy_agent_balancer *started, int64_t now_us)
+note_balancer_restart_ (struct rgy_stream_agent *agent,
+                        struct rgy_agent_balancer *restarted, int64_t now_us)
 {
   unsigned near = 0;
-  unsigned started_lately = 0;
+  unsigned restarted_lately = 0;
   guint i;
 
-  started->incarnation_since_us = now_us;
+  restarted->restarted_us = now_us;
   for (i = 0; i < agent->balancers->len; i++)
     {
       const struct rgy_agent_balancer *b
           = &g_array_index (agent->balancers, struct rgy_agent_balancer, i);
 
-      if (!is_in_own_domain_ (agent, b))
+      if (!rgy_stream_agent_is_near_balancer_ (agent, b))
         continue;
       near++;
-      started_lately += now_us - b->incarnation_since_us < MASS_RESTART_US;
+      restarted_lately += b->restarted_us != 0
+                          && now_us - b->restarted_us < MASS_RESTART_US;
     }
-  if (started_lately * 2 >= near)
+  if (restarted_lately * 2 >= near)
     agent->prompt_until_us = now_us + MASS_RESTART_US;
 }
 
@@ -463,9 +479,12 @@
       = MAX (agent->idle_timeout_us, ack->idle_timeout_ms * RGY_US_PER_MS);
   if (b->incarnation != ack->balancer_incarnation || !b->synced)
     {
+      bool has_restarted = b->incarnation != 0;
+
       b->incarnation = ack->balancer_incarnation;
       b->domain = ack->balancer_domain;
-      note_balancer_start_ (agent, b, now_us);
+      if (has_restarted)
+        note_balancer_restart_ (agent, b, now_us);
       send_snapshot_ (agent, b, now_us);
     }
   else if (ack->changes_upto > b->changes_acked
@@ -496,13 +515,15 @@
 }
 
 static void
-handle_brief_supported_ (struct rgy_stream_agent *agent,
-                         uint64_t balancer_incarnation, uint32_t from_ip)
+handle_features_ (struct rgy_stream_agent *agent,
+                  const struct rgy_stream_features *features, uint32_t from_ip)
 {
   struct rgy_agent_balancer *b = find_balancer_ (agent, from_ip);
 
-  if (b != NULL)
-    b->brief_incarnation = balancer_incarnation;
+  if (b == NULL)
+    return;
+  b->features_incarnation = features->balancer_incarnation;
+  b->features = features->flags;
 }
 
 static enum rgy_flow_ownership
@@ -573,8 +594,12 @@
     case RGY_STREAM_REPORT_REQUEST:
       handle_report_request_ (agent, from_ip, now_us);
       return RGY_OK;
-    case RGY_STREAM_BRIEF_SUPPORTED:
-      handle_brief_supported_ (agent, message.u.balancer_incarnation, from_ip);
+    case RGY_STREAM_FEATURES:
+      handle_features_ (agent, &message.u.features, from_ip);
+      return RGY_OK;
+    case RGY_STREAM_FORMER_FLOWS:
+      rgy_stream_agent_handle_former_flows_ (agent, &message.u.open_flows,
+                                             now_us);
       return RGY_OK;
     case RGY_STREAM_QUERY:
       answer_query_ (agent, message.u.queried, from_ip);
@@ -585,6 +610,7 @@
     case RGY_STREAM_REFUSED:
     case RGY_STREAM_ANSWER:
     case RGY_STREAM_BRIEF_REPORT:
+    case RGY_STREAM_OPEN_FLOWS:
     case RGY_STREAM_MESSAGE_KIND_COUNT:
       break;
     }
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -1,3 +1,4 @@
+#include "private/flow_keeper.h"
 #include "private/stream_balancer_private.h"
 
 #include <string.h>
@@ -110,6 +111,7 @@
 {
   if (b == NULL)
     return;
+  rgy_flow_keeper_delete (b->keeper);
   rgy_flow_table_delete_all (b->flows);
   g_hash_table_unref (b->lookups);
   g_hash_table_unref (b->opens);
@@ -334,6 +336,7 @@
   rgy_stream_balancer_send_queries_ (b, now_us);
   rgy_stream_balancer_expire_members_ (b, now_us);
   rgy_stream_balancer_request_due_reports_ (b, now_us);
+  rgy_stream_balancer_save_flows_ (b, now_us);
   status_interval_us
       = b->manifest != NULL && rgy_stream_balancer_is_settled_ (b, now_us)
             ? QUIET_STATUS_INTERVAL_US
--- a/src/libragwortyoke/stream_balancer_lookup.c
+++ b/src/libragwortyoke/stream_balancer_lookup.c
@@ -127,16 +127,8 @@
           || agent->report.state == RGY_BACKEND_ENDED
           || find_candidate_ (lookup, agent->ip) != NULL)
         continue;
-      if (agent->tag != 0 && !agent->report.complete)
-        {
-          /* The agent has restarted and could only answer that it does not
-             know whether it owns the flow.  */
-          candidate.answered = true;
-          candidate.answer = RGY_FLOW_OWNERSHIP_UNKNOWN;
-        }
       g_array_append_val (lookup->candidates, candidate);
-      if (!candidate.answered)
-        rgy_stream_balancer_queue_query_ (b, &lookup->key, agent, now_us);
+      rgy_stream_balancer_queue_query_ (b, &lookup->key, agent, now_us);
     }
 }
 
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -213,7 +213,7 @@
       bool is_overdue = is_report_overdue_ (agent, now_us);
 
       if (agent->report.restarting || rgy_known_agent_is_dead_ (agent, now_us)
-          || (!is_overdue && (agent->listed || !agent->distant)))
+          || (!is_overdue && agent->listed))
         continue;
       if (now_us - agent->requested_us >= (is_overdue
                                                ? REPORT_REQUEST_INTERVAL_US
@@ -396,7 +396,7 @@
       ip = rgy_stream_decode_ip (listed.data + i);
       agent = rgy_stream_balancer_find_agent_ (b, ip);
       if (agent != NULL)
-        agent->listed = true;
+        agent->listed = !should_unlist_agent_ (agent, now_us);
       else if (rgy_ip_is_host (ip))
         g_array_append_val (ips, ip);
     }
@@ -461,14 +461,16 @@
 }
 
 static void
-offer_brief_reports_ (struct rgy_stream_balancer *b,
-                      struct rgy_known_agent *agent, int64_t now_us)
+send_features_ (struct rgy_stream_balancer *b, struct rgy_known_agent *agent,
+                int64_t now_us)
 {
   struct rgy_stream_message message
-      = { .kind = RGY_STREAM_BRIEF_SUPPORTED,
-          .u.balancer_incarnation = b->settings.incarnation };
+      = { .kind = RGY_STREAM_FEATURES,
+          .u.features = { .balancer_incarnation = b->settings.incarnation,
+                          .flags = RGY_STREAM_DECODES_BRIEF_REPORTS
+                                   | RGY_STREAM_KEEPS_OPEN_FLOWS } };
 
-  agent->brief_offered_us = now_us;
+  agent->features_sent_us = now_us;
   rgy_stream_balancer_send_message_ (b, agent->ip, &message);
 }
 
@@ -537,6 +539,9 @@
   if (is_new_incarnation)
     {
       agent->changes_upto = 0;
+      /* Another balancer may have removed the agent from the list while it
+         was away.  */
+      agent->listed = false;
       agent->excluded_until_us = 0;
     }
   if (is_first || previous_state != report->state
@@ -567,8 +572,8 @@
   acknowledge_report_ (b, agent, is_needed, now_us);
   if (is_new_incarnation
       || (!is_needed
-          && now_us - agent->brief_offered_us >= BRIEF_OFFER_INTERVAL_US))
-    offer_brief_reports_ (b, agent, now_us);
+          && now_us - agent->features_sent_us >= FEATURES_INTERVAL_US))
+    send_features_ (b, agent, now_us);
 }
 
 void
--- a/src/libragwortyoke/stream_balancer_packet.c
+++ b/src/libragwortyoke/stream_balancer_packet.c
@@ -205,6 +205,10 @@
       rgy_stream_balancer_handle_brief_report_ (b, &message.u.brief, from_ip,
                                                 now_us);
       return RGY_OK;
+    case RGY_STREAM_OPEN_FLOWS:
+      rgy_stream_balancer_handle_open_flows_ (b, &message.u.open_flows,
+                                              from_ip, now_us);
+      return RGY_OK;
     case RGY_STREAM_STATUS:
       rgy_stream_balancer_handle_status_ (b, &message.u.status, from_ip,
                                           now_us);
@@ -223,7 +227,8 @@
     case RGY_STREAM_REPORT_ACK:
     case RGY_STREAM_REPORT_REQUEST:
     case RGY_STREAM_QUERY:
-    case RGY_STREAM_BRIEF_SUPPORTED:
+    case RGY_STREAM_FEATURES:
+    case RGY_STREAM_FORMER_FLOWS:
     case RGY_STREAM_MESSAGE_KIND_COUNT:
       break;
     }
--- a/src/libragwortyoke/stream_message.c
+++ b/src/libragwortyoke/stream_message.c
@@ -30,7 +30,9 @@
   [RGY_STREAM_QUERY] = "query",
   [RGY_STREAM_ANSWER] = "answer",
   [RGY_STREAM_BRIEF_REPORT] = "brief-report",
-  [RGY_STREAM_BRIEF_SUPPORTED] = "brief-supported",
+  [RGY_STREAM_FEATURES] = "features",
+  [RGY_STREAM_OPEN_FLOWS] = "open-flows",
+  [RGY_STREAM_FORMER_FLOWS] = "former-flows",
 };
 
 uint32_t
@@ -162,6 +164,18 @@
   msgpack_pack_uint32 (pk, r->latency_us);
 }
 
+static void
+pack_open_flows_ (msgpack_packer *pk, enum rgy_stream_message_kind kind,
+                  const struct rgy_stream_open_flows *f)
+{
+  msgpack_pack_array (pk, 5);
+  msgpack_pack_uint8 (pk, (uint8_t)kind);
+  msgpack_pack_uint64 (pk, f->agent_incarnation);
+  msgpack_pack_uint64 (pk, f->backend_id);
+  msgpack_pack_uint32 (pk, f->max_flows);
+  rgy_pack_bytes (pk, f->flows);
+}
+
 static void
 pack_records_ (msgpack_packer *pk, enum rgy_stream_message_kind kind,
                struct rgy_bytes records)
@@ -222,10 +236,15 @@
     case RGY_STREAM_BRIEF_REPORT:
       pack_brief_report_ (&pk, &message->u.brief);
       return;
-    case RGY_STREAM_BRIEF_SUPPORTED:
-      msgpack_pack_array (&pk, 2);
-      msgpack_pack_uint8 (&pk, RGY_STREAM_BRIEF_SUPPORTED);
-      msgpack_pack_uint64 (&pk, message->u.balancer_incarnation);
+    case RGY_STREAM_FEATURES:
+      msgpack_pack_array (&pk, 3);
+      msgpack_pack_uint8 (&pk, RGY_STREAM_FEATURES);
+      msgpack_pack_uint64 (&pk, message->u.features.balancer_incarnation);
+      msgpack_pack_uint32 (&pk, message->u.features.flags);
+      return;
+    case RGY_STREAM_OPEN_FLOWS:
+    case RGY_STREAM_FORMER_FLOWS:
+      pack_open_flows_ (&pk, message->kind, &message->u.open_flows);
       return;
     case RGY_STREAM_MESSAGE_KIND_COUNT:
       break;
@@ -294,6 +313,16 @@
   r->latency_us = (uint32_t)rgy_read_u64_max (reader, UINT32_MAX);
 }
 
+static void
+read_open_flows_ (struct rgy_reader *reader, struct rgy_stream_open_flows *f)
+{
+  f->agent_incarnation = rgy_read_u64 (reader);
+  f->backend_id = rgy_read_u64 (reader);
+  f->max_flows = (uint32_t)rgy_read_u64_max (reader, UINT32_MAX);
+  f->flows
+      = read_records_ (reader, RGY_OPEN_FLOW_BYTES, RGY_STREAM_MAX_OPEN_FLOWS);
+}
+
 static void
 read_report_ack_ (struct rgy_reader *reader, struct rgy_stream_report_ack *a)
 {
@@ -377,7 +406,8 @@
     [RGY_STREAM_STATUS] = 9,       [RGY_STREAM_REPORT_REQUEST] = 1,
     [RGY_STREAM_ACCEPTED] = 3,     [RGY_STREAM_REFUSED] = 3,
     [RGY_STREAM_QUERY] = 2,        [RGY_STREAM_ANSWER] = 2,
-    [RGY_STREAM_BRIEF_REPORT] = 5, [RGY_STREAM_BRIEF_SUPPORTED] = 2,
+    [RGY_STREAM_BRIEF_REPORT] = 5, [RGY_STREAM_FEATURES] = 3,
+    [RGY_STREAM_OPEN_FLOWS] = 5,   [RGY_STREAM_FORMER_FLOWS] = 5,
   };
   msgpack_zone zone;
   msgpack_object object;
@@ -430,8 +460,14 @@
     case RGY_STREAM_BRIEF_REPORT:
       read_brief_report_ (&reader, &message->u.brief);
       break;
-    case RGY_STREAM_BRIEF_SUPPORTED:
-      message->u.balancer_incarnation = rgy_read_u64 (&reader);
+    case RGY_STREAM_FEATURES:
+      message->u.features.balancer_incarnation = rgy_read_u64 (&reader);
+      message->u.features.flags
+          = (uint32_t)rgy_read_u64_max (&reader, UINT32_MAX);
+      break;
+    case RGY_STREAM_OPEN_FLOWS:
+    case RGY_STREAM_FORMER_FLOWS:
+      read_open_flows_ (&reader, &message->u.open_flows);
       break;
     case RGY_STREAM_MESSAGE_KIND_COUNT:
       abort ();
--- a/tests/simulation/simulation.c
+++ b/tests/simulation/simulation.c
@@ -114,6 +114,16 @@
     g_byte_array_unref (d.message);
 }
 
+static void
+save_flows_ (struct simulation *sim, size_t domain, struct rgy_bytes bytes)
+{
+  if (sim->stored_flows[domain] != NULL)
+    g_byte_array_unref (sim->stored_flows[domain]);
+  sim->stored_flows[domain] = g_byte_array_new ();
+  g_byte_array_append (sim->stored_flows[domain], bytes.data,
+                       (guint)bytes.len);
+}
+
 static void
 run_action_ (void *ctx, const struct rgy_stream_action *action)
 {
@@ -163,6 +173,15 @@
       if (!sim->backends[process->index].alive)
         sim_queue_delivery_ (sim, d, true);
       return;
+    case RGY_STREAM_SAVE_FLOWS:
+      if (!sim->store_down)
+        save_flows_ (sim, process->index % sim->n_domains, action->u.stored);
+      return;
+    case RGY_STREAM_LOAD_FLOWS:
+      d.kind = STORED_FLOWS_TO_BALANCER;
+      d.index = process->index;
+      sim_queue_event_ (sim, d, STORE_DELAY_US);
+      return;
     case RGY_STREAM_FETCH_MANIFEST:
       return; /* Every balancer gets each manifest from sim_set_weights().  */
     case RGY_STREAM_LOG:
@@ -311,7 +330,10 @@
                         caller->backend);
         }
       else
-        sim->counts.resets++;
+        {
+          sim->counts.resets++;
+          sim->counts.requests_reset += caller->request_us != 0;
+        }
       caller->request_us = 0;
       caller->done = true;
       sim_handle_user_flow_end_ (sim, caller);
@@ -374,6 +396,20 @@
   rgy_stream_balancer_from_router (sim->balancers[i], &segment, sim->now_us);
 }
 
+static void
+give_stored_flows_ (struct simulation *sim, size_t balancer)
+{
+  const GByteArray *stored = sim->stored_flows[balancer % sim->n_domains];
+  struct rgy_bytes bytes = { 0 };
+
+  if (sim->balancers[balancer] == NULL || sim->store_down)
+    return;
+  if (stored != NULL)
+    bytes = (struct rgy_bytes){ .data = stored->data, .len = stored->len };
+  rgy_stream_balancer_set_stored_flows (sim->balancers[balancer], bytes,
+                                        sim->now_us);
+}
+
 static void
 run_delivery_ (struct simulation *sim, struct delivery_ *d)
 {
@@ -407,6 +443,9 @@
         (void)rgy_stream_agent_from_message (sim->agents[d->index], message,
                                              d->from_ip, sim->now_us);
       return;
+    case STORED_FLOWS_TO_BALANCER:
+      give_stored_flows_ (sim, d->index);
+      return;
     case CHECK_RESULT_TO_AGENT:
       if (sim->agents[d->index] != NULL)
         rgy_stream_agent_backend_not_running (sim->agents[d->index],
@@ -572,6 +611,7 @@
       g_hash_table_unref (sim->backends[i].started);
       g_hash_table_unref (sim->backends[i].answered);
     }
+  sim_forget_stored_flows (sim);
   g_array_unref (sim->pooled);
   g_ptr_array_unref (sim->requests);
   g_array_unref (sim->seconds);
@@ -596,6 +636,24 @@
   sim->cut[b][a] = cut;
 }
 
+void
+sim_forget_stored_flows (struct simulation *sim)
+{
+  size_t i;
+
+  for (i = 0; i < SIM_MAX_DOMAINS; i++)
+    g_clear_pointer (&sim->stored_flows[i], g_byte_array_unref);
+}
+
+void
+sim_set_stored_flows (struct simulation *sim, struct rgy_bytes bytes)
+{
+  size_t i;
+
+  for (i = 0; i < SIM_MAX_DOMAINS; i++)
+    save_flows_ (sim, i, bytes);
+}
+
 void
 sim_set_store_down (struct simulation *sim, bool down)
 {
--- a/tests/simulation/simulation.h
+++ b/tests/simulation/simulation.h
@@ -27,10 +27,11 @@
   unsigned opened;   /**< Flows that callers opened.  */
   unsigned answered; /**< Requests answered.  */
   unsigned resets;   /**< Flows reset after their backend server lost them.  */
-  unsigned wrong_resets;  /**< Open flows reset although their backend server
-                               still serves them.  */
-  unsigned wrong_service; /**< First segments accepted by a service that no
-                               manifest named in the route.  */
+  unsigned requests_reset; /**< Of these with a request under way.  */
+  unsigned wrong_resets;   /**< Open flows reset although their backend server
+                                still serves them.  */
+  unsigned wrong_service;  /**< First segments accepted by a service that no
+                                manifest named in the route.  */
   unsigned accepted_after_drain; /**< First segments that a backend server
                                       accepted more than 3 s after its drain
                                       was acknowledged.  */
@@ -141,6 +142,11 @@
 void sim_cut_domains (struct simulation *simulation, size_t a, size_t b,
                       bool cut);
 
+/** Let balancers and agents keep no open flows in the store.  */
+void sim_forget_stored_flows (struct simulation *simulation);
+/** Replace the stored open flows of all failure domains.  */
+void sim_set_stored_flows (struct simulation *simulation,
+                           struct rgy_bytes bytes);
 /** Let balancers that start find no list of agents in the store, and let none
     be written.  */
 void sim_set_store_down (struct simulation *simulation, bool down);
--- a/tests/simulation/simulation_private.h
+++ b/tests/simulation/simulation_private.h
@@ -23,6 +23,7 @@
 #define MIN_DELAY_US 300
 #define MAX_DELAY_US 6000
 #define LOCAL_DELAY_US 50
+#define STORE_DELAY_US 8000
 #define REQUEST_BYTES 100
 #define ANSWER_BYTES 200
 #define DEFAULT_SLOTS 4
@@ -56,6 +57,7 @@
   MESSAGE_TO_BALANCER,
   TO_AGENT,
   MESSAGE_TO_AGENT,
+  STORED_FLOWS_TO_BALANCER,
   CHECK_RESULT_TO_AGENT, /* Result of a check of the backend server's
                             process.  */
   TO_BACKEND,
@@ -154,6 +156,8 @@
                                                  cannot reach each other.  */
   struct sim_traffic traffic;
   bool store_down;
+  /* Open flows in the simulated store; NULL: none.  */
+  GByteArray *stored_flows[SIM_MAX_DOMAINS];
   struct rgy_stream_balancer *balancers[SIM_MAX_BALANCERS];
   bool leaving[SIM_MAX_BALANCERS];
   struct rgy_stream_agent *agents[SIM_MAX_AGENTS];
