--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -427,6 +427,10 @@
                           .flags = RGY_STREAM_DECODES_BRIEF_REPORTS } };
   const struct rgy_stream_message request
       = { .kind = RGY_STREAM_REPORT_REQUEST };
+  const struct rgy_name domain = rgy_name_from_c ("poa-a");
+  struct rgy_stream_message restarted
+      = { .kind = RGY_STREAM_REPORT_ACK,
+          .u.ack = { .balancer_incarnation = 2, .agent_incarnation = 1 } };
 
   rgy_stream_agent_add_balancer (f->agent, OTHER_DOMAIN_BALANCER_IP,
                                  f->now_us);
@@ -440,6 +444,17 @@
   assert_int_equal (f->brief_reports[1], 0);
   send_message_ (f, &request, BALANCER_IP);
   assert_int_equal (f->full_reports[0], 1);
+  /* An earlier version starts at the address.  */
+  run_acknowledged_ (f, 1);
+  restarted.u.ack.balancer_domain = rgy_stream_hash_domain (&domain);
+  send_message_ (f, &restarted, BALANCER_IP);
+  reset_report_counts_ (f);
+  advance_time_ (f, RGY_US_PER_S);
+  assert_int_equal (f->brief_reports[0], 0);
+  assert_true (f->full_reports[0] >= 2);
+  /* It does so without having acknowledged anything.  */
+  acknowledge_report_ (f, BALANCER_IP, "poa-a");
+  run_acknowledged_ (f, 1);
   advance_time_ (f, 2100 * RGY_US_PER_MS);
   reset_report_counts_ (f);
   advance_time_ (f, RGY_US_PER_S);
@@ -624,6 +639,10 @@
   send_heartbeat_ (f, "i-1", 5, 0, false);
   send_message_ (f, &former, BALANCER_IP);
   assert_int_equal (f->resets, 0);
+  tear_down_ (state);
+  set_up_ (state);
+  f = *state;
+  send_heartbeat_ (f, "i-1", 5, 0, false);
   send_heartbeat_ (f, "i-1", 6, 0, false);
   former.u.open_flows.backend_id = 77;
   send_message_ (f, &former, BALANCER_IP);
