--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -425,6 +425,10 @@
       = { .kind = RGY_STREAM_FEATURES,
           .u.features = { .balancer_incarnation = 1,
                           .flags = RGY_STREAM_DECODES_BRIEF_REPORTS } };
+  const struct rgy_stream_message other_feature
+      = { .kind = RGY_STREAM_FEATURES,
+          .u.features = { .balancer_incarnation = 1,
+                          .flags = RGY_STREAM_KEEPS_OPEN_FLOWS } };
   const struct rgy_stream_message request
       = { .kind = RGY_STREAM_REPORT_REQUEST };
   const struct rgy_name domain = rgy_name_from_c ("poa-a");
@@ -436,6 +440,9 @@
                                  f->now_us);
   run_acknowledged_ (f, 2);
   assert_int_equal (f->brief_reports[0], 0);
+  send_message_ (f, &other_feature, BALANCER_IP);
+  run_acknowledged_ (f, 1);
+  assert_int_equal (f->brief_reports[0], 0);
   send_message_ (f, &supported, BALANCER_IP);
   reset_report_counts_ (f);
   run_acknowledged_ (f, 1);
--- a/tests/simulation/simulation.c
+++ b/tests/simulation/simulation.c
@@ -645,15 +645,6 @@
     g_clear_pointer (&sim->stored_flows[i], g_byte_array_unref);
 }
 
-void
-sim_set_stored_flows (struct simulation *sim, struct rgy_bytes bytes)
-{
-  size_t i;
-
-  for (i = 0; i < SIM_MAX_DOMAINS; i++)
-    save_flows_ (sim, i, bytes);
-}
-
 void
 sim_set_store_down (struct simulation *sim, bool down)
 {
--- a/tests/simulation/simulation.h
+++ b/tests/simulation/simulation.h
@@ -144,9 +144,6 @@
 
 /** Let balancers and agents keep no open flows in the store.  */
 void sim_forget_stored_flows (struct simulation *simulation);
-/** Replace the stored open flows of all failure domains.  */
-void sim_set_stored_flows (struct simulation *simulation,
-                           struct rgy_bytes bytes);
 /** Let balancers that start find no list of agents in the store, and let none
     be written.  */
 void sim_set_store_down (struct simulation *simulation, bool down);
