--- a/src/test_stream_agent/test_stream_agent.c
+++ b/src/test_stream_agent/test_stream_agent.c
@@ -573,7 +573,7 @@
 flows_of_the_backend_before_are_reset_ (void **state)
 {
   struct fixture_ *f = *state;
-  uint8_t flows[2 * RGY_OPEN_FLOW_BYTES];
+  uint8_t flows[2 * RGY_OPEN_FLOW_BYTES] = { 0 };
   struct rgy_stream_message former = make_former_flows_ (flows, 2, 77);
   struct rgy_stream_message other = former;
 
@@ -595,7 +595,7 @@
 restored_flows_are_reset_with_a_new_backend_ (void **state)
 {
   struct fixture_ *f = *state;
-  uint8_t flow[RGY_OPEN_FLOW_BYTES];
+  uint8_t flow[RGY_OPEN_FLOW_BYTES] = { 0 };
   struct rgy_stream_message former = make_former_flows_ (flow, 1, 77);
 
   encode_open_flow_ (flow, 2);
@@ -612,7 +612,7 @@
 former_flows_are_restored_ (void **state)
 {
   struct fixture_ *f = *state;
-  uint8_t flows[2 * RGY_OPEN_FLOW_BYTES];
+  uint8_t flows[2 * RGY_OPEN_FLOW_BYTES] = { 0 };
   struct rgy_stream_message former
       = make_former_flows_ (flows, 2, get_backend_id_ ("i-1", 5));
 
@@ -638,7 +638,7 @@
 former_flows_are_not_reset_in_doubt_ (void **state)
 {
   struct fixture_ *f = *state;
-  uint8_t flow[RGY_OPEN_FLOW_BYTES];
+  uint8_t flow[RGY_OPEN_FLOW_BYTES] = { 0 };
   struct rgy_stream_message former
       = make_former_flows_ (flow, 1, get_backend_id_ ("i-1", 5));
 
