Compare two empty lists of agents without reading through null pointers

Cause: since the list's writer is chosen by rank, the lists are compared before the balancer knows all agents. With no list in the store and no agent known both are null, which memcmp() does not allow.

Test: empty_list_needs_no_write_, ends in the sanitizer's error without the change.

--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -381,6 +381,7 @@
   GArray *ips = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   GHashTableIter iter;
   void *value;
+  bool differs;
   uint32_t ip;
   size_t i;
 
@@ -411,11 +412,10 @@
   for (i = 0; i < ips->len; i++)
     append_ip_ (wanted, g_array_index (ips, uint32_t, i));
   g_array_unref (ips);
-  return is_list_write_due_ (
-      b,
-      wanted->len != listed.len
-          || memcmp (wanted->data, listed.data, listed.len) != 0,
-      now_us);
+  differs = wanted->len != listed.len
+            || (listed.len > 0
+                && memcmp (wanted->data, listed.data, listed.len) != 0);
+  return is_list_write_due_ (b, differs, now_us);
 }
 
 /* Acknowledges a report.  A report without news from an agent that knows the
--- a/src/test_stream_balancer/test_stream_balancer.c
+++ b/src/test_stream_balancer/test_stream_balancer.c
@@ -856,6 +856,24 @@
   assert_in_range (f->requests, 3, 4);
 }
 
+/* A balancer that has just started finds no list and knows no agent.  The
+   comparison of the two read through null pointers (seed 1 of the soak, with
+   sanitizers).  */
+static void
+empty_list_needs_no_write_ (void **state)
+{
+  struct fixture_ *f = *state;
+  GByteArray *wanted = g_byte_array_new ();
+  bool is_written;
+
+  rgy_stream_balancer_delete (f->balancer);
+  start_balancer_ (f, 2);
+  is_written = rgy_stream_balancer_update_agent_list (
+      f->balancer, (struct rgy_bytes){ 0 }, wanted, f->now_us);
+  assert_false (is_written);
+  g_byte_array_unref (wanted);
+}
+
 /* Pattern: a release at the large deployment, in which the list differs all
    the time.  Every balancer wrote it, and all but one of the calls ended in a
    conflict.  */
@@ -937,6 +955,7 @@
     WITH_BALANCER (brief_report_counts_only_with_known_facts_),
     WITH_BALANCER (overdue_report_is_requested_),
     WITH_BALANCER (unlisted_agent_is_asked_for_reports_),
+    WITH_BALANCER (empty_list_needs_no_write_),
     WITH_BALANCER (one_balancer_writes_the_list_),
   };
 
