--- a/src/test_platform_store/test_platform_store.c
+++ b/src/test_platform_store/test_platform_store.c
@@ -34,8 +34,9 @@
   bool history_lost;             /* The next watch gets status 410.  */
   bool writes_agents;
   unsigned agent_list_reads;
-  char *agents;          /* Value of the list of agents; NULL: none.  */
-  char *flows;           /* Value of the open flows; NULL: none.  */
+  char *agents; /* Value of the list of agents; NULL: none.  */
+  char *flows;  /* Value of the open flows; NULL: none.  */
+  int flows_lease;
   const char *flows_key; /* Key that the store answers a read of them with.  */
   unsigned flows_reads;
   struct rgy_bytes flows_read; /* What the client has reported last.  */
@@ -82,9 +83,9 @@
       f->flows_reads++;
       response->status = f->flows == NULL ? 404 : 200;
       response->body = g_strdup_printf (
-          "{\"key\":\"%s\",\"revision\":9,\"create_rev\":8,\"lease\":7,"
+          "{\"key\":\"%s\",\"revision\":9,\"create_rev\":8,\"lease\":%d,"
           "\"value\":\"%s\"}",
-          f->flows_key, f->flows == NULL ? "" : f->flows);
+          f->flows_key, f->flows_lease, f->flows == NULL ? "" : f->flows);
     }
   else if (g_str_has_prefix (request->path, "/kv-lease"))
     {
@@ -207,6 +208,7 @@
   };
 
   f->revision = 5;
+  f->flows_lease = 7;
   f->flows_key = FLOWS_KEY;
   uv_loop_init (&f->loop);
   f->http = rgy_http_new (&f->loop, (struct rgy_endpoint){ .ip = LOOPBACK },
@@ -328,10 +330,16 @@
   uv_run (&f->loop, UV_RUN_DEFAULT);
   assert_int_equal (f->flows_read.len, 0);
   f->flows_key = FLOWS_KEY;
+  /* Without a lease it never ends, and may be of any age.  */
+  f->flows_lease = 0;
+  rgy_platform_store_load_flows (f->store);
+  uv_run (&f->loop, UV_RUN_DEFAULT);
+  assert_int_equal (f->flows_read.len, 0);
+  f->flows_lease = 7;
   f->flows[0] = '!';
   rgy_platform_store_load_flows (f->store);
   uv_run (&f->loop, UV_RUN_DEFAULT);
-  assert_int_equal (f->flows_reads, 4);
+  assert_int_equal (f->flows_reads, 5);
   assert_int_equal (f->flows_read.len, 0);
 }
 
--- a/src/test_stream_balancer/test_stream_balancer.c
+++ b/src/test_stream_balancer/test_stream_balancer.c
@@ -672,7 +672,7 @@
   f->statuses = 0;
   f->status_lists = 0;
   advance_time_ (f, 5 * RGY_US_PER_S);
-  assert_true (f->statuses >= 3);
+  assert_in_range (f->statuses, 3, 4);
   assert_int_equal (f->status_lists, 0);
 }
 
