State the terms of requests, loads and overload refusals in messages

Cause: the agent orders requests by their latest start alone, because a route's priority and time limit never reach it, and balancers learn how many flows an agent has, not how long a request waits there.

Change: routes carry struct rgy_request_terms (priority, repeatable, goal, limit), which the manifest's reader checks; messages RGY_STREAM_TERMS_QUERY, RGY_STREAM_TERMS and RGY_STREAM_LOAD_REPORT, and the refusal RGY_REFUSED_OVERLOAD, each sent only to processes that have stated that they decode it. No process sends them yet.

Test: route_terms_survive_encoding_, the samples of test_stream_message, and manifests with an invalid priority.

--- a/include/ragwortyoke/segment.h
+++ b/include/ragwortyoke/segment.h
@@ -28,8 +28,11 @@
 enum rgy_segment_mark
 {
   RGY_MARK_NONE = 0,
-  RGY_MARK_NOT_OWNED = 1 /**< The agent does not own the flow and returns the
-                              segment to the balancer.  */
+  /** To a balancer: the agent does not own the flow and returns the segment.
+      To an agent, on a first segment: no agent is known that could answer the
+      flow's request sooner.  */
+  RGY_MARK_NOT_OWNED = 1,
+  RGY_MARK_LAST_OFFER = RGY_MARK_NOT_OWNED
 };
 
 /** Fields that balancers and agents attach to a segment for each other; the
--- a/include/ragwortyoke/stream_manifest.h
+++ b/include/ragwortyoke/stream_manifest.h
@@ -7,6 +7,7 @@
  * address are split.
  */
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -25,11 +26,26 @@
   uint32_t weight; /**< Share of new flows; a service with 0 gets none.  */
 };
 
+/** Priority of a route that states none: below all stated ones.  */
+#define RGY_PRIORITY_UNSTATED 255
+
+/** What the manifest states of the requests that a route carries.  */
+struct rgy_request_terms
+{
+  uint8_t priority; /**< 0 is the most urgent; RGY_PRIORITY_UNSTATED if none is
+                         stated.  */
+  bool repeatable;  /**< The caller may send a request again that may have
+                         run.  */
+  int64_t goal_us;  /**< Time within which requests should be answered; 0 if
+                         none is stated.  */
+  int64_t limit_us; /**< Time after which the caller no longer waits for an
+                         answer; 0 if none is stated.  */
+};
+
 struct rgy_route
 {
   struct rgy_endpoint address; /**< Address to which callers send.  */
-  int64_t goal_us; /**< Time within which requests should be answered; 0 if
-                        none is stated.  */
+  struct rgy_request_terms terms;
   size_t n_targets;
   struct rgy_route_target targets[RGY_ROUTE_MAX_TARGETS];
 };
--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -13,6 +13,7 @@
 #include "ragwortyoke/outcome.h"
 #include "ragwortyoke/segment.h"
 #include "ragwortyoke/str.h"
+#include "ragwortyoke/stream_manifest.h"
 
 /** Maximum number of balancers in one list.  */
 #define RGY_STREAM_MAX_BALANCERS 512
@@ -70,6 +71,10 @@
   RGY_REFUSED_FULL,    /**< The backend server refused the flow, or the agent's
                             flow table is full.  */
   RGY_REFUSED_RESTARTING, /**< The agent's process is about to end.  */
+  RGY_REFUSED_OVERLOAD,   /**< Requests of the same or a higher priority keep
+                               the backend server busy for too long.  Sent only
+                               to balancers that state
+                               RGY_STREAM_DECODES_LOAD.  */
   RGY_STREAM_REFUSAL_COUNT
 };
 
@@ -145,9 +150,61 @@
   uint32_t latency_us;
 };
 
+/** Load of a backend server and of the requests that wait for it; sent in
+   place of a brief report.  */
+struct rgy_stream_load_report
+{
+  struct rgy_stream_brief_report brief;
+  uint32_t run_us;   /**< Mean time for which a request occupies a slot; 0 if
+                          none was measured.  */
+  uint32_t requests; /**< Requests that wait or run.  */
+  uint32_t wait_us;  /**< Time for which a request of the lowest priority that
+                          arrives now is expected to wait for a slot.  */
+  uint32_t requests_per_s; /**< Requests that arrived in the last second.  */
+};
+
+/** Bytes of a route's address in RGY_STREAM_TERMS_QUERY: address and port.  */
+#define RGY_ROUTE_ADDRESS_BYTES 6
+/** Bytes of a route in RGY_STREAM_TERMS: its address, a byte each with the
+    priority and the bits of enum rgy_terms_flag, and latency goal and time
+    limit in milliseconds in 4 bytes each.  */
+#define RGY_ROUTE_TERMS_BYTES (RGY_ROUTE_ADDRESS_BYTES + 10)
+/** Maximum number of routes in one query or answer; it keeps the message
+   within one Ethernet frame.  */
+#define RGY_STREAM_MAX_TERMS 64
+
+enum rgy_terms_flag
+{
+  RGY_TERMS_KNOWN = 1 << 0,     /**< The manifest has the route.  */
+  RGY_TERMS_REPEATABLE = 1 << 1 /**< struct rgy_request_terms.repeatable.  */
+};
+
+/** What a balancer's manifest states of the requests of some routes.  */
+struct rgy_stream_terms
+{
+  uint64_t manifest_version;
+  struct rgy_bytes routes; /**< Entries of RGY_ROUTE_TERMS_BYTES.  */
+};
+
+/** Write the address of a route, RGY_ROUTE_ADDRESS_BYTES long, to @p out.  */
+void rgy_route_address_encode (struct rgy_endpoint address, uint8_t *out);
+struct rgy_endpoint rgy_route_address_decode (const uint8_t *in);
+
+/** Write the terms of a route, RGY_ROUTE_TERMS_BYTES long, to @p out.
+    @param terms  NULL if the manifest lacks the route.  */
+void rgy_route_terms_encode (struct rgy_endpoint address,
+                             const struct rgy_request_terms *terms,
+                             uint8_t *out);
+/** Read the terms of a route from RGY_ROUTE_TERMS_BYTES at @p in.
+    @return false if the manifest lacks the route.  */
+bool rgy_route_terms_decode (const uint8_t *in, struct rgy_endpoint *address,
+                             struct rgy_request_terms *terms);
+
 /** Messages besides those of the first version that a balancer decodes.  */
 #define RGY_STREAM_DECODES_BRIEF_REPORTS 1U
 #define RGY_STREAM_KEEPS_OPEN_FLOWS 2U
+#define RGY_STREAM_STATES_TERMS 4U
+#define RGY_STREAM_DECODES_LOAD 8U
 
 struct rgy_stream_features
 {
@@ -245,6 +302,10 @@
                               those of its failure domain.  */
   RGY_STREAM_FORMER_FLOWS, /**< The reply: the open flows that the agent
                                 before this one has listed.  */
+  RGY_STREAM_LOAD_REPORT,
+  RGY_STREAM_TERMS_QUERY, /**< An agent asks a balancer for the terms of
+                               routes.  */
+  RGY_STREAM_TERMS,       /**< The answer.  */
   RGY_STREAM_MESSAGE_KIND_COUNT
 };
 
@@ -275,6 +336,11 @@
     struct rgy_stream_open_flows open_flows; /**< Set for
                                                   RGY_STREAM_OPEN_FLOWS and
                                                   RGY_STREAM_FORMER_FLOWS.  */
+    struct rgy_stream_load_report load;
+    struct rgy_bytes queried_routes; /**< Set for RGY_STREAM_TERMS_QUERY:
+                                          entries of
+                                          RGY_ROUTE_ADDRESS_BYTES.  */
+    struct rgy_stream_terms terms;
   } u;
 };
 
--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -8,7 +8,8 @@
  * (segments), stream_agent_queue.c (requests that wait for a slot of the
  * backend server), stream_agent_backend.c (state of the backend server),
  * stream_agent_report.c (reports and control messages), stream_agent_former.c
- * (flows that the agent before has listed).
+ * (flows that the agent before has listed), stream_agent_terms.c (terms of
+ * routes).
  */
 
 #include <glib.h>
@@ -412,6 +413,17 @@
     latency goal, or all of them.  */
 void rgy_stream_agent_hand_over_requests_ (struct rgy_stream_agent *agent,
                                            bool all, int64_t now_us);
+/** Set all of a load report but the part that a brief report has.  */
+void rgy_stream_agent_measure_load_ (const struct rgy_stream_agent *agent,
+                                     struct rgy_stream_load_report *load,
+                                     int64_t now_us);
+/** Terms of the route that a caller's segment came over.  A route whose terms
+    no balancer has stated yet has the lowest priority, the latency goal in the
+    segment's trailer and no time limit.  */
+struct rgy_request_terms
+rgy_stream_agent_get_terms_ (struct rgy_stream_agent *agent,
+                             const struct rgy_segment *segment,
+                             int64_t now_us);
 /** Forget the request of a flow; for rgy_flow_table_foreach().  */
 bool rgy_stream_agent_drop_request_ (struct rgy_flow *flow, void *ctx);
 
--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -328,3 +328,18 @@
   free_held_segments_ (ctx, flow->session);
   return true;
 }
+
+void
+rgy_stream_agent_measure_load_ (const struct rgy_stream_agent *agent,
+                                struct rgy_stream_load_report *load,
+                                int64_t now_us)
+{
+  uint32_t waiting = agent->on_time.length + agent->late.length;
+
+  (void)now_us;
+  load->run_us = (uint32_t)MIN (agent->run_us, UINT32_MAX);
+  load->requests = waiting + agent->running.length;
+  load->wait_us
+      = (uint32_t)MIN (waiting * agent->run_us / agent->slots, UINT32_MAX);
+  load->requests_per_s = 0;
+}
--- a/src/libragwortyoke/stream_agent_report.c
+++ b/src/libragwortyoke/stream_agent_report.c
@@ -609,6 +609,9 @@
     case RGY_STREAM_ANSWER:
     case RGY_STREAM_BRIEF_REPORT:
     case RGY_STREAM_OPEN_FLOWS:
+    case RGY_STREAM_LOAD_REPORT:
+    case RGY_STREAM_TERMS_QUERY:
+    case RGY_STREAM_TERMS:
     case RGY_STREAM_MESSAGE_KIND_COUNT:
       break;
     }
--- a/src/libragwortyoke/stream_balancer_open.c
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -394,6 +394,7 @@
         agent->excluded_until_us = now_us + OPEN_RETRY_US * 2;
         break;
       case RGY_REFUSED_FULL:
+      case RGY_REFUSED_OVERLOAD:
       case RGY_STREAM_REFUSAL_COUNT:
         break;
       }
--- a/src/libragwortyoke/stream_balancer_packet.c
+++ b/src/libragwortyoke/stream_balancer_packet.c
@@ -95,7 +95,7 @@
       (struct rgy_segment_trailer){
           .service_tag = agent == NULL ? 0 : agent->tag,
           .balancer_ip = b->settings.own_ip,
-          .goal_us = route == NULL ? 0 : route->goal_us });
+          .goal_us = route == NULL ? 0 : route->terms.goal_us });
 }
 
 void
@@ -229,6 +229,9 @@
     case RGY_STREAM_QUERY:
     case RGY_STREAM_FEATURES:
     case RGY_STREAM_FORMER_FLOWS:
+    case RGY_STREAM_LOAD_REPORT:
+    case RGY_STREAM_TERMS_QUERY:
+    case RGY_STREAM_TERMS:
     case RGY_STREAM_MESSAGE_KIND_COUNT:
       break;
     }
--- a/src/libragwortyoke/stream_message.c
+++ b/src/libragwortyoke/stream_message.c
@@ -4,6 +4,7 @@
 
 #include "private/msgpack_io.h"
 #include "ragwortyoke/bytes.h"
+#include "ragwortyoke/clock.h"
 
 const char *const rgy_backend_state_string[] = {
   [RGY_BACKEND_UNKNOWN] = "unknown",   [RGY_BACKEND_READY] = "ready",
@@ -18,6 +19,7 @@
   [RGY_REFUSED_COLD] = "cold",
   [RGY_REFUSED_FULL] = "full",
   [RGY_REFUSED_RESTARTING] = "agent-restarting",
+  [RGY_REFUSED_OVERLOAD] = "overload",
 };
 
 const char *const rgy_stream_message_kind_string[] = {
@@ -33,6 +35,9 @@
   [RGY_STREAM_FEATURES] = "features",
   [RGY_STREAM_OPEN_FLOWS] = "open-flows",
   [RGY_STREAM_FORMER_FLOWS] = "former-flows",
+  [RGY_STREAM_LOAD_REPORT] = "load-report",
+  [RGY_STREAM_TERMS_QUERY] = "terms-query",
+  [RGY_STREAM_TERMS] = "terms",
 };
 
 uint32_t
@@ -66,6 +71,61 @@
   return false;
 }
 
+void
+rgy_route_address_encode (struct rgy_endpoint address, uint8_t *out)
+{
+  rgy_put_be (out, address.ip, 4);
+  rgy_put_be (out + 4, address.port, 2);
+}
+
+struct rgy_endpoint
+rgy_route_address_decode (const uint8_t *in)
+{
+  return (struct rgy_endpoint){ .ip = (uint32_t)rgy_get_be (in, 4),
+                                .port = (uint16_t)rgy_get_be (in + 4, 2) };
+}
+
+static uint64_t
+get_ms_ (int64_t us)
+{
+  return (uint64_t)CLAMP (us / RGY_US_PER_MS, 0, UINT32_MAX);
+}
+
+void
+rgy_route_terms_encode (struct rgy_endpoint address,
+                        const struct rgy_request_terms *terms, uint8_t *out)
+{
+  static const struct rgy_request_terms none;
+  uint8_t *p = out + RGY_ROUTE_ADDRESS_BYTES;
+  uint8_t flags = 0;
+
+  if (terms == NULL)
+    terms = &none;
+  else
+    flags = RGY_TERMS_KNOWN | (terms->repeatable ? RGY_TERMS_REPEATABLE : 0);
+  rgy_route_address_encode (address, out);
+  p[0] = terms->priority;
+  p[1] = flags;
+  rgy_put_be (p + 2, get_ms_ (terms->goal_us), 4);
+  rgy_put_be (p + 6, get_ms_ (terms->limit_us), 4);
+}
+
+bool
+rgy_route_terms_decode (const uint8_t *in, struct rgy_endpoint *address,
+                        struct rgy_request_terms *terms)
+{
+  const uint8_t *p = in + RGY_ROUTE_ADDRESS_BYTES;
+
+  *address = rgy_route_address_decode (in);
+  *terms = (struct rgy_request_terms){
+    .priority = p[0],
+    .repeatable = (p[1] & RGY_TERMS_REPEATABLE) != 0,
+    .goal_us = (int64_t)rgy_get_be (p + 2, 4) * RGY_US_PER_MS,
+    .limit_us = (int64_t)rgy_get_be (p + 6, 4) * RGY_US_PER_MS
+  };
+  return (p[1] & RGY_TERMS_KNOWN) != 0;
+}
+
 uint64_t
 rgy_stream_report_fingerprint (const struct rgy_stream_report *report)
 {
@@ -164,6 +224,21 @@
   msgpack_pack_uint32 (pk, r->latency_us);
 }
 
+static void
+pack_load_report_ (msgpack_packer *pk, const struct rgy_stream_load_report *r)
+{
+  msgpack_pack_array (pk, 9);
+  msgpack_pack_uint8 (pk, RGY_STREAM_LOAD_REPORT);
+  msgpack_pack_uint64 (pk, r->brief.seq);
+  msgpack_pack_uint64 (pk, r->brief.fingerprint);
+  msgpack_pack_uint32 (pk, r->brief.open_flows);
+  msgpack_pack_uint32 (pk, r->brief.latency_us);
+  msgpack_pack_uint32 (pk, r->run_us);
+  msgpack_pack_uint32 (pk, r->requests);
+  msgpack_pack_uint32 (pk, r->wait_us);
+  msgpack_pack_uint32 (pk, r->requests_per_s);
+}
+
 static void
 pack_open_flows_ (msgpack_packer *pk, enum rgy_stream_message_kind kind,
                   const struct rgy_stream_open_flows *f)
@@ -246,6 +321,18 @@
     case RGY_STREAM_FORMER_FLOWS:
       pack_open_flows_ (&pk, message->kind, &message->u.open_flows);
       return;
+    case RGY_STREAM_LOAD_REPORT:
+      pack_load_report_ (&pk, &message->u.load);
+      return;
+    case RGY_STREAM_TERMS_QUERY:
+      pack_records_ (&pk, message->kind, message->u.queried_routes);
+      return;
+    case RGY_STREAM_TERMS:
+      msgpack_pack_array (&pk, 3);
+      msgpack_pack_uint8 (&pk, RGY_STREAM_TERMS);
+      msgpack_pack_uint64 (&pk, message->u.terms.manifest_version);
+      rgy_pack_bytes (&pk, message->u.terms.routes);
+      return;
     case RGY_STREAM_MESSAGE_KIND_COUNT:
       break;
     }
@@ -313,6 +400,16 @@
   r->latency_us = (uint32_t)rgy_read_u64_max (reader, UINT32_MAX);
 }
 
+static void
+read_load_report_ (struct rgy_reader *reader, struct rgy_stream_load_report *r)
+{
+  read_brief_report_ (reader, &r->brief);
+  r->run_us = (uint32_t)rgy_read_u64_max (reader, UINT32_MAX);
+  r->requests = (uint32_t)rgy_read_u64_max (reader, UINT32_MAX);
+  r->wait_us = (uint32_t)rgy_read_u64_max (reader, UINT32_MAX);
+  r->requests_per_s = (uint32_t)rgy_read_u64_max (reader, UINT32_MAX);
+}
+
 static void
 read_open_flows_ (struct rgy_reader *reader, struct rgy_stream_open_flows *f)
 {
@@ -408,6 +505,8 @@
     [RGY_STREAM_QUERY] = 2,        [RGY_STREAM_ANSWER] = 2,
     [RGY_STREAM_BRIEF_REPORT] = 5, [RGY_STREAM_FEATURES] = 3,
     [RGY_STREAM_OPEN_FLOWS] = 5,   [RGY_STREAM_FORMER_FLOWS] = 5,
+    [RGY_STREAM_LOAD_REPORT] = 9,  [RGY_STREAM_TERMS_QUERY] = 2,
+    [RGY_STREAM_TERMS] = 3,
   };
   msgpack_zone zone;
   msgpack_object object;
@@ -469,6 +568,18 @@
     case RGY_STREAM_FORMER_FLOWS:
       read_open_flows_ (&reader, &message->u.open_flows);
       break;
+    case RGY_STREAM_LOAD_REPORT:
+      read_load_report_ (&reader, &message->u.load);
+      break;
+    case RGY_STREAM_TERMS_QUERY:
+      message->u.queried_routes = read_records_ (
+          &reader, RGY_ROUTE_ADDRESS_BYTES, RGY_STREAM_MAX_TERMS);
+      break;
+    case RGY_STREAM_TERMS:
+      message->u.terms.manifest_version = rgy_read_u64 (&reader);
+      message->u.terms.routes = read_records_ (&reader, RGY_ROUTE_TERMS_BYTES,
+                                               RGY_STREAM_MAX_TERMS);
+      break;
     case RGY_STREAM_MESSAGE_KIND_COUNT:
       abort ();
     }
--- a/src/test_platform_manifest/test_platform_manifest.c
+++ b/src/test_platform_manifest/test_platform_manifest.c
@@ -41,6 +41,10 @@
     "\"/443/\",\"traffic_split\":[{\"service\":\"a\",\"weight\":0}]}]}",
     "{\"version\":7,\"routes\":[{\"hostname\":\"198.18.0.1\",\"prefix\":"
     "\"/443/\",\"traffic_split\":[{\"service\":\"a\",\"weight\":-1}]}]}",
+    "{\"version\":7,\"routes\":[{\"hostname\":\"198.18.0.1\",\"prefix\":"
+    "\"/443/\",\"service\":\"a\",\"priority\":-1}]}",
+    "{\"version\":7,\"routes\":[{\"hostname\":\"198.18.0.1\",\"prefix\":"
+    "\"/443/\",\"service\":\"a\",\"priority\":\"high\"}]}",
   };
   size_t i;
 
@@ -111,10 +115,11 @@
   static const char json[]
       = "{\"version\":7,\"routes\":[{\"name\":\"r\",\"hostname\":\"198.18.0."
         "1\","
-        "\"latency_goal_ms\":120,\"prefix\":\"/8443/"
+        "\"latency_goal_ms\":120,\"timeout_ms\":900,\"priority\":1,"
+        "\"type\":\"unsafe\",\"prefix\":\"/8443/"
         "\",\"traffic_split\":[{\"service\":\"a\",\"weight\":"
         "90},{\"service\":\"b\",\"weight\":10}]},{\"hostname\":\"198.18.0.2\","
-        "\"prefix\":\"/80/\",\"service\":\"b\"}]," SERVICES
+        "\"type\":\"safe\",\"prefix\":\"/80/\",\"service\":\"b\"}]," SERVICES
         ",\"limits\":{\"idle_timeout_ms\":15000},\"new\":true}";
   struct rgy_name a = rgy_name_from_c ("a");
   struct rgy_name b = rgy_name_from_c ("b");
@@ -131,13 +136,19 @@
       manifest, (struct rgy_endpoint){ .ip = 0xc6120001, .port = 8443 });
   assert_non_null (route);
   assert_int_equal (route->n_targets, 2);
-  assert_int_equal (route->goal_us, 120000);
+  assert_int_equal (route->terms.goal_us, 120000);
+  assert_int_equal (route->terms.limit_us, 900000);
+  assert_int_equal (route->terms.priority, 1);
+  assert_false (route->terms.repeatable);
   assert_int_equal (route->targets[0].weight, 90);
   assert_true (rgy_name_equal (&route->targets[1].service, &b));
   route = rgy_stream_manifest_find (
       manifest, (struct rgy_endpoint){ .ip = 0xc6120002, .port = 80 });
   assert_int_equal (route->n_targets, 1);
-  assert_int_equal (route->goal_us, 0);
+  assert_int_equal (route->terms.goal_us, 0);
+  assert_int_equal (route->terms.limit_us, 0);
+  assert_int_equal (route->terms.priority, RGY_PRIORITY_UNSTATED);
+  assert_true (route->terms.repeatable);
   assert_int_equal (rgy_stream_manifest_get_cold_rate (manifest, &a), 2500);
   assert_int_equal (rgy_stream_manifest_get_cold_rate (manifest, &b), 0);
   rgy_stream_manifest_delete (manifest);
--- a/src/test_stream_message/test_stream_message.c
+++ b/src/test_stream_message/test_stream_message.c
@@ -24,6 +24,8 @@
 };
 static const uint8_t listed_agents_[RGY_STREAM_AGENT_BYTES]
     = { 10, 2, 0, 40, RGY_BACKEND_DRAINING | RGY_STREAM_AGENT_RESTARTING };
+static const uint8_t route_terms_[RGY_ROUTE_TERMS_BYTES]
+    = { 198, 18, 0, 1, 1, 0xbb, 2, RGY_TERMS_KNOWN, 0, 0, 0, 250, 0, 0, 8, 0 };
 static const uint8_t ips_[8] = { 10, 1, 0, 10, 10, 2, 0, 40 };
 
 static struct rgy_stream_message
@@ -118,6 +120,27 @@
         .flows = { .data = open_flow_, .len = sizeof open_flow_ },
       };
       break;
+    case RGY_STREAM_LOAD_REPORT:
+      message.u.load = (struct rgy_stream_load_report){
+        .brief
+        = { .seq = 10, .fingerprint = 7, .open_flows = 13, .latency_us = 21 },
+        .run_us = 30000,
+        .requests = 5,
+        .wait_us = 70000,
+        .requests_per_s = 60
+      };
+      break;
+    case RGY_STREAM_TERMS_QUERY:
+      message.u.queried_routes
+          = (struct rgy_bytes){ .data = route_terms_,
+                                .len = RGY_ROUTE_ADDRESS_BYTES };
+      break;
+    case RGY_STREAM_TERMS:
+      message.u.terms = (struct rgy_stream_terms){
+        .manifest_version = 19,
+        .routes = { .data = route_terms_, .len = sizeof route_terms_ }
+      };
+      break;
     }
   return message;
 }
@@ -340,6 +363,32 @@
     g_string_free (odd[k], TRUE);
 }
 
+/* A term that is lost on its way would order requests wrongly; a route that
+   the manifest lacks must not look like one of the highest priority.  */
+static void
+route_terms_survive_encoding_ (void **state)
+{
+  const struct rgy_endpoint address = { .ip = 0xc6120001, .port = 443 };
+  const struct rgy_request_terms terms = {
+    .priority = 3, .repeatable = true, .goal_us = 250000, .limit_us = 90000000
+  };
+  struct rgy_request_terms decoded;
+  struct rgy_endpoint decoded_address;
+  uint8_t bytes[RGY_ROUTE_TERMS_BYTES];
+
+  (void)state;
+  rgy_route_terms_encode (address, &terms, bytes);
+  assert_true (rgy_route_terms_decode (bytes, &decoded_address, &decoded));
+  assert_true (rgy_endpoint_equal (decoded_address, address));
+  assert_int_equal (decoded.priority, terms.priority);
+  assert_int_equal (decoded.repeatable, terms.repeatable);
+  assert_int_equal (decoded.goal_us, terms.goal_us);
+  assert_int_equal (decoded.limit_us, terms.limit_us);
+  rgy_route_terms_encode (address, NULL, bytes);
+  assert_false (rgy_route_terms_decode (bytes, &decoded_address, &decoded));
+  assert_true (rgy_endpoint_equal (decoded_address, address));
+}
+
 /* A changed fact with the same fingerprint would never reach the balancer.  */
 static void
 fingerprint_covers_all_facts_ (void **state)
@@ -385,6 +434,7 @@
     cmocka_unit_test (unknown_answers_and_states_are_rejected_),
     cmocka_unit_test (messages_with_an_odd_field_are_rejected_),
     cmocka_unit_test (view_contains_only_its_domains_),
+    cmocka_unit_test (route_terms_survive_encoding_),
     cmocka_unit_test (fingerprint_covers_all_facts_),
   };
 
--- a/tests/simulation/simulation.c
+++ b/tests/simulation/simulation.c
@@ -671,7 +671,8 @@
       = rgy_stream_manifest_new (sim->version);
   struct rgy_route route
       = { .address = { .ip = SERVICE_IP, .port = SERVICE_PORT },
-          .goal_us = sim->load.goal_us };
+          .terms = { .priority = RGY_PRIORITY_UNSTATED,
+                     .goal_us = sim->load.goal_us } };
   size_t i;
 
   for (i = 0; i < 2; i++)
