Measure the load of requests that an agent reports

Cause: placement by room needs the requests at an agent and the expected wait; rgy_stream_agent_measure_load_ gave waiting requests only and no arrivals. Change: requests that arrived in the last second are counted in ten buckets; the expected wait covers running requests beyond the slots and is 0 while a slot is free. Conclusion: the figures are those that load reports state.

--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -146,6 +146,10 @@
    copy.  */
 #define FIRST_COPY_AGE_US (200 * RGY_US_PER_MS)
 #define SECOND_COPY_AGE_US (600 * RGY_US_PER_MS)
+/* Parts of the window in which arrived requests are counted, and their length;
+   load reports state the requests of the last second.  */
+#define ARRIVAL_BUCKETS 10
+#define ARRIVAL_BUCKET_US (100 * RGY_US_PER_MS)
 /* Weight of the newest latency in the moving average, as a divisor.  */
 #define LATENCY_SMOOTHING 8
 
@@ -303,6 +307,8 @@
   size_t held_bytes;
   int64_t run_us; /* Mean time from the hand-over of a request to its
                      answer.  */
+  uint32_t arrived[ARRIVAL_BUCKETS]; /* Requests by time of arrival.  */
+  int64_t arrived_bucket; /* Newest bucket: the time in ARRIVAL_BUCKET_US.  */
 
   struct rgy_domain_view view;
   uint32_t cold_rate_milli;
--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -196,6 +196,31 @@
                     now_us);
 }
 
+/* Counts a request that arrived; buckets without any are emptied.  */
+static void
+note_arrival_ (struct rgy_stream_agent *agent, int64_t now_us)
+{
+  int64_t bucket = now_us / ARRIVAL_BUCKET_US;
+  int64_t i = MAX (agent->arrived_bucket + 1, bucket - ARRIVAL_BUCKETS + 1);
+
+  for (; i <= bucket; i++)
+    agent->arrived[i % ARRIVAL_BUCKETS] = 0;
+  agent->arrived_bucket = bucket;
+  agent->arrived[bucket % ARRIVAL_BUCKETS]++;
+}
+
+static uint32_t
+count_arrivals_ (const struct rgy_stream_agent *agent, int64_t now_us)
+{
+  int64_t oldest = now_us / ARRIVAL_BUCKET_US - ARRIVAL_BUCKETS + 1;
+  uint32_t n = 0;
+  int64_t i;
+
+  for (i = oldest; i <= agent->arrived_bucket; i++)
+    n += agent->arrived[i % ARRIVAL_BUCKETS];
+  return n;
+}
+
 /* True if the backend server has acknowledged the segment, so that it repeats
    an earlier request.  */
 static bool
@@ -237,6 +262,7 @@
   if (segment->payload_len == 0 || is_repeated_ (stream, segment))
     return false;
   expire_running_requests_ (agent, now_us);
+  note_arrival_ (agent, now_us);
   stream->goal_us = segment->trail.goal_us;
   if (stream->goal_us == 0 || has_free_slot_ (agent)
       || agent->held_bytes + segment->raw.len > MAX_HELD_BYTES)
@@ -335,11 +361,14 @@
                                 int64_t now_us)
 {
   uint32_t waiting = agent->on_time.length + agent->late.length;
+  uint32_t requests = waiting + agent->running.length;
+  int64_t ahead = (int64_t)requests - agent->slots + 1;
 
-  (void)now_us;
   load->run_us = (uint32_t)MIN (agent->run_us, UINT32_MAX);
-  load->requests = waiting + agent->running.length;
+  load->requests = requests;
   load->wait_us
-      = (uint32_t)MIN (waiting * agent->run_us / agent->slots, UINT32_MAX);
-  load->requests_per_s = 0;
+      = ahead <= 0
+            ? 0
+            : (uint32_t)MIN (ahead * agent->run_us / agent->slots, UINT32_MAX);
+  load->requests_per_s = count_arrivals_ (agent, now_us);
 }
