--- a/src/libragwortyoke/include/private/request_queue.h
+++ b/src/libragwortyoke/include/private/request_queue.h
@@ -20,7 +20,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Latest start of a request without a limit or a goal.  */
+/** Start that is not to be expected.  */
 #define RGY_START_ANY_TIME INT64_MAX
 
 /** Measured run times of requests.  */
@@ -65,7 +65,8 @@
 {
   int64_t goal_start_us;  /**< Latest start for an answer within the goal.  */
   int64_t limit_start_us; /**< Latest start for an answer within the callers'
-                               time limit, or RGY_START_ANY_TIME.  */
+                               time limit; for a class without one, the time at
+                               which the request leaves the queue.  */
   void *owner;
   /* Used by the queue only.  */
   enum rgy_waiting_state state;
@@ -107,7 +108,8 @@
 struct rgy_waiting_request *
 rgy_request_queue_pop (struct rgy_request_queue *queue,
                        const struct rgy_queue_server *server, int64_t now_us);
-/** Remove a request that can no longer be answered within its time limit.
+/** Remove a request that can no longer be answered within its time limit, or
+    that has waited long enough in a class without one.
     @return NULL if there is none.  */
 struct rgy_waiting_request *
 rgy_request_queue_pop_expired (struct rgy_request_queue *queue,
--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -14,6 +14,7 @@
 
 #include <glib.h>
 
+#include "private/request_queue.h"
 #include "private/stream_traffic.h"
 #include "ragwortyoke/clock.h"
 #include "ragwortyoke/stream_agent.h"
@@ -142,6 +143,16 @@
 /* Time after which a request that the backend server has got no longer counts
    against its slots.  */
 #define RUN_EXPIRE_US RGY_US_PER_S
+/* The same in mean run times, for requests whose time limit is known and up to
+   that limit: a slow backend server takes six times as long as others, and
+   its longest runs six times the mean.  */
+#define RUN_EXPIRE_MEANS 12
+/* Time for which a flow's first request is expected after the flow was
+   accepted; covers a lost segment and its repetition.  */
+#define EXPECTED_REQUEST_US (500 * RGY_US_PER_MS)
+/* Time for which the end of the handshake is held for the first request, which
+   callers send with it.  */
+#define HANDSHAKE_HOLD_US (100 * RGY_US_PER_MS)
 /* Age of a flow whose first segment arrived as the first or the second
    copy.  */
 #define FIRST_COPY_AGE_US (200 * RGY_US_PER_MS)
@@ -169,10 +180,11 @@
 enum rgy_request_state
 {
   REQUEST_NONE,
-  REQUEST_WAITING,      /* Waits for a slot and can be answered within its
-                           latency goal.  */
-  REQUEST_WAITING_LATE, /* Waits for a slot; its latency goal is missed.  */
-  REQUEST_RUNNING       /* Handed to the backend server.  */
+  REQUEST_WAITING, /* Waits for a slot.  */
+  REQUEST_RUNNING, /* Handed to the backend server.  */
+  REQUEST_EXPIRED  /* Was not started within the caller's time limit.  Its
+                      segments are dropped: the backend server must not run
+                      it.  */
 };
 
 /* The agent's state of a flow.  */
@@ -205,15 +217,25 @@
                          counted as unanswered.  */
   enum rgy_request_state request_state;
   int64_t running_since_us;
-  int64_t goal_us; /* Latency goal of the request; 0 if none.  */
-  int64_t due_us;  /* Time at which the request must start at the latest to
-                      meet its latency goal.  */
-  int64_t age_us;  /* Time that the first request of the flow had waited at
-                      least when the flow opened.  */
+  int64_t goal_us;  /* Latency goal of the request; 0 if none.  */
+  int64_t limit_us; /* Time limit of the request's caller; 0 if unknown.  */
+  struct rgy_request_class class;
+  struct rgy_waiting_request waiting;
+  /* The flow was accepted with a time limit and its first request has not
+     arrived; counted in the queue's predictions.  */
+  bool is_expected;
+  GList expected_link;
+  /* The backend server has not got the end of the handshake, so that it does
+     not hold the flow.  */
+  bool unopened;
+  /* The flow was reset before it opened at the backend server.  */
+  bool rejected;
+  int64_t age_us; /* Time that the first request of the flow had waited at
+                     least when the flow opened.  */
   int64_t round_trip_us; /* Time from the backend server's first answer to the
                             caller's next segment.  */
   GPtrArray *held;       /* Segments of the waiting request, or NULL.  */
-  GList queue_link;
+  GList running_link;
 };
 
 /* Flow changes for the balancers of one failure domain.  The routers send a
@@ -299,14 +321,14 @@
   /* The last tick came after a pause of the process.  */
   bool was_paused;
   uint32_t latency_us;
-  /* Requests that wait for a slot of the backend server, and those that it
-     has; entries are struct rgy_flow.  */
-  GQueue on_time;
-  GQueue late;
-  GQueue running; /* Requests at the backend server.  */
+  struct rgy_request_queue *waiting; /* Owners are struct rgy_flow.  */
+  GQueue running;  /* Requests at the backend server; entries are struct
+                      rgy_flow.  */
+  GQueue expected; /* Flows whose first request is expected; entries are struct
+                      rgy_flow.  */
   size_t held_bytes;
-  int64_t run_us; /* Mean time from the hand-over of a request to its
-                     answer.  */
+  struct rgy_run_time run_time;      /* From the hand-over of a request to its
+                                        answer.  */
   uint32_t arrived[ARRIVAL_BUCKETS]; /* Requests by time of arrival.  */
   int64_t arrived_bucket; /* Newest bucket: the time in ARRIVAL_BUCKET_US.  */
 
@@ -320,8 +342,13 @@
   struct rgy_histogram *answer_time;
   struct rgy_histogram *wait_time; /* Time for which a request waited for a
                                       slot.  */
-  uint64_t *n_late;        /* Requests that missed their latest start.  */
-  uint64_t *n_handed_over; /* Requests handed over without a free slot.  */
+  uint64_t *n_late;            /* Requests that missed their latest start.  */
+  uint64_t *n_handed_over;     /* Requests handed over without a free slot.  */
+  uint64_t *n_expired_reset;   /* Requests that expired on flows that were not
+                                  open at the backend server.  */
+  uint64_t *n_expired_dropped; /* Requests that expired on open flows.  */
+  struct rgy_histogram *expired_wait; /* Time for which they had waited.  */
+  struct rgy_histogram *refused_wait; /* Predicted wait of refused flows.  */
   uint64_t *n_opened;
   uint64_t *n_refused[RGY_STREAM_REFUSAL_COUNT];
   uint64_t *n_returned;
@@ -411,14 +438,65 @@
     and start those that can run now.  */
 void rgy_stream_agent_end_request_ (struct rgy_stream_agent *agent,
                                     struct rgy_flow *flow, int64_t now_us);
-/** Update the mean run time from a request that is being answered.  */
+/** Update the run times from a request that is being answered.  */
 void rgy_stream_agent_note_run_time_ (struct rgy_stream_agent *agent,
                                       const struct rgy_agent_stream *stream,
                                       int64_t now_us);
-/** Hand over the requests that have waited for MAX_WAIT_GOALS times their
-    latency goal, or all of them.  */
+/** Start the requests that have a slot, expire those that can no longer be
+    answered within their time limit, and hand over those without a known limit
+    that have waited for MAX_WAIT_GOALS times their latency goal.  */
+void rgy_stream_agent_advance_requests_ (struct rgy_stream_agent *agent,
+                                         int64_t now_us);
+/** Hand over all requests; the agent stops.  */
 void rgy_stream_agent_hand_over_requests_ (struct rgy_stream_agent *agent,
-                                           bool all, int64_t now_us);
+                                           int64_t now_us);
+/** Time that a flow has waited at least when its first segment arrives.  */
+int64_t
+rgy_stream_agent_get_opening_age_us_ (const struct rgy_segment *segment);
+/** Inputs of the decision on a new flow, for the log.  */
+struct rgy_admission_basis
+{
+  struct rgy_request_terms terms;
+  struct rgy_start_prediction start;
+  int64_t goal_left_us;  /* Time until the latest start for the goal.  */
+  int64_t limit_left_us; /* Time until the latest start for the limit.  */
+  bool is_last_offer;
+};
+/** Decide whether the request of a new flow would be answered in time.
+    @return RGY_STREAM_REFUSAL_COUNT to accept the flow, or the reason to
+   refuse it, with the inputs in @p basis.  */
+enum rgy_stream_refusal
+rgy_stream_agent_admit_ (struct rgy_stream_agent *agent,
+                         const struct rgy_segment *segment, uint32_t ip,
+                         int64_t now_us, struct rgy_admission_basis *basis);
+/** Count the first request of an accepted flow in predictions.  */
+void rgy_stream_agent_expect_request_ (struct rgy_stream_agent *agent,
+                                       struct rgy_flow *flow,
+                                       const struct rgy_segment *segment,
+                                       uint32_t ip, int64_t now_us);
+/** End that, because the request has arrived or the flow has ended.  */
+void rgy_stream_agent_unexpect_request_ (struct rgy_stream_agent *agent,
+                                         struct rgy_agent_stream *stream);
+/** Hold the end of a handshake while no slot is free and the caller's time
+    limit is known.  @return false if the segment must be delivered.  */
+bool rgy_stream_agent_hold_handshake_ (struct rgy_stream_agent *agent,
+                                       struct rgy_flow *flow,
+                                       const struct rgy_segment *segment,
+                                       uint32_t ip, int64_t now_us);
+/** Deliver the held end of a handshake whose request has not arrived.  */
+void rgy_stream_agent_release_handshake_ (struct rgy_stream_agent *agent,
+                                          struct rgy_flow *flow);
+/** Reset a flow that has not opened at the backend server, so that its request
+    cannot have run.  */
+void rgy_stream_agent_reject_unopened_flow_ (struct rgy_stream_agent *agent,
+                                             struct rgy_flow *flow,
+                                             int64_t now_us);
+/** True if the balancer at @p ip has acknowledged lately and has stated a
+    feature.  */
+bool
+rgy_stream_agent_balancer_has_feature_ (const struct rgy_stream_agent *agent,
+                                        uint32_t ip, uint32_t feature,
+                                        int64_t now_us);
 /** Set all of a load report but the part that a brief report has.  */
 void rgy_stream_agent_measure_load_ (const struct rgy_stream_agent *agent,
                                      struct rgy_stream_load_report *load,
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -92,6 +92,9 @@
 /* Time after which a new flow expires.  The caller repeats its first segment
    after 200 and 600 ms and gives up after 1.4 s.  */
 #define OPEN_EXPIRE_US INT64_C (1300000)
+/* Agents that refuse a new flow under overload before the flow is offered for
+   the last time.  */
+#define MAX_OVERLOADED_AGENTS 3
 /* Times at which the caller's copies of the first segment are expected here,
    including some network delay.  */
 #define FIRST_COPY_DUE_US INT64_C (190000)
@@ -241,6 +244,10 @@
                             lost; this one got a copy.  */
   uint32_t tried[MAX_TRIED_AGENTS];
   size_t n_tried;
+  unsigned n_overloaded; /**< Agents that refused the flow under overload.  */
+  bool unanswered;    /**< An agent has not answered an offer, so that it may
+                           have accepted the flow.  */
+  bool is_last_offer; /**< The current offer is the last one.  */
 };
 
 struct rgy_lookup_candidate
@@ -334,6 +341,8 @@
   uint64_t *n_segments;
   uint64_t *n_opens;
   uint64_t *n_retries;
+  uint64_t *n_last_offers;
+  uint64_t *n_overload_resets;
   uint64_t *n_lookups;
   uint64_t *n_found;
   uint64_t *n_resets;
@@ -418,6 +427,11 @@
                                       uint32_t agent_ip,
                                       enum rgy_flow_certainty certainty,
                                       int64_t now_us);
+/** Forward a first segment to an agent.
+    @param mark  RGY_MARK_LAST_OFFER or RGY_MARK_NONE.  */
+void rgy_stream_balancer_forward_first_segment_ (
+    struct rgy_stream_balancer *b, const struct rgy_flow_key *key,
+    struct rgy_bytes raw, uint32_t agent_ip, enum rgy_segment_mark mark);
 /** Forward a segment to an agent.  */
 void rgy_stream_balancer_forward_segment_ (struct rgy_stream_balancer *b,
                                            const struct rgy_flow_key *key,
--- a/src/libragwortyoke/request_queue.c
+++ b/src/libragwortyoke/request_queue.c
@@ -607,9 +607,17 @@
       struct rgy_waiting_request *request = NULL;
       const GList *link;
 
-      if (!share->limited)
-        continue;
       demote_excess_ (queue, share, server, now_us);
+      if (!share->limited)
+        {
+          if (share->late.head == NULL)
+            continue;
+          request = share->late.head->data;
+          if (request->limit_start_us > now_us)
+            continue;
+          rgy_request_queue_remove (queue, request);
+          return request;
+        }
       /* Even if all service went to the late requests of the share, one of
          those up to the first that does not fit could not start in time.  */
       for (link = share->late.head; link != NULL && request == NULL;
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -34,6 +34,16 @@
       .name = "stream_requests_handed_over_total",
       .help = "Waiting requests given to the backend server without a free "
               "slot." },
+    { .value = &agent->n_expired_reset,
+      .name = "stream_requests_expired_total",
+      .label = "outcome=\"reset\"",
+      .help = "Waiting requests that could no longer be answered within the "
+              "caller's time limit and were not run." },
+    { .value = &agent->n_expired_dropped,
+      .name = "stream_requests_expired_total",
+      .label = "outcome=\"dropped\"",
+      .help = "Waiting requests that could no longer be answered within the "
+              "caller's time limit and were not run." },
     { .value = &agent->n_stale_heartbeats,
       .name = "backend_heartbeats_stale_total",
       .help = "Heartbeats older than the last one processed." },
@@ -51,6 +61,12 @@
   agent->wait_time = rgy_counters_add_histogram (
       counters, "request_wait_seconds",
       "Time for which a request waited at the agent for a slot.");
+  agent->expired_wait = rgy_counters_add_histogram (
+      counters, "request_expired_wait_seconds",
+      "Time for which a request had waited when it expired.");
+  agent->refused_wait = rgy_counters_add_histogram (
+      counters, "request_refused_wait_seconds",
+      "Wait predicted for the request of a flow refused under overload.");
   for (i = 0; i < RGY_STREAM_REFUSAL_COUNT; i++)
     {
       char *label
@@ -78,6 +94,7 @@
   agent->balancers
       = g_array_new (FALSE, TRUE, sizeof (struct rgy_agent_balancer));
   agent->journals = g_ptr_array_new_with_free_func (rgy_flow_journal_free_);
+  agent->waiting = rgy_request_queue_new ();
   agent->slots = 1;
   agent->complete = settings->first_start;
   agent->started_us = now_us;
@@ -93,6 +110,7 @@
     return;
   rgy_flow_table_foreach (agent->flows, rgy_stream_agent_drop_request_, agent);
   rgy_flow_table_delete_all (agent->flows);
+  rgy_request_queue_delete (agent->waiting);
   g_array_unref (agent->balancers);
   g_ptr_array_unref (agent->journals);
   g_free (agent);
@@ -155,6 +173,8 @@
         rgy_stream_agent_remove_flow_ (agent, flow, sweep->now_us);
       break;
     case FLOW_OPEN:
+      if (age_us > HANDSHAKE_HOLD_US)
+        rgy_stream_agent_release_handshake_ (agent, flow);
       break;
     }
   return true;
@@ -195,7 +215,7 @@
     }
   while ((expired = rgy_flow_table_get_expired (agent->flows, now_us)) != NULL)
     rgy_stream_agent_remove_flow_ (agent, expired, now_us);
-  rgy_stream_agent_hand_over_requests_ (agent, false, now_us);
+  rgy_stream_agent_advance_requests_ (agent, now_us);
   rgy_stream_agent_check_heartbeats_ (agent, now_us);
   rgy_stream_agent_send_due_reports_ (agent, now_us);
   rgy_stream_agent_send_open_flows_ (agent, now_us);
@@ -205,7 +225,7 @@
 rgy_stream_agent_stop (struct rgy_stream_agent *agent, int64_t now_us)
 {
   agent->stopping = true;
-  rgy_stream_agent_hand_over_requests_ (agent, true, now_us);
+  rgy_stream_agent_hand_over_requests_ (agent, now_us);
   if (agent->deregistered_us != 0)
     rgy_stream_agent_mark_backend_ended_ (agent, "ended", now_us);
   rgy_stream_agent_report_to_all_ (agent, now_us);
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -42,6 +42,8 @@
     }
   stream->state = state;
   stream->state_since_us = now_us;
+  if (state > FLOW_OPEN)
+    rgy_stream_agent_unexpect_request_ (agent, stream);
   if (!is_open)
     rgy_stream_agent_end_request_ (agent, flow, now_us);
 }
@@ -75,6 +77,18 @@
   rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_NOT_OWNED, now_us);
 }
 
+void
+rgy_stream_agent_reject_unopened_flow_ (struct rgy_stream_agent *agent,
+                                        struct rgy_flow *flow, int64_t now_us)
+{
+  struct rgy_agent_stream *stream = flow->session;
+
+  g_assert (stream->unopened);
+  stream->rejected = true;
+  rgy_stream_emit_reset (&agent->settings.out, &flow->key, stream->caller_ack);
+  rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_CLOSED, now_us);
+}
+
 static void
 deliver_segment_ (struct rgy_stream_agent *agent,
                   const struct rgy_segment *segment, uint32_t balancer_ip)
@@ -159,6 +173,38 @@
   send_refused_ (agent, &segment->key, ip, reason);
 }
 
+/* Refuses a flow whose request would come too late.  */
+static void
+refuse_overload_ (struct rgy_stream_agent *agent,
+                  const struct rgy_segment *segment, uint32_t ip,
+                  enum rgy_stream_refusal reason,
+                  const struct rgy_admission_basis *basis, int64_t now_us)
+{
+  bool has_late_room = basis->start.late_start_us != RGY_START_ANY_TIME;
+  char text[RGY_FLOW_TEXT_BYTES];
+
+  ++*agent->n_refused[reason];
+  rgy_histogram_observe (agent->refused_wait, basis->start.start_us - now_us);
+  rgy_stream_emit_flow_log (
+      &agent->settings.out,
+      "open_refused flow=%s reason=%s priority=%u wait_ms=%" G_GINT64_FORMAT
+      " late_wait_ms=%" G_GINT64_FORMAT " goal_left_ms=%" G_GINT64_FORMAT
+      " limit_left_ms=%" G_GINT64_FORMAT
+      " last_offer=%d waiting=%u late=%u running=%u slots=%u "
+      "run_ms=%" G_GINT64_FORMAT,
+      rgy_flow_key_format (&segment->key, text),
+      rgy_stream_refusal_string[reason], basis->terms.priority,
+      (basis->start.start_us - now_us) / RGY_US_PER_MS,
+      has_late_room ? (basis->start.late_start_us - now_us) / RGY_US_PER_MS
+                    : -1,
+      basis->goal_left_us / RGY_US_PER_MS,
+      basis->limit_left_us / RGY_US_PER_MS, basis->is_last_offer,
+      rgy_request_queue_length (agent->waiting),
+      rgy_request_queue_late (agent->waiting), agent->running.length,
+      agent->slots, agent->run_time.mean_us / RGY_US_PER_MS);
+  send_refused_ (agent, &segment->key, ip, reason);
+}
+
 /* True if the rate of new flows during the warm-up has room for one more; the
    flow is counted then.  A service without a rate has no limit.  */
 static bool
@@ -208,6 +254,8 @@
                        struct rgy_flow *flow, int64_t now_us)
 {
   struct rgy_agent_stream *stream;
+  struct rgy_admission_basis basis;
+  enum rgy_stream_refusal refusal;
 
   if (segment->trail.service_tag != agent->service_tag)
     {
@@ -229,6 +277,10 @@
     refuse_flow_ (agent, segment, ip, RGY_REFUSED_STATE);
   else if (rgy_domain_view_is_out (&agent->view, &agent->settings.domain))
     refuse_flow_ (agent, segment, ip, RGY_REFUSED_DOMAIN);
+  else if ((refusal
+            = rgy_stream_agent_admit_ (agent, segment, ip, now_us, &basis))
+           != RGY_STREAM_REFUSAL_COUNT)
+    refuse_overload_ (agent, segment, ip, refusal, &basis, now_us);
   else if (agent->cold_until_us > now_us
            && !reserve_cold_flow_ (agent, now_us))
     refuse_flow_ (agent, segment, ip, RGY_REFUSED_COLD);
@@ -246,9 +298,8 @@
       stream->balancer_ip = ip;
       stream->has_caller_seq = true;
       stream->caller_seq = segment->seq;
-      stream->age_us = segment->ack == 0   ? 0
-                       : segment->ack == 1 ? FIRST_COPY_AGE_US
-                                           : SECOND_COPY_AGE_US;
+      stream->age_us = rgy_stream_agent_get_opening_age_us_ (segment);
+      rgy_stream_agent_expect_request_ (agent, flow, segment, ip, now_us);
       deliver_segment_ (agent, segment, ip);
     }
 }
@@ -328,6 +379,12 @@
       return;
     }
   rgy_flow_table_touch (agent->flows, flow, now_us);
+  if (stream->rejected)
+    {
+      /* The reset was lost.  */
+      rgy_stream_emit_reset (&agent->settings.out, &flow->key, segment->ack);
+      return;
+    }
   /* The balancer may have sent the segment as a probe.  */
   if (stream->restored && stream->state == FLOW_OPEN
       && stream->balancer_ip != ip)
@@ -363,6 +420,7 @@
         }
       stream->round_trip_us = now_us - stream->state_since_us;
       stream->age_us += stream->round_trip_us;
+      stream->unopened = true;
       rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_OPEN, now_us);
       break;
     case FLOW_OPEN:
@@ -371,8 +429,11 @@
     }
   update_from_caller_ (stream, segment, now_us);
   if (stream->state == FLOW_OPEN
-      && rgy_stream_agent_queue_request_ (agent, flow, segment, ip, now_us))
+      && (rgy_stream_agent_hold_handshake_ (agent, flow, segment, ip, now_us)
+          || rgy_stream_agent_queue_request_ (agent, flow, segment, ip,
+                                              now_us)))
     return;
+  stream->unopened = false;
   deliver_segment_ (agent, segment, ip);
   if (stream->state == FLOW_OPEN
       && ((segment->flags & RGY_SEGMENT_RST) != 0
@@ -567,6 +628,10 @@
   agent->backend_packet_us = now_us;
   flow = rgy_flow_table_find (agent->flows, &segment->key);
   stream = flow == NULL ? NULL : flow->session;
+  /* The backend server repeats its answer to the first segment of a flow whose
+     caller was told that it does not run.  */
+  if (stream != NULL && stream->rejected)
+    return;
   if (stream != NULL && is_reset && !stream->reported_open
       && stream->state != FLOW_CLOSED)
     {
--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -2,10 +2,14 @@
 
 #include <string.h>
 
+/* Odd constant that spreads route addresses over 64 bits.  */
+#define SHARE_MULTIPLIER UINT64_C (0x9e3779b97f4a7c15)
+
 /* Segment of a request that waits for a slot of the backend server.  */
 struct held_segment_
 {
   uint32_t seq;
+  uint16_t payload_len;
   uint32_t balancer_ip;
   uint32_t len;
   uint8_t data[];
@@ -26,8 +30,9 @@
   stream->held = NULL;
 }
 
-/* Adds a segment to a waiting request unless it repeats one.  */
-static void
+/* Adds a segment to a waiting request unless it repeats one.  Returns false if
+   there is no room.  */
+static bool
 hold_segment_ (struct rgy_stream_agent *agent, struct rgy_agent_stream *stream,
                const struct rgy_segment *segment, uint32_t ip)
 {
@@ -39,29 +44,41 @@
   for (i = 0; i < stream->held->len; i++)
     {
       held = g_ptr_array_index (stream->held, i);
-      if (held->seq == segment->seq)
-        return;
+      if (held->seq == segment->seq
+          && held->payload_len == segment->payload_len)
+        return true;
     }
   if (stream->held->len == MAX_HELD_SEGMENTS
       || agent->held_bytes + segment->raw.len > MAX_HELD_BYTES)
-    return; /* The caller repeats it.  */
+    return false; /* The caller repeats it.  */
   held = g_malloc (sizeof *held + segment->raw.len);
   held->seq = segment->seq;
+  held->payload_len = segment->payload_len;
   held->balancer_ip = ip;
   held->len = (uint32_t)segment->raw.len;
   memcpy (held->data, segment->raw.data, segment->raw.len);
   agent->held_bytes += held->len;
   g_ptr_array_add (stream->held, held);
+  return true;
 }
 
 static void
-enqueue_ (struct rgy_flow *flow, GQueue *queue, enum rgy_request_state state)
+deliver_held_segments_ (struct rgy_stream_agent *agent, struct rgy_flow *flow)
 {
   struct rgy_agent_stream *stream = flow->session;
+  guint i;
 
-  stream->request_state = state;
-  stream->queue_link = (GList){ .data = flow };
-  g_queue_push_tail_link (queue, &stream->queue_link);
+  for (i = 0; stream->held != NULL && i < stream->held->len; i++)
+    {
+      const struct held_segment_ *held = g_ptr_array_index (stream->held, i);
+
+      rgy_stream_emit_segment (
+          &agent->settings.out, RGY_STREAM_TO_BACKEND, 0, &flow->key,
+          (struct rgy_bytes){ .data = held->data, .len = held->len },
+          (struct rgy_segment_trailer){ .balancer_ip = held->balancer_ip });
+      stream->unopened = false;
+    }
+  free_held_segments_ (agent, stream);
 }
 
 static void
@@ -72,18 +89,60 @@
     case REQUEST_NONE:
       return;
     case REQUEST_WAITING:
-      g_queue_unlink (&agent->on_time, &stream->queue_link);
-      break;
-    case REQUEST_WAITING_LATE:
-      g_queue_unlink (&agent->late, &stream->queue_link);
+      rgy_request_queue_remove (agent->waiting, &stream->waiting);
       break;
     case REQUEST_RUNNING:
-      g_queue_unlink (&agent->running, &stream->queue_link);
+      g_queue_unlink (&agent->running, &stream->running_link);
+      break;
+    case REQUEST_EXPIRED:
       break;
     }
   stream->request_state = REQUEST_NONE;
 }
 
+static struct rgy_queue_server
+get_server_ (const struct rgy_stream_agent *agent)
+{
+  return (struct rgy_queue_server){ .slots = agent->slots,
+                                    .running = agent->running.length,
+                                    .run_time = agent->run_time };
+}
+
+/* Class of the requests that a segment begins.  Requests without a known time
+   limit are not divided into shares.  */
+static struct rgy_request_class
+make_class_ (const struct rgy_stream_agent *agent,
+             const struct rgy_segment *segment, uint32_t ip,
+             const struct rgy_request_terms *terms)
+{
+  const struct rgy_endpoint *route = &segment->key.u.segment.service;
+  bool is_limited = terms->limit_us > 0;
+
+  return (struct rgy_request_class){
+    .priority = terms->priority,
+    .share = is_limited
+                 ? ((uint64_t)route->ip << 16 | route->port) * SHARE_MULTIPLIER
+                       ^ rgy_stream_agent_get_balancer_domain_ (agent, ip)
+                 : 0,
+    .limited = is_limited
+  };
+}
+
+/* Time reserved for the run of a request when its latest start is
+   computed.  */
+static int64_t
+get_run_allowance_us_ (struct rgy_stream_agent *agent,
+                       const struct rgy_request_class *class)
+{
+  struct rgy_queue_server server = get_server_ (agent);
+  struct rgy_run_time time;
+
+  if (!class->limited)
+    return agent->run_time.mean_us * RUN_MARGIN_X10 / 10;
+  time = rgy_request_queue_get_run_time (agent->waiting, class, &server);
+  return rgy_run_time_get_allowance (&time);
+}
+
 /* True if the backend server may get one more request.  Not limited before the
    number of slots is known.  */
 static bool
@@ -98,23 +157,24 @@
                 int64_t now_us)
 {
   struct rgy_agent_stream *stream = flow->session;
-  guint i;
 
   if (stream->request_state != REQUEST_NONE)
     rgy_histogram_observe (agent->wait_time, now_us - stream->request_us);
   dequeue_ (agent, stream);
-  enqueue_ (flow, &agent->running, REQUEST_RUNNING);
+  stream->request_state = REQUEST_RUNNING;
   stream->running_since_us = now_us;
-  for (i = 0; stream->held != NULL && i < stream->held->len; i++)
-    {
-      const struct held_segment_ *held = g_ptr_array_index (stream->held, i);
+  stream->running_link = (GList){ .data = flow };
+  g_queue_push_tail_link (&agent->running, &stream->running_link);
+  deliver_held_segments_ (agent, flow);
+}
 
-      rgy_stream_emit_segment (
-          &agent->settings.out, RGY_STREAM_TO_BACKEND, 0, &flow->key,
-          (struct rgy_bytes){ .data = held->data, .len = held->len },
-          (struct rgy_segment_trailer){ .balancer_ip = held->balancer_ip });
-    }
-  free_held_segments_ (agent, stream);
+/* Time after which a request no longer counts against the slots.  */
+static int64_t
+get_run_expiry_us_ (const struct rgy_stream_agent *agent,
+                    const struct rgy_agent_stream *stream)
+{
+  return MAX (RUN_EXPIRE_US, MIN (stream->limit_us,
+                                  RUN_EXPIRE_MEANS * agent->run_time.mean_us));
 }
 
 /* Stops counting requests that were handed over long ago: the backend server
@@ -122,78 +182,61 @@
 static void
 expire_running_requests_ (struct rgy_stream_agent *agent, int64_t now_us)
 {
-  while (agent->running.length > 0)
+  GList *link = agent->running.head;
+
+  while (link != NULL)
     {
-      const struct rgy_flow *flow = agent->running.head->data;
+      const struct rgy_flow *flow = link->data;
       struct rgy_agent_stream *stream = flow->session;
 
+      link = link->next;
+      /* Later ones were handed over later.  */
       if (now_us - stream->running_since_us < RUN_EXPIRE_US)
         return;
-      dequeue_ (agent, stream);
+      if (now_us - stream->running_since_us
+          >= get_run_expiry_us_ (agent, stream))
+        dequeue_ (agent, stream);
     }
 }
 
-static int64_t
-get_due_us_ (const GList *link)
-{
-  const struct rgy_flow *flow = link->data;
-
-  return ((const struct rgy_agent_stream *)flow->session)->due_us;
-}
-
-/* Queues a request by the time at which it must start.  */
+/* Queues a request by the times at which it must start.  */
 static void
-enqueue_by_due_time_ (struct rgy_stream_agent *agent, struct rgy_flow *flow)
+enqueue_request_ (struct rgy_stream_agent *agent, struct rgy_flow *flow,
+                  int64_t now_us)
 {
   struct rgy_agent_stream *stream = flow->session;
-  GList *after = agent->on_time.tail;
+  struct rgy_queue_server server = get_server_ (agent);
+  int64_t allowance_us = get_run_allowance_us_ (agent, &stream->class);
+  int64_t began_us
+      = stream->request_us - stream->age_us - stream->round_trip_us;
+  int64_t goal_us = stream->goal_us > 0 ? stream->goal_us : stream->limit_us;
 
-  stream->due_us = stream->request_us + stream->goal_us - stream->age_us
-                   - stream->round_trip_us
-                   - agent->run_us * RUN_MARGIN_X10 / 10;
-  while (after != NULL && get_due_us_ (after) > stream->due_us)
-    after = after->prev;
   stream->request_state = REQUEST_WAITING;
-  stream->queue_link = (GList){ .data = flow };
-  if (after == NULL)
-    g_queue_push_head_link (&agent->on_time, &stream->queue_link);
-  else
-    g_queue_insert_after_link (&agent->on_time, after, &stream->queue_link);
+  stream->waiting = (struct rgy_waiting_request){
+    .goal_start_us = began_us + goal_us - allowance_us,
+    .limit_start_us = stream->class.limited
+                          ? began_us + stream->limit_us - allowance_us
+                          : stream->request_us + MAX_WAIT_GOALS * goal_us,
+    .owner = flow
+  };
+  rgy_request_queue_push (agent->waiting, &stream->waiting, &stream->class,
+                          &server, now_us);
 }
 
-/* Moves requests that can no longer be answered within their latency goal
-   behind those that can.  */
 static void
-demote_late_requests_ (struct rgy_stream_agent *agent, int64_t now_us)
+start_waiting_requests_ (struct rgy_stream_agent *agent, int64_t now_us)
 {
-  GList *link = agent->on_time.head;
+  struct rgy_waiting_request *waiting;
 
-  while (link != NULL)
+  while (has_free_slot_ (agent)
+         && rgy_request_queue_length (agent->waiting) > 0)
     {
-      struct rgy_flow *flow = link->data;
-      struct rgy_agent_stream *stream = flow->session;
+      struct rgy_queue_server server = get_server_ (agent);
 
-      link = link->next;
-      if (stream->due_us > now_us)
-        return;
-      ++*agent->n_late;
-      dequeue_ (agent, stream);
-      enqueue_ (flow, &agent->late, REQUEST_WAITING_LATE);
+      waiting = rgy_request_queue_pop (agent->waiting, &server, now_us);
+      start_request_ (agent, waiting->owner, now_us);
     }
-}
-
-static void
-start_waiting_requests_ (struct rgy_stream_agent *agent, int64_t now_us)
-{
-  if (agent->on_time.length + agent->late.length == 0)
-    return;
-  demote_late_requests_ (agent, now_us);
-  while (has_free_slot_ (agent)
-         && agent->on_time.length + agent->late.length > 0)
-    start_request_ (agent,
-                    agent->on_time.length > 0 ? agent->on_time.head->data
-                                              : agent->late.head->data,
-                    now_us);
+  *agent->n_late = rgy_request_queue_demoted (agent->waiting);
 }
 
 /* Counts a request that arrived; buckets without any are emptied.  */
@@ -233,6 +276,124 @@
                 <= 0;
 }
 
+void
+rgy_stream_agent_expect_request_ (struct rgy_stream_agent *agent,
+                                  struct rgy_flow *flow,
+                                  const struct rgy_segment *segment,
+                                  uint32_t ip, int64_t now_us)
+{
+  struct rgy_agent_stream *stream = flow->session;
+  struct rgy_request_terms terms
+      = rgy_stream_agent_get_terms_ (agent, segment, now_us);
+
+  if (terms.limit_us == 0)
+    return;
+  stream->class = make_class_ (agent, segment, ip, &terms);
+  stream->is_expected = true;
+  stream->expected_link = (GList){ .data = flow };
+  g_queue_push_tail_link (&agent->expected, &stream->expected_link);
+  rgy_request_queue_expect (agent->waiting, &stream->class, 1);
+}
+
+void
+rgy_stream_agent_unexpect_request_ (struct rgy_stream_agent *agent,
+                                    struct rgy_agent_stream *stream)
+{
+  if (!stream->is_expected)
+    return;
+  stream->is_expected = false;
+  g_queue_unlink (&agent->expected, &stream->expected_link);
+  rgy_request_queue_expect (agent->waiting, &stream->class, -1);
+}
+
+/* Ends the expectation of requests that have not come.  */
+static void
+expire_expected_requests_ (struct rgy_stream_agent *agent, int64_t now_us)
+{
+  while (agent->expected.length > 0)
+    {
+      const struct rgy_flow *flow = agent->expected.head->data;
+
+      if (now_us - flow->opened_us < EXPECTED_REQUEST_US)
+        return;
+      rgy_stream_agent_unexpect_request_ (agent, flow->session);
+    }
+}
+
+int64_t
+rgy_stream_agent_get_opening_age_us_ (const struct rgy_segment *segment)
+{
+  return segment->ack == 0   ? 0
+         : segment->ack == 1 ? FIRST_COPY_AGE_US
+                             : SECOND_COPY_AGE_US;
+}
+
+enum rgy_stream_refusal
+rgy_stream_agent_admit_ (struct rgy_stream_agent *agent,
+                         const struct rgy_segment *segment, uint32_t ip,
+                         int64_t now_us, struct rgy_admission_basis *basis)
+{
+  struct rgy_queue_server server = get_server_ (agent);
+  int64_t age_us = rgy_stream_agent_get_opening_age_us_ (segment);
+  struct rgy_request_class class;
+  int64_t allowance_us;
+  bool is_too_late;
+
+  basis->terms = rgy_stream_agent_get_terms_ (agent, segment, now_us);
+  if (basis->terms.limit_us == 0)
+    return RGY_STREAM_REFUSAL_COUNT;
+  class = make_class_ (agent, segment, ip, &basis->terms);
+  rgy_request_queue_note_demand (agent->waiting, &class, now_us);
+  /* A restarted agent does not know what its backend server runs.  */
+  if (has_free_slot_ (agent) || !agent->complete)
+    return RGY_STREAM_REFUSAL_COUNT;
+  allowance_us = get_run_allowance_us_ (agent, &class) + age_us;
+  basis->start
+      = rgy_request_queue_predict (agent->waiting, &class, &server, now_us);
+  basis->limit_left_us = basis->terms.limit_us - allowance_us;
+  basis->goal_left_us = basis->terms.goal_us > 0
+                            ? basis->terms.goal_us - allowance_us
+                            : basis->limit_left_us;
+  basis->is_last_offer = segment->trail.mark == RGY_MARK_LAST_OFFER;
+  if (basis->start.start_us <= now_us + basis->goal_left_us)
+    return RGY_STREAM_REFUSAL_COUNT;
+  is_too_late = basis->start.late_start_us > now_us + basis->limit_left_us;
+  if (rgy_stream_agent_balancer_has_feature_ (agent, ip,
+                                              RGY_STREAM_DECODES_LOAD, now_us))
+    return is_too_late || !basis->is_last_offer ? RGY_REFUSED_OVERLOAD
+                                                : RGY_STREAM_REFUSAL_COUNT;
+  return is_too_late ? RGY_REFUSED_FULL : RGY_STREAM_REFUSAL_COUNT;
+}
+
+bool
+rgy_stream_agent_hold_handshake_ (struct rgy_stream_agent *agent,
+                                  struct rgy_flow *flow,
+                                  const struct rgy_segment *segment,
+                                  uint32_t ip, int64_t now_us)
+{
+  struct rgy_agent_stream *stream = flow->session;
+
+  if (!stream->unopened || segment->payload_len > 0
+      || (segment->flags & (RGY_SEGMENT_FIN | RGY_SEGMENT_RST)) != 0)
+    return false;
+  if (stream->held != NULL)
+    return true; /* The held segments open the flow.  */
+  return stream->request_state == REQUEST_NONE && !has_free_slot_ (agent)
+         && !agent->stopping
+         && rgy_stream_agent_get_terms_ (agent, segment, now_us).limit_us > 0
+         && hold_segment_ (agent, stream, segment, ip);
+}
+
+void
+rgy_stream_agent_release_handshake_ (struct rgy_stream_agent *agent,
+                                     struct rgy_flow *flow)
+{
+  const struct rgy_agent_stream *stream = flow->session;
+
+  if (stream->unopened && stream->request_state == REQUEST_NONE)
+    deliver_held_segments_ (agent, flow);
+}
+
 bool
 rgy_stream_agent_queue_request_ (struct rgy_stream_agent *agent,
                                  struct rgy_flow *flow,
@@ -240,18 +401,21 @@
                                  uint32_t ip, int64_t now_us)
 {
   struct rgy_agent_stream *stream = flow->session;
+  bool is_ending = (segment->flags & (RGY_SEGMENT_FIN | RGY_SEGMENT_RST)) != 0;
+  struct rgy_request_terms terms;
 
   switch (stream->request_state)
     {
     case REQUEST_WAITING:
-    case REQUEST_WAITING_LATE:
+    case REQUEST_EXPIRED:
       if (segment->payload_len > 0)
         {
-          hold_segment_ (agent, stream, segment, ip);
+          if (stream->request_state == REQUEST_WAITING)
+            (void)hold_segment_ (agent, stream, segment, ip);
           return true;
         }
       /* The caller has given up.  */
-      if ((segment->flags & (RGY_SEGMENT_FIN | RGY_SEGMENT_RST)) != 0)
+      if (is_ending)
         rgy_stream_agent_end_request_ (agent, flow, now_us);
       return false;
     case REQUEST_RUNNING:
@@ -263,15 +427,25 @@
     return false;
   expire_running_requests_ (agent, now_us);
   note_arrival_ (agent, now_us);
-  stream->goal_us = segment->trail.goal_us;
-  if (stream->goal_us == 0 || has_free_slot_ (agent)
-      || agent->held_bytes + segment->raw.len > MAX_HELD_BYTES)
+  terms = rgy_stream_agent_get_terms_ (agent, segment, now_us);
+  stream->goal_us = terms.goal_us;
+  stream->limit_us = terms.limit_us;
+  if (!stream->is_expected)
+    {
+      stream->class = make_class_ (agent, segment, ip, &terms);
+      rgy_request_queue_note_demand (agent->waiting, &stream->class, now_us);
+    }
+  rgy_stream_agent_unexpect_request_ (agent, stream);
+  if (has_free_slot_ (agent)
+      || (!stream->class.limited
+          && (stream->goal_us == 0
+              || agent->held_bytes + segment->raw.len > MAX_HELD_BYTES)))
     {
       start_request_ (agent, flow, now_us);
       return false;
     }
-  hold_segment_ (agent, stream, segment, ip);
-  enqueue_by_due_time_ (agent, flow);
+  if (hold_segment_ (agent, stream, segment, ip))
+    enqueue_request_ (agent, flow, now_us);
   return true;
 }
 
@@ -280,11 +454,12 @@
                                struct rgy_flow *flow, int64_t now_us)
 {
   struct rgy_agent_stream *stream = flow->session;
+  bool had_request = stream->request_state != REQUEST_NONE;
 
-  if (stream->request_state == REQUEST_NONE)
+  free_held_segments_ (agent, stream);
+  if (!had_request)
     return;
   dequeue_ (agent, stream);
-  free_held_segments_ (agent, stream);
   stream->age_us = 0;
   start_waiting_requests_ (agent, now_us);
 }
@@ -296,11 +471,10 @@
 {
   int64_t run_us = now_us - stream->running_since_us;
 
-  if (stream->request_state == REQUEST_RUNNING)
-    agent->run_us = agent->run_us == 0
-                        ? run_us
-                        : (agent->run_us * (LATENCY_SMOOTHING - 1) + run_us)
-                              / LATENCY_SMOOTHING;
+  if (stream->request_state != REQUEST_RUNNING)
+    return;
+  rgy_run_time_update (&agent->run_time, run_us);
+  rgy_request_queue_note_run (agent->waiting, &stream->class, run_us);
 }
 
 /* Hands a request over although no slot is free.  */
@@ -309,6 +483,7 @@
                     int64_t now_us)
 {
   const struct rgy_agent_stream *stream = flow->session;
+  uint32_t late = rgy_request_queue_late (agent->waiting);
   char text[RGY_FLOW_TEXT_BYTES];
 
   ++*agent->n_handed_over;
@@ -320,36 +495,93 @@
       rgy_flow_key_format (&flow->key, text),
       (now_us - stream->request_us) / RGY_US_PER_MS,
       stream->goal_us / RGY_US_PER_MS, agent->running.length,
-      agent->on_time.length, agent->late.length, agent->slots,
+      rgy_request_queue_length (agent->waiting) - late, late, agent->slots,
       agent->stopping);
   start_request_ (agent, flow, now_us);
 }
 
+/* Ends a request whose answer cannot reach the caller in time.  A flow that
+   the backend server holds is not reset: only its own end may do that.  */
+static void
+expire_request_ (struct rgy_stream_agent *agent, struct rgy_flow *flow,
+                 int64_t now_us)
+{
+  struct rgy_agent_stream *stream = flow->session;
+  uint32_t late = rgy_request_queue_late (agent->waiting);
+  char text[RGY_FLOW_TEXT_BYTES];
+
+  ++*(stream->unopened ? agent->n_expired_reset : agent->n_expired_dropped);
+  rgy_histogram_observe (agent->expired_wait, now_us - stream->request_us);
+  rgy_stream_emit_flow_log (
+      &agent->settings.out,
+      "request_expired flow=%s outcome=%s priority=%u "
+      "waited_ms=%" G_GINT64_FORMAT " goal_ms=%" G_GINT64_FORMAT
+      " limit_ms=%" G_GINT64_FORMAT " on_time=%u late=%u running=%u slots=%u "
+      "run_ms=%" G_GINT64_FORMAT,
+      rgy_flow_key_format (&flow->key, text),
+      stream->unopened ? "reset" : "dropped", stream->class.priority,
+      (now_us - stream->request_us) / RGY_US_PER_MS,
+      stream->goal_us / RGY_US_PER_MS, stream->limit_us / RGY_US_PER_MS,
+      rgy_request_queue_length (agent->waiting) - late, late,
+      agent->running.length, agent->slots,
+      agent->run_time.mean_us / RGY_US_PER_MS);
+  stream->request_state = REQUEST_EXPIRED;
+  free_held_segments_ (agent, stream);
+  if (stream->unopened)
+    rgy_stream_agent_reject_unopened_flow_ (agent, flow, now_us);
+}
+
 void
-rgy_stream_agent_hand_over_requests_ (struct rgy_stream_agent *agent, bool all,
-                                      int64_t now_us)
+rgy_stream_agent_advance_requests_ (struct rgy_stream_agent *agent,
+                                    int64_t now_us)
 {
-  GQueue *queues[] = { &agent->on_time, &agent->late };
-  size_t i;
+  struct rgy_waiting_request *waiting;
 
   expire_running_requests_ (agent, now_us);
+  expire_expected_requests_ (agent, now_us);
   start_waiting_requests_ (agent, now_us);
-  for (i = 0; i < G_N_ELEMENTS (queues); i++)
-    while (queues[i]->length > 0)
-      {
-        struct rgy_flow *flow = queues[i]->head->data;
-        const struct rgy_agent_stream *stream = flow->session;
-
-        if (!all
-            && now_us - stream->request_us < MAX_WAIT_GOALS * stream->goal_us)
-          break;
+  while (rgy_request_queue_length (agent->waiting) > 0)
+    {
+      struct rgy_queue_server server = get_server_ (agent);
+      struct rgy_flow *flow;
+
+      waiting
+          = rgy_request_queue_pop_expired (agent->waiting, &server, now_us);
+      if (waiting == NULL)
+        break;
+      flow = waiting->owner;
+      if (((struct rgy_agent_stream *)flow->session)->class.limited)
+        expire_request_ (agent, flow, now_us);
+      else
         hand_over_request_ (agent, flow, now_us);
-      }
+    }
+  *agent->n_late = rgy_request_queue_demoted (agent->waiting);
+}
+
+static bool
+release_handshake_of_ (struct rgy_flow *flow, void *ctx)
+{
+  rgy_stream_agent_release_handshake_ (ctx, flow);
+  return true;
+}
+
+void
+rgy_stream_agent_hand_over_requests_ (struct rgy_stream_agent *agent,
+                                      int64_t now_us)
+{
+  const struct rgy_waiting_request *waiting;
+
+  expire_running_requests_ (agent, now_us);
+  start_waiting_requests_ (agent, now_us);
+  while ((waiting = rgy_request_queue_peek (agent->waiting)) != NULL)
+    hand_over_request_ (agent, waiting->owner, now_us);
+  rgy_flow_table_foreach (agent->flows, release_handshake_of_, agent);
 }
 
 bool
 rgy_stream_agent_drop_request_ (struct rgy_flow *flow, void *ctx)
 {
+  rgy_stream_agent_unexpect_request_ (ctx, flow->session);
   dequeue_ (ctx, flow->session);
   free_held_segments_ (ctx, flow->session);
   return true;
@@ -360,15 +592,16 @@
                                 struct rgy_stream_load_report *load,
                                 int64_t now_us)
 {
-  uint32_t waiting = agent->on_time.length + agent->late.length;
-  uint32_t requests = waiting + agent->running.length;
+  uint32_t requests
+      = rgy_request_queue_length (agent->waiting) + agent->running.length;
   int64_t ahead = (int64_t)requests - agent->slots + 1;
 
-  load->run_us = (uint32_t)MIN (agent->run_us, UINT32_MAX);
+  load->run_us = (uint32_t)MIN (agent->run_time.mean_us, UINT32_MAX);
   load->requests = requests;
   load->wait_us
       = ahead <= 0
             ? 0
-            : (uint32_t)MIN (ahead * agent->run_us / agent->slots, UINT32_MAX);
+            : (uint32_t)MIN (ahead * agent->run_time.mean_us / agent->slots,
+                             UINT32_MAX);
   load->requests_per_s = count_arrivals_ (agent, now_us);
 }
--- a/src/libragwortyoke/stream_agent_report.c
+++ b/src/libragwortyoke/stream_agent_report.c
@@ -175,6 +175,16 @@
          && get_ack_age_us_ (b, now_us) <= ACK_OVERDUE_US;
 }
 
+bool
+rgy_stream_agent_balancer_has_feature_ (const struct rgy_stream_agent *agent,
+                                        uint32_t ip, uint32_t feature,
+                                        int64_t now_us)
+{
+  const struct rgy_agent_balancer *b = find_balancer_ (agent, ip);
+
+  return b != NULL && rgy_agent_balancer_has_feature_ (b, feature, now_us);
+}
+
 /* True if a brief report tells the balancer all that it needs.  */
 static bool
 is_brief_sufficient_ (const struct rgy_stream_agent *agent,
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -18,6 +18,13 @@
     { .value = &b->n_retries,
       .name = "stream_open_retries_total",
       .help = "Attempts to place a new flow on a further agent." },
+    { .value = &b->n_last_offers,
+      .name = "stream_last_offers_total",
+      .help = "New flows offered to an agent as the last one, since others "
+              "refused them under overload." },
+    { .value = &b->n_overload_resets,
+      .name = "stream_overload_rejected_total",
+      .help = "New flows that no agent accepted because of overload." },
     { .value = &b->n_lookups,
       .name = "stream_lookups_total",
       .help = "Lookups of the agent that owns a flow." },
--- a/src/libragwortyoke/stream_balancer_open.c
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -168,13 +168,18 @@
               const char *why, int64_t now_us)
 {
   char text[RGY_FLOW_TEXT_BYTES];
-  bool certain = has_seen_all_copies_ (open, now_us);
+  /* Under overload the flow ends before the time in which an answer of another
+     agent would have come.  */
+  bool certain = has_seen_all_copies_ (open, now_us)
+                 && !(open->is_last_offer && open->unanswered);
 
   rgy_stream_emit_flow_log (
       &b->settings.out,
-      "open_rejected flow=%s reason=%s tried=%zu waited_ms=%" G_GINT64_FORMAT
+      "open_rejected flow=%s reason=%s tried=%zu overloaded=%u "
+      "unanswered=%d waited_ms=%" G_GINT64_FORMAT
       " copies=%u agents=%zu version=%" G_GUINT64_FORMAT " outcome=%s",
       rgy_flow_key_format (&open->key, text), why, open->n_tried,
+      open->n_overloaded, open->unanswered,
       (now_us - open->began_us) / RGY_US_PER_MS, open->copies,
       rgy_stream_balancer_count_agents (b, now_us),
       rgy_stream_balancer_get_version (b), certain ? "reset" : "dropped");
@@ -220,6 +225,57 @@
   return NULL;
 }
 
+/* Chooses the agent for the last offer of a flow that others have refused
+   under overload, also among those.  */
+static struct rgy_known_agent *
+choose_last_agent_ (struct rgy_stream_balancer *b,
+                    const struct rgy_pending_open *open,
+                    const struct rgy_route *route, int64_t now_us)
+{
+  struct rgy_pending_open untried = *open;
+
+  untried.n_tried = 0;
+  return choose_agent_ (b, &untried, route, now_us);
+}
+
+/* Chooses the agent for the next offer, which may be the last one.  */
+static struct rgy_known_agent *
+choose_next_agent_ (struct rgy_stream_balancer *b,
+                    struct rgy_pending_open *open,
+                    const struct rgy_route *route, int64_t now_us)
+{
+  struct rgy_known_agent *agent = NULL;
+
+  if (open->n_tried < MAX_TRIED_AGENTS
+      && (open->is_last_offer || open->n_overloaded < MAX_OVERLOADED_AGENTS))
+    agent = choose_agent_ (b, open, route, now_us);
+  if (agent != NULL || open->n_overloaded == 0 || open->is_last_offer)
+    return agent;
+  open->is_last_offer = true;
+  ++*b->n_last_offers;
+  return choose_last_agent_ (b, open, route, now_us);
+}
+
+static void
+send_offer_ (struct rgy_stream_balancer *b, struct rgy_pending_open *open,
+             struct rgy_known_agent *agent, int64_t now_us)
+{
+  if (open->n_tried > 0)
+    ++*b->n_retries;
+  if (!was_tried_ (open, agent->ip) && open->n_tried < MAX_TRIED_AGENTS)
+    open->tried[open->n_tried++] = agent->ip;
+  open->current_ip = agent->ip;
+  open->sent_us = now_us;
+  agent->placed++;
+  rgy_stream_balancer_cache_flow_ (b, &open->key, agent->ip, RGY_FLOW_PLACED,
+                                   now_us);
+  record_caller_seq_ (b, open);
+  rgy_stream_balancer_forward_first_segment_ (
+      b, &open->key,
+      (struct rgy_bytes){ .data = open->raw, .len = open->raw_len }, agent->ip,
+      open->is_last_offer ? RGY_MARK_LAST_OFFER : RGY_MARK_NONE);
+}
+
 /* Offers a new flow to the next agent.  Returns false if the placement has
    ended because the flow was rejected or its time is over.  */
 static bool
@@ -240,9 +296,7 @@
       reject_flow_ (b, open, "no-route", now_us);
       return false;
     }
-  agent = open->n_tried < MAX_TRIED_AGENTS
-              ? choose_agent_ (b, open, route, now_us)
-              : NULL;
+  agent = choose_next_agent_ (b, open, route, now_us);
   if (agent == NULL)
     {
       if (now_us - open->began_us < OPEN_WAIT_US
@@ -255,19 +309,7 @@
       reject_flow_ (b, open, "no-backend-server", now_us);
       return false;
     }
-  if (open->n_tried > 0)
-    ++*b->n_retries;
-  open->tried[open->n_tried++] = agent->ip;
-  open->current_ip = agent->ip;
-  open->sent_us = now_us;
-  agent->placed++;
-  rgy_stream_balancer_cache_flow_ (b, &open->key, agent->ip, RGY_FLOW_PLACED,
-                                   now_us);
-  record_caller_seq_ (b, open);
-  rgy_stream_balancer_forward_segment_ (
-      b, &open->key,
-      (struct rgy_bytes){ .data = open->raw, .len = open->raw_len },
-      agent->ip);
+  send_offer_ (b, open, agent, now_us);
   return true;
 }
 
@@ -352,6 +394,7 @@
           && (open->current_ip != 0
               || now_us - open->sent_us < OPEN_RETRY_US / 2))
         continue;
+      open->unanswered = open->unanswered || open->current_ip != 0;
       if (!offer_flow_ (b, open, now_us))
         g_hash_table_iter_remove (&iter);
     }
@@ -400,6 +443,14 @@
       }
   if (open == NULL || open->current_ip != ip)
     return;
+  if (reason == RGY_REFUSED_OVERLOAD && open->is_last_offer)
+    {
+      ++*b->n_overload_resets;
+      reject_flow_ (b, open, "overload", now_us);
+      g_hash_table_remove (b->opens, key);
+      return;
+    }
+  open->n_overloaded += reason == RGY_REFUSED_OVERLOAD;
   if (!offer_flow_ (b, open, now_us))
     g_hash_table_remove (b->opens, key);
 }
--- a/src/libragwortyoke/stream_balancer_packet.c
+++ b/src/libragwortyoke/stream_balancer_packet.c
@@ -82,9 +82,11 @@
 }
 
 void
-rgy_stream_balancer_forward_segment_ (struct rgy_stream_balancer *b,
-                                      const struct rgy_flow_key *key,
-                                      struct rgy_bytes raw, uint32_t agent_ip)
+rgy_stream_balancer_forward_first_segment_ (struct rgy_stream_balancer *b,
+                                            const struct rgy_flow_key *key,
+                                            struct rgy_bytes raw,
+                                            uint32_t agent_ip,
+                                            enum rgy_segment_mark mark)
 {
   const struct rgy_known_agent *agent
       = rgy_stream_balancer_find_agent_ (b, agent_ip);
@@ -95,9 +97,19 @@
       (struct rgy_segment_trailer){
           .service_tag = agent == NULL ? 0 : agent->tag,
           .balancer_ip = b->settings.own_ip,
+          .mark = mark,
           .goal_us = route == NULL ? 0 : route->terms.goal_us });
 }
 
+void
+rgy_stream_balancer_forward_segment_ (struct rgy_stream_balancer *b,
+                                      const struct rgy_flow_key *key,
+                                      struct rgy_bytes raw, uint32_t agent_ip)
+{
+  rgy_stream_balancer_forward_first_segment_ (b, key, raw, agent_ip,
+                                              RGY_MARK_NONE);
+}
+
 void
 rgy_stream_balancer_from_router (struct rgy_stream_balancer *b,
                                  const struct rgy_segment *segment,
