--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -141,12 +141,10 @@
    mean run time; run times vary.  */
 #define RUN_MARGIN_X10 15
 /* Time after which a request that the backend server has got no longer counts
-   against its slots.  */
+   against its slots.  With a known time limit that limit counts if it is
+   longer: single runs of a slow backend server take more than a second, and
+   callers end their flows at the limit.  */
 #define RUN_EXPIRE_US RGY_US_PER_S
-/* The same in mean run times, for requests whose time limit is known and up to
-   that limit: a slow backend server takes six times as long as others, and
-   its longest runs six times the mean.  */
-#define RUN_EXPIRE_MEANS 12
 /* Time for which a flow's first request is expected after the flow was
    accepted; covers a lost segment and its repetition.  */
 #define EXPECTED_REQUEST_US (500 * RGY_US_PER_MS)
--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -168,15 +168,6 @@
   deliver_held_segments_ (agent, flow);
 }
 
-/* Time after which a request no longer counts against the slots.  */
-static int64_t
-get_run_expiry_us_ (const struct rgy_stream_agent *agent,
-                    const struct rgy_agent_stream *stream)
-{
-  return MAX (RUN_EXPIRE_US, MIN (stream->limit_us,
-                                  RUN_EXPIRE_MEANS * agent->run_time.mean_us));
-}
-
 /* Stops counting requests that were handed over long ago: the backend server
    has dropped them, or their answer was lost.  */
 static void
@@ -194,7 +185,7 @@
       if (now_us - stream->running_since_us < RUN_EXPIRE_US)
         return;
       if (now_us - stream->running_since_us
-          >= get_run_expiry_us_ (agent, stream))
+          >= MAX (RUN_EXPIRE_US, stream->limit_us))
         dequeue_ (agent, stream);
     }
 }
