--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -464,10 +464,11 @@
 {
   struct rgy_stream_message message
       = { .kind = RGY_STREAM_FEATURES,
-          .u.features = { .balancer_incarnation = b->settings.incarnation,
-                          .flags = RGY_STREAM_DECODES_BRIEF_REPORTS
-                                   | RGY_STREAM_KEEPS_OPEN_FLOWS
-                                   | RGY_STREAM_STATES_TERMS } };
+          .u.features
+          = { .balancer_incarnation = b->settings.incarnation,
+              .flags = RGY_STREAM_DECODES_BRIEF_REPORTS
+                       | RGY_STREAM_KEEPS_OPEN_FLOWS | RGY_STREAM_STATES_TERMS
+                       | RGY_STREAM_DECODES_LOAD } };
 
   agent->features_sent_us = now_us;
   rgy_stream_balancer_send_message_ (b, agent->ip, &message);
