--- a/src/test_stream_terms/test_stream_terms.c
+++ b/src/test_stream_terms/test_stream_terms.c
@@ -27,6 +27,8 @@
 /* Time in which a change at the balancers must reach the agent: the users' 5 s
    less the 3 s in which the balancers get a manifest.  */
 #define REFRESH_BOUND_US (2 * S)
+/* Bytes of queries and answers for one route in use.  */
+#define MAX_BYTES_PER_S 25
 /* Longest interval of repeated queries.  */
 #define REPEAT_MAX_US (800 * MS)
 /* Time to query another balancer after one has not answered: the interval of
@@ -387,13 +389,23 @@
   assert_int_equal (f->logged, 1);
 }
 
-/* Pattern: quiet hours.  */
+static uint64_t
+get_bytes_ (const struct fixture_ *f, const char *label)
+{
+  return rgy_counters_get (f->counters, "stream_message_bytes_total", label);
+}
+
+/* Pattern: quiet hours.  A machine's budget for control is 8,000 B/s.  */
 static void
 refreshes_cost_little_ (void **state)
 {
   struct fixture_ *f = *state;
+  const unsigned seconds = 20;
 
-  run_with_segments_ (f, 1, 20 * S);
+  run_with_segments_ (f, 1, seconds * S);
+  assert_in_range (get_bytes_ (f, "kind=\"terms-query\",domain=\"same\"")
+                       + get_bytes_ (f, "kind=\"terms\",domain=\"same\""),
+                   1, MAX_BYTES_PER_S * seconds);
   assert_in_range (f->queries_sent, 10, 14);
   assert_int_equal (f->balancers[1].queries, f->queries_sent);
   assert_int_equal (f->logged, 1);
