Place the agent's table of terms beside its other knowledge of balancers

Change: order of declarations only. Test: test_stream_terms, test_route_terms, test_stream_agent, test_stream_agent_queue pass.

--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -62,6 +62,10 @@
 /* Time since the last acknowledgement up to which a balancer counts as
    reachable.  Balancers acknowledge at least once a second.  */
 #define BALANCER_ALIVE_US (2500 * RGY_US_PER_MS)
+/* Time for which a balancer that has left a query for terms unanswered is
+   queried only if all others have done so too.  A balancer that was behind has
+   the manifest after it: a change must be in force within 5 s.  */
+#define TERMS_AVOIDED_US (5 * RGY_US_PER_S)
 /* Time in which the backend server returns a probe segment of a flow that it
    does not serve.  It does so within a millisecond; the margin covers a loaded
    machine.  */
@@ -147,10 +151,6 @@
    copy.  */
 #define FIRST_COPY_AGE_US (200 * RGY_US_PER_MS)
 #define SECOND_COPY_AGE_US (600 * RGY_US_PER_MS)
-/* Time for which a balancer that has left a query for terms unanswered is
-   queried only if all others have done so too.  A balancer that was behind has
-   the manifest after it: a change must be in force within 5 s.  */
-#define TERMS_AVOIDED_US (5 * RGY_US_PER_S)
 /* Weight of the newest latency in the moving average, as a divisor.  */
 #define LATENCY_SMOOTHING 8
 
@@ -276,6 +276,9 @@
                                  PROMPT_REPORT_INTERVAL_US.  */
 
   GPtrArray *journals; /* Entries are struct rgy_flow_journal, owned.  */
+  struct rgy_route_terms *terms;
+  uint32_t forwarder_ip; /* Balancer that forwarded the last segment whose
+                            route was looked up.  */
 
   struct rgy_name backend;
   int64_t backend_started_ms;
@@ -312,9 +315,6 @@
   size_t held_bytes;
   int64_t run_us; /* Mean time from the hand-over of a request to its
                      answer.  */
-  struct rgy_route_terms *terms;
-  uint32_t forwarder_ip; /* Balancer that forwarded the last segment whose
-                            route was looked up.  */
 
   struct rgy_domain_view view;
   uint32_t cold_rate_milli;
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -92,13 +92,13 @@
   agent->service_tag = rgy_service_tag (&settings->service);
   agent->domain_hash = rgy_stream_hash_domain (&settings->domain);
   agent->max_open_flows = RGY_STREAM_MAX_OPEN_FLOWS;
+  agent->terms
+      = rgy_route_terms_new (settings->flow_ttl_us, settings->incarnation);
   agent->flows
       = rgy_flow_table_new (settings->max_flows, settings->flow_ttl_us);
   agent->balancers
       = g_array_new (FALSE, TRUE, sizeof (struct rgy_agent_balancer));
   agent->journals = g_ptr_array_new_with_free_func (rgy_flow_journal_free_);
-  agent->terms
-      = rgy_route_terms_new (settings->flow_ttl_us, settings->incarnation);
   agent->slots = 1;
   agent->complete = settings->first_start;
   agent->started_us = now_us;
