Search a balancer to query for terms at most every 50 ms

Cause: read in the code: while no balancer states terms, as during an upgrade with the agents first, a query stays due, and each segment searched all balancers for one that could be asked.

Change: rgy_route_terms_postpone(). Comments that began with a connective or counted bytes wrongly.

--- a/src/libragwortyoke/include/private/route_terms.h
+++ b/src/libragwortyoke/include/private/route_terms.h
@@ -71,8 +71,8 @@
                            struct rgy_endpoint address, int64_t goal_us,
                            struct rgy_request_terms *terms);
 
-/** True if rgy_route_terms_take_queries() may return routes; costs nothing for
-    most segments.  */
+/** True if rgy_route_terms_take_queries() may return routes; two comparisons,
+    since it is called for each segment.  */
 bool rgy_route_terms_is_due (const struct rgy_route_terms *table,
                              int64_t now_us);
 
@@ -87,6 +87,10 @@
                                      struct rgy_endpoint *routes,
                                      int64_t now_us);
 
+/** Record that no balancer can be queried now.  No query is due for the
+   minimum time between two queries.  */
+void rgy_route_terms_postpone (struct rgy_route_terms *table, int64_t now_us);
+
 /**
  * Apply a balancer's answer on one route.
  *
--- a/src/libragwortyoke/route_terms.c
+++ b/src/libragwortyoke/route_terms.c
@@ -15,7 +15,7 @@
 /* Time since its last use for which a route is queried.  */
 #define IN_USE_US (10 * RGY_US_PER_S)
 /* Minimum time between two queries.  Under a flood of addresses the queries
-   and their answers, 1 kB each, then take 28 kB/s at most.  */
+   and their answers, 0.4 and 1 kB, then take about 30 kB/s at most.  */
 #define QUERY_INTERVAL_US (50 * RGY_US_PER_MS)
 /* Longest time after which an unanswered query is repeated; two balancers that
    do not answer delay a refresh by less than the users' 5 s.  */
@@ -226,6 +226,12 @@
   return now_us >= table->next_due_us && now_us >= table->next_query_us;
 }
 
+void
+rgy_route_terms_postpone (struct rgy_route_terms *table, int64_t now_us)
+{
+  table->next_query_us = now_us + QUERY_INTERVAL_US;
+}
+
 size_t
 rgy_route_terms_take_queries (struct rgy_route_terms *table,
                               struct rgy_endpoint *routes, int64_t now_us)
@@ -250,7 +256,7 @@
       routes[n++] = rgy_endpoint_unpack (entry->address);
       mark_queried_ (entry, now_us);
     }
-  table->next_query_us = now_us + QUERY_INTERVAL_US;
+  rgy_route_terms_postpone (table, now_us);
   table->next_due_us = get_next_due_us_ (table, now_us);
   return n;
 }
@@ -334,7 +340,7 @@
   entry->version = version;
   if (version > table->newest_version)
     note_newest_version_ (table, version, now_us);
-  /* Otherwise the balancer is behind, and the query is repeated.  */
+  /* The query is repeated if the balancer is behind.  */
   if (version == table->newest_version)
     schedule_refresh_ (table, entry, now_us);
   return set_terms_ (table, entry, terms);
--- a/src/libragwortyoke/stream_agent_terms.c
+++ b/src/libragwortyoke/stream_agent_terms.c
@@ -102,7 +102,10 @@
   update_overdue_ (agent, now_us);
   b = choose_balancer_ (agent, now_us);
   if (b == NULL)
-    return;
+    {
+      rgy_route_terms_postpone (agent->terms, now_us);
+      return;
+    }
   n = rgy_route_terms_take_queries (agent->terms, routes, now_us);
   if (n == 0)
     return;
--- a/src/test_route_terms/test_route_terms.c
+++ b/src/test_route_terms/test_route_terms.c
@@ -183,6 +183,29 @@
   assert_int_equal (take_queries_ (f), 29);
 }
 
+/* Pattern: upgrade, agents first.  Agents must not search a balancer to query
+   for each segment.  */
+static void
+search_for_a_balancer_is_paced_ (void **state)
+{
+  struct fixture_ *f = *state;
+  unsigned searches = 0;
+  int i;
+
+  for (i = 0; i < 1000; i++)
+    {
+      assert_true (use_ (f, 0));
+      if (rgy_route_terms_is_due (f->table, f->now_us))
+        {
+          searches++;
+          rgy_route_terms_postpone (f->table, f->now_us);
+        }
+      f->now_us += MS;
+    }
+  assert_int_equal (searches, MAX_QUERIES_PER_S);
+  assert_int_equal (take_queries_ (f), 1);
+}
+
 /* The store is down, all balancers are cut off, or none states terms.  */
 static void
 unanswered_query_is_repeated_less_and_less_ (void **state)
@@ -475,6 +498,7 @@
   const struct CMUnitTest tests[] = {
     FRESH (unknown_route_is_queried_at_once_),
     FRESH (queries_are_collected_),
+    FRESH (search_for_a_balancer_is_paced_),
     FRESH (unanswered_query_is_repeated_less_and_less_),
     FRESH (older_manifest_overrides_nothing_),
     FRESH (balancer_that_is_behind_ends_no_query_),
