--- a/src/libragwortyoke/request_queue.c
+++ b/src/libragwortyoke/request_queue.c
@@ -19,9 +19,6 @@
 /* Window in which demand is counted; as long as the shortest excess that the
    users' bounds tell apart from a wave.  */
 #define DEMAND_WINDOW_US INT64_C (1000000)
-/* Share of the service, in percent, above which the demand counts as leaving
-   no room for late requests.  */
-#define MAX_DEMAND_PERCENT 95
 
 /* Requests of one class.  Entries of the queues are struct
    rgy_waiting_request.  */
@@ -741,10 +738,8 @@
   room = 1 - demand_us / ((double)DEMAND_WINDOW_US * server->slots);
   return (struct rgy_start_prediction){
     .start_us = now_us + wait_us * ADMISSION_MARGIN_X10 / 10,
-    .late_start_us = room * 100 <= 100 - MAX_DEMAND_PERCENT
-                         ? RGY_START_ANY_TIME
-                         : base_us
-                               + (int64_t)((double)(higher_us + level_us)
-                                           / server->slots / room)
+    .late_start_us = base_us
+                     + (int64_t)((double)(higher_us + level_us)
+                                 / server->slots / MAX (room, 0.25))
   };
 }
--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -329,15 +329,17 @@
   struct rgy_request_class class;
   int64_t allowance_us;
   bool is_too_late;
+  bool is_refused;
 
   basis->terms = rgy_stream_agent_get_terms_ (agent, segment, now_us);
   if (basis->terms.limit_us == 0)
     return RGY_STREAM_REFUSAL_COUNT;
   class = make_class_ (agent, segment, ip, &basis->terms);
-  rgy_request_queue_note_demand (agent->waiting, &class, now_us);
+  basis->is_last_offer
+      = segment->trail.mark == RGY_MARK_LAST_OFFER || segment->ack > 0;
   /* A restarted agent does not know what its backend server runs.  */
   if (has_free_slot_ (agent) || !agent->complete)
-    return RGY_STREAM_REFUSAL_COUNT;
+    goto accept;
   allowance_us = get_run_allowance_us_ (agent, &class) + age_us;
   basis->start
       = rgy_request_queue_predict (agent->waiting, &class, &server, now_us);
@@ -345,15 +347,20 @@
   basis->goal_left_us = basis->terms.goal_us > 0
                             ? basis->terms.goal_us - allowance_us
                             : basis->limit_left_us;
-  basis->is_last_offer = segment->trail.mark == RGY_MARK_LAST_OFFER;
   if (basis->start.start_us <= now_us + basis->goal_left_us)
-    return RGY_STREAM_REFUSAL_COUNT;
+    goto accept;
   is_too_late = basis->start.late_start_us > now_us + basis->limit_left_us;
-  if (rgy_stream_agent_balancer_has_feature_ (agent, ip,
+  is_refused = is_too_late || !basis->is_last_offer;
+  if (is_too_late && basis->is_last_offer)
+    rgy_request_queue_note_demand (agent->waiting, &class, now_us);
+  if (is_refused && rgy_stream_agent_balancer_has_feature_ (agent, ip,
                                               RGY_STREAM_DECODES_LOAD, now_us))
-    return is_too_late || !basis->is_last_offer ? RGY_REFUSED_OVERLOAD
-                                                : RGY_STREAM_REFUSAL_COUNT;
-  return is_too_late ? RGY_REFUSED_FULL : RGY_STREAM_REFUSAL_COUNT;
+    return RGY_REFUSED_OVERLOAD;
+  if (is_too_late)
+    return RGY_REFUSED_FULL;
+accept:
+  rgy_request_queue_note_demand (agent->waiting, &class, now_us);
+  return RGY_STREAM_REFUSAL_COUNT;
 }
 
 bool
