--- a/src/test_stream_agent_overload/test_stream_agent_overload.c
+++ b/src/test_stream_agent_overload/test_stream_agent_overload.c
@@ -51,6 +51,8 @@
   size_t n_started;
 };
 
+/* The linker's option --wrap defines the name.  */
+/* NOLINTBEGIN(readability-identifier-naming) */
 struct rgy_request_terms
 __wrap_rgy_stream_agent_get_terms_ (struct rgy_stream_agent *agent,
                                     const struct rgy_segment *segment,
@@ -72,6 +74,7 @@
                                      .goal_us = GOAL_US,
                                      .limit_us = LIMIT_US };
 }
+/* NOLINTEND(readability-identifier-naming) */
 
 /* The first byte of a segment tells its kind to record_action_.  */
 enum segment_kind_
@@ -363,9 +366,10 @@
 static void
 fill_ (struct fixture_ *f, uint16_t n_waiting)
 {
+  const uint16_t last = (uint16_t)(AT_BACKEND + n_waiting);
   uint16_t port;
 
-  for (port = 1; port <= AT_BACKEND + n_waiting; port++)
+  for (port = 1; port <= last; port++)
     ask_ (f, port, ROUTE_PORT);
 }
 
@@ -605,7 +609,7 @@
   open_flow_ (f, 100, ROUTE_PORT);
   assert_int_equal (f->by_port[100].delivered, 0);
   rgy_stream_agent_stop (f->agent, f->now_us);
-  for (port = 1; port <= AT_BACKEND + 10; port++)
+  for (port = AT_BACKEND + 10; port > 0; port--)
     assert_int_equal (f->by_port[port].payloads, 1);
   assert_int_equal (f->by_port[100].delivered, 1);
   assert_int_equal (offer_ (f, 101, 0, false, BALANCER_IP)->reason,
