Mark only flows that this agent has offered as not open

Cause: after a restart of the agent a backend server that repeats its first answer made an open flow look like one without the end of the handshake; an expired request on it would have been reset against the rule on flows. Change: the mark is set with the first segment and cleared by any other one. Result: flow_from_before_a_restart_is_not_reset_ fails with the mark set at the answer and passes now.

--- a/src/libragwortyoke/include/private/request_queue.h
+++ b/src/libragwortyoke/include/private/request_queue.h
@@ -21,7 +21,7 @@
 #include <stdint.h>
 
 /** Start that is not to be expected.  */
-#define RGY_START_ANY_TIME INT64_MAX
+#define RGY_START_NEVER INT64_MAX
 
 /** Measured run times of requests.  */
 struct rgy_run_time
@@ -79,7 +79,7 @@
 {
   int64_t start_us; /**< Start among the requests that can be answered within
                          their goal.  */
-  int64_t late_start_us; /**< Start if its goal is missed; RGY_START_ANY_TIME
+  int64_t late_start_us; /**< Start if its goal is missed; RGY_START_NEVER
                               if the present demand leaves no room for such
                               requests.  */
 };
--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -223,8 +223,8 @@
      arrived; counted in the queue's predictions.  */
   bool is_expected;
   GList expected_link;
-  /* The backend server has not got the end of the handshake, so that it does
-     not hold the flow.  */
+  /* The first segment passed this process and the backend server has not got
+     the end of the handshake, so that it does not hold the flow.  */
   bool unopened;
   /* The flow was reset before it opened at the backend server.  */
   bool rejected;
--- a/src/libragwortyoke/request_queue.c
+++ b/src/libragwortyoke/request_queue.c
@@ -36,8 +36,8 @@
   struct rgy_run_time run_time;
   double service_us; /* Virtual time at which the next request starts.  */
   int64_t window;    /* Number of the present window of DEMAND_WINDOW_US.  */
-  uint32_t demand;   /* Requests asked for in it and in the one before.  */
-  uint32_t demand_before;
+  uint32_t demand;   /* Requests asked for in the present window.  */
+  uint32_t demand_before; /* The same in the window before.  */
   double wanted_us; /* Service that callers asked for in the last second.  */
   bool within;      /* The demand is within the part that the share gets.  */
 };
@@ -742,7 +742,7 @@
   return (struct rgy_start_prediction){
     .start_us = now_us + wait_us * ADMISSION_MARGIN_X10 / 10,
     .late_start_us = room * 100 <= 100 - MAX_DEMAND_PERCENT
-                         ? RGY_START_ANY_TIME
+                         ? RGY_START_NEVER
                          : base_us
                                + (int64_t)((double)(higher_us + level_us)
                                            / server->slots / room)
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -180,7 +180,7 @@
                   enum rgy_stream_refusal reason,
                   const struct rgy_admission_basis *basis, int64_t now_us)
 {
-  bool has_late_room = basis->start.late_start_us != RGY_START_ANY_TIME;
+  bool has_late_room = basis->start.late_start_us != RGY_START_NEVER;
   char text[RGY_FLOW_TEXT_BYTES];
 
   ++*agent->n_refused[reason];
@@ -298,6 +298,7 @@
       stream->balancer_ip = ip;
       stream->has_caller_seq = true;
       stream->caller_seq = segment->seq;
+      stream->unopened = true;
       stream->age_us = rgy_stream_agent_get_opening_age_us_ (segment);
       rgy_stream_agent_expect_request_ (agent, flow, segment, ip, now_us);
       deliver_segment_ (agent, segment, ip);
@@ -420,7 +421,6 @@
         }
       stream->round_trip_us = now_us - stream->state_since_us;
       stream->age_us += stream->round_trip_us;
-      stream->unopened = true;
       rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_OPEN, now_us);
       break;
     case FLOW_OPEN:
--- a/src/test_stream_agent_overload/test_stream_agent_overload.c
+++ b/src/test_stream_agent_overload/test_stream_agent_overload.c
@@ -539,6 +539,26 @@
   assert_int_equal (f->by_port[100].payloads, 0);
 }
 
+/* The agent has restarted, and the backend server repeats its first answer on
+   a flow that a segment from the caller has opened since.  */
+static void
+flow_from_before_a_restart_is_not_reset_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  rgy_stream_agent_delete (f->agent);
+  start_agent_ (f, false);
+  run_requests_ (f, RUN_US);
+  send_handshake_end_ (f, 100, ROUTE_PORT);
+  assert_int_equal (f->by_port[100].delivered, 1);
+  answer_first_segment_ (f, 100, ROUTE_PORT);
+  fill_ (f, 0);
+  request_ (f, 100, ROUTE_PORT);
+  advance_time_ (f, LIMIT_US);
+  assert_int_equal (f->by_port[100].payloads, 0);
+  assert_int_equal (f->by_port[100].resets, 0);
+}
+
 /* The backend server has got the requests and answers none: whether they ran
    is not known.  */
 static void
@@ -672,6 +692,7 @@
     TEST (restarted_agent_refuses_nothing_),
     TEST (expired_request_is_reset_and_never_runs_),
     TEST (expired_request_on_an_open_flow_is_dropped_),
+    TEST (flow_from_before_a_restart_is_not_reset_),
     TEST (request_at_the_backend_server_is_not_reset_),
     TEST (nothing_is_handed_over_without_a_free_slot_),
     TEST (request_of_a_caller_that_left_does_not_run_),
