--- a/tests/simulation/simulation.h
+++ b/tests/simulation/simulation.h
@@ -117,6 +117,10 @@
     sim_start(), so that the manifest states the latency goal.  */
 void sim_set_users (struct simulation *simulation,
                     const struct sim_load *load);
+/** Do not count resets of flows as wrong that the backend server has not
+   opened: it has answered the first segment and not got the end of the
+   handshake.  */
+void sim_allow_early_resets (struct simulation *simulation);
 /** Let the users send requests from now on.  */
 void sim_begin_requests (struct simulation *simulation);
 /** Outcomes since sim_begin_requests(), one entry a second.  */
--- a/tests/simulation/simulation_backend.c
+++ b/tests/simulation/simulation_backend.c
@@ -134,10 +134,12 @@
                               .balancer_ip = d->trail.balancer_ip });
       return;
     }
+  g_hash_table_add (backend->opened, number);
   if ((d->packet.flags & RGY_SEGMENT_FIN) != 0)
     {
       answer.flags |= RGY_SEGMENT_FIN;
       g_hash_table_remove (backend->flows, number);
+      g_hash_table_remove (backend->opened, number);
       send_from_backend_ (sim, d->index, answer,
                           &(struct rgy_segment_trailer){ 0 });
       return;
@@ -179,6 +181,7 @@
   g_hash_table_remove_all (backend->started);
   g_hash_table_remove_all (backend->answered);
   g_hash_table_remove_all (backend->flows);
+  g_hash_table_remove_all (backend->opened);
   backend->running = 0;
 }
 
--- a/tests/simulation/simulation_private.h
+++ b/tests/simulation/simulation_private.h
@@ -91,8 +91,10 @@
   unsigned generation;
   uint64_t seq;
   int64_t next_heartbeat_us;
-  GHashTable *flows; /* Caller's number to the backend server's first sequence
-                        number.  */
+  GHashTable *flows;  /* Caller's number to the backend server's first sequence
+                         number.  */
+  GHashTable *opened; /* Numbers of the callers whose flows are open: the
+                         backend server has got the end of the handshake.  */
   unsigned accepted;
   unsigned running;     /* Requests that occupy a slot.  */
   GQueue waiting;       /* Requests in the queue; entries are struct packet_,
@@ -172,6 +174,8 @@
   struct rgy_domain_view view;
   bool ever_routed[2];
   unsigned flows_per_s;
+  /* Resets of flows that the backend server has not opened are right.  */
+  bool allows_early_resets;
   int64_t lifetime_us;
   int64_t next_flow_us;
   uint64_t next_incarnation;
