--- a/src/libragwortyoke/request_queue.c
+++ b/src/libragwortyoke/request_queue.c
@@ -16,12 +16,15 @@
    runs with an exponential distribution, the widest that the users state, 96
    of 100 are shorter.  */
 #define RUN_DEVIATIONS 3
+/* Weight of the newest start in the part of the service that late requests
+   get, as a divisor: a few tenths of a second at a busy server, so that the
+   end of an excess shows soon.  */
+#define LATE_PART_SMOOTHING 32
+/* Lowest part that is assumed.  */
+#define MIN_LATE_PART 0.01
 /* Window in which demand is counted; as long as the shortest excess that the
    users' bounds tell apart from a wave.  */
 #define DEMAND_WINDOW_US INT64_C (1000000)
-/* Share of the service, in percent, above which the demand counts as leaving
-   no room for late requests.  */
-#define MAX_DEMAND_PERCENT 95
 
 /* Requests of one class.  Entries of the queues are struct
    rgy_waiting_request.  */
@@ -36,16 +39,19 @@
   struct rgy_run_time run_time;
   double service_us; /* Virtual time at which the next request starts.  */
   int64_t window;    /* Number of the present window of DEMAND_WINDOW_US.  */
-  uint32_t demand;   /* Requests asked for in it and in the one before.  */
-  uint32_t demand_before;
+  uint32_t demand;   /* Requests asked for in the present window.  */
+  uint32_t demand_before; /* The same in the window before.  */
   double wanted_us; /* Service that callers asked for in the last second.  */
   bool within;      /* The demand is within the part that the share gets.  */
+  bool scarce; /* Callers ask for more than there is for this priority.  */
 };
 
 struct rgy_request_queue
 {
   GPtrArray *shares;                /* Ascending by priority, owned.  */
   double virtual_us[UINT8_MAX + 1]; /* Virtual time of each priority.  */
+  double late_part[UINT8_MAX + 1];  /* Part of the service that late requests
+                                       of each priority get while some wait. */
   uint32_t length;
   uint32_t late;
   uint64_t demoted;
@@ -75,7 +81,10 @@
 rgy_request_queue_new (void)
 {
   struct rgy_request_queue *queue = g_new0 (struct rgy_request_queue, 1);
+  size_t i;
 
+  for (i = 0; i < G_N_ELEMENTS (queue->late_part); i++)
+    queue->late_part[i] = 1;
   queue->shares = g_ptr_array_new_with_free_func (g_free);
   return queue;
 }
@@ -333,6 +342,8 @@
           wanted_us += share->wanted_us;
         }
       divide_service_ (queue, first, end, service_us);
+      for (i = first; i < end; i++)
+        get_share_ (queue, i)->scarce = wanted_us > service_us;
       service_us = MAX (service_us - wanted_us, 0);
       first = end;
     }
@@ -404,6 +415,8 @@
                 const struct rgy_queue_server *server, int64_t now_us)
 {
   int64_t run_us = get_run_us_ (share, server);
+  int64_t reserve_us
+      = MAX (RUN_DEVIATIONS * share->run_time.deviation_us - run_us / 2, 0);
   int64_t base_us;
   uint32_t n = 0; /* Requests before the present one.  */
   const GList *link;
@@ -414,7 +427,7 @@
                     ->goal_start_us
                 <= now_us)
     demote_ (queue, share->on_time.head->data);
-  if (!share->limited || run_us == 0)
+  if (!share->limited || !share->scarce || run_us == 0)
     return;
   base_us
       = now_us + get_slot_wait_us_ (server)
@@ -429,6 +442,7 @@
                         + (n * run_us
                            + get_fair_work_us_ (queue, share, n, server))
                               / server->slots
+                        + reserve_us
                     > request->goal_start_us)
         {
           demote_ (queue, share->on_time.head->data);
@@ -517,10 +531,11 @@
 starts_before_ (const struct rgy_waiting_request *a,
                 const struct rgy_waiting_request *b, bool in_order)
 {
+  if (in_order)
+    return a->goal_start_us < b->goal_start_us;
   if (a->share->within != b->share->within)
     return a->share->within;
-  return in_order ? a->goal_start_us < b->goal_start_us
-                  : a->share->service_us < b->share->service_us;
+  return a->share->service_us < b->share->service_us;
 }
 
 /* Chooses among the shares of one priority, from index FIRST on, that have
@@ -548,6 +563,31 @@
   return best;
 }
 
+/* Records for each priority whether its late requests got the service that
+   REQUEST gets.  One without late requests has room for them.  */
+static void
+note_start_ (struct rgy_request_queue *queue,
+             const struct rgy_waiting_request *request)
+{
+  guint first = 0;
+
+  while (first < queue->shares->len)
+    {
+      uint8_t priority = get_share_ (queue, first)->priority;
+      guint end = get_next_priority_ (queue, first);
+      bool has_late = false;
+      double part;
+
+      for (; first < end; first++)
+        has_late = has_late || get_share_ (queue, first)->late.length > 0;
+      part = !has_late
+             || (request->state == RGY_WAITING_LATE
+                 && request->share->priority == priority);
+      queue->late_part[priority]
+          += (part - queue->late_part[priority]) / LATE_PART_SMOOTHING;
+    }
+}
+
 struct rgy_waiting_request *
 rgy_request_queue_pop (struct rgy_request_queue *queue,
                        const struct rgy_queue_server *server, int64_t now_us)
@@ -566,7 +606,8 @@
       demote_excess_ (queue, get_share_ (queue, i), server, now_us);
   while (request == NULL && first < queue->shares->len)
     {
-      in_order = fits_in_order_ (queue, first, server, now_us);
+      in_order = !get_share_ (queue, first)->scarce
+                 || fits_in_order_ (queue, first, server, now_us);
       request = choose_of_priority_ (queue, first, false, in_order, now_us);
       if (request == NULL)
         {
@@ -578,6 +619,7 @@
   if (request == NULL)
     return NULL;
   share = request->share;
+  note_start_ (queue, request);
   /* Service counts only while there is less than the shares ask for.  */
   if (!in_order)
     {
@@ -723,28 +765,26 @@
                        + get_fair_work_us_ (queue, own, n + 1, server))
                           / server->slots;
   int64_t level_us = 0;
-  double demand_us = 0;
-  double room;
+  int64_t late_us = 0;
   guint i;
 
   for (i = 0; i < queue->shares->len; i++)
     {
       const struct rgy_queue_share_ *share = get_share_ (queue, i);
 
-      if (share->priority > own->priority)
-        break;
-      demand_us += share->wanted_us;
-      if (share->priority == own->priority)
-        level_us += (count_waiting_ (share) + share->expected)
-                    * get_run_us_ (share, server);
+      if (share->priority != own->priority)
+        continue;
+      level_us += (count_waiting_ (share) + share->expected)
+                  * get_run_us_ (share, server);
+      late_us += share->late.length * get_run_us_ (share, server);
     }
-  room = 1 - demand_us / ((double)DEMAND_WINDOW_US * server->slots);
   return (struct rgy_start_prediction){
     .start_us = now_us + wait_us * ADMISSION_MARGIN_X10 / 10,
-    .late_start_us = room * 100 <= 100 - MAX_DEMAND_PERCENT
-                         ? RGY_START_ANY_TIME
-                         : base_us
-                               + (int64_t)((double)(higher_us + level_us)
-                                           / server->slots / room)
+    .late_start_us
+    = base_us
+      + MAX ((higher_us + level_us) / server->slots,
+             (int64_t)((double)late_us / server->slots
+                       / MAX (queue->late_part[own->priority],
+                              MIN_LATE_PART)))
   };
 }
--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -130,6 +130,18 @@
 
 /* Time reserved for the run of a request when its latest start is
    computed.  */
+static int64_t
+get_mean_run_us_ (struct rgy_stream_agent *agent,
+                  const struct rgy_request_class *class)
+{
+  struct rgy_queue_server server = get_server_ (agent);
+
+  return class->limited ? rgy_request_queue_get_run_time (agent->waiting,
+                                                          class, &server)
+                              .mean_us
+                        : agent->run_time.mean_us;
+}
+
 static int64_t
 get_run_allowance_us_ (struct rgy_stream_agent *agent,
                        const struct rgy_request_class *class)
@@ -204,7 +216,9 @@
 
   stream->request_state = REQUEST_WAITING;
   stream->waiting = (struct rgy_waiting_request){
-    .goal_start_us = began_us + goal_us - allowance_us,
+    .goal_start_us = began_us + goal_us
+                     - get_mean_run_us_ (agent, &stream->class)
+                           * RUN_MARGIN_X10 / 10,
     .limit_start_us = stream->class.limited
                           ? began_us + stream->limit_us - allowance_us
                           : stream->request_us + MAX_WAIT_GOALS * goal_us,
@@ -329,15 +343,17 @@
   struct rgy_request_class class;
   int64_t allowance_us;
   bool is_too_late;
+  bool is_refused;
 
   basis->terms = rgy_stream_agent_get_terms_ (agent, segment, now_us);
   if (basis->terms.limit_us == 0)
     return RGY_STREAM_REFUSAL_COUNT;
   class = make_class_ (agent, segment, ip, &basis->terms);
-  rgy_request_queue_note_demand (agent->waiting, &class, now_us);
+  basis->is_last_offer
+      = segment->trail.mark == RGY_MARK_LAST_OFFER || segment->ack > 0;
   /* A restarted agent does not know what its backend server runs.  */
   if (has_free_slot_ (agent) || !agent->complete)
-    return RGY_STREAM_REFUSAL_COUNT;
+    goto accept;
   allowance_us = get_run_allowance_us_ (agent, &class) + age_us;
   basis->start
       = rgy_request_queue_predict (agent->waiting, &class, &server, now_us);
@@ -345,15 +361,20 @@
   basis->goal_left_us = basis->terms.goal_us > 0
                             ? basis->terms.goal_us - allowance_us
                             : basis->limit_left_us;
-  basis->is_last_offer = segment->trail.mark == RGY_MARK_LAST_OFFER;
   if (basis->start.start_us <= now_us + basis->goal_left_us)
-    return RGY_STREAM_REFUSAL_COUNT;
+    goto accept;
   is_too_late = basis->start.late_start_us > now_us + basis->limit_left_us;
-  if (rgy_stream_agent_balancer_has_feature_ (agent, ip,
+  is_refused = is_too_late || !basis->is_last_offer;
+  if (is_too_late && basis->is_last_offer)
+    rgy_request_queue_note_demand (agent->waiting, &class, now_us);
+  if (is_refused && rgy_stream_agent_balancer_has_feature_ (agent, ip,
                                               RGY_STREAM_DECODES_LOAD, now_us))
-    return is_too_late || !basis->is_last_offer ? RGY_REFUSED_OVERLOAD
-                                                : RGY_STREAM_REFUSAL_COUNT;
-  return is_too_late ? RGY_REFUSED_FULL : RGY_STREAM_REFUSAL_COUNT;
+    return RGY_REFUSED_OVERLOAD;
+  if (is_too_late)
+    return RGY_REFUSED_FULL;
+accept:
+  rgy_request_queue_note_demand (agent->waiting, &class, now_us);
+  return RGY_STREAM_REFUSAL_COUNT;
 }
 
 bool
