Predict late starts from the part of the service that late requests get

Copies of two seconds arrive at once, and each offer that was refused counted as demand at the next agent, so that the demand of the last second left no room for late requests.

--- a/src/libragwortyoke/include/private/request_queue.h
+++ b/src/libragwortyoke/include/private/request_queue.h
@@ -20,9 +20,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Start that is not to be expected.  */
-#define RGY_START_NEVER INT64_MAX
-
 /** Measured run times of requests.  */
 struct rgy_run_time
 {
@@ -79,9 +76,8 @@
 {
   int64_t start_us; /**< Start among the requests that can be answered within
                          their goal.  */
-  int64_t late_start_us; /**< Start if its goal is missed; RGY_START_NEVER
-                              if the present demand leaves no room for such
-                              requests.  */
+  int64_t late_start_us; /**< Start if its goal is missed, with the part of the
+                              service that late requests get at present.  */
 };
 
 struct rgy_request_queue;
--- a/src/libragwortyoke/request_queue.c
+++ b/src/libragwortyoke/request_queue.c
@@ -43,7 +43,6 @@
   uint32_t demand_before; /* The same in the window before.  */
   double wanted_us; /* Service that callers asked for in the last second.  */
   bool within;      /* The demand is within the part that the share gets.  */
-  bool scarce; /* Callers ask for more than there is for this priority.  */
 };
 
 struct rgy_request_queue
@@ -318,6 +317,19 @@
     }
 }
 
+/* True if no share of a priority asks for more than its part.  */
+static bool
+are_within_ (const struct rgy_request_queue *queue, guint first)
+{
+  guint end = get_next_priority_ (queue, first);
+  guint i;
+
+  for (i = first; i < end; i++)
+    if (!get_share_ (queue, i)->within)
+      return false;
+  return true;
+}
+
 /* Finds out which shares ask for more than their part of the service.  */
 static void
 update_parts_ (struct rgy_request_queue *queue,
@@ -342,8 +354,6 @@
           wanted_us += share->wanted_us;
         }
       divide_service_ (queue, first, end, service_us);
-      for (i = first; i < end; i++)
-        get_share_ (queue, i)->scarce = wanted_us > service_us;
       service_us = MAX (service_us - wanted_us, 0);
       first = end;
     }
@@ -415,8 +425,6 @@
                 const struct rgy_queue_server *server, int64_t now_us)
 {
   int64_t run_us = get_run_us_ (share, server);
-  int64_t reserve_us
-      = MAX (RUN_DEVIATIONS * share->run_time.deviation_us - run_us / 2, 0);
   int64_t base_us;
   uint32_t n = 0; /* Requests before the present one.  */
   const GList *link;
@@ -427,7 +435,7 @@
                     ->goal_start_us
                 <= now_us)
     demote_ (queue, share->on_time.head->data);
-  if (!share->limited || !share->scarce || run_us == 0)
+  if (!share->limited || run_us == 0)
     return;
   base_us
       = now_us + get_slot_wait_us_ (server)
@@ -442,7 +450,6 @@
                         + (n * run_us
                            + get_fair_work_us_ (queue, share, n, server))
                               / server->slots
-                        + reserve_us
                     > request->goal_start_us)
         {
           demote_ (queue, share->on_time.head->data);
@@ -606,7 +613,7 @@
       demote_excess_ (queue, get_share_ (queue, i), server, now_us);
   while (request == NULL && first < queue->shares->len)
     {
-      in_order = !get_share_ (queue, first)->scarce
+      in_order = are_within_ (queue, first)
                  || fits_in_order_ (queue, first, server, now_us);
       request = choose_of_priority_ (queue, first, false, in_order, now_us);
       if (request == NULL)
@@ -784,7 +791,6 @@
     = base_us
       + MAX ((higher_us + level_us) / server->slots,
              (int64_t)((double)late_us / server->slots
-                       / MAX (queue->late_part[own->priority],
-                              MIN_LATE_PART)))
+                       / MAX (queue->late_part[own->priority], MIN_LATE_PART)))
   };
 }
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -180,7 +180,6 @@
                   enum rgy_stream_refusal reason,
                   const struct rgy_admission_basis *basis, int64_t now_us)
 {
-  bool has_late_room = basis->start.late_start_us != RGY_START_NEVER;
   char text[RGY_FLOW_TEXT_BYTES];
 
   ++*agent->n_refused[reason];
@@ -195,8 +194,7 @@
       rgy_flow_key_format (&segment->key, text),
       rgy_stream_refusal_string[reason], basis->terms.priority,
       (basis->start.start_us - now_us) / RGY_US_PER_MS,
-      has_late_room ? (basis->start.late_start_us - now_us) / RGY_US_PER_MS
-                    : -1,
+      (basis->start.late_start_us - now_us) / RGY_US_PER_MS,
       basis->goal_left_us / RGY_US_PER_MS,
       basis->limit_left_us / RGY_US_PER_MS, basis->is_last_offer,
       rgy_request_queue_length (agent->waiting),
--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -130,18 +130,6 @@
 
 /* Time reserved for the run of a request when its latest start is
    computed.  */
-static int64_t
-get_mean_run_us_ (struct rgy_stream_agent *agent,
-                  const struct rgy_request_class *class)
-{
-  struct rgy_queue_server server = get_server_ (agent);
-
-  return class->limited ? rgy_request_queue_get_run_time (agent->waiting,
-                                                          class, &server)
-                              .mean_us
-                        : agent->run_time.mean_us;
-}
-
 static int64_t
 get_run_allowance_us_ (struct rgy_stream_agent *agent,
                        const struct rgy_request_class *class)
@@ -216,9 +204,7 @@
 
   stream->request_state = REQUEST_WAITING;
   stream->waiting = (struct rgy_waiting_request){
-    .goal_start_us = began_us + goal_us
-                     - get_mean_run_us_ (agent, &stream->class)
-                           * RUN_MARGIN_X10 / 10,
+    .goal_start_us = began_us + goal_us - allowance_us,
     .limit_start_us = stream->class.limited
                           ? began_us + stream->limit_us - allowance_us
                           : stream->request_us + MAX_WAIT_GOALS * goal_us,
@@ -367,8 +353,9 @@
   is_refused = is_too_late || !basis->is_last_offer;
   if (is_too_late && basis->is_last_offer)
     rgy_request_queue_note_demand (agent->waiting, &class, now_us);
-  if (is_refused && rgy_stream_agent_balancer_has_feature_ (agent, ip,
-                                              RGY_STREAM_DECODES_LOAD, now_us))
+  if (is_refused
+      && rgy_stream_agent_balancer_has_feature_ (
+          agent, ip, RGY_STREAM_DECODES_LOAD, now_us))
     return RGY_REFUSED_OVERLOAD;
   if (is_too_late)
     return RGY_REFUSED_FULL;
--- a/src/test_stream_terms/test_stream_terms.c
+++ b/src/test_stream_terms/test_stream_terms.c
@@ -395,6 +395,31 @@
   return rgy_counters_get (f->counters, "stream_message_bytes_total", label);
 }
 
+/* The first segment of a flow makes the agent query its route, before any
+   request has come.  */
+static void
+opening_a_flow_makes_its_route_known_ (void **state)
+{
+  static const uint8_t raw[1];
+  struct fixture_ *f = *state;
+  const struct rgy_name service = rgy_name_from_c ("workshop");
+  const struct rgy_segment segment
+      = { .key = rgy_flow_key_segment (
+              (struct rgy_endpoint){ .ip = 0x64400007, .port = 4000 },
+              (struct rgy_endpoint){ .ip = ROUTE_IP, .port = ROUTE_PORT }),
+          .flags = RGY_SEGMENT_SYN,
+          .trail = { .service_tag = rgy_service_tag (&service),
+                     .balancer_ip = BALANCER_IP (1),
+                     .goal_us = GOAL_US },
+          .raw = { .data = raw, .len = sizeof raw } };
+
+  rgy_stream_agent_from_balancer (f->agent, &segment, BALANCER_IP (1),
+                                  f->now_us);
+  advance_time_ (f, 2 * RGY_STREAM_TICK_US);
+  assert_int_equal (f->balancers[1].queries, 1);
+  assert_int_equal (get_terms_ (f, 1).priority, 1);
+}
+
 /* Pattern: quiet hours.  A machine's budget for control is 8,000 B/s.  */
 static void
 refreshes_cost_little_ (void **state)
@@ -720,6 +745,7 @@
 {
   const struct CMUnitTest tests[] = {
     FRESH (first_segment_makes_the_route_known_),
+    FRESH (opening_a_flow_makes_its_route_known_),
     FRESH (refreshes_cost_little_),
     FRESH (earlier_balancer_is_not_asked_),
     FRESH (earlier_agent_gets_no_terms_),
