Choose the agent of a new flow in a file of its own, without a limit of candidates

Cause: choose_agent_of_service_() kept 512 candidates on the stack and left out the agents beyond them without a word. A flow that was refused for overload needs a last offer to the least loaded agent.

Change: stream_balancer_place.c has the choice; the candidates are arrays of the balancer that grow. rgy_stream_balancer_choose_least_loaded_agent_() names the agent of a route with the least load, also among tried ones.

--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -6,7 +6,8 @@
  * State of the balancer core for sequenced flows, and functions shared by its
  * source files: stream_balancer.c (configuration and state of agents),
  * stream_balancer_open.c (new flows), stream_balancer_lookup.c (lookups of
- * flows that this balancer has not cached), stream_balancer_query.c (queries
+ * flows that this balancer has not cached), stream_balancer_place.c (choice of
+ * the agent for a new flow), stream_balancer_query.c (queries
  * to agents), stream_balancer_packet.c (cached flows, segments and messages),
  * stream_balancer_member.c (agents and other balancers),
  * stream_balancer_keep.c (open flows of the own failure domain).
@@ -300,6 +301,9 @@
   GArray *peers;                /**< Entries are struct rgy_stream_peer.  */
   GHashTable *opens;            /**< Set of struct rgy_pending_open, owned.  */
   GHashTable *lookups;          /**< Set of struct rgy_lookup, owned.  */
+  GArray *candidates;           /**< Entries are struct rgy_candidate, of the
+                                     placement under way.  */
+  GPtrArray *candidate_agents;  /**< The agents of these candidates.  */
   int64_t config_changed_us;    /**< Time of the last change of the
                                      manifest or the view.  */
   double query_tokens;          /**< Flows that may be queried now.  */
@@ -428,6 +432,17 @@
 void rgy_stream_balancer_open_flow_ (struct rgy_stream_balancer *b,
                                      const struct rgy_segment *segment,
                                      int64_t now_us);
+/** Choose the agent of one service that a new flow is offered to.  @return
+    NULL if none is left that was not tried.  */
+struct rgy_known_agent *rgy_stream_balancer_choose_agent_of_service_ (
+    struct rgy_stream_balancer *b, const struct rgy_pending_open *open,
+    uint32_t tag, int64_t now_us);
+/** Choose the agent of the route's services with the least expected wait,
+    also among those that the flow was offered to.  @return NULL if none
+    accepts new flows.  */
+struct rgy_known_agent *rgy_stream_balancer_choose_least_loaded_agent_ (
+    struct rgy_stream_balancer *b, const struct rgy_pending_open *open,
+    const struct rgy_route *route, int64_t now_us);
 /** Offer new flows to the next agent if the current one has not answered in
     time.  */
 void rgy_stream_balancer_retry_opens_ (struct rgy_stream_balancer *b,
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -100,6 +100,8 @@
   /* The flow key is the first member of the values of both sets.  */
   b->opens = g_hash_table_new_full (rgy_flow_key_ghash, rgy_flow_key_gequal,
                                     NULL, free_pending_open_);
+  b->candidates = g_array_new (FALSE, FALSE, sizeof (struct rgy_candidate));
+  b->candidate_agents = g_ptr_array_new ();
   b->lookups = g_hash_table_new_full (rgy_flow_key_ghash, rgy_flow_key_gequal,
                                       NULL, free_lookup_);
   add_counters_ (b, counters);
@@ -114,6 +116,8 @@
   rgy_flow_keeper_delete (b->keeper);
   rgy_flow_table_delete_all (b->flows);
   g_hash_table_unref (b->lookups);
+  g_array_unref (b->candidates);
+  g_ptr_array_unref (b->candidate_agents);
   g_hash_table_unref (b->opens);
   g_hash_table_unref (b->agents);
   g_array_unref (b->peers);
--- a/src/libragwortyoke/stream_balancer_open.c
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -4,83 +4,6 @@
 
 #include "ragwortyoke/clock.h"
 
-#define MAX_CANDIDATES 512
-
-static bool
-was_tried_ (const struct rgy_pending_open *open, uint32_t ip)
-{
-  size_t i;
-
-  for (i = 0; i < open->n_tried; i++)
-    if (open->tried[i] == ip)
-      return true;
-  return false;
-}
-
-/* True if the backend server can accept new flows as far as is known.  A
-   restarted agent learns the state only from the next heartbeat; until then
-   the state before the restart counts, if it is known, so that a draining
-   backend server gets no new flows.  */
-static bool
-is_backend_usable_ (const struct rgy_known_agent *agent)
-{
-  return agent->report.state == RGY_BACKEND_READY
-         || (agent->report.state == RGY_BACKEND_UNKNOWN && agent->tag != 0
-             && (agent->last_state == RGY_BACKEND_UNKNOWN
-                 || agent->last_state == RGY_BACKEND_READY));
-}
-
-static bool
-accepts_new_flows_ (const struct rgy_stream_balancer *b,
-                    const struct rgy_known_agent *agent, int64_t now_us)
-{
-  return rgy_known_agent_is_alive_ (agent, now_us)
-         && is_backend_usable_ (agent) && !agent->report.restarting
-         && agent->excluded_until_us <= now_us
-         && !rgy_domain_view_is_out (&b->view, &agent->report.domain);
-}
-
-/* Chooses the agent of one service that a new flow is offered to; NULL if none
-   is left.  */
-static struct rgy_known_agent *
-choose_agent_of_service_ (struct rgy_stream_balancer *b,
-                          const struct rgy_pending_open *open, uint32_t tag,
-                          int64_t now_us)
-{
-  struct rgy_candidate candidates[MAX_CANDIDATES];
-  struct rgy_known_agent *agents[MAX_CANDIDATES];
-  struct rgy_preference preference;
-  GHashTableIter iter;
-  void *value;
-  size_t n = 0;
-  size_t best;
-
-  rgy_stream_balancer_get_preferred_ (b, &open->key, tag, now_us, &preference);
-  g_hash_table_iter_init (&iter, b->agents);
-  while (g_hash_table_iter_next (&iter, NULL, &value) && n < MAX_CANDIDATES)
-    {
-      struct rgy_known_agent *agent = value;
-
-      if (agent->tag != tag || was_tried_ (open, agent->ip)
-          || !accepts_new_flows_ (b, agent, now_us))
-        continue;
-      candidates[n] = (struct rgy_candidate){
-        .slots = agent->report.slots,
-        .flows = agent->report.open_flows + agent->placed,
-        .latency_us = agent->report.latency_us,
-        .cold = agent->report.cold,
-        .same_domain
-        = rgy_name_equal (&agent->report.domain, &b->settings.domain),
-        .preferred
-        = rgy_preference_has (&preference, agent->domain_hash, agent->ip),
-        .tie_breaker = rgy_preference_rank (&preference, agent->ip)
-      };
-      agents[n++] = agent;
-    }
-  best = rgy_placement_choose (candidates, n);
-  return best == n ? NULL : agents[best];
-}
-
 /* True if an agent of the service may soon be ready: it has just started, is
    restarting, or is unresponsive and not yet declared dead.  */
 static bool
@@ -126,7 +49,8 @@
 {
   size_t first = rgy_route_choose (route, rgy_flow_key_hash (&open->key));
   struct rgy_known_agent *agent
-      = choose_agent_of_service_ (b, open, route->targets[first].tag, now_us);
+      = rgy_stream_balancer_choose_agent_of_service_ (
+          b, open, route->targets[first].tag, now_us);
   size_t i;
 
   if (agent != NULL
@@ -140,7 +64,8 @@
 
       if (target->weight == 0)
         continue;
-      agent = choose_agent_of_service_ (b, open, target->tag, now_us);
+      agent = rgy_stream_balancer_choose_agent_of_service_ (
+          b, open, target->tag, now_us);
       if (agent != NULL)
         return agent;
     }
