Place new flows by the work that is expected at a server

Cause: placement counted flows and slots. A server counted as slow above twice the median latency, which includes waiting at the agent, so that an overloaded server looked slow; reports up to 0.8 s old were used without what was placed since.

Change: agents measure the time for which requests occupy a slot, by route, and their failures, and report them to balancers that decode it, at once when a queue forms or drains. Balancers compare run times by route, expect the requests of their own and of other balancers' new flows, and choose by room: preferred servers of the own domain, others there, other domains, and another service of the route. Agents without a load report are placed as before.

--- a/include/ragwortyoke/placement.h
+++ b/include/ragwortyoke/placement.h
@@ -21,6 +21,43 @@
   bool preferred;       /**< Result of rgy_preference_has().  */
   uint64_t tie_breaker; /**< At equal loads the lowest value is chosen; differs
                            by flow.  */
+  bool has_load;        /**< The next members but @c slowness and @c distrust
+                             are known.  */
+  double requests;      /**< Requests expected to wait or run there, without
+                             those of the new flow.  */
+  uint32_t run_us;      /**< Mean time for which one of them occupies a slot; 0
+                             if none was measured.  */
+  double failed_share;  /**< Part of its requests that failed of late.  */
+  double slowness;      /**< Run time relative to the median of the servers,
+                             compared by route; 0: unknown.  */
+  double distrust;      /**< Part of its flows that it does not get yet, since
+                             it was lost shortly before; 0 to 1.  */
+};
+
+/** Why a backend server was chosen.  */
+enum rgy_placement_reason
+{
+  RGY_PLACED_BY_FLOWS,  /**< No load is known; rgy_placement_choose().  */
+  RGY_PLACED_PREFERRED, /**< A preferred server of the own failure domain has
+                             room.  */
+  RGY_PLACED_DOMAIN, /**< Another one of the own failure domain has room.  */
+  RGY_PLACED_OTHER_DOMAIN, /**< Only servers of other failure domains have
+                                room.  */
+  RGY_PLACED_WITHOUT_ROOM, /**< No server has room.  */
+  RGY_PLACEMENT_REASON_COUNT
+};
+
+extern const char *const rgy_placement_reason_string[];
+
+struct rgy_placement
+{
+  size_t index; /**< The number of candidates if there are none.  */
+  enum rgy_placement_reason reason;
+  bool has_load;   /**< The next members are set.  */
+  bool has_room;   /**< The server answers requests well within the latency
+                        goal.  */
+  double delay_us; /**< Time by which an answer is expected to come later than
+                        that of an idle server of median speed.  */
 };
 
 /**
@@ -37,6 +74,35 @@
 size_t rgy_placement_choose (const struct rgy_candidate *candidates,
                              size_t count);
 
+/**
+ * Choose the backend server for a new flow by the work that is expected there:
+ * a preferred server of the own failure domain while it has room; else a
+ * server of the own failure domain, else of another one, with a probability in
+ * proportion to its room, so that many balancers with the same reports do not
+ * choose the same one; if none has room, one with a short expected wait.
+ * Without any known load rgy_placement_choose() decides.
+ *
+ * A server has room while the expected delay of an answer is small against the
+ * latency goal; the limit differs by flow, so that flows move gradually.
+ *
+ * @param goal_us    latency goal of the route; 0 if none is stated.
+ * @param flow_hash  differs by flow.
+ */
+struct rgy_placement
+rgy_placement_choose_by_work (const struct rgy_candidate *candidates,
+                              size_t count, int64_t goal_us,
+                              uint64_t flow_hash);
+
+/**
+ * Find the backend server that is expected to answer first; where no load is
+ * known, that with the fewest flows for its capacity.
+ *
+ * @param cost  receives a value by which results can be compared.
+ * @return an index, or @p count when there are no candidates.
+ */
+size_t rgy_placement_find_least_loaded (const struct rgy_candidate *candidates,
+                                        size_t count, double *cost);
+
 /** Number of backend servers of one service that a flow prefers in each
     failure domain.  */
 #define RGY_PREFERRED_PER_DOMAIN 3
--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -150,6 +150,9 @@
   uint32_t latency_us;
 };
 
+/** Bytes of a route's address: address and port.  */
+#define RGY_ROUTE_ADDRESS_BYTES 6
+
 /** Load of a backend server and of the requests that wait for it; sent in
    place of a brief report.  */
 struct rgy_stream_load_report
@@ -160,11 +163,22 @@
   uint32_t requests; /**< Requests that wait or run.  */
   uint32_t wait_us;  /**< Time for which a request of the lowest priority that
                           arrives now is expected to wait for a slot.  */
-  uint32_t requests_per_s; /**< Requests that arrived in the last second.  */
+  uint32_t requests_per_s;   /**< Requests that arrived in the last second.  */
+  uint32_t follow_ups_per_s; /**< Of these, requests that were not the first
+                                  ones of their flows.  */
+  uint32_t failed_permille;  /**< Share of the requests of late that the
+                                  backend server reset or did not answer, in
+                                  thousandths.  */
+  struct rgy_bytes runs;     /**< Entries of RGY_ROUTE_RUN_BYTES; empty if they
+                                  are about as last sent.  */
 };
 
-/** Bytes of a route's address in RGY_STREAM_TERMS_QUERY: address and port.  */
-#define RGY_ROUTE_ADDRESS_BYTES 6
+/** Bytes of a route's mean run time at one backend server: the route's address
+    and the time in microseconds in 4 bytes.  */
+#define RGY_ROUTE_RUN_BYTES (RGY_ROUTE_ADDRESS_BYTES + 4)
+/** Maximum number of routes whose run times an agent measures.  */
+#define RGY_STREAM_MAX_RUNS 4
+
 /** Bytes of a route in RGY_STREAM_TERMS: its address, a byte each with the
     priority and the bits of enum rgy_terms_flag, and latency goal and time
     limit in milliseconds in 4 bytes each.  */
--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -9,7 +9,7 @@
  * backend server), stream_agent_backend.c (state of the backend server),
  * stream_agent_report.c (reports and control messages), stream_agent_former.c
  * (flows that the agent before has listed), stream_agent_terms.c (terms of
- * routes).
+ * routes), stream_agent_load.c (speed of the backend server and load reports).
  */
 
 #include <glib.h>
@@ -208,7 +208,13 @@
                       least when the flow opened.  */
   int64_t round_trip_us; /* Time from the backend server's first answer to the
                             caller's next segment.  */
-  GPtrArray *held;       /* Segments of the waiting request, or NULL.  */
+  int64_t slot_since_us; /* Time at which the request got a slot of the
+                            backend server, if it was handed over before one
+                            was free.  */
+  int64_t unanswered_since_us; /* Value of running_since_us of the last request
+                                  that counted as failed.  */
+  bool has_requested;          /* A request came on the flow.  */
+  GPtrArray *held;             /* Segments of the waiting request, or NULL.  */
   GList queue_link;
 };
 
@@ -222,6 +228,47 @@
   uint64_t from;
 };
 
+/* Time that one of LOAD_BUCKETS covers; all of them cover a second.  */
+#define LOAD_BUCKET_US (250 * RGY_US_PER_MS)
+#define LOAD_BUCKETS 4
+
+/* Requests in a quarter of a second.  */
+struct rgy_load_bucket
+{
+  uint32_t arrived;
+  uint32_t follow_ups; /* Of these not the first ones of their flows.  */
+  uint32_t answered;
+  uint32_t failed; /* Reset by the backend server, or not answered in
+                      time.  */
+};
+
+/* Measured run time of the requests of one route.  */
+struct rgy_route_run
+{
+  struct rgy_endpoint address;
+  int64_t mean_us;
+  int64_t announced_us; /* Mean at the last change of runs_version.  */
+  uint32_t runs;
+  int64_t used_us;
+};
+
+/* What the agent has measured of its backend server.  */
+struct rgy_agent_load
+{
+  unsigned generation; /* Value of rgy_stream_agent.generation.  */
+  struct rgy_load_bucket buckets[LOAD_BUCKETS];
+  unsigned bucket;
+  int64_t bucket_since_us;
+  int64_t run_us; /* Mean time for which a request occupies a slot.  */
+  int64_t last_answer_us;
+  struct rgy_route_run routes[RGY_STREAM_MAX_RUNS]; /* Without runs while the
+                                                       server is cold.  */
+  unsigned runs_version; /* Changes with each notable change of @c routes.  */
+  bool is_failing;
+  int64_t failing_until_us; /* 0 if the backend server has not failed.  */
+  int64_t failing_for_us;
+};
+
 struct rgy_agent_balancer
 {
   uint32_t ip;
@@ -242,6 +289,12 @@
   uint64_t sent_fingerprint;     /* Fingerprint of the last full report sent; 0
                                     if the next one must be full.  */
   uint32_t sent_flows;           /* Open flows in the last report sent.  */
+  struct rgy_stream_load_report sent_load; /* Last load report sent, without
+                                              its run times.  */
+  int64_t load_sent_us; /* Time of the last load report; 0 if the balancer
+                           has none.  */
+  int64_t runs_sent_us; /* Time of the last run times.  */
+  unsigned sent_runs_version; /* Value of rgy_agent_load.runs_version then.  */
   uint64_t changes_acked; /* Number that follows the last flow change that the
                              balancer has acknowledged.  */
   bool synced; /* All flows were sent to the balancer since its start.  */
@@ -303,6 +356,7 @@
   size_t held_bytes;
   int64_t run_us; /* Mean time from the hand-over of a request to its
                      answer.  */
+  struct rgy_agent_load load;
 
   struct rgy_domain_view view;
   uint32_t cold_rate_milli;
@@ -314,8 +368,11 @@
   struct rgy_histogram *answer_time;
   struct rgy_histogram *wait_time; /* Time for which a request waited for a
                                       slot.  */
-  uint64_t *n_late;        /* Requests that missed their latest start.  */
-  uint64_t *n_handed_over; /* Requests handed over without a free slot.  */
+  uint64_t *n_late;           /* Requests that missed their latest start.  */
+  uint64_t *n_handed_over;    /* Requests handed over without a free slot.  */
+  uint64_t *n_unanswered;     /* Requests that the backend server had for too
+                                 long.  */
+  uint64_t *n_requests_reset; /* Requests that the backend server reset.  */
   uint64_t *n_opened;
   uint64_t *n_refused[RGY_STREAM_REFUSAL_COUNT];
   uint64_t *n_returned;
@@ -417,6 +474,30 @@
 void rgy_stream_agent_measure_load_ (const struct rgy_stream_agent *agent,
                                      struct rgy_stream_load_report *load,
                                      int64_t now_us);
+/** Count a request that has arrived on an open flow.  */
+void rgy_stream_agent_note_arrival_ (struct rgy_stream_agent *agent,
+                                     struct rgy_agent_stream *stream);
+/** Measure the run of a request that is being answered.  */
+void rgy_stream_agent_note_answer_ (struct rgy_stream_agent *agent,
+                                    const struct rgy_flow *flow,
+                                    int64_t now_us);
+/** Count the request, if one runs, of a flow that the backend server
+    resets.  */
+void rgy_stream_agent_note_reset_request_ (struct rgy_stream_agent *agent,
+                                           struct rgy_agent_stream *stream,
+                                           int64_t now_us);
+/** Find out whether the backend server fails.  */
+void rgy_stream_agent_watch_load_ (struct rgy_stream_agent *agent,
+                                   int64_t now_us);
+/** Send a load report to a balancer that decodes it, if the load has changed
+    or the last one is old.  @return false if none was sent.  */
+bool rgy_stream_agent_report_load_ (struct rgy_stream_agent *agent,
+                                    struct rgy_agent_balancer *b,
+                                    int64_t now_us);
+/** Send load reports to the balancers that must not wait for the periodic
+    ones.  */
+void rgy_stream_agent_report_load_news_ (struct rgy_stream_agent *agent,
+                                         int64_t now_us);
 /** Terms of the route that a caller's segment came over.  A route whose terms
     no balancer has stated yet has the lowest priority, the latency goal in the
     segment's trailer and no time limit.  */
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -7,10 +7,11 @@
  * source files: stream_balancer.c (configuration and state of agents),
  * stream_balancer_open.c (new flows), stream_balancer_lookup.c (lookups of
  * flows that this balancer has not cached), stream_balancer_place.c (choice of
- * the agent for a new flow), stream_balancer_query.c (queries
- * to agents), stream_balancer_packet.c (cached flows, segments and messages),
- * stream_balancer_member.c (agents and other balancers),
- * stream_balancer_keep.c (open flows of the own failure domain).
+ * the agent for a new flow), stream_balancer_load.c (load of agents),
+ * stream_balancer_query.c (queries to agents), stream_balancer_packet.c
+ * (cached flows, segments and messages), stream_balancer_member.c (agents and
+ * other balancers), stream_balancer_keep.c (open flows of the own failure
+ * domain).
  */
 
 #include <glib.h>
@@ -161,6 +162,53 @@
 /* Maximum number of new flows being placed, and of lookups under way.  */
 #define MAX_PENDING_FLOWS 4096
 
+/** Age after which the load of an agent counts as unknown.  Agents report each
+    notable change at once and repeat their load every 4 s; one of these
+    reports may be lost.  */
+#define LOAD_EXPIRE_US INT64_C (9000000)
+
+/** Run time of the requests of one route at one backend server.  */
+struct rgy_known_run
+{
+  struct rgy_endpoint address;
+  uint32_t run_us;
+};
+
+/** Load of an agent's backend server as its last load report states it, and
+    what this balancer has placed since.  */
+struct rgy_known_load
+{
+  int64_t at_us; /**< Time of the report; 0 if none came.  */
+  uint32_t run_us;
+  uint32_t requests;
+  uint32_t requests_per_s;
+  uint32_t follow_ups_per_s;
+  uint32_t failed_permille;
+  size_t n_runs;
+  struct rgy_known_run runs[RGY_STREAM_MAX_RUNS];
+  double slowness;  /**< Run time relative to the median of the service's
+                         backend servers, compared by route; 0 if none is
+                         known.  */
+  bool is_slow;     /**< Logged as slow.  */
+  uint32_t placed;  /**< New flows placed here since the report.  */
+  double surge;     /**< Requests of these flows beyond what this balancer's
+                         share of the backend server works off.  */
+  int64_t surge_us; /**< Time at which @c surge was updated.  */
+  double own_flows; /**< New flows that this balancer has placed here of
+                         late, and those of all balancers.  */
+  double all_flows;
+};
+
+/** Losses of an agent's backend server, after which it gets new flows
+    gradually.  */
+struct rgy_known_losses
+{
+  unsigned n; /**< Losses, each within a short time of the one before.  */
+  bool is_lost;
+  int64_t lost_us;
+  int64_t returned_us;
+};
+
 /** An agent and its last report.  */
 struct rgy_known_agent
 {
@@ -179,8 +227,10 @@
   int64_t acked_config_us; /**< Value of rgy_stream_balancer.config_changed_us
                                 at the last acknowledgement.  */
   uint64_t changes_upto;
-  uint32_t placed;           /**< New flows placed on the agent since its last
-                                  report.  */
+  uint32_t placed; /**< New flows placed on the agent since its last
+                        report.  */
+  struct rgy_known_load load;
+  struct rgy_known_losses losses;
   GByteArray *queried;       /**< Ends of the flows in the next query.  */
   int64_t queried_us;        /**< Time of the last query sent.  */
   uint64_t fingerprint;      /**< rgy_stream_report_fingerprint() of the last
@@ -286,6 +336,13 @@
   size_t n_buffered;
 };
 
+/** Choice of an agent for a new flow.  */
+struct rgy_agent_choice
+{
+  struct rgy_known_agent *agent; /**< NULL if none is left.  */
+  struct rgy_placement placement;
+};
+
 struct rgy_stream_balancer
 {
   struct rgy_stream_balancer_settings settings;
@@ -345,6 +402,13 @@
   uint64_t *n_dropped;
   uint64_t *n_bad_messages;
   uint64_t *n_unknown_agents;
+  uint64_t *n_placed[RGY_PLACEMENT_REASON_COUNT];
+  uint64_t *n_other_service; /**< New flows placed on another service of their
+                                  route because the first one had no room.  */
+  uint64_t *n_slow_agents;   /**< Agents whose backend server counts as
+                                  slow.  */
+  int64_t runs_compared_us;  /**< Time of the last comparison of run times.  */
+  bool runs_changed;         /**< Run times were reported since.  */
 };
 
 /** Route of a flow in the active manifest, or NULL.  */
@@ -403,7 +467,8 @@
 /** Write the kept flows to the store when that is due.  */
 void rgy_stream_balancer_save_flows_ (struct rgy_stream_balancer *b,
                                       int64_t now_us);
-void rgy_stream_balancer_handle_brief_report_ (
+/** @return true if the report applies to the agent's last full one.  */
+bool rgy_stream_balancer_handle_brief_report_ (
     struct rgy_stream_balancer *b,
     const struct rgy_stream_brief_report *report, uint32_t ip, int64_t now_us);
 void
@@ -432,17 +497,48 @@
 void rgy_stream_balancer_open_flow_ (struct rgy_stream_balancer *b,
                                      const struct rgy_segment *segment,
                                      int64_t now_us);
-/** Choose the agent of one service that a new flow is offered to.  @return
-    NULL if none is left that was not tried.  */
-struct rgy_known_agent *rgy_stream_balancer_choose_agent_of_service_ (
+/** Choose the agent of one service that a new flow of a route is offered to,
+    of those that were not tried.  */
+struct rgy_agent_choice rgy_stream_balancer_choose_agent_of_service_ (
     struct rgy_stream_balancer *b, const struct rgy_pending_open *open,
-    uint32_t tag, int64_t now_us);
+    const struct rgy_route *route, uint32_t tag, int64_t now_us);
 /** Choose the agent of the route's services with the least expected wait,
     also among those that the flow was offered to.  @return NULL if none
     accepts new flows.  */
 struct rgy_known_agent *rgy_stream_balancer_choose_least_loaded_agent_ (
     struct rgy_stream_balancer *b, const struct rgy_pending_open *open,
     const struct rgy_route *route, int64_t now_us);
+/** Take over the load that an agent reports.  */
+void rgy_stream_balancer_handle_load_report_ (
+    struct rgy_stream_balancer *b, const struct rgy_stream_load_report *report,
+    uint32_t ip, int64_t now_us);
+/** Count a new flow that is placed on an agent.  */
+void rgy_stream_balancer_note_placed_ (const struct rgy_stream_balancer *b,
+                                       struct rgy_known_agent *agent,
+                                       int64_t now_us);
+/** True if the agent's load is known and not too old.  */
+bool rgy_known_agent_has_load_ (const struct rgy_known_agent *agent,
+                                int64_t now_us);
+/** Requests expected to wait or run at the agent's backend server, those of
+    the new flows of all balancers included.  */
+double
+rgy_stream_balancer_expect_requests_ (const struct rgy_stream_balancer *b,
+                                      const struct rgy_known_agent *agent,
+                                      int64_t now_us);
+/** Compare the run times of the backend servers of each service, if some were
+    reported and the last comparison was not just now.  */
+void rgy_stream_balancer_compare_runs_ (struct rgy_stream_balancer *b,
+                                        int64_t now_us);
+/** Record a report's state of the backend server; must be called before the
+    report replaces the last one.  */
+void rgy_known_agent_note_state_ (struct rgy_known_agent *agent,
+                                  const struct rgy_stream_report *report,
+                                  int64_t now_us);
+/** Share of its usual flows that a backend server gets after losses, 0 to
+    1.  */
+double rgy_known_agent_get_trust_ (const struct rgy_known_agent *agent,
+                                   int64_t now_us);
+
 /** Offer new flows to the next agent if the current one has not answered in
     time.  */
 void rgy_stream_balancer_retry_opens_ (struct rgy_stream_balancer *b,
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -34,6 +34,13 @@
       .name = "stream_requests_handed_over_total",
       .help = "Waiting requests given to the backend server without a free "
               "slot." },
+    { .value = &agent->n_unanswered,
+      .name = "stream_requests_unanswered_total",
+      .help = "Requests that the backend server did not answer within eight "
+              "times its longest mean run time, at least half a second." },
+    { .value = &agent->n_requests_reset,
+      .name = "stream_requests_reset_total",
+      .help = "Requests on which the backend server reset the flow." },
     { .value = &agent->n_stale_heartbeats,
       .name = "backend_heartbeats_stale_total",
       .help = "Heartbeats older than the last one processed." },
@@ -195,9 +202,11 @@
     }
   while ((expired = rgy_flow_table_get_expired (agent->flows, now_us)) != NULL)
     rgy_stream_agent_remove_flow_ (agent, expired, now_us);
+  rgy_stream_agent_watch_load_ (agent, now_us);
   rgy_stream_agent_hand_over_requests_ (agent, false, now_us);
   rgy_stream_agent_check_heartbeats_ (agent, now_us);
   rgy_stream_agent_send_due_reports_ (agent, now_us);
+  rgy_stream_agent_report_load_news_ (agent, now_us);
   rgy_stream_agent_send_open_flows_ (agent, now_us);
 }
 
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -312,6 +312,7 @@
 {
   struct rgy_flow *flow = rgy_flow_table_find (agent->flows, &segment->key);
   struct rgy_agent_stream *stream = flow == NULL ? NULL : flow->session;
+  bool had_request;
 
   if (rgy_segment_is_opening (segment))
     {
@@ -369,7 +370,10 @@
     case FLOW_CLOSED:
       break;
     }
+  had_request = stream->request_us != 0;
   update_from_caller_ (stream, segment, now_us);
+  if (stream->request_us != 0 && !had_request)
+    rgy_stream_agent_note_arrival_ (agent, stream);
   if (stream->state == FLOW_OPEN
       && rgy_stream_agent_queue_request_ (agent, flow, segment, ip, now_us))
     return;
@@ -529,7 +533,10 @@
         rgy_backend_state_string[agent->state],
         (now_us - flow->opened_us) / RGY_US_PER_MS, agent->n_open);
   if ((segment->flags & RGY_SEGMENT_RST) != 0)
-    rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_CLOSED, now_us);
+    {
+      rgy_stream_agent_note_reset_request_ (agent, stream, now_us);
+      rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_CLOSED, now_us);
+    }
   else if ((segment->flags & RGY_SEGMENT_SYN) != 0)
     handle_first_answer_ (agent, flow, segment->seq, now_us);
   else if (stream->state == FLOW_PROBING || stream->state == FLOW_NOT_OWNED)
@@ -538,6 +545,7 @@
     {
       update_latency_ (agent, now_us - stream->request_us);
       rgy_stream_agent_note_run_time_ (agent, stream, now_us);
+      rgy_stream_agent_note_answer_ (agent, flow, now_us);
       stream->request_us = 0;
       rgy_stream_agent_end_request_ (agent, flow, now_us);
     }
--- a/src/libragwortyoke/stream_agent_report.c
+++ b/src/libragwortyoke/stream_agent_report.c
@@ -140,20 +140,28 @@
   b->sent_flows = agent->n_open;
   b->sent_fingerprint = rgy_stream_report_fingerprint (&message.u.report);
   rgy_stream_agent_send_message_ (agent, b->ip, &message);
+  /* Flow changes make most reports of a busy agent full ones, which do not
+     state its load.  */
+  if (b->synced)
+    rgy_stream_agent_report_load_ (agent, b, now_us);
 }
 
 static void
 send_brief_report_ (struct rgy_stream_agent *agent,
                     struct rgy_agent_balancer *b, int64_t now_us)
 {
-  struct rgy_stream_message message
-      = { .kind = RGY_STREAM_BRIEF_REPORT,
-          .u.brief = { .seq = ++agent->seq,
-                       .fingerprint = b->sent_fingerprint,
-                       .open_flows = agent->n_open,
-                       .latency_us = agent->latency_us } };
+  struct rgy_stream_message message;
 
   b->sent_us = now_us;
+  if (rgy_stream_agent_report_load_ (agent, b, now_us))
+    return;
+  message
+      = (struct rgy_stream_message){ .kind = RGY_STREAM_BRIEF_REPORT,
+                                     .u.brief
+                                     = { .seq = ++agent->seq,
+                                         .fingerprint = b->sent_fingerprint,
+                                         .open_flows = agent->n_open,
+                                         .latency_us = agent->latency_us } };
   b->sent_flows = agent->n_open;
   rgy_stream_agent_send_message_ (agent, b->ip, &message);
 }
@@ -509,6 +517,7 @@
     return;
   b->requested_us = now_us;
   b->sent_fingerprint = 0;
+  b->load_sent_us = 0;
   report_to_balancer_ (agent, b, now_us);
 }
 
@@ -520,6 +529,8 @@
 
   if (b == NULL)
     return;
+  if (b->features_incarnation != features->balancer_incarnation)
+    b->load_sent_us = 0;
   b->features_incarnation = features->balancer_incarnation;
   b->features = features->flags;
 }
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -40,10 +40,31 @@
     { .value = &b->n_unknown_agents,
       .name = "stream_foreign_total",
       .help = "Messages and segments from unknown agents." },
+    { .value = &b->n_other_service,
+      .name = "stream_other_service_total",
+      .help = "Choices of another service of the route because the first one "
+              "had no room." },
+    { .value = &b->n_slow_agents,
+      .name = "slow_backends",
+      .help = "Backend servers that take at least twice the median time on "
+              "requests of the same routes.",
+      .gauge = true },
   };
 
+  int i;
+
   rgy_counters_add_all (counters, specs, G_N_ELEMENTS (specs));
   rgy_stream_traffic_init (&b->traffic, counters);
+  for (i = 0; i < RGY_PLACEMENT_REASON_COUNT; i++)
+    {
+      char *label
+          = g_strdup_printf ("reason=\"%s\"", rgy_placement_reason_string[i]);
+
+      b->n_placed[i]
+          = rgy_counters_add (counters, "stream_choices_total", label,
+                              "Choices of an agent for a new flow.");
+      g_free (label);
+    }
   b->open_time = rgy_counters_add_histogram (
       counters, "stream_open_seconds",
       "Time from a first segment until an agent accepts the flow.");
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -466,7 +466,8 @@
       = { .kind = RGY_STREAM_FEATURES,
           .u.features = { .balancer_incarnation = b->settings.incarnation,
                           .flags = RGY_STREAM_DECODES_BRIEF_REPORTS
-                                   | RGY_STREAM_KEEPS_OPEN_FLOWS } };
+                                   | RGY_STREAM_KEEPS_OPEN_FLOWS
+                                   | RGY_STREAM_DECODES_LOAD } };
 
   agent->features_sent_us = now_us;
   rgy_stream_balancer_send_message_ (b, agent->ip, &message);
@@ -557,6 +558,7 @@
           report->cold, report->open_flows,
           is_first ? 0 : (now_us - agent->last_seen_us) / RGY_US_PER_MS);
     }
+  rgy_known_agent_note_state_ (agent, report, now_us);
   agent->report = *report;
   agent->report.changes = (struct rgy_bytes){ 0 };
   agent->tag = rgy_service_tag (&report->service);
@@ -574,7 +576,7 @@
     send_features_ (b, agent, now_us);
 }
 
-void
+bool
 rgy_stream_balancer_handle_brief_report_ (
     struct rgy_stream_balancer *b,
     const struct rgy_stream_brief_report *report, uint32_t ip, int64_t now_us)
@@ -584,24 +586,26 @@
   if (agent == NULL)
     {
       request_report_ (b, ip);
-      return;
+      return false;
     }
   if (agent->tag == 0 || agent->fingerprint != report->fingerprint)
     {
       /* A full report was lost.  */
       if (now_us - agent->requested_us >= REPORT_CHECK_INTERVAL_US)
         request_report_of_ (b, agent, now_us);
-      return;
+      return false;
     }
   if (report->seq <= agent->report.seq)
-    return;
+    return false;
   agent->report.seq = report->seq;
   agent->report.open_flows = report->open_flows;
   agent->report.latency_us = report->latency_us;
   agent->last_seen_us = now_us;
   agent->placed = 0;
+  agent->load.surge = 0;
   acknowledge_report_ (b, agent,
                        agent->acked_config_us != b->config_changed_us, now_us);
+  return true;
 }
 
 void
--- a/src/libragwortyoke/stream_balancer_open.c
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -4,6 +4,10 @@
 
 #include "ragwortyoke/clock.h"
 
+/* Latency goal of a route that states none, for the decision whether its first
+   service has room.  */
+#define DEFAULT_GOAL_US INT64_C (200000)
+
 /* True if an agent of the service may soon be ready: it has just started, is
    restarting, or is unresponsive and not yet declared dead.  */
 static bool
@@ -48,14 +52,20 @@
                const struct rgy_route *route, int64_t now_us)
 {
   size_t first = rgy_route_choose (route, rgy_flow_key_hash (&open->key));
-  struct rgy_known_agent *agent
+  struct rgy_agent_choice choice
       = rgy_stream_balancer_choose_agent_of_service_ (
-          b, open, route->targets[first].tag, now_us);
+          b, open, route, route->targets[first].tag, now_us);
+  bool is_full = choice.agent != NULL && choice.placement.has_load
+                 && choice.placement.delay_us > (route->terms.goal_us > 0
+                                                     ? route->terms.goal_us
+                                                     : DEFAULT_GOAL_US);
+  struct rgy_known_agent *agent = choice.agent;
   size_t i;
 
-  if (agent != NULL
-      || (now_us - open->began_us < OTHER_SERVICE_WAIT_US
-          && service_may_recover_ (b, route->targets[first].tag, now_us)))
+  if (!is_full
+      && (agent != NULL
+          || (now_us - open->began_us < OTHER_SERVICE_WAIT_US
+              && service_may_recover_ (b, route->targets[first].tag, now_us))))
     return agent;
   for (i = 1; i < route->n_targets; i++)
     {
@@ -64,12 +74,15 @@
 
       if (target->weight == 0)
         continue;
-      agent = rgy_stream_balancer_choose_agent_of_service_ (
-          b, open, target->tag, now_us);
-      if (agent != NULL)
-        return agent;
+      choice = rgy_stream_balancer_choose_agent_of_service_ (
+          b, open, route, target->tag, now_us);
+      if (choice.agent == NULL || (is_full && !choice.placement.has_room))
+        continue;
+      if (is_full)
+        ++*b->n_other_service;
+      return choice.agent;
     }
-  return NULL;
+  return agent;
 }
 
 /* True if the first segment and all copies sent so far reached this balancer.
@@ -185,7 +198,7 @@
   open->tried[open->n_tried++] = agent->ip;
   open->current_ip = agent->ip;
   open->sent_us = now_us;
-  agent->placed++;
+  rgy_stream_balancer_note_placed_ (b, agent, now_us);
   rgy_stream_balancer_cache_flow_ (b, &open->key, agent->ip, RGY_FLOW_PLACED,
                                    now_us);
   record_caller_seq_ (b, open);
--- a/src/libragwortyoke/stream_balancer_packet.c
+++ b/src/libragwortyoke/stream_balancer_packet.c
@@ -205,6 +205,10 @@
       rgy_stream_balancer_handle_brief_report_ (b, &message.u.brief, from_ip,
                                                 now_us);
       return RGY_OK;
+    case RGY_STREAM_LOAD_REPORT:
+      rgy_stream_balancer_handle_load_report_ (b, &message.u.load, from_ip,
+                                               now_us);
+      return RGY_OK;
     case RGY_STREAM_OPEN_FLOWS:
       rgy_stream_balancer_handle_open_flows_ (b, &message.u.open_flows,
                                               from_ip, now_us);
@@ -229,7 +233,6 @@
     case RGY_STREAM_QUERY:
     case RGY_STREAM_FEATURES:
     case RGY_STREAM_FORMER_FLOWS:
-    case RGY_STREAM_LOAD_REPORT:
     case RGY_STREAM_TERMS_QUERY:
     case RGY_STREAM_TERMS:
     case RGY_STREAM_MESSAGE_KIND_COUNT:
--- a/src/libragwortyoke/stream_balancer_place.c
+++ b/src/libragwortyoke/stream_balancer_place.c
@@ -36,8 +36,9 @@
 
 static void
 add_candidate_ (struct rgy_stream_balancer *b, struct rgy_known_agent *agent,
-                const struct rgy_preference *preference)
+                const struct rgy_preference *preference, int64_t now_us)
 {
+  const struct rgy_known_load *load = &agent->load;
   struct rgy_candidate candidate
       = { .slots = agent->report.slots,
           .flows = agent->report.open_flows + agent->placed,
@@ -47,8 +48,18 @@
           = rgy_name_equal (&agent->report.domain, &b->settings.domain),
           .preferred
           = rgy_preference_has (preference, agent->domain_hash, agent->ip),
-          .tie_breaker = rgy_preference_rank (preference, agent->ip) };
+          .tie_breaker = rgy_preference_rank (preference, agent->ip),
+          .has_load = rgy_known_agent_has_load_ (agent, now_us),
+          .slowness = load->slowness,
+          .distrust = 1 - rgy_known_agent_get_trust_ (agent, now_us) };
 
+  if (candidate.has_load)
+    {
+      candidate.requests
+          = rgy_stream_balancer_expect_requests_ (b, agent, now_us);
+      candidate.run_us = load->run_us;
+      candidate.failed_share = load->failed_permille / 1000.0;
+    }
   g_array_append_val (b->candidates, candidate);
   g_ptr_array_add (b->candidate_agents, agent);
 }
@@ -63,6 +74,7 @@
   GHashTableIter iter;
   void *value;
 
+  rgy_stream_balancer_compare_runs_ (b, now_us);
   g_array_set_size (b->candidates, 0);
   g_ptr_array_set_size (b->candidate_agents, 0);
   rgy_stream_balancer_get_preferred_ (b, &open->key, tag, now_us, &preference);
@@ -73,7 +85,7 @@
 
       if (agent->tag == tag && (with_tried || !was_tried_ (open, agent->ip))
           && accepts_new_flows_ (b, agent, now_us))
-        add_candidate_ (b, agent, &preference);
+        add_candidate_ (b, agent, &preference, now_us);
     }
 }
 
@@ -83,18 +95,23 @@
   return (const struct rgy_candidate *)(const void *)b->candidates->data;
 }
 
-struct rgy_known_agent *
+struct rgy_agent_choice
 rgy_stream_balancer_choose_agent_of_service_ (
     struct rgy_stream_balancer *b, const struct rgy_pending_open *open,
-    uint32_t tag, int64_t now_us)
+    const struct rgy_route *route, uint32_t tag, int64_t now_us)
 {
-  size_t best;
+  struct rgy_agent_choice choice = { 0 };
 
   collect_candidates_ (b, open, tag, false, now_us);
-  best = rgy_placement_choose (get_candidates_ (b), b->candidates->len);
-  return best == b->candidates->len
-             ? NULL
-             : g_ptr_array_index (b->candidate_agents, best);
+  choice.placement = rgy_placement_choose_by_work (
+      get_candidates_ (b), b->candidates->len, route->terms.goal_us,
+      rgy_flow_key_hash (&open->key));
+  if (choice.placement.index == b->candidates->len)
+    return choice;
+  ++*b->n_placed[choice.placement.reason];
+  choice.agent
+      = g_ptr_array_index (b->candidate_agents, choice.placement.index);
+  return choice;
 }
 
 struct rgy_known_agent *
@@ -103,25 +120,23 @@
     const struct rgy_route *route, int64_t now_us)
 {
   struct rgy_known_agent *least = NULL;
-  double least_load = 0;
+  double least_cost = 0;
   size_t i;
-  guint k;
 
   for (i = 0; i < route->n_targets; i++)
     {
+      size_t best;
+      double cost;
+
       if (route->targets[i].weight == 0)
         continue;
       collect_candidates_ (b, open, route->targets[i].tag, true, now_us);
-      for (k = 0; k < b->candidates->len; k++)
-        {
-          const struct rgy_candidate *candidate = &get_candidates_ (b)[k];
-          double load = (double)candidate->flows / MAX (candidate->slots, 1);
-
-          if (least != NULL && load >= least_load)
-            continue;
-          least = g_ptr_array_index (b->candidate_agents, k);
-          least_load = load;
-        }
+      best = rgy_placement_find_least_loaded (get_candidates_ (b),
+                                              b->candidates->len, &cost);
+      if (best == b->candidates->len || (least != NULL && cost >= least_cost))
+        continue;
+      least = g_ptr_array_index (b->candidate_agents, best);
+      least_cost = cost;
     }
   return least;
 }
--- a/src/libragwortyoke/stream_message.c
+++ b/src/libragwortyoke/stream_message.c
@@ -227,7 +227,7 @@
 static void
 pack_load_report_ (msgpack_packer *pk, const struct rgy_stream_load_report *r)
 {
-  msgpack_pack_array (pk, 9);
+  msgpack_pack_array (pk, 12);
   msgpack_pack_uint8 (pk, RGY_STREAM_LOAD_REPORT);
   msgpack_pack_uint64 (pk, r->brief.seq);
   msgpack_pack_uint64 (pk, r->brief.fingerprint);
@@ -237,6 +237,9 @@
   msgpack_pack_uint32 (pk, r->requests);
   msgpack_pack_uint32 (pk, r->wait_us);
   msgpack_pack_uint32 (pk, r->requests_per_s);
+  msgpack_pack_uint32 (pk, r->follow_ups_per_s);
+  msgpack_pack_uint32 (pk, r->failed_permille);
+  rgy_pack_bytes (pk, r->runs);
 }
 
 static void
@@ -408,6 +411,9 @@
   r->requests = (uint32_t)rgy_read_u64_max (reader, UINT32_MAX);
   r->wait_us = (uint32_t)rgy_read_u64_max (reader, UINT32_MAX);
   r->requests_per_s = (uint32_t)rgy_read_u64_max (reader, UINT32_MAX);
+  r->follow_ups_per_s = (uint32_t)rgy_read_u64_max (reader, UINT32_MAX);
+  r->failed_permille = (uint32_t)rgy_read_u64_max (reader, 1000);
+  r->runs = read_records_ (reader, RGY_ROUTE_RUN_BYTES, RGY_STREAM_MAX_RUNS);
 }
 
 static void
@@ -505,7 +511,7 @@
     [RGY_STREAM_QUERY] = 2,        [RGY_STREAM_ANSWER] = 2,
     [RGY_STREAM_BRIEF_REPORT] = 5, [RGY_STREAM_FEATURES] = 3,
     [RGY_STREAM_OPEN_FLOWS] = 5,   [RGY_STREAM_FORMER_FLOWS] = 5,
-    [RGY_STREAM_LOAD_REPORT] = 9,  [RGY_STREAM_TERMS_QUERY] = 2,
+    [RGY_STREAM_LOAD_REPORT] = 12, [RGY_STREAM_TERMS_QUERY] = 2,
     [RGY_STREAM_TERMS] = 3,
   };
   msgpack_zone zone;
