--- a/src/libragwortyoke/placement.c
+++ b/src/libragwortyoke/placement.c
@@ -38,10 +38,12 @@
 /* The same relative to the delay there when no server has room, since expected
    delays vary by about a quarter.  */
 #define DOMAIN_MARGIN_FACTOR 1.25
-/* Weight of the requests on each slot against the run time of the new one: at
-   low load faster servers are preferred, and before they are full the slower
-   ones are used.  */
-#define OCCUPANCY_WEIGHT 2.0
+/* Run times by which occupied slots count before requests wait: of a share U
+   of the slots U * U / (OCCUPANCY_POLE - U), as random arrivals wait, up to a
+   limit, so that a server that is several times slower stays the last
+   choice.  */
+#define OCCUPANCY_POLE 1.05
+#define OCCUPANCY_MAX_RUNS 3.0
 /* Weight of the flows on each slot, relative to their mean: while few requests
    come, flows are spread evenly, since each may bring more later.  */
 #define FLOWS_WEIGHT 0.25
@@ -255,6 +257,17 @@
   return reference;
 }
 
+/* Run times that a request is expected to take longer because of the requests
+   on the slots, of which a share of @p occupied is taken.  */
+static double
+get_occupancy_runs_ (double occupied)
+{
+  return occupied >= 1
+             ? OCCUPANCY_MAX_RUNS
+             : MIN (occupied * occupied / (OCCUPANCY_POLE - occupied),
+                    OCCUPANCY_MAX_RUNS);
+}
+
 /* Run time relative to the median.  Of a server without a known load only the
    latency is known, which includes waiting, so that the old rule holds.  */
 static double
@@ -298,7 +311,7 @@
 
   estimate.cost_us = (wait_us
                       + own_us
-                            * (1 + OCCUPANCY_WEIGHT * requests / slots
+                            * (1 + get_occupancy_runs_ (requests / slots)
                                + FLOWS_WEIGHT * candidate->flows / slots
                                      / reference->flows_per_slot))
                      / estimate.share;
--- a/src/libragwortyoke/stream_balancer_load.c
+++ b/src/libragwortyoke/stream_balancer_load.c
@@ -40,14 +40,17 @@
          && now_us - agent->load.at_us <= LOAD_EXPIRE_US;
 }
 
-/* Number of balancers that place new flows on the agent as this one does,
-   from their shares in its new flows.  */
+/* Number of balancers that place new flows on the agent as this one does, from
+   their shares in its new flows; of an agent without many of them all known
+   balancers.  */
 static double
 count_placing_balancers_ (const struct rgy_stream_balancer *b,
                           const struct rgy_known_load *load)
 {
-  return CLAMP ((load->all_flows + 1) / (load->own_flows + 1), 1,
-                b->peers->len + 1);
+  double balancers = b->peers->len + 1;
+
+  return CLAMP ((load->all_flows + balancers) / (load->own_flows + 1), 1,
+                balancers);
 }
 
 /* Returns the surge at NOW_US: this balancer's share of the backend server
