--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -186,11 +186,14 @@
   uint32_t failed_permille;
   size_t n_runs;
   struct rgy_known_run runs[RGY_STREAM_MAX_RUNS];
-  double slowness;  /**< Run time relative to the median of the service's
-                         backend servers, compared by route; 0 if none is
-                         known.  */
-  bool is_slow;     /**< Logged as slow.  */
-  uint32_t placed;  /**< New flows placed here since the report.  */
+  double slowness;      /**< Run time relative to the median of the service's
+                             backend servers, compared by route; 0 if none is
+                             known.  */
+  bool is_slow;         /**< Logged as slow.  */
+  uint32_t placed;      /**< New flows placed here since the report.  */
+  int64_t confirmed_us; /**< Time of the last report that states this load, or
+                             by being brief that it has hardly changed.  */
+  uint32_t placed_since_confirmed;
   double surge;     /**< Requests of these flows beyond what this balancer's
                          share of the backend server works off.  */
   int64_t surge_us; /**< Time at which @c surge was updated.  */
@@ -519,6 +522,9 @@
 /** True if the agent's load is known and not too old.  */
 bool rgy_known_agent_has_load_ (const struct rgy_known_agent *agent,
                                 int64_t now_us);
+/** Record that the agent's load is about as last reported.  */
+void rgy_known_agent_confirm_load_ (struct rgy_known_agent *agent,
+                                    int64_t now_us);
 /** Requests expected to wait or run at the agent's backend server, those of
     the new flows of all balancers included.  */
 double
--- a/src/libragwortyoke/stream_balancer_load.c
+++ b/src/libragwortyoke/stream_balancer_load.c
@@ -12,6 +12,9 @@
 /* Time for which the requests that follow on a new flow count as expected
    work; about the interval of reports.  */
 #define FOLLOW_UPS_US (400.0 * RGY_US_PER_MS)
+/* Requests of this balancer's new flows beyond the usual ones that random
+   arrivals explain half of.  */
+#define CHANCE_SURGE 3.0
 /* Interval between two comparisons of run times; half of the interval of
    reports.  */
 #define COMPARE_INTERVAL_US (200 * RGY_US_PER_MS)
@@ -80,27 +83,56 @@
 
   agent->placed++;
   load->placed++;
+  load->placed_since_confirmed++;
   load->surge = get_surge_ (b, agent, now_us) + 1
                 + follow_ups_per_flow * FOLLOW_UPS_US / RGY_US_PER_S;
   load->surge_us = now_us;
 }
 
+void
+rgy_known_agent_confirm_load_ (struct rgy_known_agent *agent, int64_t now_us)
+{
+  agent->load.confirmed_us = now_us;
+  agent->load.placed_since_confirmed = 0;
+  agent->load.surge = 0;
+  agent->load.surge_us = now_us;
+}
+
+/* Requests that the backend server works off since its last report, beyond
+   those of the new flows of all balancers.  */
+static double
+get_drained_ (const struct rgy_known_agent *agent, double balancers,
+              int64_t now_us)
+{
+  const struct rgy_known_load *load = &agent->load;
+  double done;
+
+  if (load->run_us == 0)
+    return 0;
+  done = (double)(now_us - load->confirmed_us) / load->run_us
+         * MAX (agent->report.slots, 1);
+  return MAX (done - balancers * load->placed_since_confirmed, 0);
+}
+
 double
 rgy_stream_balancer_expect_requests_ (const struct rgy_stream_balancer *b,
                                       const struct rgy_known_agent *agent,
                                       int64_t now_us)
 {
   const struct rgy_known_load *load = &agent->load;
+  double balancers = count_placing_balancers_ (b, load);
   double surge = get_surge_ (b, agent, now_us);
   double mean_running
       = MIN ((double)load->requests_per_s * load->run_us / RGY_US_PER_S,
              agent->report.slots);
+  double requests = MAX (
+      load->requests - get_drained_ (agent, balancers, now_us), mean_running);
 
-  /* A single flow beyond the usual ones says nothing of other balancers; more
-     of them show that the agent attracts flows, or a wave of demand, and other
+  /* A few flows beyond the usual ones say little of other balancers; more of
+     them show that the agent attracts flows, or a wave of demand, and other
      balancers have the same reports and callers.  */
-  return MAX (load->requests, mean_running) + MIN (surge, 1)
-         + MAX (surge - 1, 0) * count_placing_balancers_ (b, load);
+  return requests + surge
+         + (balancers - 1) * surge * surge / (surge + CHANCE_SURGE);
 }
 
 static void
@@ -161,8 +193,6 @@
       = MIN (report->follow_ups_per_s, report->requests_per_s);
   load->failed_permille = report->failed_permille;
   load->placed = 0;
-  load->surge = 0;
-  load->surge_us = now_us;
   take_over_runs_ (b, load, report->runs);
 }
 
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -602,7 +602,7 @@
   agent->report.latency_us = report->latency_us;
   agent->last_seen_us = now_us;
   agent->placed = 0;
-  agent->load.surge = 0;
+  rgy_known_agent_confirm_load_ (agent, now_us);
   acknowledge_report_ (b, agent,
                        agent->acked_config_us != b->config_changed_us, now_us);
   return true;
