--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -211,10 +211,10 @@
   int64_t slot_since_us; /* Time at which the request got a slot of the
                             backend server, if it was handed over before one
                             was free.  */
-  int64_t unanswered_since_us; /* Value of running_since_us of the last request
+  int64_t failed_run_us; /* Value of running_since_us of the last request
                                   that counted as failed.  */
-  bool has_requested;          /* A request came on the flow.  */
-  GPtrArray *held;             /* Segments of the waiting request, or NULL.  */
+  bool has_requested;    /* A request came on the flow.  */
+  GPtrArray *held;       /* Segments of the waiting request, or NULL.  */
   GList queue_link;
 };
 
@@ -264,6 +264,7 @@
   struct rgy_route_run routes[RGY_STREAM_MAX_RUNS]; /* Without runs while the
                                                        server is cold.  */
   unsigned runs_version; /* Changes with each notable change of @c routes.  */
+  unsigned failed_in_a_row; /* Failed requests since the last answer.  */
   bool is_failing;
   int64_t failing_until_us; /* 0 if the backend server has not failed.  */
   int64_t failing_for_us;
--- a/src/libragwortyoke/stream_agent_load.c
+++ b/src/libragwortyoke/stream_agent_load.c
@@ -27,6 +27,9 @@
 /* Failed requests from which on a backend server may count as failing; a
    single one may be the request's own fault.  */
 #define MIN_FAILED 2
+/* Failed requests without an answer in between that show a failing backend
+   server at once.  */
+#define FAILED_IN_A_ROW 3
 /* Time for which a failing backend server gets no new flows while others do
    not fail, at the first time and at most; doubled each time.  */
 #define FAILING_MIN_US RGY_US_PER_S
@@ -181,6 +184,7 @@
   if (stream->request_state != REQUEST_RUNNING)
     return;
   get_bucket_ (&agent->load)->answered++;
+  agent->load.failed_in_a_row = 0;
   agent->load.last_answer_us = now_us;
   note_free_slot_ (agent, now_us);
   run_us = MAX (now_us - MAX (stream->running_since_us, stream->slot_since_us),
@@ -190,6 +194,14 @@
     note_run_ (&agent->load, flow->key.u.segment.service, run_us, now_us);
 }
 
+static void
+note_failure_ (struct rgy_stream_agent *agent, struct rgy_agent_stream *stream)
+{
+  stream->failed_run_us = stream->running_since_us;
+  get_bucket_ (&agent->load)->failed++;
+  agent->load.failed_in_a_row++;
+}
+
 void
 rgy_stream_agent_note_reset_request_ (struct rgy_stream_agent *agent,
                                       struct rgy_agent_stream *stream,
@@ -199,10 +211,9 @@
     return;
   ++*agent->n_requests_reset;
   note_free_slot_ (agent, now_us);
-  if (stream->unanswered_since_us == stream->running_since_us)
+  if (stream->failed_run_us == stream->running_since_us)
     return;
-  stream->unanswered_since_us = stream->running_since_us;
-  get_bucket_ (&agent->load)->failed++;
+  note_failure_ (agent, stream);
 }
 
 static int64_t
@@ -233,11 +244,10 @@
       if (now_us - MAX (stream->running_since_us, stream->slot_since_us)
           < limit_us)
         return;
-      if (stream->unanswered_since_us == stream->running_since_us)
+      if (stream->failed_run_us == stream->running_since_us)
         continue;
-      stream->unanswered_since_us = stream->running_since_us;
       ++*agent->n_unanswered;
-      get_bucket_ (&agent->load)->failed++;
+      note_failure_ (agent, stream);
     }
 }
 
@@ -265,13 +275,15 @@
 {
   struct rgy_agent_load *load = &agent->load;
   struct rgy_load_bucket sum = sum_buckets_ (load);
-  bool fails = sum.failed >= MIN_FAILED && sum.failed >= sum.answered;
+  bool fails = load->failed_in_a_row >= FAILED_IN_A_ROW
+               || (sum.failed >= MIN_FAILED && sum.failed >= sum.answered);
 
   if (load->is_failing)
     {
       if (now_us < load->failing_until_us)
         return;
       load->is_failing = false;
+      load->failed_in_a_row = 0;
       load->failing_until_us = now_us;
       log_failing_ (agent, "backend_on_probation", &sum);
       return;
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -542,6 +542,7 @@
          was away.  */
       agent->listed = false;
       agent->excluded_until_us = 0;
+      agent->load = (struct rgy_known_load){ .is_slow = agent->load.is_slow };
     }
   if (is_first || previous_state != report->state
       || report->restarting != agent->report.restarting)
--- a/src/test_stream_message/test_stream_message.c
+++ b/src/test_stream_message/test_stream_message.c
@@ -26,6 +26,8 @@
     = { 10, 2, 0, 40, RGY_BACKEND_DRAINING | RGY_STREAM_AGENT_RESTARTING };
 static const uint8_t route_terms_[RGY_ROUTE_TERMS_BYTES]
     = { 198, 18, 0, 1, 1, 0xbb, 2, RGY_TERMS_KNOWN, 0, 0, 0, 250, 0, 0, 8, 0 };
+static const uint8_t route_run_[RGY_ROUTE_RUN_BYTES]
+    = { 198, 18, 0, 1, 1, 0xbb, 0, 0, 0x75, 0x30 };
 static const uint8_t ips_[8] = { 10, 1, 0, 10, 10, 2, 0, 40 };
 
 static struct rgy_stream_message
@@ -127,7 +129,10 @@
         .run_us = 30000,
         .requests = 5,
         .wait_us = 70000,
-        .requests_per_s = 60
+        .requests_per_s = 60,
+        .follow_ups_per_s = 50,
+        .failed_permille = 450,
+        .runs = { .data = route_run_, .len = sizeof route_run_ }
       };
       break;
     case RGY_STREAM_TERMS_QUERY:
--- a/src/test_stream_placement/test_stream_placement.c
+++ b/src/test_stream_placement/test_stream_placement.c
@@ -38,7 +38,9 @@
   uint32_t failed_permille;
   enum rgy_backend_state state;
   uint64_t backend_id;
+  uint64_t incarnation;
   uint64_t seq;
+  bool is_frozen; /* Neither reports nor answers.  */
   bool reports_load;
   int64_t reported_us;
   double reported_wait_us;
@@ -97,7 +99,7 @@
 {
   return (struct rgy_stream_message){
     .kind = RGY_STREAM_REPORT,
-    .u.report = { .incarnation = 1,
+    .u.report = { .incarnation = server->incarnation,
                   .seq = server->seq,
                   .service = rgy_name_from_c (server->service),
                   .domain = rgy_name_from_c (server->domain),
@@ -202,7 +204,7 @@
           server->requests = MAX (
               server->requests - STEP_US / server->run_us * server->slots, 0);
           server->arrived_per_s *= 1 - (double)STEP_US / RGY_US_PER_S;
-          if (is_report_due_ (f, server))
+          if (!server->is_frozen && is_report_due_ (f, server))
             report_ (f, server);
         }
       for (i = 0; i < f->n_balancers; i++)
@@ -248,6 +250,7 @@
                             .run_us = 20.0 * MS,
                             .state = RGY_BACKEND_READY,
                             .backend_id = 1,
+                            .incarnation = 1,
                             .reports_load = true,
                             .reported_us
                             = f->now_us - (int64_t)(i % 40) * STEP_US };
@@ -580,6 +583,49 @@
                     30);
 }
 
+/* Failure: the machine of the only server with free slots freezes.  Its load
+   is the best that balancers know, and must not draw flows for longer than the
+   agent counts as alive.  */
+static void
+frozen_agent_draws_no_flows_by_its_last_load_ (void **state)
+{
+  struct fixture_ *f = *state;
+  size_t i;
+
+  start_ (f, 2, 4, 0);
+  f->servers[0].is_frozen = true;
+  for (i = 1; i < 4; i++)
+    f->servers[i].requests = 40;
+  advance_time_ (f, 1600 * MS);
+  f->servers[0].chosen = 0;
+  for (i = 0; i < 50; i++)
+    assert_non_null (open_flow_ (f, i % 2));
+  assert_int_equal (f->servers[0].chosen, 0);
+}
+
+/* Failure: an agent restarts.  The load that the process before has reported
+   counts no longer; the next one may be of a version that reports none.  */
+static void
+load_of_an_earlier_agent_process_is_forgotten_ (void **state)
+{
+  struct fixture_ *f = *state;
+  size_t i;
+
+  start_ (f, 1, 4, 0);
+  f->servers[0].requests = 200;
+  f->servers[0].run_us = RGY_US_PER_S;
+  f->servers[0].failed_permille = 1000;
+  report_ (f, &f->servers[0]);
+  f->servers[0].incarnation++;
+  f->servers[0].reports_load = false;
+  f->servers[0].seq = 0;
+  report_ (f, &f->servers[0]);
+  f->servers[0].chosen = 0;
+  for (i = 0; i < 100; i++)
+    assert_non_null (open_flow_ (f, 0));
+  assert_true (f->servers[0].chosen > 100 / 4 / 2);
+}
+
 /* Load pattern: 600 servers of one service.  Those beyond the 512th got no
    flows.  */
 static void
@@ -612,6 +658,8 @@
     WITH_SERVERS (replaced_server_gets_its_share_at_once_),
     WITH_SERVERS (other_service_takes_flows_without_room_),
     WITH_SERVERS (agents_without_load_reports_are_placed_by_flows_),
+    WITH_SERVERS (frozen_agent_draws_no_flows_by_its_last_load_),
+    WITH_SERVERS (load_of_an_earlier_agent_process_is_forgotten_),
     WITH_SERVERS (every_agent_of_a_large_service_gets_flows_),
   };
 
