Name the test's states and counters as the linter asks

Cause: clang-tidy rejected names and a floating-point loop counter in two new tests.

Change: names and an integer counter.

--- a/src/test_stream_agent_load/test_stream_agent_load.c
+++ b/src/test_stream_agent_load/test_stream_agent_load.c
@@ -26,9 +26,9 @@
 
 enum backend_mode_
 {
-  ANSWERS_,
-  HANGS_,
-  RESETS_
+  BACKEND_ANSWERS,
+  BACKEND_HANGS,
+  BACKEND_RESETS
 };
 
 /* A request at the backend server.  */
@@ -253,10 +253,10 @@
 {
   guint i;
 
-  if (f->mode == RESETS_)
+  if (f->mode == BACKEND_RESETS)
     while (f->requests->len > 0)
       end_request_ (f, 0, RGY_SEGMENT_RST, 0);
-  if (f->mode == HANGS_)
+  if (f->mode == BACKEND_HANGS)
     return;
   for (i = 0; i < MIN (f->requests->len, SLOTS);)
     {
@@ -509,7 +509,7 @@
   struct fixture_ *f = *state;
 
   send_requests_ (f, SHORT_PORT, 50, 2 * RGY_US_PER_S);
-  f->mode = HANGS_;
+  f->mode = BACKEND_HANGS;
   send_requests_ (f, SHORT_PORT, 50, 200 * MS);
   /* Stalled: a request that arrives now waits long.  */
   assert_true (f->load.run_us >= 50 * MS);
@@ -520,7 +520,7 @@
       rgy_counters_get (f->counters, "stream_requests_unanswered_total", NULL)
       >= SLOTS);
   /* No flows come now, and the server answers again.  */
-  f->mode = ANSWERS_;
+  f->mode = BACKEND_ANSWERS;
   advance_time_ (f, 3 * RGY_US_PER_S);
   assert_in_range (f->load.failed_permille, 1, 499);
   advance_time_ (f, 4 * RGY_US_PER_S);
@@ -536,7 +536,7 @@
   unsigned logged;
 
   send_requests_ (f, SHORT_PORT, 50, RGY_US_PER_S);
-  f->mode = RESETS_;
+  f->mode = BACKEND_RESETS;
   send_requests_ (f, SHORT_PORT, 50, 200 * MS);
   assert_int_equal (f->load.failed_permille, 1000);
   send_requests_ (f, SHORT_PORT, 50, 20 * RGY_US_PER_S);
@@ -561,11 +561,11 @@
   send_request_ (f, &key);
   reset = make_segment_ (&key, RGY_SEGMENT_RST, 0);
   rgy_stream_agent_from_balancer (f->agent, &reset, BALANCER_IP, f->now_us);
-  f->mode = HANGS_;
+  f->mode = BACKEND_HANGS;
   key = open_flow_ (f, SHORT_PORT);
   send_request_ (f, &key);
   advance_time_ (f, 20 * MS);
-  f->mode = ANSWERS_;
+  f->mode = BACKEND_ANSWERS;
   g_array_set_size (f->requests, 0);
   send_requests_ (f, SHORT_PORT, 50, 2 * RGY_US_PER_S);
   assert_int_equal (f->load.failed_permille, 0);
@@ -586,10 +586,10 @@
           .slots = SLOTS };
 
   send_requests_ (f, SHORT_PORT, 50, RGY_US_PER_S);
-  f->mode = RESETS_;
+  f->mode = BACKEND_RESETS;
   send_requests_ (f, SHORT_PORT, 50, 200 * MS);
   assert_int_equal (f->load.failed_permille, 1000);
-  f->mode = ANSWERS_;
+  f->mode = BACKEND_ANSWERS;
   f->heartbeat_us = f->now_us + 10 * RGY_US_PER_S;
   rgy_stream_agent_heartbeat (f->agent, &heartbeat, f->now_us);
   advance_time_ (f, 500 * MS);
--- a/src/test_stream_placement/test_stream_placement.c
+++ b/src/test_stream_placement/test_stream_placement.c
@@ -312,11 +312,12 @@
 open_flows_ (struct fixture_ *f, unsigned flows_per_s, int64_t us)
 {
   int64_t until = f->now_us + us;
-  double due = 0;
+  int64_t due_us = 0; /* Flows that are due, times a second.  */
   unsigned left = 0;
 
   for (; f->now_us < until; advance_time_ (f, STEP_US))
-    for (due += (double)flows_per_s * STEP_US / RGY_US_PER_S; due >= 1; due--)
+    for (due_us += flows_per_s * STEP_US; due_us >= RGY_US_PER_S;
+         due_us -= RGY_US_PER_S)
       {
         const struct server_ *server
             = open_flow_ (f, f->flows % f->n_balancers);
