Avoid servers whose agents are silent, and measure runs of more than a second

Cause: the load of an agent that freezes was expected to drain, so that it drew flows until it no longer counted as alive. Requests that take longer than a second always counted as unanswered.

Change: a queue drains for one report interval; a server whose agent's report is overdue is avoided while others work. A late answer still gives the run time, and with long runs nothing counts as unanswered.

Result: two tests, seen to fail without each part.

--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -540,6 +540,9 @@
 void rgy_known_agent_note_state_ (struct rgy_known_agent *agent,
                                   const struct rgy_stream_report *report,
                                   int64_t now_us);
+/** True if the agent's next report is overdue.  */
+bool rgy_known_agent_is_silent_ (const struct rgy_known_agent *agent,
+                                 int64_t now_us);
 /** Share of its usual flows that a backend server gets after losses, 0 to
     1.  */
 double rgy_known_agent_get_trust_ (const struct rgy_known_agent *agent,
--- a/src/libragwortyoke/placement.c
+++ b/src/libragwortyoke/placement.c
@@ -221,8 +221,9 @@
 static bool
 fails_ (const struct rgy_candidate *candidate)
 {
-  return candidate->has_load
-         && candidate->failed_share >= AVOIDED_FAILED_SHARE;
+  return candidate->silent
+         || (candidate->has_load
+             && candidate->failed_share >= AVOIDED_FAILED_SHARE);
 }
 
 static struct reference_
--- a/src/libragwortyoke/stream_agent_load.c
+++ b/src/libragwortyoke/stream_agent_load.c
@@ -21,6 +21,9 @@
 #define UNANSWERED_RUNS 8
 #define UNANSWERED_MIN_US (500 * RGY_US_PER_MS)
 #define UNANSWERED_MAX_US (RUN_EXPIRE_US - 50 * RGY_US_PER_MS)
+/* Multiple of the longest mean run time up to which requests vary; when it
+   exceeds the upper bound, no request counts as unanswered.  */
+#define VARIED_RUNS 3
 /* Multiple of the longest mean run time without any answer after which a
    backend server whose slots are all taken counts as stalled.  */
 #define STALLED_RUNS 4
@@ -181,7 +184,10 @@
   const struct rgy_agent_stream *stream = flow->session;
   int64_t run_us;
 
-  if (stream->request_state != REQUEST_RUNNING)
+  /* An answer to a request that has expired still tells its run time.  */
+  if (stream->request_state != REQUEST_RUNNING
+      && (stream->request_state != REQUEST_NONE || stream->failed_run_us == 0
+          || stream->failed_run_us != stream->running_since_us))
     return;
   get_bucket_ (&agent->load)->answered++;
   agent->load.failed_in_a_row = 0;
@@ -236,6 +242,8 @@
                UNANSWERED_MIN_US, UNANSWERED_MAX_US);
   const GList *link;
 
+  if (get_longest_mean_us_ (&agent->load) * VARIED_RUNS > UNANSWERED_MAX_US)
+    return;
   for (link = agent->running.head; link != NULL; link = link->next)
     {
       const struct rgy_flow *flow = link->data;
--- a/src/libragwortyoke/stream_balancer_load.c
+++ b/src/libragwortyoke/stream_balancer_load.c
@@ -15,6 +15,14 @@
 /* Requests of this balancer's new flows beyond the usual ones that random
    arrivals explain half of.  */
 #define CHANCE_SURGE 3.0
+/* Time for which a reported queue is expected to drain.  Agents report every
+   400 ms and at once when their queue has halved; the queue of an agent that
+   is silent for longer may not drain at all.  */
+#define DRAIN_MAX_US (400 * RGY_US_PER_MS)
+/* Age of the last report from which on the next one is overdue, of agents of
+   the own failure domain, which report every 400 ms, and of others.  */
+#define SILENT_US (900 * RGY_US_PER_MS)
+#define DISTANT_SILENT_US (1400 * RGY_US_PER_MS)
 /* Interval between two comparisons of run times; half of the interval of
    reports.  */
 #define COMPARE_INTERVAL_US (200 * RGY_US_PER_MS)
@@ -109,7 +117,7 @@
 
   if (load->run_us == 0)
     return 0;
-  done = (double)(now_us - load->confirmed_us) / load->run_us
+  done = (double)MIN (now_us - load->confirmed_us, DRAIN_MAX_US) / load->run_us
          * MAX (agent->report.slots, 1);
   return MAX (done - balancers * load->placed_since_confirmed, 0);
 }
@@ -373,6 +381,14 @@
     }
 }
 
+bool
+rgy_known_agent_is_silent_ (const struct rgy_known_agent *agent,
+                            int64_t now_us)
+{
+  return now_us - agent->last_seen_us
+         > (agent->distant ? DISTANT_SILENT_US : SILENT_US);
+}
+
 double
 rgy_known_agent_get_trust_ (const struct rgy_known_agent *agent,
                             int64_t now_us)
--- a/src/libragwortyoke/stream_balancer_place.c
+++ b/src/libragwortyoke/stream_balancer_place.c
@@ -49,6 +49,7 @@
           .preferred
           = rgy_preference_has (preference, agent->domain_hash, agent->ip),
           .tie_breaker = rgy_preference_rank (preference, agent->ip),
+          .silent = rgy_known_agent_is_silent_ (agent, now_us),
           .has_load = rgy_known_agent_has_load_ (agent, now_us),
           .slowness = load->slowness,
           .distrust = 1 - rgy_known_agent_get_trust_ (agent, now_us) };
--- a/src/test_stream_agent_load/test_stream_agent_load.c
+++ b/src/test_stream_agent_load/test_stream_agent_load.c
@@ -572,6 +572,31 @@
   assert_int_equal (f->logged, 0);
 }
 
+/* A service whose requests take 1.5 s each.  They count as unanswered at most
+   until the first ones were measured.  */
+static void
+long_runs_are_no_failures_ (void **state)
+{
+  struct fixture_ *f = *state;
+  int round;
+
+  f->slow_factor = 15;
+  for (round = 0; round < 6; round++)
+    {
+      int i;
+
+      for (i = 0; i < SLOTS; i++)
+        {
+          struct rgy_flow_key key = open_flow_ (f, LONG_PORT);
+
+          send_request_ (f, &key);
+        }
+      advance_time_ (f, 2 * RGY_US_PER_S);
+    }
+  assert_int_equal (f->load.failed_permille, 0);
+  assert_in_range (f->logged, 0, 1);
+}
+
 /* The next backend server may have another speed and does not inherit the
    failures of the one before.  */
 static void
@@ -614,6 +639,7 @@
     WITH_AGENT (hanging_server_is_reported_),
     WITH_AGENT (resetting_server_is_avoided_for_longer_each_time_),
     WITH_AGENT (single_failure_is_not_reported_),
+    WITH_AGENT (long_runs_are_no_failures_),
     WITH_AGENT (next_backend_server_is_measured_anew_),
   };
 
--- a/src/test_stream_placement/test_stream_placement.c
+++ b/src/test_stream_placement/test_stream_placement.c
@@ -585,8 +585,9 @@
 }
 
 /* Failure: the machine of the only server with free slots freezes.  Its load
-   is the best that balancers know, and must not draw flows for longer than the
-   agent counts as alive.  */
+   is the best that balancers know.  Each flow that it draws is delayed by 80
+   ms, so they must be few when two reports are missing, and none when the
+   agent no longer counts as alive.  */
 static void
 frozen_agent_draws_no_flows_by_its_last_load_ (void **state)
 {
@@ -595,9 +596,17 @@
 
   start_ (f, 2, 4, 0);
   f->servers[0].is_frozen = true;
+  advance_time_ (f, 950 * MS);
   for (i = 1; i < 4; i++)
-    f->servers[i].requests = 40;
-  advance_time_ (f, 1600 * MS);
+    {
+      f->servers[i].requests = 8;
+      report_ (f, &f->servers[i]);
+    }
+  f->servers[0].chosen = 0;
+  for (i = 0; i < 50; i++)
+    assert_non_null (open_flow_ (f, i % 2));
+  assert_in_range (f->servers[0].chosen, 0, 5);
+  advance_time_ (f, 650 * MS);
   f->servers[0].chosen = 0;
   for (i = 0; i < 50; i++)
     assert_non_null (open_flow_ (f, i % 2));
