--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -543,6 +543,7 @@
          was away.  */
       agent->listed = false;
       agent->excluded_until_us = 0;
+      agent->load = (struct rgy_known_load){ .is_slow = agent->load.is_slow };
     }
   if (is_first || previous_state != report->state
       || report->restarting != agent->report.restarting)
@@ -559,6 +560,7 @@
           report->cold, report->open_flows,
           is_first ? 0 : (now_us - agent->last_seen_us) / RGY_US_PER_MS);
     }
+  rgy_known_agent_note_state_ (agent, report, now_us);
   agent->report = *report;
   agent->report.changes = (struct rgy_bytes){ 0 };
   agent->tag = rgy_service_tag (&report->service);
@@ -576,7 +578,7 @@
     send_features_ (b, agent, now_us);
 }
 
-void
+bool
 rgy_stream_balancer_handle_brief_report_ (
     struct rgy_stream_balancer *b,
     const struct rgy_stream_brief_report *report, uint32_t ip, int64_t now_us)
@@ -586,24 +588,26 @@
   if (agent == NULL)
     {
       request_report_ (b, ip);
-      return;
+      return false;
     }
   if (agent->tag == 0 || agent->fingerprint != report->fingerprint)
     {
       /* A full report was lost.  */
       if (now_us - agent->requested_us >= REPORT_CHECK_INTERVAL_US)
         request_report_of_ (b, agent, now_us);
-      return;
+      return false;
     }
   if (report->seq <= agent->report.seq)
-    return;
+    return false;
   agent->report.seq = report->seq;
   agent->report.open_flows = report->open_flows;
   agent->report.latency_us = report->latency_us;
   agent->last_seen_us = now_us;
   agent->placed = 0;
+  rgy_known_agent_confirm_load_ (agent, now_us);
   acknowledge_report_ (b, agent,
                        agent->acked_config_us != b->config_changed_us, now_us);
+  return true;
 }
 
 void
--- a/src/libragwortyoke/stream_balancer_open.c
+++ b/src/libragwortyoke/stream_balancer_open.c
@@ -4,82 +4,9 @@
 
 #include "ragwortyoke/clock.h"
 
-#define MAX_CANDIDATES 512
-
-static bool
-was_tried_ (const struct rgy_pending_open *open, uint32_t ip)
-{
-  size_t i;
-
-  for (i = 0; i < open->n_tried; i++)
-    if (open->tried[i] == ip)
-      return true;
-  return false;
-}
-
-/* True if the backend server can accept new flows as far as is known.  A
-   restarted agent learns the state only from the next heartbeat; until then
-   the state before the restart counts, if it is known, so that a draining
-   backend server gets no new flows.  */
-static bool
-is_backend_usable_ (const struct rgy_known_agent *agent)
-{
-  return agent->report.state == RGY_BACKEND_READY
-         || (agent->report.state == RGY_BACKEND_UNKNOWN && agent->tag != 0
-             && (agent->last_state == RGY_BACKEND_UNKNOWN
-                 || agent->last_state == RGY_BACKEND_READY));
-}
-
-static bool
-accepts_new_flows_ (const struct rgy_stream_balancer *b,
-                    const struct rgy_known_agent *agent, int64_t now_us)
-{
-  return rgy_known_agent_is_alive_ (agent, now_us)
-         && is_backend_usable_ (agent) && !agent->report.restarting
-         && agent->excluded_until_us <= now_us
-         && !rgy_domain_view_is_out (&b->view, &agent->report.domain);
-}
-
-/* Chooses the agent of one service that a new flow is offered to; NULL if none
-   is left.  */
-static struct rgy_known_agent *
-choose_agent_of_service_ (struct rgy_stream_balancer *b,
-                          const struct rgy_pending_open *open, uint32_t tag,
-                          int64_t now_us)
-{
-  struct rgy_candidate candidates[MAX_CANDIDATES];
-  struct rgy_known_agent *agents[MAX_CANDIDATES];
-  struct rgy_preference preference;
-  GHashTableIter iter;
-  void *value;
-  size_t n = 0;
-  size_t best;
-
-  rgy_stream_balancer_get_preferred_ (b, &open->key, tag, now_us, &preference);
-  g_hash_table_iter_init (&iter, b->agents);
-  while (g_hash_table_iter_next (&iter, NULL, &value) && n < MAX_CANDIDATES)
-    {
-      struct rgy_known_agent *agent = value;
-
-      if (agent->tag != tag || was_tried_ (open, agent->ip)
-          || !accepts_new_flows_ (b, agent, now_us))
-        continue;
-      candidates[n] = (struct rgy_candidate){
-        .slots = agent->report.slots,
-        .flows = agent->report.open_flows + agent->placed,
-        .latency_us = agent->report.latency_us,
-        .cold = agent->report.cold,
-        .same_domain
-        = rgy_name_equal (&agent->report.domain, &b->settings.domain),
-        .preferred
-        = rgy_preference_has (&preference, agent->domain_hash, agent->ip),
-        .tie_breaker = rgy_preference_rank (&preference, agent->ip)
-      };
-      agents[n++] = agent;
-    }
-  best = rgy_placement_choose (candidates, n);
-  return best == n ? NULL : agents[best];
-}
+/* Latency goal of a route that states none, for the decision whether its first
+   service has room.  */
+#define DEFAULT_GOAL_US INT64_C (200000)
 
 /* True if an agent of the service may soon be ready: it has just started, is
    restarting, or is unresponsive and not yet declared dead.  */
@@ -125,13 +52,20 @@
                const struct rgy_route *route, int64_t now_us)
 {
   size_t first = rgy_route_choose (route, rgy_flow_key_hash (&open->key));
-  struct rgy_known_agent *agent
-      = choose_agent_of_service_ (b, open, route->targets[first].tag, now_us);
+  struct rgy_agent_choice choice
+      = rgy_stream_balancer_choose_agent_of_service_ (
+          b, open, route, route->targets[first].tag, now_us);
+  bool is_full = choice.agent != NULL && choice.placement.has_load
+                 && choice.placement.delay_us > (route->terms.goal_us > 0
+                                                     ? route->terms.goal_us
+                                                     : DEFAULT_GOAL_US);
+  struct rgy_known_agent *agent = choice.agent;
   size_t i;
 
-  if (agent != NULL
-      || (now_us - open->began_us < OTHER_SERVICE_WAIT_US
-          && service_may_recover_ (b, route->targets[first].tag, now_us)))
+  if (!is_full
+      && (agent != NULL
+          || (now_us - open->began_us < OTHER_SERVICE_WAIT_US
+              && service_may_recover_ (b, route->targets[first].tag, now_us))))
     return agent;
   for (i = 1; i < route->n_targets; i++)
     {
@@ -140,11 +74,15 @@
 
       if (target->weight == 0)
         continue;
-      agent = choose_agent_of_service_ (b, open, target->tag, now_us);
-      if (agent != NULL)
-        return agent;
+      choice = rgy_stream_balancer_choose_agent_of_service_ (
+          b, open, route, target->tag, now_us);
+      if (choice.agent == NULL || (is_full && !choice.placement.has_room))
+        continue;
+      if (is_full)
+        ++*b->n_other_service;
+      return choice.agent;
     }
-  return NULL;
+  return agent;
 }
 
 /* True if the first segment and all copies sent so far reached this balancer.
@@ -225,19 +163,6 @@
   return NULL;
 }
 
-/* Chooses the agent for the last offer of a flow that others have refused
-   under overload, also among those.  */
-static struct rgy_known_agent *
-choose_last_agent_ (struct rgy_stream_balancer *b,
-                    const struct rgy_pending_open *open,
-                    const struct rgy_route *route, int64_t now_us)
-{
-  struct rgy_pending_open untried = *open;
-
-  untried.n_tried = 0;
-  return choose_agent_ (b, &untried, route, now_us);
-}
-
 /* Chooses the agent for the next offer, which may be the last one.  */
 static struct rgy_known_agent *
 choose_next_agent_ (struct rgy_stream_balancer *b,
@@ -253,7 +178,8 @@
     return agent;
   open->is_last_offer = true;
   ++*b->n_last_offers;
-  return choose_last_agent_ (b, open, route, now_us);
+  return rgy_stream_balancer_choose_least_loaded_agent_ (b, open, route,
+                                                         now_us);
 }
 
 static void
@@ -262,11 +188,12 @@
 {
   if (open->n_tried > 0)
     ++*b->n_retries;
-  if (!was_tried_ (open, agent->ip) && open->n_tried < MAX_TRIED_AGENTS)
+  if (!rgy_pending_open_was_tried_ (open, agent->ip)
+      && open->n_tried < MAX_TRIED_AGENTS)
     open->tried[open->n_tried++] = agent->ip;
   open->current_ip = agent->ip;
   open->sent_us = now_us;
-  agent->placed++;
+  rgy_stream_balancer_note_placed_ (b, agent, now_us);
   rgy_stream_balancer_cache_flow_ (b, &open->key, agent->ip, RGY_FLOW_PLACED,
                                    now_us);
   record_caller_seq_ (b, open);
