Return one header of a response from the HTTP client

Cause: the store states in a header of each answer how often it has returned from an older copy, and the client threw all headers away.

Change: the client records the value of one header, chosen by its user; two of them in one response give a value with a comma, which no number has. The server can send one more header, for the stand-ins.

Test: header_is_that_of_the_response_ in test_http_client, passed.

--- a/include/ragwortyoke-io/http.h
+++ b/include/ragwortyoke-io/http.h
@@ -37,7 +37,9 @@
 {
   unsigned status;
   const char *content_type; /**< Static text, or NULL.  */
-  char *body; /**< The server frees it with g_free(); may be NULL.  */
+  char *header; /**< One more header, "NAME: VALUE"; the server frees it with
+                     g_free(); may be NULL.  */
+  char *body;   /**< The server frees it with g_free(); may be NULL.  */
 };
 
 /** Callback that answers one request.  */
--- a/include/ragwortyoke-io/http_client.h
+++ b/include/ragwortyoke-io/http_client.h
@@ -34,6 +34,17 @@
 struct rgy_http_client *rgy_http_client_new (uv_loop_t *loop,
                                              struct rgy_endpoint server);
 
+/** Record the values of a header of the responses.
+    @param name  a static string.  */
+void rgy_http_client_record_header (struct rgy_http_client *client,
+                                    const char *name);
+
+/** Value of the recorded header in the response that the callback receives;
+    empty if the response has none, the values with commas between them if it
+    has several.  Valid during the callback.  */
+struct rgy_str
+rgy_http_client_get_header (const struct rgy_http_client *client);
+
 /** Cancel the call in progress without its callback,
     and close the connection.  */
 void rgy_http_client_delete (struct rgy_http_client *client);
--- a/src/libragwortyoke-io/http.c
+++ b/src/libragwortyoke-io/http.c
@@ -126,12 +126,15 @@
   g_free (write);
 }
 
-/* Writes a response.  Takes ownership of BODY, which may be NULL.  */
+/* Writes a response.  Takes ownership of its body and header.  */
 static void
-send_response_ (struct connection_ *c, unsigned status,
-                const char *content_type, char *body,
+send_response_ (struct connection_ *c,
+                const struct rgy_http_response *response,
                 bool close_after_response)
 {
+  unsigned status = response->status;
+  const char *content_type = response->content_type;
+  char *body = response->body;
   GString *text = g_string_new (NULL);
   struct response_write_ *write = g_new0 (struct response_write_, 1);
   size_t len = body == NULL ? 0 : strlen (body);
@@ -143,6 +146,8 @@
     g_string_append_printf (text, "Content-Length: %zu\r\n", len);
   if (content_type != NULL)
     g_string_append_printf (text, "Content-Type: %s\r\n", content_type);
+  if (response->header != NULL)
+    g_string_append_printf (text, "%s\r\n", response->header);
   if (status == HTTP_STATUS_UNAUTHORIZED)
     g_string_append (text, "WWW-Authenticate: Bearer\r\n");
   if (close_after_response)
@@ -151,6 +156,7 @@
   if (body != NULL)
     g_string_append_len (text, body, (gssize)len);
   g_free (body);
+  g_free (response->header);
   buf.len = text->len;
   write->connection = c;
   write->close_after_response = close_after_response;
@@ -169,11 +175,14 @@
 static void
 send_too_large_ (struct connection_ *c)
 {
-  send_response_ (
-      c, HTTP_STATUS_PAYLOAD_TOO_LARGE, "text/plain; charset=utf-8",
-      g_strdup_printf ("request body: at most %d bytes are allowed\n",
-                       RGY_HTTP_MAX_BODY_BYTES),
-      true);
+  struct rgy_http_response response = {
+    .status = HTTP_STATUS_PAYLOAD_TOO_LARGE,
+    .content_type = "text/plain; charset=utf-8",
+    .body = g_strdup_printf ("request body: at most %d bytes are allowed\n",
+                             RGY_HTTP_MAX_BODY_BYTES),
+  };
+
+  send_response_ (c, &response, true);
 }
 
 /* Parsing of requests.  */
@@ -317,8 +326,7 @@
   c->http->handle (&request, &response, c->http->ctx);
   if (request.query != NULL)
     g_hash_table_unref (request.query);
-  send_response_ (c, response.status, response.content_type, response.body,
-                  close_after_response);
+  send_response_ (c, &response, close_after_response);
   return 0;
 }
 
@@ -336,6 +344,7 @@
 on_read_ (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
   struct connection_ *c = stream->data;
+  struct rgy_http_response response = { 0 };
   size_t used;
 
   if (n < 0)
@@ -354,11 +363,12 @@
                               (size_t)n);
   if (used == (size_t)n || c->close_after_response || c->closing)
     return;
-  send_response_ (c, HTTP_STATUS_BAD_REQUEST, "text/plain; charset=utf-8",
-                  g_strdup_printf (
-                      "malformed request: %s\n",
-                      http_errno_description (HTTP_PARSER_ERRNO (&c->parser))),
-                  true);
+  response.status = HTTP_STATUS_BAD_REQUEST;
+  response.content_type = "text/plain; charset=utf-8";
+  response.body = g_strdup_printf (
+      "malformed request: %s\n",
+      http_errno_description (HTTP_PARSER_ERRNO (&c->parser)));
+  send_response_ (c, &response, true);
 }
 
 static void
--- a/src/libragwortyoke-io/http_client.c
+++ b/src/libragwortyoke-io/http_client.c
@@ -26,6 +26,9 @@
   struct rgy_http_client *client; /* NULL once the client has closed it.  */
   http_parser parser;
   GByteArray *body;
+  GString *header_name;  /* Of the header that is being read.  */
+  GString *header_value; /* Values of the recorded header.  */
+  bool in_header_value;
   bool connected;
 };
 
@@ -36,7 +39,9 @@
   struct connection_ *connection;
   uv_timer_t *timer;
   GString *request;
-  rgy_http_client_fn fn; /* NULL: no call in progress.  */
+  const char *recorded_header; /* Name; NULL: none is recorded.  */
+  GString *header_value;       /* Its value in the last response.  */
+  rgy_http_client_fn fn;       /* NULL: no call in progress.  */
   void *ctx;
 };
 
@@ -52,6 +57,8 @@
   struct connection_ *c = handle->data;
 
   g_byte_array_unref (c->body);
+  g_string_free (c->header_name, TRUE);
+  g_string_free (c->header_value, TRUE);
   g_free (c);
 }
 
@@ -78,13 +85,45 @@
 
   uv_timer_stop (client->timer);
   if (outcome != RGY_OK)
-    close_connection_ (client);
+    {
+      close_connection_ (client);
+      g_string_truncate (client->header_value, 0);
+    }
   if (fn == NULL)
     return;
   client->fn = NULL;
   fn (outcome, status, body, client->ctx);
 }
 
+static int
+on_header_field_ (http_parser *parser, const char *at, size_t len)
+{
+  struct connection_ *c = parser->data;
+
+  if (c->in_header_value)
+    g_string_truncate (c->header_name, 0);
+  c->in_header_value = false;
+  g_string_append_len (c->header_name, at, (gssize)len);
+  return 0;
+}
+
+static int
+on_header_value_ (http_parser *parser, const char *at, size_t len)
+{
+  struct connection_ *c = parser->data;
+
+  if (c->client != NULL && c->client->recorded_header != NULL
+      && g_ascii_strcasecmp (c->header_name->str, c->client->recorded_header)
+             == 0)
+    {
+      if (!c->in_header_value && c->header_value->len > 0)
+        g_string_append_c (c->header_value, ',');
+      g_string_append_len (c->header_value, at, (gssize)len);
+    }
+  c->in_header_value = true;
+  return 0;
+}
+
 static int
 on_body_ (http_parser *parser, const char *at, size_t len)
 {
@@ -106,6 +145,8 @@
   if (client == NULL || client->fn == NULL)
     return -1;
   c->body = g_byte_array_new ();
+  g_string_assign (client->header_value, c->header_value->str);
+  g_string_truncate (c->header_value, 0);
   if (!http_should_keep_alive (parser))
     close_connection_ (client);
   finish_call_ (client, RGY_OK, parser->status_code,
@@ -115,6 +156,8 @@
 }
 
 static const http_parser_settings parser_settings_ = {
+  .on_header_field = on_header_field_,
+  .on_header_value = on_header_value_,
   .on_body = on_body_,
   .on_message_complete = on_message_complete_,
 };
@@ -222,6 +265,8 @@
 
   c->client = client;
   c->body = g_byte_array_new ();
+  c->header_name = g_string_new (NULL);
+  c->header_value = g_string_new (NULL);
   c->connect.data = c;
   http_parser_init (&c->parser, HTTP_RESPONSE);
   c->parser.data = c;
@@ -247,6 +292,7 @@
 
   client->loop = loop;
   client->server = server;
+  client->header_value = g_string_new (NULL);
   client->timer = g_new0 (uv_timer_t, 1);
   uv_timer_init (loop, client->timer);
   client->timer->data = client;
@@ -268,9 +314,24 @@
   uv_close ((uv_handle_t *)client->timer, free_timer_);
   if (client->request != NULL)
     g_string_free (client->request, TRUE);
+  g_string_free (client->header_value, TRUE);
   g_free (client);
 }
 
+void
+rgy_http_client_record_header (struct rgy_http_client *client,
+                               const char *name)
+{
+  client->recorded_header = name;
+}
+
+struct rgy_str
+rgy_http_client_get_header (const struct rgy_http_client *client)
+{
+  return (struct rgy_str){ .data = client->header_value->str,
+                           .len = client->header_value->len };
+}
+
 void
 rgy_http_client_cancel (struct rgy_http_client *client)
 {
--- a/src/test_http_client/test_http_client.c
+++ b/src/test_http_client/test_http_client.c
@@ -27,6 +27,7 @@
   enum rgy_outcome outcome;
   unsigned status;
   char *body;
+  char *header;           /* Recorded header of the last response.  */
   unsigned chained_calls; /* Number of calls that the callback still starts. */
 };
 
@@ -40,6 +41,11 @@
   response->status = 200;
   if (strcmp (request->path, "/large") == 0)
     response->body = g_strnfill (LARGE_BYTES, 'x');
+  else if (strcmp (request->path, "/age") == 0)
+    response->header = g_strdup ("Store-AGE: 17");
+  else if (strcmp (request->path, "/ages") == 0)
+    response->header = g_strdup ("Store-Age: 17\r\nStore-Ages: 9\r\n"
+                                 "Store-Age: 18");
   else if (strcmp (request->path, "/echo") == 0)
     response->body
         = g_strndup ((const char *)request->body.data, request->body.len);
@@ -73,6 +79,7 @@
   uv_run (&f->loop, UV_RUN_DEFAULT);
   rc = uv_loop_close (&f->loop);
   g_free (f->body);
+  g_free (f->header);
   g_free (f);
   return rc;
 }
@@ -90,6 +97,9 @@
   f->status = status;
   g_free (f->body);
   f->body = g_strndup ((const char *)body.data, body.len);
+  g_free (f->header);
+  f->header = g_strndup (rgy_http_client_get_header (f->client).data,
+                         rgy_http_client_get_header (f->client).len);
   if (f->chained_calls > 0)
     {
       f->chained_calls--;
@@ -150,6 +160,24 @@
   assert_int_equal (f->calls, 8);
 }
 
+/* The header of one response must not be taken for that of the next one on the
+   connection, and one that comes twice must not be taken for a single one.  */
+static void
+header_is_that_of_the_response_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  rgy_http_client_record_header (f->client, "Store-Age");
+  call_and_wait_ (f, "GET", "/age", "");
+  assert_string_equal (f->header, "17");
+  call_and_wait_ (f, "POST", "/echo", "one");
+  assert_string_equal (f->header, "");
+  call_and_wait_ (f, "GET", "/ages", "");
+  assert_string_equal (f->header, "17,18");
+  call_and_wait_ (f, "GET", "/absent", "");
+  assert_string_equal (f->header, "");
+}
+
 /* A refused connection must be reported as an outcome, and the client must
    connect again once the server is back.  */
 static void
@@ -263,6 +291,7 @@
   const struct CMUnitTest tests[] = {
     WITH_SERVER (large_response_is_complete_),
     WITH_SERVER (consecutive_calls_get_their_responses_),
+    WITH_SERVER (header_is_that_of_the_response_),
     WITH_SERVER (refused_connection_is_reported_),
     WITH_SERVER (silent_server_ends_the_call_at_its_timeout_),
     WITH_SERVER (cancelled_call_leaves_the_client_usable_),
