Compare views and manifests by epoch and revision

Cause: a store that returns from an older copy gives its revisions out again. Balancers and agents compared views of the failure domains by the revision alone and manifests by the version alone: after a return they followed nothing new until the numbers had passed the old ones, and what the copy lacked would have counted as withdrawn.

Change: struct rgy_store_position holds epoch and revision and is compared as one. domain_view.c merges received views: a later epoch wins, names that only the copy lacks are kept until the view settles, and processes tell each other the kept names. stream_balancer_manifest.c, split off stream_balancer.c, chooses the manifest: one of the copy that is older waits until it stands, one that was written after the return and is older applies after 1.5 s. The epoch travels as the last name of a view, which earlier versions take for a failure domain without members and pass on, so that both decode each other.

The adapter does not state epochs yet.

--- a/include/ragwortyoke/stream_action.h
+++ b/include/ragwortyoke/stream_action.h
@@ -60,6 +60,9 @@
                          number of the reset.  */
     } reset;
     struct rgy_bytes message;
+    uint32_t manifest_epoch; /**< Epoch in which the manifest that
+                                  RGY_STREAM_FETCH_MANIFEST requests is known
+                                to stand.  */
     struct rgy_bytes stored; /**< What RGY_STREAM_SAVE_FLOWS writes.  */
     const char *log;
   } u;
--- a/include/ragwortyoke/stream_balancer.h
+++ b/include/ragwortyoke/stream_balancer.h
@@ -50,12 +50,45 @@
                                   struct rgy_stream_manifest *manifest,
                                   int64_t now_us);
 
+/** Where a manifest comes from.  */
+struct rgy_manifest_origin
+{
+  enum
+  {
+    RGY_MANIFEST_STORED,   /**< The store holds it; it may be of the copy from
+                                which the store has returned.  */
+    RGY_MANIFEST_WRITTEN,  /**< It was written to the store in this epoch.  */
+    RGY_MANIFEST_STANDING, /**< The store holds it, and operators have had the
+                                time to write it again in this epoch.  */
+    RGY_MANIFEST_PEER      /**< Active at another balancer, for which it was
+                              standing      in this epoch.  */
+  } source;
+  uint32_t epoch; /**< Epoch of the store in which the manifest stands; 0 if
+                       none is known.  */
+};
+
+/**
+ * Receive a manifest from the store or from another balancer.  One of a later
+ * epoch that is older than the active one becomes active only when it stands
+ * there, or has been written there 1.5 s ago.  The balancer takes ownership of
+ * @p manifest in any case.
+ *
+ * @return RGY_OK, or RGY_ERR_STALE if the manifest has not become active.
+ */
+enum rgy_outcome rgy_stream_balancer_receive_manifest (
+    struct rgy_stream_balancer *balancer, struct rgy_stream_manifest *manifest,
+    struct rgy_manifest_origin origin, int64_t now_us);
+
+/** Text of the active manifest, owned by it; empty before the first one.  */
+struct rgy_str rgy_stream_balancer_get_manifest_text (
+    const struct rgy_stream_balancer *balancer);
+
 /** Version of the active manifest; 0 before the first one.  */
 uint64_t
 rgy_stream_balancer_get_version (const struct rgy_stream_balancer *balancer);
 
 /** Set the failure domains that are out of service.  A view with an older
-    revision is ignored.  */
+    position is ignored.  */
 void rgy_stream_balancer_set_domain_view (struct rgy_stream_balancer *balancer,
                                           const struct rgy_domain_view *view,
                                           int64_t now_us);
--- a/include/ragwortyoke/stream_manifest.h
+++ b/include/ragwortyoke/stream_manifest.h
@@ -79,6 +79,13 @@
 uint64_t
 rgy_stream_manifest_get_version (const struct rgy_stream_manifest *manifest);
 
+/** Attach a copy of the text from which the manifest was decoded.  */
+void rgy_stream_manifest_set_text (struct rgy_stream_manifest *manifest,
+                                   struct rgy_str text);
+/** @return the text, owned by the manifest; empty if none was attached.  */
+struct rgy_str
+rgy_stream_manifest_get_text (const struct rgy_stream_manifest *manifest);
+
 /** @return the route of an address, owned by the manifest, or NULL.  */
 const struct rgy_route *
 rgy_stream_manifest_find (const struct rgy_stream_manifest *manifest,
--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -12,6 +12,7 @@
 
 #include "ragwortyoke/outcome.h"
 #include "ragwortyoke/segment.h"
+#include "ragwortyoke/store_position.h"
 #include "ragwortyoke/str.h"
 #include "ragwortyoke/stream_manifest.h"
 
@@ -94,13 +95,25 @@
 /** Failure domains that operators have taken out of service.  */
 struct rgy_domain_view
 {
-  uint64_t revision; /**< Revision of the store at which the view was read.  */
+  uint32_t epoch; /**< Epoch and revision of the store at which the view was
+                       read.  */
+  uint64_t revision;
+  bool settled; /**< Operators have had the time to write again what a return
+                     of the store to this epoch has lost.  */
   size_t n_out;
+  size_t n_kept; /**< Number of names at the end of @c out that the store does
+                      not list in this epoch and that are kept until the view
+                      is settled.  */
   struct rgy_name out[RGY_STREAM_MAX_DOMAINS];
 };
 
+struct rgy_store_position
+rgy_domain_view_get_position (const struct rgy_domain_view *view);
 bool rgy_domain_view_is_out (const struct rgy_domain_view *view,
                              const struct rgy_name *domain);
+/** True if both views name the same failure domains, in any order.  */
+bool rgy_domain_view_has_same_names (const struct rgy_domain_view *a,
+                                     const struct rgy_domain_view *b);
 
 /** An agent's report on its backend server; sent periodically and at each
     change.  */
@@ -270,6 +283,8 @@
 {
   uint64_t incarnation;
   uint64_t manifest_version;
+  uint32_t manifest_epoch; /**< Last epoch of the store in which the manifest
+                                is known to stand; 0 if none.  */
   bool wants_reply; /**< The receiver must answer with its own status; sent by
                          a starting balancer.  */
   bool settled;     /**< The sender knows all agents.  */
--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -14,6 +14,7 @@
 
 #include <glib.h>
 
+#include "private/domain_view.h"
 #include "private/stream_traffic.h"
 #include "ragwortyoke/clock.h"
 #include "ragwortyoke/stream_agent.h"
@@ -305,6 +306,7 @@
                      answer.  */
 
   struct rgy_domain_view view;
+  struct rgy_domain_view_times view_times;
   uint32_t cold_rate_milli;
   int64_t last_sweep_us;
   int64_t idle_timeout_us; /* Longest idle timeout that a balancer has sent; 0
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -9,11 +9,14 @@
  * flows that this balancer has not cached), stream_balancer_query.c (queries
  * to agents), stream_balancer_packet.c (cached flows, segments and messages),
  * stream_balancer_member.c (agents and other balancers),
- * stream_balancer_keep.c (open flows of the own failure domain).
+ * stream_balancer_keep.c (open flows of the own failure domain),
+ * stream_balancer_manifest.c (choice of the active manifest).
  */
 
 #include <glib.h>
+#include <inttypes.h>
 
+#include "private/domain_view.h"
 #include "private/stream_traffic.h"
 #include "ragwortyoke/placement.h"
 #include "ragwortyoke/stream_balancer.h"
@@ -293,7 +296,20 @@
                                                       routes that the active
                                                       manifest lacks count as
                                                       removed.  */
+  uint32_t manifest_epoch;  /**< Last epoch of the store in which the active
+                                 manifest is known to stand; 0 if none.  */
+  uint32_t read_epoch;      /**< Last epoch in which this balancer has read a
+                                 manifest from the store itself.  */
+  uint64_t highest_version; /**< Highest version that was active.  */
+  struct
+  {
+    struct rgy_stream_manifest *manifest; /**< NULL if none waits.  */
+    uint32_t epoch;
+    int64_t apply_us; /**< Time at which it becomes active.  */
+  } waiting; /**< Manifest that an operator has written after the return of the
+                  store and that is older than the active one.  */
   struct rgy_domain_view view;
+  struct rgy_domain_view_times view_times;
   struct rgy_flow_table *flows; /**< Sessions are struct rgy_cached_flow.  */
   GHashTable *agents;           /**< Address to struct rgy_known_agent,
                                      owned.  */
@@ -362,6 +378,16 @@
     balancer is probably partitioned from them.  */
 bool rgy_stream_balancer_is_partitioned_ (const struct rgy_stream_balancer *b,
                                           int64_t now_us);
+/** Activate the manifest that waits when that is due.  */
+void
+rgy_stream_balancer_apply_waiting_manifest_ (struct rgy_stream_balancer *b,
+                                             int64_t now_us);
+/** Compare the active manifest with that of another balancer.
+    @param epoch  last epoch in which the other one is known to stand.
+    @return true if the other one replaces the active one.  */
+bool rgy_stream_balancer_check_peer_manifest_ (struct rgy_stream_balancer *b,
+                                               uint32_t epoch,
+                                               uint64_t version);
 /** True if the balancer can be assumed to know all agents.  */
 bool rgy_stream_balancer_is_settled_ (const struct rgy_stream_balancer *b,
                                       int64_t now_us);
--- a/src/libragwortyoke/stream_agent_report.c
+++ b/src/libragwortyoke/stream_agent_report.c
@@ -1,5 +1,7 @@
 #include "private/stream_agent_private.h"
 
+#include <inttypes.h>
+
 static struct rgy_agent_balancer *
 find_balancer_ (const struct rgy_stream_agent *agent, uint32_t ip)
 {
@@ -393,14 +395,33 @@
   return DISTANT_REPORT_INTERVAL_US;
 }
 
+/* Logs that the view has taken the own failure domain out of service or put it
+   back.  */
+static void
+log_own_domain_ (const struct rgy_stream_agent *agent, bool was_out)
+{
+  bool is_out = rgy_domain_view_is_out (&agent->view, &agent->settings.domain);
+
+  if (was_out != is_out)
+    rgy_stream_emit_log (&agent->settings.out,
+                         "domain_%s domain=%s revision=%" G_GUINT64_FORMAT
+                         " epoch=%" PRIu32,
+                         is_out ? "out" : "in", agent->settings.domain.data,
+                         agent->view.revision, agent->view.epoch);
+}
+
 void
 rgy_stream_agent_send_due_reports_ (struct rgy_stream_agent *agent,
                                     int64_t now_us)
 {
   uint64_t fingerprint = get_fingerprint_ (agent, now_us);
+  bool was_out
+      = rgy_domain_view_is_out (&agent->view, &agent->settings.domain);
   bool has_near = false;
   guint i;
 
+  if (rgy_domain_view_settle (&agent->view, &agent->view_times, now_us))
+    log_own_domain_ (agent, was_out);
   for (i = 0; i < agent->balancers->len;)
     {
       struct rgy_agent_balancer *b
@@ -453,25 +474,16 @@
                     int64_t now_us)
 {
   struct rgy_agent_balancer *b = find_balancer_ (agent, from_ip);
+  bool was_out;
   size_t i;
 
   if (b == NULL || ack->agent_incarnation != agent->settings.incarnation)
     return;
   b->last_ack_us = now_us;
-  if (ack->view.revision > agent->view.revision)
-    {
-      bool was_out
-          = rgy_domain_view_is_out (&agent->view, &agent->settings.domain);
-      bool is_out
-          = rgy_domain_view_is_out (&ack->view, &agent->settings.domain);
-
-      if (was_out != is_out)
-        rgy_stream_emit_log (&agent->settings.out,
-                             "domain_%s domain=%s revision=%" G_GUINT64_FORMAT,
-                             is_out ? "out" : "in",
-                             agent->settings.domain.data, ack->view.revision);
-      agent->view = ack->view;
-    }
+  was_out = rgy_domain_view_is_out (&agent->view, &agent->settings.domain);
+  (void)rgy_domain_view_merge (&agent->view, &agent->view_times, &ack->view,
+                               now_us);
+  log_own_domain_ (agent, was_out);
   agent->cold_rate_milli = ack->cold_rate_milli;
   agent->idle_timeout_us
       = MAX (agent->idle_timeout_us, ack->idle_timeout_ms * RGY_US_PER_MS);
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -1,8 +1,6 @@
 #include "private/flow_keeper.h"
 #include "private/stream_balancer_private.h"
 
-#include <string.h>
-
 #include "ragwortyoke/clock.h"
 
 static void
@@ -119,52 +117,24 @@
   g_array_unref (b->peers);
   rgy_stream_manifest_delete (b->previous_manifest);
   rgy_stream_manifest_delete (b->manifest);
+  rgy_stream_manifest_delete (b->waiting.manifest);
   g_free (b);
 }
 
-enum rgy_outcome
-rgy_stream_balancer_set_manifest (struct rgy_stream_balancer *b,
-                                  struct rgy_stream_manifest *manifest,
-                                  int64_t now_us)
+/* Tells agents and other balancers that the view names other failure domains
+   than before.  */
+static void
+announce_view_ (struct rgy_stream_balancer *b, int64_t now_us)
 {
-  uint64_t version = rgy_stream_manifest_get_version (manifest);
-
-  if (b->manifest != NULL && version <= rgy_stream_balancer_get_version (b))
-    {
-      rgy_stream_manifest_delete (manifest);
-      return RGY_ERR_STALE;
-    }
-  rgy_stream_emit_log (&b->settings.out,
-                       "manifest_applied version=%" G_GUINT64_FORMAT
-                       " before=%" G_GUINT64_FORMAT,
-                       version, rgy_stream_balancer_get_version (b));
-  rgy_stream_manifest_delete (b->previous_manifest);
-  b->previous_manifest = b->manifest;
-  b->manifest = manifest;
   b->config_changed_us = now_us;
+  rgy_stream_emit_log (&b->settings.out,
+                       "domains_out count=%zu first=%s revision="
+                       "%" G_GUINT64_FORMAT " epoch=%" PRIu32 " kept=%zu",
+                       b->view.n_out,
+                       b->view.n_out > 0 ? b->view.out[0].data : "-",
+                       b->view.revision, b->view.epoch, b->view.n_kept);
   rgy_stream_balancer_send_status_ (b, false, now_us);
-  if (b->previous_manifest == NULL)
-    {
-      rgy_stream_balancer_retry_opens_ (b, now_us);
-      rgy_stream_balancer_advance_lookups_ (b, now_us);
-    }
-  return RGY_OK;
-}
-
-uint64_t
-rgy_stream_balancer_get_version (const struct rgy_stream_balancer *b)
-{
-  return b->manifest == NULL ? 0
-                             : rgy_stream_manifest_get_version (b->manifest);
-}
-
-const struct rgy_route *
-rgy_stream_balancer_find_route_ (const struct rgy_stream_balancer *b,
-                                 const struct rgy_flow_key *key)
-{
-  return b->manifest == NULL
-             ? NULL
-             : rgy_stream_manifest_find (b->manifest, key->u.segment.service);
+  rgy_stream_balancer_request_reports_ (b, now_us);
 }
 
 void
@@ -172,23 +142,8 @@
                                      const struct rgy_domain_view *view,
                                      int64_t now_us)
 {
-  bool is_unchanged
-      = view->n_out == b->view.n_out
-        && memcmp (view->out, b->view.out, view->n_out * sizeof view->out[0])
-               == 0;
-
-  if (view->revision <= b->view.revision)
-    return;
-  b->view = *view;
-  if (is_unchanged)
-    return;
-  b->config_changed_us = now_us;
-  rgy_stream_emit_log (
-      &b->settings.out,
-      "domains_out count=%zu first=%s revision=%" G_GUINT64_FORMAT,
-      view->n_out, view->n_out > 0 ? view->out[0].data : "-", view->revision);
-  rgy_stream_balancer_send_status_ (b, false, now_us);
-  rgy_stream_balancer_request_reports_ (b, now_us);
+  if (rgy_domain_view_merge (&b->view, &b->view_times, view, now_us))
+    announce_view_ (b, now_us);
 }
 
 struct rgy_known_agent *
@@ -337,6 +292,9 @@
   rgy_stream_balancer_expire_members_ (b, now_us);
   rgy_stream_balancer_request_due_reports_ (b, now_us);
   rgy_stream_balancer_save_flows_ (b, now_us);
+  if (rgy_domain_view_settle (&b->view, &b->view_times, now_us))
+    announce_view_ (b, now_us);
+  rgy_stream_balancer_apply_waiting_manifest_ (b, now_us);
   status_interval_us
       = b->manifest != NULL && rgy_stream_balancer_is_settled_ (b, now_us)
             ? QUIET_STATUS_INTERVAL_US
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -103,6 +103,7 @@
           .u.status
           = { .incarnation = b->settings.incarnation,
               .manifest_version = rgy_stream_balancer_get_version (b),
+              .manifest_epoch = b->manifest_epoch,
               .wants_reply = wants_reply,
               .settled = rgy_stream_balancer_is_settled_ (b, now_us),
               .view = b->view,
@@ -275,10 +276,13 @@
   if (status->wants_reply)
     send_status_to_ (b, ip, false, true, now_us);
   rgy_stream_balancer_set_domain_view (b, &status->view, now_us);
-  if (status->manifest_version > rgy_stream_balancer_get_version (b))
+  if (rgy_stream_balancer_check_peer_manifest_ (b, status->manifest_epoch,
+                                                status->manifest_version))
     {
       struct rgy_stream_action action
-          = { .kind = RGY_STREAM_FETCH_MANIFEST, .ip = ip };
+          = { .kind = RGY_STREAM_FETCH_MANIFEST,
+              .ip = ip,
+              .u.manifest_epoch = status->manifest_epoch };
 
       b->settings.out.emit (b->settings.out.ctx, &action);
     }
--- a/src/libragwortyoke/stream_manifest.c
+++ b/src/libragwortyoke/stream_manifest.c
@@ -10,6 +10,7 @@
   uint32_t idle_timeout_ms;
   GHashTable *routes; /* Packed endpoint to struct rgy_route, both owned.  */
   GArray *services;   /* Entries are struct rgy_stream_service.  */
+  GString *text;      /* NULL: none.  */
 };
 
 struct rgy_stream_manifest *
@@ -33,6 +34,8 @@
     return;
   g_hash_table_unref (manifest->routes);
   g_array_unref (manifest->services);
+  if (manifest->text != NULL)
+    g_string_free (manifest->text, TRUE);
   g_free (manifest);
 }
 
@@ -79,6 +82,24 @@
   return manifest->version;
 }
 
+void
+rgy_stream_manifest_set_text (struct rgy_stream_manifest *manifest,
+                              struct rgy_str text)
+{
+  if (manifest->text != NULL)
+    g_string_free (manifest->text, TRUE);
+  manifest->text = g_string_new_len (text.data, (gssize)text.len);
+}
+
+struct rgy_str
+rgy_stream_manifest_get_text (const struct rgy_stream_manifest *manifest)
+{
+  return manifest->text == NULL
+             ? (struct rgy_str){ 0 }
+             : (struct rgy_str){ .data = manifest->text->str,
+                                 .len = manifest->text->len };
+}
+
 const struct rgy_route *
 rgy_stream_manifest_find (const struct rgy_stream_manifest *manifest,
                           struct rgy_endpoint address)
--- a/src/libragwortyoke/stream_message.c
+++ b/src/libragwortyoke/stream_message.c
@@ -1,11 +1,18 @@
 #include "ragwortyoke/stream_message.h"
 
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "private/msgpack_io.h"
 #include "ragwortyoke/bytes.h"
 #include "ragwortyoke/clock.h"
 
+/* Begin of the name that holds the epoch of a view.  No failure domain begins
+   with a period.  */
+#define EPOCH_NAME_PREFIX ".epoch-"
+#define EPOCH_NAME_NUMBERS 5
+
 const char *const rgy_backend_state_string[] = {
   [RGY_BACKEND_UNKNOWN] = "unknown",   [RGY_BACKEND_READY] = "ready",
   [RGY_BACKEND_DRAINING] = "draining", [RGY_BACKEND_UNRESPONSIVE] = "silent",
@@ -59,18 +66,6 @@
   return rgy_name_hash (domain, 0);
 }
 
-bool
-rgy_domain_view_is_out (const struct rgy_domain_view *view,
-                        const struct rgy_name *domain)
-{
-  size_t i;
-
-  for (i = 0; i < view->n_out; i++)
-    if (rgy_name_equal (&view->out[i], domain))
-      return true;
-  return false;
-}
-
 void
 rgy_route_address_encode (struct rgy_endpoint address, uint8_t *out)
 {
@@ -148,15 +143,42 @@
       (struct rgy_bytes){ .data = bytes, .len = sizeof bytes }, 0);
 }
 
+/* Formats the name that holds the epoch of a view and of the sender's
+   manifest.  */
+static struct rgy_name
+make_epoch_name_ (const struct rgy_domain_view *view,
+                  struct rgy_store_position manifest)
+{
+  struct rgy_name name = { 0 };
+
+  name.len = (uint8_t)g_snprintf (
+      name.data, sizeof name.data,
+      EPOCH_NAME_PREFIX "%" PRIu32 "-%u-%zu-%" PRIu32 "-%" PRIu64, view->epoch,
+      (unsigned)view->settled, view->n_kept, manifest.epoch,
+      manifest.revision);
+  return name;
+}
+
+/* Packs a view.  Its epoch is the last name: earlier versions take it for a
+   failure domain without members, and pass it on.
+   @param manifest  epoch and version of the sender's manifest; 0 in a message
+                    that names none.  */
 static void
-pack_domain_view_ (msgpack_packer *pk, const struct rgy_domain_view *view)
+pack_domain_view_ (msgpack_packer *pk, const struct rgy_domain_view *view,
+                   struct rgy_store_position manifest)
 {
+  bool has_epoch = view->epoch != 0 || manifest.epoch != 0;
+  struct rgy_name epoch;
   size_t i;
 
-  msgpack_pack_array (pk, view->n_out + 1);
+  msgpack_pack_array (pk, 1 + view->n_out + has_epoch);
   msgpack_pack_uint64 (pk, view->revision);
   for (i = 0; i < view->n_out; i++)
     rgy_pack_name (pk, &view->out[i]);
+  if (!has_epoch)
+    return;
+  epoch = make_epoch_name_ (view, manifest);
+  rgy_pack_name (pk, &epoch);
 }
 
 static void
@@ -191,7 +213,7 @@
   msgpack_pack_uint64 (pk, a->agent_incarnation);
   msgpack_pack_uint64 (pk, a->seq);
   msgpack_pack_uint64 (pk, a->changes_upto);
-  pack_domain_view_ (pk, &a->view);
+  pack_domain_view_ (pk, &a->view, (struct rgy_store_position){ 0 });
   msgpack_pack_uint32 (pk, a->cold_rate_milli);
   msgpack_pack_uint32 (pk, a->idle_timeout_ms);
   rgy_pack_bytes (pk, a->balancers);
@@ -206,7 +228,10 @@
   msgpack_pack_uint64 (pk, s->manifest_version);
   rgy_pack_bool (pk, s->wants_reply);
   rgy_pack_bool (pk, s->settled);
-  pack_domain_view_ (pk, &s->view);
+  pack_domain_view_ (
+      pk, &s->view,
+      (struct rgy_store_position){ .epoch = s->manifest_epoch,
+                                   .revision = s->manifest_version });
   msgpack_pack_uint64 (pk, s->balancers_hash);
   rgy_pack_bytes (pk, s->balancers);
   rgy_pack_bytes (pk, s->agents);
@@ -349,11 +374,43 @@
   return bytes;
 }
 
+/* Reads the epoch from the name that pack_domain_view_() has added.  Returns
+   false if NAME is another one.  */
+static bool
+read_epoch_name_ (const struct rgy_name *name, struct rgy_domain_view *view,
+                  struct rgy_store_position *manifest)
+{
+  struct rgy_domain_view read = { 0 };
+  struct rgy_store_position position = { 0 };
+  struct rgy_name again;
+  unsigned settled = 0;
+
+  if (sscanf (name->data,
+              EPOCH_NAME_PREFIX "%" SCNu32 "-%1u-%zu-%" SCNu32 "-%" SCNu64,
+              &read.epoch, &settled, &read.n_kept, &position.epoch,
+              &position.revision)
+      != EPOCH_NAME_NUMBERS)
+    return false;
+  read.settled = settled != 0;
+  again = make_epoch_name_ (&read, position);
+  if ((read.epoch == 0 && position.epoch == 0)
+      || !rgy_name_equal (name, &again))
+    return false;
+  view->epoch = read.epoch;
+  view->settled = read.settled;
+  view->n_kept = read.n_kept;
+  *manifest = position;
+  return true;
+}
+
+/* Reads a view.
+   @param manifest  receives the sender's manifest; 0 if none is named.  */
 static void
-read_domain_view_ (struct rgy_reader *reader, struct rgy_domain_view *view)
+read_domain_view_ (struct rgy_reader *reader, struct rgy_domain_view *view,
+                   struct rgy_store_position *manifest)
 {
   struct rgy_reader items
-      = rgy_read_array_of (reader, 1, RGY_STREAM_MAX_DOMAINS + 1);
+      = rgy_read_array_of (reader, 1, RGY_STREAM_MAX_DOMAINS + 2);
   size_t i;
 
   if (!rgy_reader_is_ok (&items))
@@ -362,9 +419,20 @@
       return;
     }
   view->revision = rgy_read_u64 (&items);
-  view->n_out = items.count - 1;
-  for (i = 0; i < view->n_out; i++)
-    rgy_read_name (&items, &view->out[i]);
+  for (i = 1; i < items.count; i++)
+    {
+      struct rgy_name name = { 0 };
+
+      rgy_read_name (&items, &name);
+      if (i + 1 == items.count && read_epoch_name_ (&name, view, manifest))
+        break;
+      if (view->n_out == RGY_STREAM_MAX_DOMAINS)
+        rgy_reader_fail (&items, RGY_ERR_INVALID);
+      else
+        view->out[view->n_out++] = name;
+    }
+  if (view->n_kept > view->n_out)
+    rgy_reader_fail (&items, RGY_ERR_INVALID);
   rgy_reader_fail (reader, items.outcome);
 }
 
@@ -423,12 +491,14 @@
 static void
 read_report_ack_ (struct rgy_reader *reader, struct rgy_stream_report_ack *a)
 {
+  struct rgy_store_position manifest = { 0 };
+
   a->balancer_incarnation = rgy_read_u64 (reader);
   a->balancer_domain = rgy_read_u64 (reader);
   a->agent_incarnation = rgy_read_u64 (reader);
   a->seq = rgy_read_u64 (reader);
   a->changes_upto = rgy_read_u64 (reader);
-  read_domain_view_ (reader, &a->view);
+  read_domain_view_ (reader, &a->view, &manifest);
   a->cold_rate_milli = (uint32_t)rgy_read_u64_max (reader, UINT32_MAX);
   a->idle_timeout_ms = (uint32_t)rgy_read_u64_max (reader, UINT32_MAX);
   a->balancers
@@ -451,11 +521,16 @@
 static void
 read_status_ (struct rgy_reader *reader, struct rgy_stream_status *s)
 {
+  struct rgy_store_position manifest = { 0 };
+
   s->incarnation = rgy_read_u64 (reader);
   s->manifest_version = rgy_read_u64 (reader);
   s->wants_reply = rgy_read_bool (reader);
   s->settled = rgy_read_bool (reader);
-  read_domain_view_ (reader, &s->view);
+  read_domain_view_ (reader, &s->view, &manifest);
+  /* An earlier version passes on the epoch of another sender's manifest.  */
+  if (manifest.revision == s->manifest_version)
+    s->manifest_epoch = manifest.epoch;
   s->balancers_hash = rgy_read_u64 (reader);
   s->balancers
       = read_records_ (reader, RGY_STREAM_IP_BYTES, RGY_STREAM_MAX_BALANCERS);
--- a/src/test_stream_message/test_stream_message.c
+++ b/src/test_stream_message/test_stream_message.c
@@ -282,6 +282,95 @@
   assert_false (rgy_domain_view_is_out (&view, &in));
 }
 
+static struct rgy_stream_message
+encode_and_decode_ (const struct rgy_stream_message *message)
+{
+  GByteArray *bytes = g_byte_array_new ();
+  struct rgy_stream_message decoded;
+
+  rgy_stream_message_encode (message, bytes);
+  assert_int_equal (
+      rgy_stream_message_decode (
+          (struct rgy_bytes){ .data = bytes->data, .len = bytes->len },
+          &decoded),
+      RGY_OK);
+  g_byte_array_unref (bytes);
+  return decoded;
+}
+
+/* An earlier version takes the epoch of a view for one more failure domain,
+   and passes it on as such.  The epoch of its own manifest is then unknown. */
+static void
+epoch_passes_through_earlier_versions_ (void **state)
+{
+  struct rgy_stream_message message = make_sample_ (RGY_STREAM_STATUS);
+  struct rgy_domain_view *view = &message.u.status.view;
+  struct rgy_stream_message decoded;
+  struct rgy_stream_message passed_on;
+
+  (void)state;
+  view->epoch = UINT32_MAX;
+  view->settled = true;
+  view->out[view->n_out++] = rgy_name_from_c ("poa-c");
+  view->n_kept = 1;
+  message.u.status.manifest_epoch = UINT32_MAX;
+  message.u.status.manifest_version = UINT64_MAX;
+  decoded = encode_and_decode_ (&message);
+  assert_int_equal (decoded.u.status.view.epoch, UINT32_MAX);
+  assert_int_equal (decoded.u.status.view.revision, 77);
+  assert_true (decoded.u.status.view.settled);
+  assert_int_equal (decoded.u.status.view.n_kept, 1);
+  assert_int_equal (decoded.u.status.manifest_epoch, UINT32_MAX);
+  assert_true (rgy_domain_view_has_same_names (view, &decoded.u.status.view));
+  passed_on = message;
+  passed_on.u.status.manifest_version = 8;
+  passed_on.u.status.manifest_epoch = 0;
+  passed_on.u.status.view.epoch = 0;
+  passed_on.u.status.view.out[passed_on.u.status.view.n_out++]
+      = rgy_name_from_c (".epoch-3-0-1-3-9");
+  decoded = encode_and_decode_ (&passed_on);
+  assert_int_equal (decoded.u.status.view.epoch, 3);
+  assert_int_equal (decoded.u.status.view.n_out, 2);
+  assert_int_equal (decoded.u.status.view.n_kept, 1);
+  assert_int_equal (decoded.u.status.manifest_epoch, 0);
+}
+
+/* Names that only begin like an epoch are failure domains.  */
+static void
+odd_epochs_are_names_ (void **state)
+{
+  static const char *const names[] = {
+    ".epoch-",           ".epoch-0-0-0-0-0",  ".epoch-01-0-0-0-0",
+    ".epoch-2-2-0-0-0",  ".epoch--2-0-0-0-0", ".epoch-4294967296-0-0-0-0",
+    ".epoch-2-0-0-0-0.", ".epoch-2-0-0-0",    ".epoch-2-0--1-0-0"
+  };
+  size_t i;
+
+  (void)state;
+  for (i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      struct rgy_stream_message message = make_sample_ (RGY_STREAM_STATUS);
+      struct rgy_domain_view *view = &message.u.status.view;
+
+      view->out[view->n_out++] = rgy_name_from_c (names[i]);
+      message = encode_and_decode_ (&message);
+      assert_int_equal (view->epoch, 0);
+      assert_int_equal (view->n_out, 2);
+    }
+}
+
+/* More kept names than names would be read past the list.  */
+static void
+too_many_kept_names_are_rejected_ (void **state)
+{
+  struct rgy_stream_message message = make_sample_ (RGY_STREAM_STATUS);
+
+  (void)state;
+  message.u.status.view.epoch = 2;
+  message.u.status.view.n_kept = 2;
+  assert_rejected_ (&message);
+}
+
 /* Returns the encoded message with element INDEX replaced by ODD.  */
 static GByteArray *
 replace_element_ (const GByteArray *bytes, size_t index, const GString *odd)
@@ -434,6 +523,9 @@
     cmocka_unit_test (unknown_answers_and_states_are_rejected_),
     cmocka_unit_test (messages_with_an_odd_field_are_rejected_),
     cmocka_unit_test (view_contains_only_its_domains_),
+    cmocka_unit_test (epoch_passes_through_earlier_versions_),
+    cmocka_unit_test (odd_epochs_are_names_),
+    cmocka_unit_test (too_many_kept_names_are_rejected_),
     cmocka_unit_test (route_terms_survive_encoding_),
     cmocka_unit_test (fingerprint_covers_all_facts_),
   };
