--- a/include/ragwortyoke/stream_balancer.h
+++ b/include/ragwortyoke/stream_balancer.h
@@ -93,6 +93,11 @@
                                           const struct rgy_domain_view *view,
                                           int64_t now_us);
 
+/** True if the balancer follows an order to take @p domain out of service.  */
+bool
+rgy_stream_balancer_is_domain_out (const struct rgy_stream_balancer *balancer,
+                                   const struct rgy_name *domain);
+
 /** Add another balancer that was found in the store or the settings.  */
 void rgy_stream_balancer_add_peer (struct rgy_stream_balancer *balancer,
                                    uint32_t ip, int64_t now_us);
--- a/src/libragwortyoke/stream_balancer.c
+++ b/src/libragwortyoke/stream_balancer.c
@@ -146,6 +146,13 @@
     announce_view_ (b, now_us);
 }
 
+bool
+rgy_stream_balancer_is_domain_out (const struct rgy_stream_balancer *b,
+                                   const struct rgy_name *domain)
+{
+  return rgy_domain_view_is_out (&b->view, domain);
+}
+
 struct rgy_known_agent *
 rgy_stream_balancer_find_agent_ (const struct rgy_stream_balancer *b,
                                  uint32_t ip)
--- a/src/test_platform_outage/test_platform_outage.c
+++ b/src/test_platform_outage/test_platform_outage.c
@@ -77,13 +77,15 @@
 }
 
 static void
-on_manifest_ (void *ctx, struct rgy_bytes json)
+on_manifest_ (void *ctx, struct rgy_bytes json,
+              struct rgy_manifest_origin origin)
 {
   struct run_ *run = ctx;
   char *text = g_strndup ((const char *)json.data, json.len);
   guint64 number = g_ascii_strtoull (text, NULL, 10);
   guint64 i;
 
+  (void)origin;
   /* A newer manifest replaces the earlier ones.  */
   for (i = 0; i <= number && i < MAX_CHANGES; i++)
     if (run->applied_ms[i] == 0)
--- a/src/test_platform_store/test_platform_store.c
+++ b/src/test_platform_store/test_platform_store.c
@@ -138,10 +138,12 @@
 }
 
 static void
-on_manifest_ (void *ctx, struct rgy_bytes json)
+on_manifest_ (void *ctx, struct rgy_bytes json,
+              struct rgy_manifest_origin origin)
 {
   struct fixture_ *f = ctx;
 
+  (void)origin;
   assert_int_equal (json.len, 2);
   if (++f->manifests == f->stop_after_manifests)
     uv_stop (&f->loop);
--- a/src/test_platform_store_answer/test_platform_store_answer.c
+++ b/src/test_platform_store_answer/test_platform_store_answer.c
@@ -54,10 +54,12 @@
 }
 
 static void
-on_manifest_ (void *ctx, struct rgy_bytes json)
+on_manifest_ (void *ctx, struct rgy_bytes json,
+              struct rgy_manifest_origin origin)
 {
   struct fixture_ *f = ctx;
 
+  (void)origin;
   f->manifests += json.len == 1 && json.data[0] == '7';
 }
 
