Play seeded runs of returns of the store on the balancer and its client

Cause: the directed tests play one return at a time.

Change: random_returns_keep_the_orders_ plays 32 worlds of two processes beside each other, with bursts of returns, copies, lost answers, a silent port, late answers, restarts and orders, and checks that no process goes back, that orders are followed in time, that all agree in the end and that no lease of another process is used. changes_are_read_after_a_return_ in test_platform_outage ends 32 outages with a return.

--- a/src/test_platform_outage/test_platform_outage.c
+++ b/src/test_platform_outage/test_platform_outage.c
@@ -39,7 +39,10 @@
   unsigned first_ms;    /* First change of the manifest after the begin.  */
   unsigned interval_ms; /* Time between changes.  */
   unsigned n_changes;
-  bool forgets; /* The store forgets its history in the outage.  */
+  bool forgets;        /* The store forgets its history in the outage.  */
+  unsigned rewrite_ms; /* The store returns from a copy of the begin of the
+                          outage, and the operator writes again what was lost
+                          this time after its end; 0: it loses nothing.  */
   uint32_t seed;
 };
 
@@ -55,6 +58,7 @@
   uv_timer_t begin;
   uv_timer_t end;
   uv_timer_t change;
+  uv_timer_t rewrite;
   uint64_t began_ms;
   uint64_t ended_ms;
   unsigned n_written;
@@ -118,12 +122,32 @@
   return false;
 }
 
+/* Writes the newest manifest again.  */
+static void
+on_rewrite_ (uv_timer_t *timer)
+{
+  struct run_ *run = timer->data;
+  unsigned i;
+
+  run->n_written--;
+  for (i = 0; i < run->n_written; i++)
+    if (run->applied_ms[i] == 0)
+      run->written_ms[i] = uv_now (run->loop);
+  write_change_ (run);
+}
+
 static void
 on_end_ (uv_timer_t *timer)
 {
   struct run_ *run = timer->data;
 
   standin_platform_store_lose_answers (run->standin, 0);
+  if (run->scenario->rewrite_ms != 0)
+    {
+      standin_platform_store_return (run->standin);
+      uv_timer_start (&run->rewrite, on_rewrite_, run->scenario->rewrite_ms,
+                      0);
+    }
   run->ended_ms = uv_now (run->loop);
   run->domain_written_ms = uv_now (run->loop);
   standin_platform_store_put (run->standin, DOMAIN_KEY, "e30=");
@@ -149,6 +173,8 @@
   standin_platform_store_lose_answers (run->standin, s->lost_share);
   if (s->forgets)
     standin_platform_store_compact (run->standin);
+  if (s->rewrite_ms != 0)
+    standin_platform_store_copy (run->standin);
   uv_timer_start (&run->end, on_end_, s->length_ms, 0);
   uv_timer_start (&run->change, on_change_, s->first_ms, s->interval_ms);
 }
@@ -184,7 +210,11 @@
   settings.rejections = run->rejections;
   run->standin = standin_platform_store_new (loop, scenario->seed);
   settings.address.port = standin_platform_store_get_port (run->standin);
+  if (scenario->rewrite_ms != 0)
+    standin_platform_store_set_era (run->standin, 1);
   run->client = rgy_platform_store_watch (loop, &settings, &events);
+  uv_timer_init (loop, &run->rewrite);
+  run->rewrite.data = run;
   uv_timer_init (loop, &run->begin);
   uv_timer_init (loop, &run->end);
   uv_timer_init (loop, &run->change);
@@ -235,6 +265,7 @@
   uv_close ((uv_handle_t *)&run->begin, NULL);
   uv_close ((uv_handle_t *)&run->end, NULL);
   uv_close ((uv_handle_t *)&run->change, NULL);
+  uv_close ((uv_handle_t *)&run->rewrite, NULL);
   rgy_rejections_delete (run->rejections);
   rgy_counters_delete (run->counters);
 }
@@ -368,6 +399,34 @@
   assert_int_equal (play_ (scenarios, G_N_ELEMENTS (scenarios)), 0);
 }
 
+/* The store comes back from a copy of the begin of the outage, with revisions
+   that it gives out again.  No change after it was read before the revisions
+   had passed those of before (review case 6); the domain's order is the first
+   one after the return.  Answers are lost or cut in the outage.  */
+static void
+changes_are_read_after_a_return_ (void **state)
+{
+  struct scenario_ scenarios[32];
+  GRand *rand = g_rand_new_with_seed (33);
+  size_t i;
+
+  (void)state;
+  for (i = 0; i < G_N_ELEMENTS (scenarios); i++)
+    scenarios[i] = (struct scenario_){
+      .name = "return from an older copy",
+      .begin_ms = (unsigned)g_rand_int_range (rand, 20, 2500),
+      .length_ms = (unsigned)g_rand_int_range (rand, 20, 3000),
+      .lost_share = i % 4 == 0 ? 0 : (i % 4) / 3.0,
+      .first_ms = (unsigned)g_rand_int_range (rand, 10, 400),
+      .interval_ms = (unsigned)g_rand_int_range (rand, 120, 900),
+      .n_changes = 12,
+      .rewrite_ms = (unsigned)g_rand_int_range (rand, 1, 2500),
+      .seed = (uint32_t)i,
+    };
+  g_rand_free (rand);
+  assert_int_equal (play_ (scenarios, G_N_ELEMENTS (scenarios)), 0);
+}
+
 /* Changes that come faster than watches begin made an answer larger than the
    client reads.  The watch was repeated after the same revision, with a larger
    answer each time, and the balancer followed no change (review case 5).  */
@@ -487,6 +546,7 @@
     cmocka_unit_test (changes_are_read_after_a_silent_outage_),
     cmocka_unit_test (changes_are_read_after_lost_answers_),
     cmocka_unit_test (changes_are_read_after_a_lost_history_),
+    cmocka_unit_test (changes_are_read_after_a_return_),
     cmocka_unit_test (changes_are_read_after_a_large_answer_),
     cmocka_unit_test (balancers_are_found_after_a_silent_outage_),
   };
--- a/src/test_platform_store_return/test_platform_store_return.c
+++ b/src/test_platform_store_return/test_platform_store_return.c
@@ -713,8 +713,299 @@
   assert_int_equal (other->flows.len, sizeof flows);
 }
 
+/* Seeded runs: bursts of returns, outages and restarts, and orders between
+   them, in many worlds at the same time.  */
+
+#define N_RUNS 32
+#define N_BURSTS 3
+#define CALM_MS 8500
+/* Time in which operators write again.  */
+#define MAX_REWRITE_MS 2500
+
+struct random_run_
+{
+  struct world_ world;
+  uint32_t seed;
+  GRand *rand;
+  uv_timer_t timer;
+  uint64_t next_ms;    /* Time of the next event.  */
+  unsigned n_events;   /* Events left in the burst.  */
+  unsigned n_bursts;   /* Bursts left.  */
+  bool copied;         /* There is a copy to return from.  */
+  uint64_t rewrite_ms; /* Time at which the operator writes again; 0: all is
+                          written.  */
+  uint64_t restart_ms; /* Time at which the second process starts; 0: it
+                          runs.  */
+  uint64_t heal_ms;    /* End of the lost answers; 0: none are lost.  */
+  uint64_t fault_ms;   /* Time of the last fault or return.  */
+  uint64_t order_ms;   /* Time of the last change of an operator.  */
+  uint64_t version;    /* What operators want.  */
+  bool wants_out;
+  uint64_t followed[N_PROCESSES]; /* Version of each process.  */
+  bool is_known_out[N_PROCESSES]; /* The process follows the order that
+                                     stands.  */
+  unsigned n_returns;
+  unsigned n_wrong;
+};
+
+static void
+report_ (struct random_run_ *r, const char *what, unsigned index)
+{
+  r->n_wrong++;
+  print_message (
+      "seed %u: %s %u, version %d of %d, wanted out %d, %d ms after "
+      "the last fault\n",
+      r->seed, what, index, (int)get_version_ (&r->world, index),
+      (int)r->version, r->wants_out,
+      (int)(uv_now (r->world.loop) - r->fault_ms));
+}
+
+static void
+write_orders_ (struct random_run_ *r)
+{
+  bool is_stored
+      = standin_platform_store_get (r->world.standin, DOMAIN_A) != NULL;
+
+  put_version_ (&r->world, r->version);
+  if (r->wants_out != is_stored)
+    standin_platform_store_put (r->world.standin, DOMAIN_A,
+                                r->wants_out ? "e30=" : NULL);
+}
+
+static void
+return_store_ (struct random_run_ *r, uint64_t now_ms)
+{
+  unsigned i;
+
+  if (!r->copied)
+    return;
+  standin_platform_store_return (r->world.standin);
+  for (i = 0; i < 6; i++)
+    (void)standin_platform_store_take_lease (r->world.standin);
+  r->rewrite_ms
+      = now_ms + (uint64_t)g_rand_int_range (r->rand, 1, MAX_REWRITE_MS);
+  r->fault_ms = now_ms;
+  r->n_returns++;
+}
+
+static void
+change_orders_ (struct random_run_ *r, uint64_t now_ms)
+{
+  unsigned i;
+
+  if (r->rewrite_ms != 0)
+    return;
+  if (g_rand_boolean (r->rand))
+    r->wants_out = !r->wants_out;
+  r->version += (uint64_t)g_rand_int_range (r->rand, 1, 4);
+  r->order_ms = now_ms;
+  write_orders_ (r);
+  for (i = 0; i < N_PROCESSES; i++)
+    r->is_known_out[i] = false;
+}
+
+static void
+act_ (struct random_run_ *r, uint64_t now_ms)
+{
+  struct standin_platform_store *standin = r->world.standin;
+
+  switch (g_rand_int_range (r->rand, 0, 8))
+    {
+    case 0:
+    case 1:
+      return_store_ (r, now_ms);
+      return;
+    case 2:
+      standin_platform_store_copy (standin);
+      r->copied = true;
+      return;
+    case 3:
+      standin_platform_store_set_port_silent (standin, 1, true);
+      r->heal_ms = now_ms + (uint64_t)g_rand_int_range (r->rand, 100, 2500);
+      return;
+    case 4:
+      standin_platform_store_lose_answers (
+          standin, g_rand_double_range (r->rand, 0.3, 1));
+      r->heal_ms = now_ms + (uint64_t)g_rand_int_range (r->rand, 100, 2500);
+      return;
+    case 5:
+      if (r->restart_ms != 0)
+        return;
+      stop_process_ (&r->world.processes[1]);
+      r->followed[1] = 0;
+      r->is_known_out[1] = false;
+      r->restart_ms = now_ms + (uint64_t)g_rand_int_range (r->rand, 20, 1500);
+      r->fault_ms = now_ms;
+      return;
+    case 6:
+      standin_platform_store_answer_late (standin, r->n_returns > 0 ? 2 : 0);
+      return;
+    default:
+      change_orders_ (r, now_ms);
+      return;
+    }
+}
+
+static void
+end_faults_ (struct random_run_ *r, uint64_t now_ms)
+{
+  if (r->rewrite_ms != 0 && now_ms >= r->rewrite_ms)
+    {
+      r->rewrite_ms = 0;
+      write_orders_ (r);
+      r->order_ms = now_ms;
+    }
+  if (r->restart_ms != 0 && now_ms >= r->restart_ms)
+    {
+      r->restart_ms = 0;
+      start_process_ (&r->world, 1);
+    }
+  if (r->heal_ms != 0 && now_ms >= r->heal_ms)
+    {
+      r->heal_ms = 0;
+      standin_platform_store_lose_answers (r->world.standin, 0);
+      standin_platform_store_set_port_silent (r->world.standin, 1, false);
+    }
+  if (r->rewrite_ms != 0 || r->restart_ms != 0 || r->heal_ms != 0)
+    r->fault_ms = now_ms;
+}
+
+/* No process goes back from a version, or from an order that stands; all
+   follow the orders in time when there was no fault.  */
+static void
+check_ (struct random_run_ *r, uint64_t now_ms)
+{
+  bool is_due
+      = now_ms - r->order_ms > APPLY_MS && now_ms - r->fault_ms > RECOVERY_MS;
+  unsigned i;
+
+  for (i = 0; i < N_PROCESSES; i++)
+    {
+      uint64_t version;
+      bool is_out;
+
+      if (r->world.processes[i].core == NULL)
+        continue;
+      version = get_version_ (&r->world, i);
+      is_out = is_out_ (&r->world, i, "poa-a");
+      if (version < r->followed[i])
+        report_ (r, "version went back at", i);
+      r->followed[i] = version;
+      if (r->is_known_out[i] && !is_out)
+        report_ (r, "order was left at", i);
+      r->is_known_out[i] = r->wants_out && is_out && is_due;
+      if (is_due && version != r->version)
+        report_ (r, "version is not followed by", i);
+      if (is_due && r->wants_out && !is_out)
+        report_ (r, "order is not followed by", i);
+    }
+}
+
+static void
+on_random_tick_ (uv_timer_t *timer)
+{
+  struct random_run_ *r = timer->data;
+  uint64_t now_ms = uv_now (timer->loop);
+
+  end_faults_ (r, now_ms);
+  check_ (r, now_ms);
+  if (now_ms < r->next_ms || r->n_bursts == 0)
+    return;
+  if (r->n_events > 0)
+    {
+      r->n_events--;
+      act_ (r, now_ms);
+      r->next_ms = now_ms + (uint64_t)g_rand_int_range (r->rand, 5, 700);
+      return;
+    }
+  r->n_bursts--;
+  r->n_events = (unsigned)g_rand_int_range (r->rand, 3, 9);
+  r->next_ms = now_ms + CALM_MS;
+}
+
+/* What holds after the last burst, when all could be written again.  */
+static void
+check_end_ (struct random_run_ *r)
+{
+  unsigned i;
+
+  for (i = 0; i < N_PROCESSES; i++)
+    {
+      char *key = g_strdup_printf ("ragwortyoke/balancer/10.1.0.%u", i + 1);
+
+      if (get_version_ (&r->world, i) != r->version)
+        report_ (r, "another version in the end at", i);
+      if (is_out_ (&r->world, i, "poa-a") != r->wants_out)
+        report_ (r, "another view in the end at", i);
+      if (standin_platform_store_get (r->world.standin, key) == NULL)
+        report_ (r, "no registration of", i);
+      g_free (key);
+    }
+  if (standin_platform_store_count_foreign_leases (r->world.standin) > 0)
+    report_ (r, "a lease of another process was used", 0);
+}
+
+static void
+start_random_run_ (struct random_run_ *r, uv_loop_t *loop, uint32_t seed)
+{
+  unsigned i;
+
+  start_world_ (&r->world, loop, seed);
+  r->seed = seed;
+  r->rand = g_rand_new_with_seed (seed);
+  r->version = 5;
+  r->n_bursts = N_BURSTS;
+  r->n_events = (unsigned)g_rand_int_range (r->rand, 3, 9);
+  /* The first burst falls into the start.  */
+  r->next_ms = uv_now (loop) + (uint64_t)g_rand_int_range (r->rand, 1, 600);
+  r->order_ms = uv_now (loop);
+  r->fault_ms = uv_now (loop);
+  write_orders_ (r);
+  for (i = 0; i < N_PROCESSES; i++)
+    start_process_ (&r->world, i);
+  uv_timer_init (loop, &r->timer);
+  r->timer.data = r;
+  uv_timer_start (&r->timer, on_random_tick_, TICK_MS, TICK_MS);
+}
+
+static void
+random_returns_keep_the_orders_ (void **state)
+{
+  struct random_run_ *runs = g_new0 (struct random_run_, N_RUNS);
+  uv_loop_t loop;
+  uv_timer_t done;
+  unsigned n_wrong = 0;
+  unsigned n_returns = 0;
+  uint32_t i;
+
+  (void)state;
+  uv_loop_init (&loop);
+  for (i = 0; i < N_RUNS; i++)
+    start_random_run_ (&runs[i], &loop, i + 1);
+  uv_timer_init (&loop, &done);
+  uv_timer_start (
+      &done, on_run_done_,
+      N_BURSTS * (CALM_MS + 9 * 700) + MAX_REWRITE_MS + 2 * SETTLE_MS, 0);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  for (i = 0; i < N_RUNS; i++)
+    {
+      check_end_ (&runs[i]);
+      n_wrong += runs[i].n_wrong;
+      n_returns += runs[i].n_returns;
+      uv_close ((uv_handle_t *)&runs[i].timer, NULL);
+      stop_world_ (&runs[i].world);
+      g_rand_free (runs[i].rand);
+    }
+  uv_close ((uv_handle_t *)&done, NULL);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  assert_int_equal (uv_loop_close (&loop), 0);
+  g_free (runs);
+  assert_int_equal (n_wrong, 0);
+  assert_true (n_returns > N_RUNS);
+}
+
 int
-main (void)
+main (int argc, char **argv)
 {
 #define WITH_WORLD(test)                                                      \
   cmocka_unit_test_setup_teardown (test, set_up_, tear_down_)
@@ -732,7 +1023,11 @@
     WITH_WORLD (late_answers_change_nothing_),
     WITH_WORLD (odd_eras_stop_nothing_),
     WITH_WORLD (open_flows_of_the_copy_are_not_read_),
+    cmocka_unit_test (random_returns_keep_the_orders_),
   };
 
+  /* One of them, for work on it.  */
+  if (argc > 1)
+    cmocka_set_test_filter (argv[1]);
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
