--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -82,9 +82,30 @@
     @param value  text that the store encodes as base64.  */
 void soak_store_put (const char *key, const char *value);
 void soak_store_delete (const char *key);
+/** Take the copy from which the store returns.  */
+void soak_store_copy (void);
+/** Return from the copy, in the next era.  Revisions and numbers of leases are
+    given out again.  */
+void soak_store_return (void);
+/** Write again what the operator wrote and the return has lost.  */
+void soak_store_rewrite (void);
 /** Close the port of the store.  */
 void soak_store_stop (void);
 
+/* Returns of the store from an older copy, which have random numbers of their
+   own, so that they do not change the faults of a seed.  */
+
+void soak_returns_start (uint32_t seed);
+/** Copy, return and write again when that is due.
+    @param works  the store has no other fault; it is then closed for a
+                  moment.  */
+void soak_returns_tick (int64_t now_us, bool works);
+/** End the returns; what was lost is written again at once.  */
+void soak_returns_end (void);
+/** True while the store is closed or the operator has not written again.  */
+bool soak_returns_is_pending (void);
+unsigned soak_returns_count (void);
+
 /* Another writer, which sends odd input.  */
 
 void soak_writer_start (uv_loop_t *loop, uint32_t seed);
