--- a/tests/fuzz/fuzz_stream_message.c
+++ b/tests/fuzz/fuzz_stream_message.c
@@ -34,6 +34,12 @@
   message = (struct rgy_stream_message){ .kind = RGY_STREAM_STATUS };
   message.u.status.agents = (struct rgy_bytes){ .data = ips, .len = 4 };
   add_message_seed_ (seeds, &message);
+  message.u.status.manifest_epoch = 3;
+  message.u.status.view
+      = (struct rgy_domain_view){ .epoch = 3, .n_out = 2, .n_kept = 1 };
+  message.u.status.view.out[0] = rgy_name_from_c ("poa-a");
+  message.u.status.view.out[1] = rgy_name_from_c ("poa-b");
+  add_message_seed_ (seeds, &message);
   for (kind = RGY_STREAM_REPORT_REQUEST; kind < RGY_STREAM_MESSAGE_KIND_COUNT;
        kind++)
     {
@@ -55,6 +61,9 @@
 
   if (rgy_stream_message_decode (input, &message) != RGY_OK)
     return;
+  if (message.kind == RGY_STREAM_STATUS)
+    g_assert (message.u.status.view.n_out <= RGY_STREAM_MAX_DOMAINS
+              && message.u.status.view.n_kept <= message.u.status.view.n_out);
   if (message.kind == RGY_STREAM_REPORT)
     {
       g_assert (message.u.report.state < RGY_BACKEND_STATE_COUNT);
--- a/tests/standins/platform_store/platform_store.c
+++ b/tests/standins/platform_store/platform_store.c
@@ -65,6 +65,8 @@
   struct contents_ before; /* The contents at the last return.  */
   unsigned late_answers;   /* Number of answers that are still late.  */
   unsigned n_foreign;
+  unsigned answers_to_return; /* 0: no return is due.  */
+  uv_timer_t *return_timer;
   GPtrArray *connections; /* struct connection_, not owned.  */
   unsigned counts[STANDIN_CALL_COUNT];
 };
@@ -221,6 +223,12 @@
                           store->era);
 }
 
+static void
+on_return_due_ (uv_timer_t *timer)
+{
+  standin_platform_store_return (timer->data);
+}
+
 /* Sends an answer, or loses it.  Takes ownership of BODY, which may be
    NULL.  */
 static void
@@ -232,6 +240,8 @@
   uv_buf_t buf;
 
   json_decref (body);
+  if (c->store->answers_to_return > 0 && --c->store->answers_to_return == 0)
+    uv_timer_start (c->store->return_timer, on_return_due_, 0, 0);
   c->mute = c->mute || c->listener->silent
             || g_rand_double (c->store->rand) < c->store->lost_share;
   if (c->mute)
@@ -674,11 +684,20 @@
     .leases = g_hash_table_new (g_direct_hash, g_direct_equal)
   };
   store->connections = g_ptr_array_new ();
+  store->return_timer = g_new0 (uv_timer_t, 1);
+  uv_timer_init (loop, store->return_timer);
+  store->return_timer->data = store;
   for (i = 0; i < STANDIN_PORTS; i++)
     store->listeners[i] = new_listener_ (store);
   return store;
 }
 
+static void
+free_timer_ (uv_handle_t *handle)
+{
+  g_free (handle);
+}
+
 static void
 free_listener_ (uv_handle_t *handle)
 {
@@ -698,6 +717,7 @@
   int i;
 
   close_all_connections_ (store);
+  uv_close ((uv_handle_t *)store->return_timer, free_timer_);
   for (i = 0; i < STANDIN_PORTS; i++)
     uv_close ((uv_handle_t *)&store->listeners[i]->tcp, free_listener_);
   free_contents_ (&store->now);
@@ -766,6 +786,13 @@
     store->era++;
 }
 
+void
+standin_platform_store_return_after (struct standin_platform_store *store,
+                                     unsigned n_answers)
+{
+  store->answers_to_return = n_answers;
+}
+
 void
 standin_platform_store_answer_late (struct standin_platform_store *store,
                                     unsigned n_answers)
--- a/tests/standins/platform_store/platform_store.h
+++ b/tests/standins/platform_store/platform_store.h
@@ -58,6 +58,9 @@
 void standin_platform_store_copy (struct standin_platform_store *store);
 /** Return from the copy, in the next era; all connections are closed.  */
 void standin_platform_store_return (struct standin_platform_store *store);
+/** Return from the copy after the next @p n_answers answers.  */
+void standin_platform_store_return_after (struct standin_platform_store *store,
+                                          unsigned n_answers);
 /** Answer the next reads of ranges in the era before, as they would have been
     answered before the return.  */
 void standin_platform_store_answer_late (struct standin_platform_store *store,
