--- a/src/libragwortyoke/stream_agent_report.c
+++ b/src/libragwortyoke/stream_agent_report.c
@@ -1,5 +1,7 @@
 #include "private/stream_agent_private.h"
 
+#include <inttypes.h>
+
 static struct rgy_agent_balancer *
 find_balancer_ (const struct rgy_stream_agent *agent, uint32_t ip)
 {
@@ -140,20 +142,28 @@
   b->sent_flows = agent->n_open;
   b->sent_fingerprint = rgy_stream_report_fingerprint (&message.u.report);
   rgy_stream_agent_send_message_ (agent, b->ip, &message);
+  /* Flow changes make most reports of a busy agent full ones, which do not
+     state its load.  */
+  if (b->synced)
+    rgy_stream_agent_report_load_ (agent, b, now_us);
 }
 
 static void
 send_brief_report_ (struct rgy_stream_agent *agent,
                     struct rgy_agent_balancer *b, int64_t now_us)
 {
-  struct rgy_stream_message message
-      = { .kind = RGY_STREAM_BRIEF_REPORT,
-          .u.brief = { .seq = ++agent->seq,
-                       .fingerprint = b->sent_fingerprint,
-                       .open_flows = agent->n_open,
-                       .latency_us = agent->latency_us } };
+  struct rgy_stream_message message;
 
   b->sent_us = now_us;
+  if (rgy_stream_agent_report_load_ (agent, b, now_us))
+    return;
+  message
+      = (struct rgy_stream_message){ .kind = RGY_STREAM_BRIEF_REPORT,
+                                     .u.brief
+                                     = { .seq = ++agent->seq,
+                                         .fingerprint = b->sent_fingerprint,
+                                         .open_flows = agent->n_open,
+                                         .latency_us = agent->latency_us } };
   b->sent_flows = agent->n_open;
   rgy_stream_agent_send_message_ (agent, b->ip, &message);
 }
@@ -175,6 +185,16 @@
          && get_ack_age_us_ (b, now_us) <= ACK_OVERDUE_US;
 }
 
+bool
+rgy_stream_agent_balancer_has_feature_ (const struct rgy_stream_agent *agent,
+                                        uint32_t ip, uint32_t feature,
+                                        int64_t now_us)
+{
+  const struct rgy_agent_balancer *b = find_balancer_ (agent, ip);
+
+  return b != NULL && rgy_agent_balancer_has_feature_ (b, feature, now_us);
+}
+
 /* True if a brief report tells the balancer all that it needs.  */
 static bool
 is_brief_sufficient_ (const struct rgy_stream_agent *agent,
@@ -393,14 +413,33 @@
   return DISTANT_REPORT_INTERVAL_US;
 }
 
+/* Logs that the view has taken the own failure domain out of service or put it
+   back.  */
+static void
+log_own_domain_ (const struct rgy_stream_agent *agent, bool was_out)
+{
+  bool is_out = rgy_domain_view_is_out (&agent->view, &agent->settings.domain);
+
+  if (was_out != is_out)
+    rgy_stream_emit_log (&agent->settings.out,
+                         "domain_%s domain=%s revision=%" G_GUINT64_FORMAT
+                         " epoch=%" PRIu32,
+                         is_out ? "out" : "in", agent->settings.domain.data,
+                         agent->view.revision, agent->view.epoch);
+}
+
 void
 rgy_stream_agent_send_due_reports_ (struct rgy_stream_agent *agent,
                                     int64_t now_us)
 {
   uint64_t fingerprint = get_fingerprint_ (agent, now_us);
+  bool was_out
+      = rgy_domain_view_is_out (&agent->view, &agent->settings.domain);
   bool has_near = false;
   guint i;
 
+  if (rgy_domain_view_settle (&agent->view, &agent->view_times, now_us))
+    log_own_domain_ (agent, was_out);
   for (i = 0; i < agent->balancers->len;)
     {
       struct rgy_agent_balancer *b
@@ -453,25 +492,16 @@
                     int64_t now_us)
 {
   struct rgy_agent_balancer *b = find_balancer_ (agent, from_ip);
+  bool was_out;
   size_t i;
 
   if (b == NULL || ack->agent_incarnation != agent->settings.incarnation)
     return;
   b->last_ack_us = now_us;
-  if (ack->view.revision > agent->view.revision)
-    {
-      bool was_out
-          = rgy_domain_view_is_out (&agent->view, &agent->settings.domain);
-      bool is_out
-          = rgy_domain_view_is_out (&ack->view, &agent->settings.domain);
-
-      if (was_out != is_out)
-        rgy_stream_emit_log (&agent->settings.out,
-                             "domain_%s domain=%s revision=%" G_GUINT64_FORMAT,
-                             is_out ? "out" : "in",
-                             agent->settings.domain.data, ack->view.revision);
-      agent->view = ack->view;
-    }
+  was_out = rgy_domain_view_is_out (&agent->view, &agent->settings.domain);
+  (void)rgy_domain_view_merge (&agent->view, &agent->view_times, &ack->view,
+                               now_us);
+  log_own_domain_ (agent, was_out);
   agent->cold_rate_milli = ack->cold_rate_milli;
   agent->idle_timeout_us
       = MAX (agent->idle_timeout_us, ack->idle_timeout_ms * RGY_US_PER_MS);
@@ -509,6 +539,7 @@
     return;
   b->requested_us = now_us;
   b->sent_fingerprint = 0;
+  b->load_sent_us = 0;
   report_to_balancer_ (agent, b, now_us);
 }
 
@@ -520,6 +551,8 @@
 
   if (b == NULL)
     return;
+  if (b->features_incarnation != features->balancer_incarnation)
+    b->load_sent_us = 0;
   b->features_incarnation = features->balancer_incarnation;
   b->features = features->flags;
 }
@@ -602,6 +635,10 @@
     case RGY_STREAM_QUERY:
       answer_query_ (agent, message.u.queried, from_ip);
       return RGY_OK;
+    case RGY_STREAM_TERMS:
+      rgy_stream_agent_handle_terms_ (agent, find_balancer_ (agent, from_ip),
+                                      &message.u.terms, now_us);
+      return RGY_OK;
     case RGY_STREAM_REPORT:
     case RGY_STREAM_STATUS:
     case RGY_STREAM_ACCEPTED:
@@ -609,6 +646,8 @@
     case RGY_STREAM_ANSWER:
     case RGY_STREAM_BRIEF_REPORT:
     case RGY_STREAM_OPEN_FLOWS:
+    case RGY_STREAM_LOAD_REPORT:
+    case RGY_STREAM_TERMS_QUERY:
     case RGY_STREAM_MESSAGE_KIND_COUNT:
       break;
     }
--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -103,6 +103,7 @@
           .u.status
           = { .incarnation = b->settings.incarnation,
               .manifest_version = rgy_stream_balancer_get_version (b),
+              .manifest_epoch = b->manifest_epoch,
               .wants_reply = wants_reply,
               .settled = rgy_stream_balancer_is_settled_ (b, now_us),
               .view = b->view,
@@ -275,10 +276,13 @@
   if (status->wants_reply)
     send_status_to_ (b, ip, false, true, now_us);
   rgy_stream_balancer_set_domain_view (b, &status->view, now_us);
-  if (status->manifest_version > rgy_stream_balancer_get_version (b))
+  if (rgy_stream_balancer_check_peer_manifest_ (b, status->manifest_epoch,
+                                                status->manifest_version))
     {
       struct rgy_stream_action action
-          = { .kind = RGY_STREAM_FETCH_MANIFEST, .ip = ip };
+          = { .kind = RGY_STREAM_FETCH_MANIFEST,
+              .ip = ip,
+              .u.manifest_epoch = status->manifest_epoch };
 
       b->settings.out.emit (b->settings.out.ctx, &action);
     }
@@ -464,9 +468,11 @@
 {
   struct rgy_stream_message message
       = { .kind = RGY_STREAM_FEATURES,
-          .u.features = { .balancer_incarnation = b->settings.incarnation,
-                          .flags = RGY_STREAM_DECODES_BRIEF_REPORTS
-                                   | RGY_STREAM_KEEPS_OPEN_FLOWS } };
+          .u.features
+          = { .balancer_incarnation = b->settings.incarnation,
+              .flags = RGY_STREAM_DECODES_BRIEF_REPORTS
+                       | RGY_STREAM_KEEPS_OPEN_FLOWS | RGY_STREAM_STATES_TERMS
+                       | RGY_STREAM_DECODES_LOAD } };
 
   agent->features_sent_us = now_us;
   rgy_stream_balancer_send_message_ (b, agent->ip, &message);
@@ -541,6 +547,7 @@
          was away.  */
       agent->listed = false;
       agent->excluded_until_us = 0;
+      agent->load = (struct rgy_known_load){ .is_slow = agent->load.is_slow };
     }
   if (is_first || previous_state != report->state
       || report->restarting != agent->report.restarting)
@@ -557,6 +564,7 @@
           report->cold, report->open_flows,
           is_first ? 0 : (now_us - agent->last_seen_us) / RGY_US_PER_MS);
     }
+  rgy_known_agent_note_state_ (agent, report, now_us);
   agent->report = *report;
   agent->report.changes = (struct rgy_bytes){ 0 };
   agent->tag = rgy_service_tag (&report->service);
@@ -574,7 +582,7 @@
     send_features_ (b, agent, now_us);
 }
 
-void
+bool
 rgy_stream_balancer_handle_brief_report_ (
     struct rgy_stream_balancer *b,
     const struct rgy_stream_brief_report *report, uint32_t ip, int64_t now_us)
@@ -584,24 +592,26 @@
   if (agent == NULL)
     {
       request_report_ (b, ip);
-      return;
+      return false;
     }
   if (agent->tag == 0 || agent->fingerprint != report->fingerprint)
     {
       /* A full report was lost.  */
       if (now_us - agent->requested_us >= REPORT_CHECK_INTERVAL_US)
         request_report_of_ (b, agent, now_us);
-      return;
+      return false;
     }
   if (report->seq <= agent->report.seq)
-    return;
+    return false;
   agent->report.seq = report->seq;
   agent->report.open_flows = report->open_flows;
   agent->report.latency_us = report->latency_us;
   agent->last_seen_us = now_us;
   agent->placed = 0;
+  rgy_known_agent_confirm_load_ (agent, now_us);
   acknowledge_report_ (b, agent,
                        agent->acked_config_us != b->config_changed_us, now_us);
+  return true;
 }
 
 void
--- a/src/libragwortyoke/stream_balancer_packet.c
+++ b/src/libragwortyoke/stream_balancer_packet.c
@@ -82,9 +82,11 @@
 }
 
 void
-rgy_stream_balancer_forward_segment_ (struct rgy_stream_balancer *b,
-                                      const struct rgy_flow_key *key,
-                                      struct rgy_bytes raw, uint32_t agent_ip)
+rgy_stream_balancer_forward_first_segment_ (struct rgy_stream_balancer *b,
+                                            const struct rgy_flow_key *key,
+                                            struct rgy_bytes raw,
+                                            uint32_t agent_ip,
+                                            enum rgy_segment_mark mark)
 {
   const struct rgy_known_agent *agent
       = rgy_stream_balancer_find_agent_ (b, agent_ip);
@@ -95,7 +97,17 @@
       (struct rgy_segment_trailer){
           .service_tag = agent == NULL ? 0 : agent->tag,
           .balancer_ip = b->settings.own_ip,
-          .goal_us = route == NULL ? 0 : route->goal_us });
+          .mark = mark,
+          .goal_us = route == NULL ? 0 : route->terms.goal_us });
+}
+
+void
+rgy_stream_balancer_forward_segment_ (struct rgy_stream_balancer *b,
+                                      const struct rgy_flow_key *key,
+                                      struct rgy_bytes raw, uint32_t agent_ip)
+{
+  rgy_stream_balancer_forward_first_segment_ (b, key, raw, agent_ip,
+                                              RGY_MARK_NONE);
 }
 
 void
@@ -205,6 +217,10 @@
       rgy_stream_balancer_handle_brief_report_ (b, &message.u.brief, from_ip,
                                                 now_us);
       return RGY_OK;
+    case RGY_STREAM_LOAD_REPORT:
+      rgy_stream_balancer_handle_load_report_ (b, &message.u.load, from_ip,
+                                               now_us);
+      return RGY_OK;
     case RGY_STREAM_OPEN_FLOWS:
       rgy_stream_balancer_handle_open_flows_ (b, &message.u.open_flows,
                                               from_ip, now_us);
@@ -224,11 +240,16 @@
     case RGY_STREAM_ANSWER:
       handle_answers_ (b, message.u.answers, from_ip, now_us);
       return RGY_OK;
+    case RGY_STREAM_TERMS_QUERY:
+      rgy_stream_balancer_answer_terms_query_ (b, message.u.queried_routes,
+                                               from_ip);
+      return RGY_OK;
     case RGY_STREAM_REPORT_ACK:
     case RGY_STREAM_REPORT_REQUEST:
     case RGY_STREAM_QUERY:
     case RGY_STREAM_FEATURES:
     case RGY_STREAM_FORMER_FLOWS:
+    case RGY_STREAM_TERMS:
     case RGY_STREAM_MESSAGE_KIND_COUNT:
       break;
     }
--- a/src/test_stream_message/test_stream_message.c
+++ b/src/test_stream_message/test_stream_message.c
@@ -24,6 +24,10 @@
 };
 static const uint8_t listed_agents_[RGY_STREAM_AGENT_BYTES]
     = { 10, 2, 0, 40, RGY_BACKEND_DRAINING | RGY_STREAM_AGENT_RESTARTING };
+static const uint8_t route_terms_[RGY_ROUTE_TERMS_BYTES]
+    = { 198, 18, 0, 1, 1, 0xbb, 2, RGY_TERMS_KNOWN, 0, 0, 0, 250, 0, 0, 8, 0 };
+static const uint8_t route_run_[RGY_ROUTE_RUN_BYTES]
+    = { 198, 18, 0, 1, 1, 0xbb, 0, 0, 0x75, 0x30 };
 static const uint8_t ips_[8] = { 10, 1, 0, 10, 10, 2, 0, 40 };
 
 static struct rgy_stream_message
@@ -118,6 +122,30 @@
         .flows = { .data = open_flow_, .len = sizeof open_flow_ },
       };
       break;
+    case RGY_STREAM_LOAD_REPORT:
+      message.u.load = (struct rgy_stream_load_report){
+        .brief
+        = { .seq = 10, .fingerprint = 7, .open_flows = 13, .latency_us = 21 },
+        .run_us = 30000,
+        .requests = 5,
+        .wait_us = 70000,
+        .requests_per_s = 60,
+        .follow_ups_per_s = 50,
+        .failed_permille = 450,
+        .runs = { .data = route_run_, .len = sizeof route_run_ }
+      };
+      break;
+    case RGY_STREAM_TERMS_QUERY:
+      message.u.queried_routes
+          = (struct rgy_bytes){ .data = route_terms_,
+                                .len = RGY_ROUTE_ADDRESS_BYTES };
+      break;
+    case RGY_STREAM_TERMS:
+      message.u.terms = (struct rgy_stream_terms){
+        .manifest_version = 19,
+        .routes = { .data = route_terms_, .len = sizeof route_terms_ }
+      };
+      break;
     }
   return message;
 }
@@ -259,6 +287,95 @@
   assert_false (rgy_domain_view_is_out (&view, &in));
 }
 
+static struct rgy_stream_message
+encode_and_decode_ (const struct rgy_stream_message *message)
+{
+  GByteArray *bytes = g_byte_array_new ();
+  struct rgy_stream_message decoded;
+
+  rgy_stream_message_encode (message, bytes);
+  assert_int_equal (
+      rgy_stream_message_decode (
+          (struct rgy_bytes){ .data = bytes->data, .len = bytes->len },
+          &decoded),
+      RGY_OK);
+  g_byte_array_unref (bytes);
+  return decoded;
+}
+
+/* An earlier version takes the epoch of a view for one more failure domain,
+   and passes it on as such.  The epoch of its own manifest is then unknown. */
+static void
+epoch_passes_through_earlier_versions_ (void **state)
+{
+  struct rgy_stream_message message = make_sample_ (RGY_STREAM_STATUS);
+  struct rgy_domain_view *view = &message.u.status.view;
+  struct rgy_stream_message decoded;
+  struct rgy_stream_message passed_on;
+
+  (void)state;
+  view->epoch = UINT32_MAX;
+  view->settled = true;
+  view->out[view->n_out++] = rgy_name_from_c ("poa-c");
+  view->n_kept = 1;
+  message.u.status.manifest_epoch = UINT32_MAX;
+  message.u.status.manifest_version = UINT64_MAX;
+  decoded = encode_and_decode_ (&message);
+  assert_int_equal (decoded.u.status.view.epoch, UINT32_MAX);
+  assert_int_equal (decoded.u.status.view.revision, 77);
+  assert_true (decoded.u.status.view.settled);
+  assert_int_equal (decoded.u.status.view.n_kept, 1);
+  assert_int_equal (decoded.u.status.manifest_epoch, UINT32_MAX);
+  assert_true (rgy_domain_view_has_same_names (view, &decoded.u.status.view));
+  passed_on = message;
+  passed_on.u.status.manifest_version = 8;
+  passed_on.u.status.manifest_epoch = 0;
+  passed_on.u.status.view.epoch = 0;
+  passed_on.u.status.view.out[passed_on.u.status.view.n_out++]
+      = rgy_name_from_c (".e3-0-1-3-9");
+  decoded = encode_and_decode_ (&passed_on);
+  assert_int_equal (decoded.u.status.view.epoch, 3);
+  assert_int_equal (decoded.u.status.view.n_out, 2);
+  assert_int_equal (decoded.u.status.view.n_kept, 1);
+  assert_int_equal (decoded.u.status.manifest_epoch, 0);
+}
+
+/* Names that only begin like an epoch are failure domains.  */
+static void
+odd_epochs_are_names_ (void **state)
+{
+  static const char *const names[]
+      = { ".e",        ".e0-0-0",          ".e01-0-0",    ".e2-2-0",
+          ".e-2-0-0",  ".e4294967296-0-0", ".e2-0-0.",    ".e2-0",
+          ".e2-0-0-0", ".e2-0-0-0-5",      ".e2-0--1",    ".e2-0-0-3",
+          "e2-0-0",    ".e2-0-0-3-5-",     ".e2-0-0-03-5" };
+  size_t i;
+
+  (void)state;
+  for (i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      struct rgy_stream_message message = make_sample_ (RGY_STREAM_STATUS);
+      struct rgy_domain_view *view = &message.u.status.view;
+
+      view->out[view->n_out++] = rgy_name_from_c (names[i]);
+      message = encode_and_decode_ (&message);
+      assert_int_equal (view->epoch, 0);
+      assert_int_equal (view->n_out, 2);
+    }
+}
+
+/* More kept names than names would be read past the list.  */
+static void
+too_many_kept_names_are_rejected_ (void **state)
+{
+  struct rgy_stream_message message = make_sample_ (RGY_STREAM_STATUS);
+
+  (void)state;
+  message.u.status.view.epoch = 2;
+  message.u.status.view.n_kept = 2;
+  assert_rejected_ (&message);
+}
+
 /* Returns the encoded message with element INDEX replaced by ODD.  */
 static GByteArray *
 replace_element_ (const GByteArray *bytes, size_t index, const GString *odd)
@@ -340,6 +457,32 @@
     g_string_free (odd[k], TRUE);
 }
 
+/* A term that is lost on its way would order requests wrongly; a route that
+   the manifest lacks must not look like one of the highest priority.  */
+static void
+route_terms_survive_encoding_ (void **state)
+{
+  const struct rgy_endpoint address = { .ip = 0xc6120001, .port = 443 };
+  const struct rgy_request_terms terms = {
+    .priority = 3, .repeatable = true, .goal_us = 250000, .limit_us = 90000000
+  };
+  struct rgy_request_terms decoded;
+  struct rgy_endpoint decoded_address;
+  uint8_t bytes[RGY_ROUTE_TERMS_BYTES];
+
+  (void)state;
+  rgy_route_terms_encode (address, &terms, bytes);
+  assert_true (rgy_route_terms_decode (bytes, &decoded_address, &decoded));
+  assert_true (rgy_endpoint_equal (decoded_address, address));
+  assert_int_equal (decoded.priority, terms.priority);
+  assert_int_equal (decoded.repeatable, terms.repeatable);
+  assert_int_equal (decoded.goal_us, terms.goal_us);
+  assert_int_equal (decoded.limit_us, terms.limit_us);
+  rgy_route_terms_encode (address, NULL, bytes);
+  assert_false (rgy_route_terms_decode (bytes, &decoded_address, &decoded));
+  assert_true (rgy_endpoint_equal (decoded_address, address));
+}
+
 /* A changed fact with the same fingerprint would never reach the balancer.  */
 static void
 fingerprint_covers_all_facts_ (void **state)
@@ -385,6 +528,10 @@
     cmocka_unit_test (unknown_answers_and_states_are_rejected_),
     cmocka_unit_test (messages_with_an_odd_field_are_rejected_),
     cmocka_unit_test (view_contains_only_its_domains_),
+    cmocka_unit_test (epoch_passes_through_earlier_versions_),
+    cmocka_unit_test (odd_epochs_are_names_),
+    cmocka_unit_test (too_many_kept_names_are_rejected_),
+    cmocka_unit_test (route_terms_survive_encoding_),
     cmocka_unit_test (fingerprint_covers_all_facts_),
   };
 
