--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -211,8 +211,8 @@
   int64_t slot_since_us; /* Time at which the request got a slot of the
                             backend server, if it was handed over before one
                             was free.  */
-  int64_t failed_run_us; /* Value of running_since_us of the last request
-                                  that counted as failed.  */
+  int64_t failed_run_us; /* Value of running_since_us of the last request that
+                            counted as failed.  */
   bool has_requested;    /* A request came on the flow.  */
   GPtrArray *held;       /* Segments of the waiting request, or NULL.  */
   GList queue_link;
@@ -252,7 +252,7 @@
   int64_t used_us;
 };
 
-/* What the agent has measured of its backend server.  */
+/* Measurements of the backend server.  */
 struct rgy_agent_load
 {
   unsigned generation; /* Value of rgy_stream_agent.generation.  */
--- a/src/libragwortyoke/placement.c
+++ b/src/libragwortyoke/placement.c
@@ -26,7 +26,7 @@
 #define ROOM_GOAL_DIVISOR 8
 #define ROOM_MIN_US 10000.0
 #define ROOM_MAX_US 100000.0
-/* The same for a route without a latency goal.  */
+/* Limit of the delay on a route without a latency goal.  */
 #define ROOM_DEFAULT_US 25000.0
 /* Range of the limit by flow, relative to the above: flows move one after the
    other while a delay grows, and back while it falls.  */
@@ -35,7 +35,7 @@
 /* Delay by which another failure domain must be better than the own one: the
    round trip between domains of one region.  */
 #define DOMAIN_MARGIN_US 10000.0
-/* The same relative to the delay there when no server has room, since expected
+/* Factor besides the margin when no server has room, since expected
    delays vary by about a quarter.  */
 #define DOMAIN_MARGIN_FACTOR 1.25
 /* Run times by which occupied slots count before requests wait: of a share U
@@ -194,7 +194,7 @@
   return any.index;
 }
 
-/* What is expected of one candidate.  */
+/* Expectations of one candidate.  */
 struct estimate_
 {
   bool is_avoided;
@@ -207,7 +207,7 @@
   double share;    /* Part of its usual flows that it gets.  */
 };
 
-/* What candidates are compared with.  */
+/* Figures of all candidates, with which each one is compared.  */
 struct reference_
 {
   double run_us;
@@ -324,7 +324,7 @@
   return estimate;
 }
 
-/* Candidates and what is expected of them.  */
+/* Candidates and their estimates.  */
 struct choice_
 {
   const struct rgy_candidate *candidates;
--- a/src/test_stream_agent_load/test_stream_agent_load.c
+++ b/src/test_stream_agent_load/test_stream_agent_load.c
@@ -1,4 +1,4 @@
-/* What an agent measures of its backend server and reports to balancers.  The
+/* Measurements of a backend server, and the agent's reports of them.  The
    backend server is a queue on a virtual clock.  */
 
 #include <setjmp.h>
--- a/src/test_stream_placement/test_stream_placement.c
+++ b/src/test_stream_placement/test_stream_placement.c
@@ -575,7 +575,7 @@
       f->servers[i].reports_load = false;
       f->servers[i].open_flows = i == 0 ? 100 : 2;
     }
-  /* What they reported before is too old by then.  */
+  /* Their last load reports are too old by then.  */
   advance_time_ (f, 10 * RGY_US_PER_S);
   for (i = 0; i < 30; i++)
     assert_true (open_flow_ (f, 0) != &f->servers[0]);
