Simulate kinds of requests, failure domains of callers, uneven servers and freezes

Cause: the virtual clock knew one kind of request from callers without a place, backend servers of one speed, and retries of everything; no pattern of scarcity could be played on it.

Change: up to four kinds with terms that the manifest states, each with its service address; callers belong to failure domains, whose balancers get their segments; rates by kind and domain, and speeds of backend servers, change while running; requests that are not repeatable are tried again only if they have not run; frozen processes; outcomes by second, kind and domain; runs that began after their caller had left, second runs, and refusals while a backend server had a free slot. load_experiment reads the renamed outcomes. Callers that are done are no longer stepped.

--- a/benchmarks/load_experiment.c
+++ b/benchmarks/load_experiment.c
@@ -288,7 +288,7 @@
 static unsigned
 count_requests_ (const struct sim_second *s)
 {
-  return s->in_time + s->late + s->rejected + s->failed;
+  return s->all.in_time + s->all.late + s->all.refused + s->all.failed;
 }
 
 static double
@@ -303,7 +303,7 @@
       const struct sim_second *s
           = &g_array_index (outcome->seconds, struct sim_second, i);
 
-      earned += s->in_time + LATE_SHARE * s->late;
+      earned += s->all.in_time + LATE_SHARE * s->all.late;
       owed += count_requests_ (s);
     }
   return owed > 0 ? earned / owed : 1;
@@ -334,10 +334,10 @@
   int second;
   guint i;
 
-  printf ("second  in time     late rejected   failed\n");
+  printf ("second  in time     late  refused   failed\n");
   for (second = 0; second < options_.seconds; second++)
     {
-      struct sim_second sum = { 0 };
+      struct sim_tally sum = { 0 };
 
       for (i = 0; i < outcomes->len; i++)
         {
@@ -347,15 +347,15 @@
           if ((guint)second >= o->seconds->len)
             continue;
           s = &g_array_index (o->seconds, struct sim_second, second);
-          sum.in_time += s->in_time;
-          sum.late += s->late;
-          sum.rejected += s->rejected;
-          sum.failed += s->failed;
+          sum.in_time += s->all.in_time;
+          sum.late += s->all.late;
+          sum.refused += s->all.refused;
+          sum.failed += s->all.failed;
         }
       printf ("%6d %8.1f %8.1f %8.1f %8.1f\n", second,
               (double)sum.in_time / outcomes->len,
               (double)sum.late / outcomes->len,
-              (double)sum.rejected / outcomes->len,
+              (double)sum.refused / outcomes->len,
               (double)sum.failed / outcomes->len);
     }
 }
--- a/tests/simulation/simulation.c
+++ b/tests/simulation/simulation.c
@@ -52,12 +52,15 @@
 }
 
 static struct rgy_flow_key
-make_key_ (uint32_t caller)
+make_key_ (const struct simulation *sim, uint32_t number)
 {
+  const struct caller_ *caller = sim_find_caller_ (sim, number);
+
   return rgy_flow_key_segment (
-      (struct rgy_endpoint){ .ip = CALLER_IP + caller / 50000,
-                             .port = (uint16_t)(1024 + caller % 50000) },
-      (struct rgy_endpoint){ .ip = SERVICE_IP, .port = SERVICE_PORT });
+      (struct rgy_endpoint){ .ip = CALLER_IP + number / 50000,
+                             .port = (uint16_t)(1024 + number % 50000) },
+      (struct rgy_endpoint){ .ip = SERVICE_IP,
+                             .port = sim->load.kinds[caller->kind].port });
 }
 
 static uint32_t
@@ -68,10 +71,10 @@
 }
 
 static struct rgy_segment
-make_segment_ (const struct packet_ *packet,
+make_segment_ (const struct simulation *sim, const struct packet_ *packet,
                const struct rgy_segment_trailer *trail)
 {
-  return (struct rgy_segment){ .key = make_key_ (packet->caller),
+  return (struct rgy_segment){ .key = make_key_ (sim, packet->caller),
                                .from_service = packet->from_service,
                                .flags = packet->flags,
                                .seq = packet->seq,
@@ -129,6 +132,7 @@
 {
   struct process_ *process = ctx;
   struct simulation *sim = process->simulation;
+  const struct caller_ *caller;
   struct delivery_ d
       = { .from_ip = (uint32_t)((process->is_agent ? AGENT_IP : BALANCER_IP)
                                 + process->index) };
@@ -154,6 +158,9 @@
     case RGY_STREAM_RESET:
       d.kind = RESET_TO_CALLER;
       d.packet.caller = get_caller_number_ (&action->u.reset.key);
+      caller = sim_find_caller_ (sim, d.packet.caller);
+      if (caller != NULL && !caller->open)
+        sim_count_refusal_ (sim, caller, process->index % sim->n_domains);
       sim_queue_delivery_ (sim, d, false);
       return;
     case RGY_STREAM_MESSAGE:
@@ -222,26 +229,50 @@
   if (caller->request_us != 0)
     sim->counts.unanswered++;
   caller->request_us = 0;
+  sim_end_caller_ (sim, caller);
+}
+
+void
+sim_end_caller_ (struct simulation *sim, struct caller_ *caller)
+{
   caller->done = true;
+  caller->done_us = sim->now_us;
 }
 
 struct caller_ *
-sim_find_caller_ (struct simulation *sim, uint32_t number)
+sim_find_caller_ (const struct simulation *sim, uint32_t number)
 {
   return number < sim->callers->len ? g_ptr_array_index (sim->callers, number)
                                     : NULL;
 }
 
+bool
+sim_is_frozen_ (const struct simulation *sim, const struct process_ *process)
+{
+  return sim->now_us < process->frozen_until_us;
+}
+
+bool
+sim_is_domain_out_ (const struct simulation *sim, size_t instance)
+{
+  struct rgy_name domain = get_domain_name_ (sim, instance);
+
+  return rgy_domain_view_is_out (&sim->view, &domain);
+}
+
 struct caller_ *
-sim_begin_flow_ (struct simulation *sim)
+sim_begin_flow_ (struct simulation *sim, size_t kind, size_t domain)
 {
   struct caller_ *caller = g_new0 (struct caller_, 1);
 
   caller->number = sim->callers->len;
+  caller->kind = kind;
+  caller->domain = domain;
   caller->began_us = sim->now_us;
   caller->ends_us = sim->now_us + sim->lifetime_us;
   caller->next_us = sim->now_us + FIRST_RETRY_US;
   g_ptr_array_add (sim->callers, caller);
+  g_ptr_array_add (sim->active, caller);
   sim_send_from_caller_ (sim, caller, RGY_SEGMENT_SYN, 0);
   return caller;
 }
@@ -264,11 +295,11 @@
     {
       if (++caller->repeats > 2)
         {
-          caller->done = true;
-          sim_handle_user_flow_end_ (sim, caller);
+          sim_end_caller_ (sim, caller);
+          sim_handle_user_flow_end_ (sim, caller, false);
           return;
         }
-      caller->next_us = sim->now_us + 2 * FIRST_RETRY_US;
+      caller->next_us = sim->now_us + (FIRST_RETRY_US << caller->repeats);
       sim_send_from_caller_ (sim, caller, RGY_SEGMENT_SYN, 0);
       return;
     }
@@ -280,13 +311,14 @@
         {
           sim_send_from_caller_ (sim, caller,
                                  RGY_SEGMENT_FIN | RGY_SEGMENT_ACK, 0);
-          caller->done = true;
+          sim_end_caller_ (sim, caller);
           return;
         }
       caller->request_us = sim->now_us;
       caller->repeats = 0;
     }
-  else if (sim->now_us - caller->request_us > REQUEST_TIMEOUT_US)
+  else if (!caller->of_user
+           && sim->now_us - caller->request_us > REQUEST_TIMEOUT_US)
     {
       end_unanswered_caller_ (sim, caller);
       return;
@@ -335,8 +367,8 @@
           sim->counts.requests_reset += caller->request_us != 0;
         }
       caller->request_us = 0;
-      caller->done = true;
-      sim_handle_user_flow_end_ (sim, caller);
+      sim_end_caller_ (sim, caller);
+      sim_handle_user_flow_end_ (sim, caller, true);
       return;
     }
   if ((d->packet.flags & RGY_SEGMENT_SYN) != 0)
@@ -364,36 +396,114 @@
     }
 }
 
-static void
-route_segment_ (struct simulation *sim, const struct delivery_ *d)
+/* A frozen balancer, whose readiness was good, stays in rotation for a
+   while.  */
+static bool
+is_in_rotation_ (const struct simulation *sim, size_t i)
+{
+  const struct process_ *process = &sim->balancer_processes[i];
+
+  if (sim->balancers[i] == NULL)
+    return false;
+  if (sim_is_frozen_ (sim, process))
+    return sim->now_us - process->frozen_us < ROTATION_US;
+  return rgy_stream_balancer_is_ready (sim->balancers[i], sim->now_us);
+}
+
+static bool
+have_callers_domains_ (const struct simulation *sim)
+{
+  size_t i;
+
+  for (i = 0; i < SIM_MAX_DOMAINS; i++)
+    if (sim->load.domain_share[i] > 0)
+      return true;
+  return false;
+}
+
+/* Collects the balancers in rotation, those of one failure domain if there are
+   any; without any in rotation, all that run.  */
+static size_t
+list_balancers_ (const struct simulation *sim, size_t domain, size_t *found)
 {
-  size_t ready[SIM_MAX_BALANCERS];
-  size_t alive[SIM_MAX_BALANCERS];
   size_t n = 0;
-  size_t n_alive = 0;
   size_t i;
-  struct rgy_segment segment
-      = make_segment_ (&d->packet, &(struct rgy_segment_trailer){ 0 });
 
+  for (i = 0; have_callers_domains_ (sim) && i < sim->n_balancers; i++)
+    if (i % sim->n_domains == domain && is_in_rotation_ (sim, i))
+      found[n++] = i;
+  if (n > 0)
+    return n;
+  for (i = 0; i < sim->n_balancers; i++)
+    if (is_in_rotation_ (sim, i))
+      found[n++] = i;
+  if (n > 0)
+    return n;
   for (i = 0; i < sim->n_balancers; i++)
-    if (sim->balancers[i] != NULL
-        && rgy_stream_balancer_is_ready (sim->balancers[i], sim->now_us))
-      ready[n++] = i;
-  /* Without a ready balancer the router uses all that run.  */
-  for (i = 0; n == 0 && i < sim->n_balancers; i++)
     if (sim->balancers[i] != NULL && sim->load.users > 0)
-      alive[n_alive++] = i;
-  if (n + n_alive == 0)
-    return;
+      found[n++] = i;
+  return n;
+}
+
+/* Makes a delivery to the router one to a balancer; returns false if none
+   runs.  */
+static bool
+route_segment_ (const struct simulation *sim, struct delivery_ *d)
+{
+  size_t found[SIM_MAX_BALANCERS];
+  const struct caller_ *caller = sim_find_caller_ (sim, d->packet.caller);
+  size_t n = list_balancers_ (sim, caller->domain, found);
+  struct rgy_flow_key key = make_key_ (sim, d->packet.caller);
+
   if (n == 0)
+    return false;
+  d->kind = ROUTED_TO_BALANCER;
+  d->index = found[rgy_flow_key_hash (&key) % n];
+  return true;
+}
+
+/* Returns the process that a delivery is for, or NULL.  */
+static struct process_ *
+get_receiver_ (struct simulation *sim, const struct delivery_ *d)
+{
+  switch (d->kind)
     {
-      i = alive[rgy_flow_key_hash (&segment.key) % n_alive];
-      rgy_stream_balancer_from_router (sim->balancers[i], &segment,
-                                       sim->now_us);
-      return;
+    case ROUTED_TO_BALANCER:
+    case RETURNED_TO_BALANCER:
+    case MESSAGE_TO_BALANCER:
+    case STORED_FLOWS_TO_BALANCER:
+      return &sim->balancer_processes[d->index];
+    case TO_AGENT:
+    case MESSAGE_TO_AGENT:
+    case CHECK_RESULT_TO_AGENT:
+    case FROM_BACKEND:
+      return &sim->agent_processes[d->index];
+    case TO_ROUTER:
+    case TO_BACKEND:
+    case RUN_ENDED:
+    case TO_CALLER:
+    case RESET_TO_CALLER:
+      return NULL;
+    }
+  return NULL;
+}
+
+/* Keeps a delivery to a frozen process until its end; returns false if the
+   process is not frozen.  */
+static bool
+hold_delivery_ (struct simulation *sim, const struct delivery_ *d)
+{
+  struct process_ *process = get_receiver_ (sim, d);
+
+  if (process == NULL || !sim_is_frozen_ (sim, process))
+    return false;
+  if (process->held++ < MAX_HELD)
+    {
+      if (d->message != NULL)
+        g_byte_array_ref (d->message);
+      sim_queue_event_ (sim, *d, process->frozen_until_us - sim->now_us);
     }
-  i = ready[rgy_flow_key_hash (&segment.key) % n];
-  rgy_stream_balancer_from_router (sim->balancers[i], &segment, sim->now_us);
+  return true;
 }
 
 static void
@@ -413,15 +523,25 @@
 static void
 run_delivery_ (struct simulation *sim, struct delivery_ *d)
 {
-  struct rgy_segment segment = make_segment_ (&d->packet, &d->trail);
+  struct rgy_segment segment = { 0 };
   struct rgy_bytes message
       = { .data = d->message == NULL ? NULL : d->message->data,
           .len = d->message == NULL ? 0 : d->message->len };
 
+  if (d->kind == TO_ROUTER && !route_segment_ (sim, d))
+    return;
+  if (hold_delivery_ (sim, d))
+    return;
+  if (d->packet.caller < sim->callers->len)
+    segment = make_segment_ (sim, &d->packet, &d->trail);
   switch (d->kind)
     {
     case TO_ROUTER:
-      route_segment_ (sim, d);
+      return;
+    case ROUTED_TO_BALANCER:
+      if (sim->balancers[d->index] != NULL)
+        rgy_stream_balancer_from_router (sim->balancers[d->index], &segment,
+                                         sim->now_us);
       return;
     case RETURNED_TO_BALANCER:
       if (d->index < sim->n_balancers && sim->balancers[d->index] != NULL)
@@ -494,31 +614,52 @@
     }
 }
 
+/* Steps the callers in the order of their beginning, and forgets those that
+   are done.  */
 static void
-run_tick_ (struct simulation *sim)
+step_callers_ (struct simulation *sim)
 {
+  guint n = sim->active->len;
+  guint kept = 0;
   guint k;
+
+  for (k = 0; k < n; k++)
+    step_caller_ (sim, g_ptr_array_index (sim->active, k));
+  for (k = 0; k < sim->active->len; k++)
+    {
+      struct caller_ *caller = g_ptr_array_index (sim->active, k);
+
+      if (!caller->done)
+        g_ptr_array_index (sim->active, kept++) = caller;
+    }
+  g_ptr_array_set_size (sim->active, (gint)kept);
+}
+
+static void
+run_tick_ (struct simulation *sim)
+{
   size_t i;
 
   if (sim->now_us >= sim->next_list_update_us && !sim->store_down)
     update_agent_list_ (sim);
   for (i = 0; i < sim->n_balancers; i++)
-    if (sim->balancers[i] != NULL)
+    if (sim->balancers[i] != NULL
+        && !sim_is_frozen_ (sim, &sim->balancer_processes[i]))
       rgy_stream_balancer_tick (sim->balancers[i], sim->now_us);
   for (i = 0; i < sim->n_agents; i++)
     {
-      if (sim->agents[i] != NULL)
+      if (sim->agents[i] != NULL
+          && !sim_is_frozen_ (sim, &sim->agent_processes[i]))
         rgy_stream_agent_tick (sim->agents[i], sim->now_us);
       if (sim->backends[i].alive
           && sim->now_us >= sim->backends[i].next_heartbeat_us)
         sim_send_heartbeat_ (sim, i);
     }
-  for (k = 0; k < sim->callers->len; k++)
-    step_caller_ (sim, g_ptr_array_index (sim->callers, k));
+  step_callers_ (sim);
   sim_step_users_ (sim);
   while (sim->flows_per_s > 0 && sim->now_us >= sim->next_flow_us)
     {
-      (void)sim_begin_flow_ (sim);
+      (void)sim_begin_flow_ (sim, 0, 0);
       sim->next_flow_us += RGY_US_PER_S / sim->flows_per_s;
     }
 }
@@ -571,6 +712,11 @@
   sim->n_workshop = n_agents;
   sim->n_domains = 2;
   sim->callers = g_ptr_array_new_with_free_func (g_free);
+  sim->active = g_ptr_array_new ();
+  sim->load.n_kinds = 1;
+  sim->load.kinds[0]
+      = (struct sim_kind){ .port = SERVICE_PORT,
+                           .terms = { .priority = RGY_PRIORITY_UNSTATED } };
   sim->counters = rgy_counters_new ();
   sim->stored_agents = g_byte_array_new ();
   sim->weights[0] = 1;
@@ -583,6 +729,7 @@
       sim->agent_processes[i] = (struct process_){ .simulation = sim,
                                                    .is_agent = true,
                                                    .index = i };
+      sim->backends[i].speed = 1;
       sim->backends[i].flows
           = g_hash_table_new (g_direct_hash, g_direct_equal);
       sim->backends[i].started
@@ -593,6 +740,9 @@
   sim->pooled = g_array_new (FALSE, TRUE, sizeof (uint32_t));
   sim->requests = g_ptr_array_new_with_free_func (g_free);
   sim->seconds = g_array_new (FALSE, TRUE, sizeof (struct sim_second));
+  sim->runs = g_array_new (FALSE, TRUE, sizeof (uint8_t));
+  for (i = 0; i < SIM_MAX_KINDS; i++)
+    sim->waits[i] = g_array_new (FALSE, TRUE, sizeof (unsigned));
   return sim;
 }
 
@@ -615,7 +765,11 @@
   g_array_unref (sim->pooled);
   g_ptr_array_unref (sim->requests);
   g_array_unref (sim->seconds);
+  g_array_unref (sim->runs);
+  for (i = 0; i < SIM_MAX_KINDS; i++)
+    g_array_unref (sim->waits[i]);
   g_sequence_free (sim->queue);
+  g_ptr_array_unref (sim->active);
   g_ptr_array_unref (sim->callers);
   rgy_counters_delete (sim->counters);
   g_byte_array_unref (sim->stored_agents);
@@ -669,10 +823,7 @@
   static const char *const names[] = { "workshop", "catalogue" };
   struct rgy_stream_manifest *manifest
       = rgy_stream_manifest_new (sim->version);
-  struct rgy_route route
-      = { .address = { .ip = SERVICE_IP, .port = SERVICE_PORT },
-          .terms = { .priority = RGY_PRIORITY_UNSTATED,
-                     .goal_us = sim->load.goal_us } };
+  struct rgy_route route = { .address = { .ip = SERVICE_IP } };
   size_t i;
 
   for (i = 0; i < 2; i++)
@@ -681,7 +832,12 @@
         route.targets[route.n_targets].service = rgy_name_from_c (names[i]);
         route.targets[route.n_targets++].weight = sim->weights[i];
       }
-  (void)rgy_stream_manifest_add_route (manifest, &route);
+  for (i = 0; i < sim->load.n_kinds; i++)
+    {
+      route.address.port = sim->load.kinds[i].port;
+      route.terms = sim->load.kinds[i].terms;
+      (void)rgy_stream_manifest_add_route (manifest, &route);
+    }
   return manifest;
 }
 
@@ -773,6 +929,26 @@
   sim->agents[i] = NULL;
 }
 
+static void
+freeze_ (struct simulation *sim, struct process_ *process, int64_t us)
+{
+  process->frozen_us = sim->now_us;
+  process->frozen_until_us = sim->now_us + us;
+  process->held = 0;
+}
+
+void
+sim_freeze_balancer (struct simulation *sim, size_t i, int64_t us)
+{
+  freeze_ (sim, &sim->balancer_processes[i], us);
+}
+
+void
+sim_freeze_agent (struct simulation *sim, size_t i, int64_t us)
+{
+  freeze_ (sim, &sim->agent_processes[i], us);
+}
+
 void
 sim_stop_agent (struct simulation *sim, size_t i)
 {
--- a/tests/simulation/simulation_backend.c
+++ b/tests/simulation/simulation_backend.c
@@ -1,5 +1,7 @@
 #include "simulation_private.h"
 
+#include <math.h>
+
 size_t
 sim_get_service_ (const struct simulation *sim, size_t agent)
 {
@@ -37,10 +39,21 @@
       &(struct rgy_segment_trailer){ 0 });
 }
 
+/* Draws the run time of a request relative to the mean of its kind.  */
+static double
+draw_run_ (struct simulation *sim, const struct sim_kind *kind)
+{
+  if (kind->longest_run <= 0)
+    return g_rand_double_range (sim->rand, 1 - RUN_SPREAD, 1 + RUN_SPREAD);
+  return MIN (-log (1 - g_rand_double (sim->rand)), kind->longest_run);
+}
+
 static void
 run_request_ (struct simulation *sim, size_t i, const struct packet_ *request)
 {
   struct backend_ *backend = &sim->backends[i];
+  struct caller_ *caller = sim_find_caller_ (sim, request->caller);
+  const struct sim_kind *kind = &sim->load.kinds[caller->kind];
   struct delivery_ end = { .kind = RUN_ENDED,
                            .index = i,
                            .packet = *request,
@@ -48,11 +61,47 @@
   double factor
       = sim->now_us < backend->cold_until_us ? sim->load.cold_factor : 1;
 
-  backend->running++;
-  sim_queue_event_ (sim, end,
-                    (int64_t)((double)sim->load.run_us * factor
-                              * g_rand_double_range (sim->rand, 1 - RUN_SPREAD,
-                                                     1 + RUN_SPREAD)));
+  if (backend->speed > 0)
+    factor /= backend->speed;
+  if (++backend->running >= sim->load.slots)
+    backend->free_since_us = INT64_MAX;
+  sim_handle_user_run_ (sim, caller);
+  sim_queue_event_ (
+      sim, end,
+      (int64_t)((double)kind->run_us * factor * draw_run_ (sim, kind)));
+}
+
+/* True if a backend server of the service could have begun to run a request
+   for some time.  */
+static bool
+has_room_ (const struct simulation *sim, size_t i, size_t from)
+{
+  const struct backend_ *backend = &sim->backends[i];
+
+  return backend->alive && !backend->draining && backend->speed > 0
+         && sim->now_us >= backend->cold_until_us
+         && backend->free_since_us < sim->now_us - NOTICE_US
+         && sim->weights[sim_get_service_ (sim, i)] > 0
+         && sim->agents[i] != NULL
+         && !sim_is_frozen_ (sim, &sim->agent_processes[i])
+         && !sim->cut[from][i % sim->n_domains]
+         && !sim_is_domain_out_ (sim, i);
+}
+
+void
+sim_count_refusal_ (struct simulation *sim, const struct caller_ *caller,
+                    size_t from)
+{
+  size_t i;
+
+  if (!caller->of_user || caller->done)
+    return;
+  for (i = 0; i < sim->n_agents; i++)
+    if (has_room_ (sim, i, from))
+      {
+        sim->counts.refused_with_room++;
+        return;
+      }
 }
 
 static uint32_t
@@ -85,7 +134,11 @@
     g_queue_push_tail (&backend->waiting,
                        g_memdup2 (request, sizeof *request));
   else
-    answer_request_ (sim, i, request, true);
+    {
+      sim_count_refusal_ (sim, sim_find_caller_ (sim, request->caller),
+                          i % sim->n_domains);
+      answer_request_ (sim, i, request, true);
+    }
 }
 
 void
@@ -161,7 +214,13 @@
 
   if (!backend->alive || backend->generation != d->generation)
     return;
-  backend->running--;
+  if (backend->speed <= 0)
+    {
+      sim_queue_event_ (sim, *d, HANG_CHECK_US);
+      return;
+    }
+  if (backend->running-- == sim->load.slots)
+    backend->free_since_us = sim->now_us;
   g_hash_table_insert (
       backend->answered, GUINT_TO_POINTER (d->packet.caller),
       GUINT_TO_POINTER (d->packet.seq + d->packet.payload_len));
@@ -182,6 +241,12 @@
   backend->running = 0;
 }
 
+void
+sim_set_speed (struct simulation *sim, size_t i, double speed)
+{
+  sim->backends[i].speed = speed;
+}
+
 struct rgy_name
 sim_get_service_name_ (const struct simulation *sim, size_t agent)
 {
@@ -214,7 +279,7 @@
           .slots = sim->load.users == 0 ? DEFAULT_SLOTS : sim->load.slots };
 
   backend->next_heartbeat_us = sim->now_us + SIM_HEARTBEAT_US;
-  if (sim->agents[i] != NULL
+  if (sim->agents[i] != NULL && !sim_is_frozen_ (sim, &sim->agent_processes[i])
       && rgy_stream_agent_heartbeat (sim->agents[i], &heartbeat, sim->now_us)
              == RGY_OK
       && backend->draining && backend->drained_us == 0)
@@ -231,6 +296,7 @@
   backend->draining = false;
   backend->drained_us = 0;
   backend->generation++;
+  backend->free_since_us = sim->now_us;
   backend->seq = 0;
   backend->cold_until_us = sim->now_us + sim->load.cold_us;
   backend->started_ms = sim->now_us / RGY_US_PER_MS;
--- a/tests/simulation/simulation_private.h
+++ b/tests/simulation/simulation_private.h
@@ -34,6 +34,17 @@
 #define MAX_RETRIES 5
 #define LIST_UPDATE_INTERVAL_US (3 * RGY_US_PER_S)
 #define REQUEST_TIMEOUT_US (5 * RGY_US_PER_S)
+/* Router's checks that a frozen balancer leaves unanswered before it is left
+   out: two, every 500 ms.  */
+#define ROTATION_US RGY_US_PER_S
+/* Datagrams that wait for a frozen process: a socket's usual 212,992 bytes
+   with 800 bytes of bookkeeping each.  */
+#define MAX_HELD 250
+/* Time in which a closing segment reaches the backend server on any path, or a
+   first segment three agents one after the other.  */
+#define NOTICE_US (50 * RGY_US_PER_MS)
+/* Interval at which runs at a hanging backend server are looked at.  */
+#define HANG_CHECK_US (20 * RGY_US_PER_MS)
 /* Time after the acknowledgement of a drain; the users allow no first segment
    at the backend server after it.  */
 #define DRAIN_LIMIT_US (3 * RGY_US_PER_S)
@@ -53,6 +64,7 @@
 enum delivery_kind_
 {
   TO_ROUTER,
+  ROUTED_TO_BALANCER,
   RETURNED_TO_BALANCER,
   MESSAGE_TO_BALANCER,
   TO_AGENT,
@@ -101,6 +113,8 @@
                            was queued, run or answered.  */
   GHashTable *answered; /* The same for answered requests.  */
   int64_t cold_until_us;
+  int64_t free_since_us; /* Since when a slot is free; INT64_MAX if none.  */
+  double speed;
 };
 
 struct caller_
@@ -121,16 +135,27 @@
   struct request_ *request; /* Request of a user that the flow carries, or
                                NULL.  */
   bool of_user;
+  size_t kind;
+  size_t domain;
+  size_t request_number; /* Of the last request that the flow carried.  */
+  bool ran;              /* A backend server began to run it.  */
+  bool refused;          /* The flow was reset before it opened, or the request
+                            rejected.  */
+  int64_t done_us;
 };
 
 /* A user's request, which may take several tries on different flows.  */
 struct request_
 {
+  size_t number;
+  size_t kind;
+  size_t domain;
   size_t user;
   bool fresh; /* Uses a flow of its own.  */
   int64_t began_us;
   unsigned tries;
   uint32_t caller; /* Number of the flow of the present try.  */
+  int64_t ran_us;  /* Beginning of the last run.  */
   bool ended;
 };
 
@@ -139,6 +164,9 @@
   struct simulation *simulation;
   bool is_agent;
   size_t index;
+  int64_t frozen_us;       /* Time of the last freeze.  */
+  int64_t frozen_until_us; /* Not frozen from then on.  */
+  unsigned held;           /* Datagrams that wait for its end.  */
 };
 
 struct simulation
@@ -165,6 +193,7 @@
   struct process_ balancer_processes[SIM_MAX_BALANCERS];
   struct process_ agent_processes[SIM_MAX_AGENTS];
   GPtrArray *callers;
+  GPtrArray *active; /* Those that are not done, and some that are.  */
   struct rgy_counters *counters;
   uint32_t weights[2];
   uint64_t version;
@@ -180,9 +209,12 @@
   bool started;
   struct sim_counts counts;
   struct sim_load load; /* Without users unless sim_set_users() was called.  */
-  GArray *pooled;       /* For each user the number of its idle flow plus 1, or
-                           0.  */
-  GPtrArray *requests;  /* Requests that have not ended.  */
+  double rate_factor[SIM_MAX_KINDS][SIM_MAX_DOMAINS];
+  GArray *pooled; /* For each kind, failure domain and user the number of
+                     its idle flow plus 1, or 0.  */
+  GArray *runs;   /* For each request the number of its runs, a byte.  */
+  GArray *waits[SIM_MAX_KINDS]; /* sim_get_waits().  */
+  GPtrArray *requests;          /* Requests that have not ended.  */
   int64_t next_request_us;
   int64_t users_since_us;
   GArray *seconds; /* Entries are struct sim_second.  */
@@ -194,9 +226,19 @@
 /* Queues a delivery after DELAY_US; it is never lost.  */
 void sim_queue_event_ (struct simulation *sim, struct delivery_ delivery,
                        int64_t delay_us);
-struct caller_ *sim_find_caller_ (struct simulation *sim, uint32_t number);
-/* Begins a new flow.  */
-struct caller_ *sim_begin_flow_ (struct simulation *sim);
+struct caller_ *sim_find_caller_ (const struct simulation *sim,
+                                  uint32_t number);
+/* Begins a new flow of a caller in a failure domain to the service address of
+   a kind of requests.  */
+struct caller_ *sim_begin_flow_ (struct simulation *sim, size_t kind,
+                                 size_t domain);
+void sim_end_caller_ (struct simulation *sim, struct caller_ *caller);
+/* Counts a refusal that a process of failure domain FROM sends.  */
+void sim_count_refusal_ (struct simulation *sim, const struct caller_ *caller,
+                         size_t from);
+bool sim_is_frozen_ (const struct simulation *sim,
+                     const struct process_ *process);
+bool sim_is_domain_out_ (const struct simulation *sim, size_t instance);
 void sim_send_from_caller_ (struct simulation *sim,
                             const struct caller_ *caller, uint8_t flags,
                             uint16_t len);
@@ -219,8 +261,10 @@
 /* Handles an answer or a rejection on the flow of a user.  */
 void sim_handle_user_answer_ (struct simulation *sim, struct caller_ *caller,
                               const struct packet_ *packet);
-/* Handles the end of a user's flow.  */
-void sim_handle_user_flow_end_ (struct simulation *sim,
-                                struct caller_ *caller);
+/* Notes that a backend server begins to run the request on a user's flow.  */
+void sim_handle_user_run_ (struct simulation *sim, struct caller_ *caller);
+/* Handles the end of a user's flow, by a RESET or by silence.  */
+void sim_handle_user_flow_end_ (struct simulation *sim, struct caller_ *caller,
+                                bool reset);
 
 #endif
