--- a/benchmarks/load_experiment.c
+++ b/benchmarks/load_experiment.c
@@ -14,6 +14,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "load_scarcity.h"
 #include "ragwortyoke/clock.h"
 #include "simulation.h"
 
@@ -45,6 +46,7 @@
 static struct
 {
   gchar *pattern;
+  struct scarcity_options scarcity;
   gint first_seed;
   gint seeds;
   gint seconds;
@@ -62,7 +64,8 @@
   gint run_ms;
   gint cold_ms;
   gdouble cold_factor;
-} options_ = { .first_seed = 1,
+} options_ = { .scarcity = { .factor = 3 },
+               .first_seed = 1,
                .seeds = 12,
                .seconds = 14,
                .balancers = 4,
@@ -87,14 +90,22 @@
 
 static const GOptionEntry entries_[] = {
   { "pattern", 0, 0, G_OPTION_ARG_STRING, &options_.pattern,
-    "steady, power-loss, kill-all, release or roll "
-    "(default power-loss)",
+    "steady, power-loss, kill-all, release or roll (default power-loss); "
+    "overload, domain-burst, servers-gone, zone-emptied, half-slow, uneven or "
+    "wave, which know only the options before --seconds",
     "NAME" },
+  { "site", 0, 0, G_OPTION_ARG_STRING, &options_.scarcity.site,
+    "Deployment of an overload: seitkali or bluemahoe", "NAME" },
+  { "factor", 0, 0, G_OPTION_ARG_DOUBLE, &options_.scarcity.factor,
+    "Factor of the first kind of requests in overload (default 3)", "X" },
+  { "table", 0, 0, G_OPTION_ARG_NONE, &options_.scarcity.table,
+    "Goodput against the load of all requests, 0.5 to 5 times the capacity",
+    NULL },
   INT_OPTION ("first-seed", first_seed, "First seed"),
   INT_OPTION ("seeds", seeds, "Number of seeds"),
-  INT_OPTION ("seconds", seconds, "Seconds with requests"),
   INT_OPTION ("balancers", balancers, "Balancers"),
   INT_OPTION ("agents", agents, "Agents and backend servers"),
+  INT_OPTION ("seconds", seconds, "Seconds with requests"),
   INT_OPTION ("down-ms", down_ms, "Duration of the fault"),
   INT_OPTION ("users", users, "Users"),
   INT_OPTION ("requests-per-s", requests_per_s,
@@ -399,7 +410,7 @@
   int i;
 
   pattern_ = PATTERN_POWER_LOSS;
-  if (options_.pattern != NULL)
+  if (options_.pattern != NULL && !scarcity_has_pattern (options_.pattern))
     {
       for (i = 0; i < PATTERN_COUNT; i++)
         if (g_strcmp0 (options_.pattern, pattern_string[i]) == 0)
@@ -442,6 +453,21 @@
       fprintf (stderr, "load_experiment: %s\n", why);
       goto out;
     }
+  if (options_.scarcity.table || scarcity_has_pattern (options_.pattern))
+    {
+      options_.scarcity.first_seed = options_.first_seed;
+      options_.scarcity.seeds = options_.seeds;
+      options_.scarcity.balancers = options_.balancers;
+      options_.scarcity.agents = options_.agents;
+      why = scarcity_play (options_.scarcity.table ? "overload"
+                                                   : options_.pattern,
+                           &options_.scarcity);
+      if (why != NULL)
+        fprintf (stderr, "load_experiment: %s\n", why);
+      else
+        rc = EXIT_SUCCESS;
+      goto out;
+    }
   pool = g_thread_pool_new (play_seed_, NULL,
                             (gint)MAX (g_get_num_processors () / 2, 1), TRUE,
                             &error);
