Let the soak's callers ask for more than the slots can run

Cause: the soak knew long flows that are answered at once; nothing waited, nothing was refused, and no route had a priority.

Change: callers of two more routes send one request each, on a flow of its own: urgent ones, and less urgent ones, which come in bursts of about 1.5 times what the slots can run, from a generator of their own, so that the kept seeds draw the faults of before. A run fails if a refused request runs, if a request runs twice, or if less than .95 of the urgent requests after the faults, beside a burst, are answered within their time limit.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -12,6 +12,23 @@
 #define SERVICE_IP 0xc6120001U
 #define SERVICE_PORT 443
 #define FLOWS_PER_S 15
+/* Callers who send one request each: urgent ones at SERVICE_PORT + 1 and less
+   urgent ones at SERVICE_PORT + 2.  In a burst the latter ask for more than
+   the slots can run, 160 requests a second.  */
+#define URGENT_PORT (SERVICE_PORT + 1)
+#define LESS_URGENT_PORT (SERVICE_PORT + 2)
+#define FIRST_REQUEST_PORT 30000
+#define REQUESTS_PER_S 10
+#define BURST_REQUESTS_PER_S 250
+#define BURST_US RGY_US_PER_S
+/* Time limits, as the manifest states them.  */
+#define URGENT_LIMIT_US (3 * RGY_US_PER_S)
+#define LESS_URGENT_LIMIT_US (2 * RGY_US_PER_S)
+/* Share of the urgent requests after the faults that must be answered, a burst
+   of the others included.  */
+#define MIN_URGENT_SHARE 0.95
+/* First byte of the payload of a rejection.  */
+#define REJECTED 1
 #define FLOW_DURATION_US (6 * RGY_US_PER_S)
 /* Pause of a caller between two requests.  */
 #define REQUEST_INTERVAL_US (250 * RGY_US_PER_MS)
@@ -60,8 +77,16 @@
 struct caller_
 {
   uint16_t port;
-  bool open;            /* The backend server has accepted the flow.  */
-  bool done;            /* The flow has ended or failed to get an answer.  */
+  uint16_t service_port;
+  int64_t begun_us;
+  bool answered; /* The request of a caller who sends one was answered.  */
+  bool refused;  /* The flow was reset before it opened, or the request
+                    rejected.  */
+  unsigned runs; /* Of the request of a caller who sends one.  */
+  bool taken;    /* A backend server has queued or run it.  */
+  bool ended;    /* The run has ended.  */
+  bool open;     /* The backend server has accepted the flow.  */
+  bool done;     /* The flow has ended or failed to get an answer.  */
   uint32_t service_seq; /* First sequence number of the backend server.  */
   size_t backend;       /* Index of the backend server.  */
   int64_t close_us;     /* Time after which the caller closes the flow.  */
@@ -87,6 +112,17 @@
   GPtrArray *callers; /* All callers of the run, as struct caller_.  */
   uint16_t next_port; /* Port of the next caller.  */
   int64_t next_flow_us;
+  GRand *load_rand; /* Draws what concerns requests, apart from the faults.  */
+  uint16_t next_request_port; /* Port of the next caller who sends one.  */
+  int64_t next_urgent_us;
+  int64_t next_less_urgent_us;
+  int64_t burst_us; /* Start of the next burst, or of the present one.  */
+  bool burst_after_faults; /* The burst after the last fault has begun.  */
+  int64_t faults_end_us;
+  unsigned urgent_begun;    /* After the last fault, but for those that may
+                               still wait.  */
+  unsigned urgent_answered; /* Of these within their time limit.  */
+  unsigned refused;         /* Requests refused.  */
   int64_t next_fault_us;
   int64_t next_readiness_us;
   int64_t store_fault_end_us;  /* End of the store fault; 0: no fault.  */
@@ -110,8 +146,8 @@
 {
   uint32_t src = from_service ? SERVICE_IP : SOAK_CALLER_IP;
   uint32_t dst = from_service ? SOAK_CALLER_IP : SERVICE_IP;
-  uint16_t sport = from_service ? SERVICE_PORT : caller->port;
-  uint16_t dport = from_service ? caller->port : SERVICE_PORT;
+  uint16_t sport = from_service ? caller->service_port : caller->port;
+  uint16_t dport = from_service ? caller->port : caller->service_port;
 
   memset (out, 0, RGY_PACKET_HEADER_BYTES + len);
   out[0] = flags;
@@ -176,28 +212,137 @@
       (struct rgy_bytes){ .data = out, .len = n });
 }
 
-static void
-open_flow_ (void)
+static struct caller_ *
+add_caller_ (uint16_t port, uint16_t service_port)
 {
   struct caller_ *caller = g_new0 (struct caller_, 1);
 
-  caller->port = soak_.next_port++;
-  caller->close_us = soak_.now_us + FLOW_DURATION_US;
+  caller->port = port;
+  caller->service_port = service_port;
+  caller->begun_us = soak_.now_us;
   caller->next_send_us = soak_.now_us + RETRY_US;
   g_ptr_array_add (soak_.callers, caller);
+  return caller;
+}
+
+static void
+open_flow_ (void)
+{
+  struct caller_ *caller = add_caller_ (soak_.next_port++, SERVICE_PORT);
+
+  caller->close_us = soak_.now_us + FLOW_DURATION_US;
   soak_.fault_free_begun += soak_.faults_ended;
   send_from_caller_ (caller, SYN, 0);
 }
 
+static bool
+sends_one_request_ (const struct caller_ *caller)
+{
+  return caller->service_port != SERVICE_PORT;
+}
+
+static int64_t
+get_limit_us_ (const struct caller_ *caller)
+{
+  return caller->service_port == URGENT_PORT ? URGENT_LIMIT_US
+                                             : LESS_URGENT_LIMIT_US;
+}
+
+/* True for an urgent request after the faults whose outcome the run still
+   sees.  */
+static bool
+must_be_answered_ (const struct caller_ *caller)
+{
+  return caller->service_port == URGENT_PORT && soak_.faults_end_us != 0
+         && caller->begun_us >= soak_.faults_end_us + RECONNECT_BOUND_US
+         && caller->begun_us < soak_.end_us - URGENT_LIMIT_US;
+}
+
+static void
+send_one_request_ (uint16_t service_port)
+{
+  struct caller_ *caller
+      = add_caller_ (soak_.next_request_port++, service_port);
+
+  soak_.urgent_begun += must_be_answered_ (caller);
+  send_from_caller_ (caller, SYN, 0);
+}
+
+static struct caller_ *
+find_caller_ (uint16_t port)
+{
+  guint i;
+
+  for (i = 0; i < soak_.callers->len; i++)
+    {
+      struct caller_ *caller = g_ptr_array_index (soak_.callers, i);
+
+      if (caller->port == port)
+        return caller;
+    }
+  return NULL;
+}
+
+void
+soak_request_begins (uint16_t port)
+{
+  struct caller_ *caller = find_caller_ (port);
+
+  if (caller->refused)
+    report_violation_ ("refused request %u runs", port);
+  if (++caller->runs > 1)
+    report_violation_ ("request %u runs again", port);
+}
+
+/* Begins the requests that are due, and bursts.  */
+static void
+begin_requests_ (void)
+{
+  bool in_burst = soak_.now_us >= soak_.burst_us
+                  && soak_.now_us < soak_.burst_us + BURST_US;
+  int64_t interval_us
+      = RGY_US_PER_S / (in_burst ? BURST_REQUESTS_PER_S : REQUESTS_PER_S);
+
+  if (!in_burst && soak_.now_us >= soak_.burst_us && !soak_.faults_ended)
+    soak_.burst_us
+        = soak_.now_us
+          + g_rand_int_range (soak_.load_rand, 1000, 5000) * RGY_US_PER_MS;
+  if (soak_.faults_ended && !soak_.burst_after_faults)
+    {
+      soak_.burst_after_faults = true;
+      soak_.burst_us = soak_.faults_end_us + RECONNECT_BOUND_US;
+    }
+  for (; soak_.now_us >= soak_.next_urgent_us;
+       soak_.next_urgent_us += RGY_US_PER_S / REQUESTS_PER_S)
+    send_one_request_ (URGENT_PORT);
+  if (soak_.now_us >= soak_.burst_us)
+    soak_.next_less_urgent_us
+        = MIN (soak_.next_less_urgent_us, soak_.now_us + interval_us);
+  for (; soak_.now_us >= soak_.next_less_urgent_us;
+       soak_.next_less_urgent_us += interval_us)
+    send_one_request_ (LESS_URGENT_PORT);
+}
+
 /* Sends the next segment of a caller when it is due: the first segment again,
    a request, its retransmission, or the last segment.  */
 static void
 update_caller_ (struct caller_ *caller)
 {
-  if (caller->done || soak_.now_us < caller->next_send_us)
+  if (caller->done)
+    return;
+  if (sends_one_request_ (caller)
+      && soak_.now_us - caller->begun_us >= get_limit_us_ (caller))
+    {
+      if (caller->open)
+        send_from_caller_ (caller, FIN | ACK, 0);
+      caller->done = true;
+      return;
+    }
+  if (soak_.now_us < caller->next_send_us)
     return;
   if (caller->open && !caller->awaits_answer
-      && soak_.now_us >= caller->close_us)
+      && (sends_one_request_ (caller) ? caller->answered
+                                      : soak_.now_us >= caller->close_us))
     {
       send_from_caller_ (caller, FIN | ACK, 0);
       caller->done = true;
@@ -240,6 +385,11 @@
 
   soak_.resets++;
   caller->done = true;
+  if (!caller->open && sends_one_request_ (caller))
+    {
+      caller->refused = true;
+      soak_.refused++;
+    }
   if (caller->open && backend->alive
       && GPOINTER_TO_UINT (g_hash_table_lookup (
              backend->flows, GUINT_TO_POINTER (caller->port)))
@@ -251,12 +401,30 @@
                        from_agent ? "agent" : "balancer", from_ip & 0xff);
 }
 
+/* Handles the answer of a caller who sends one request.  */
+static void
+handle_only_answer_ (struct caller_ *caller, bool rejected)
+{
+  caller->answered = true;
+  caller->next_send_us = soak_.now_us;
+  if (rejected)
+    {
+      caller->refused = true;
+      soak_.refused++;
+      if (caller->runs > 0)
+        report_violation_ ("rejected request %u has run", caller->port);
+      return;
+    }
+  soak_.urgent_answered
+      += must_be_answered_ (caller)
+         && soak_.now_us - caller->begun_us <= URGENT_LIMIT_US;
+}
+
 static void
 on_caller_packet_ (struct rgy_endpoint from, struct rgy_bytes data, void *ctx)
 {
   struct rgy_segment segment;
-  struct caller_ *caller = NULL;
-  guint i;
+  struct caller_ *caller;
 
   (void)ctx;
   if (rgy_packet_decode (data, true, &segment) != RGY_OK)
@@ -264,13 +432,7 @@
       report_violation_ ("a caller received a malformed packet");
       return;
     }
-  for (i = 0; i < soak_.callers->len && caller == NULL; i++)
-    {
-      struct caller_ *at = g_ptr_array_index (soak_.callers, i);
-
-      if (at->port == segment.key.u.segment.caller.port)
-        caller = at;
-    }
+  caller = find_caller_ (segment.key.u.segment.caller.port);
   if (caller == NULL || caller->done)
     return;
   if ((segment.flags & RGY_SEGMENT_RST) != 0)
@@ -282,6 +444,8 @@
       caller->backend = from.ip - SOAK_AGENT_IP;
       caller->retransmissions = 0;
       caller->next_send_us = soak_.now_us;
+      if (sends_one_request_ (caller))
+        return;
       soak_.opened++;
       soak_.fault_free_opened += soak_.faults_ended;
     }
@@ -290,6 +454,12 @@
       caller->awaits_answer = false;
       caller->retransmissions = 0;
       caller->next_send_us = soak_.now_us + REQUEST_INTERVAL_US;
+      if (sends_one_request_ (caller))
+        {
+          handle_only_answer_ (caller,
+                               data.data[RGY_PACKET_HEADER_BYTES] == REJECTED);
+          return;
+        }
       soak_.answered++;
     }
 }
@@ -321,6 +491,45 @@
         "new flow was placed on backend %zu of a domain out of service", i);
 }
 
+static void
+answer_ (size_t i, const struct caller_ *caller, bool rejected)
+{
+  uint8_t out[RGY_PACKET_MAX_BYTES];
+  size_t len = build_packet_ (out, caller, true, ACK, 0, 0, 200);
+
+  out[RGY_PACKET_HEADER_BYTES] = rejected ? REJECTED : 0;
+  send_from_backend_ (i, out, len);
+}
+
+void
+soak_request_ends (size_t backend, uint16_t port)
+{
+  struct caller_ *caller = find_caller_ (port);
+
+  caller->ended = true;
+  answer_ (backend, caller, false);
+}
+
+/* Handles a request, or its repetition, at a backend server that serves the
+   flow.  */
+static void
+handle_request_ (size_t i, const struct caller_ *end)
+{
+  struct caller_ *caller
+      = sends_one_request_ (end) ? find_caller_ (end->port) : NULL;
+
+  if (caller == NULL || caller->ended)
+    answer_ (i, end, false);
+  else if (caller->refused)
+    answer_ (i, end, true);
+  else if (!caller->taken)
+    {
+      caller->taken = soak_slots_take (i, caller->port, soak_.now_us);
+      if (!caller->taken)
+        answer_ (i, end, true);
+    }
+}
+
 static void
 on_backend_packet_ (struct rgy_endpoint from, struct rgy_bytes data, void *ctx)
 {
@@ -341,6 +550,7 @@
       return;
     }
   end.port = segment.key.u.segment.caller.port;
+  end.service_port = segment.key.u.segment.service.port;
   key = GUINT_TO_POINTER (end.port);
   service_seq = GPOINTER_TO_UINT (g_hash_table_lookup (backend->flows, key));
   if (rgy_segment_is_opening (&segment))
@@ -348,7 +558,9 @@
       if (service_seq == 0)
         {
           check_placement_ (i);
-          service_seq = (uint32_t)g_rand_int_range (soak_.rand, 1, G_MAXINT);
+          service_seq = (uint32_t)g_rand_int_range (
+              sends_one_request_ (&end) ? soak_.load_rand : soak_.rand, 1,
+              G_MAXINT);
           g_hash_table_insert (backend->flows, key,
                                GUINT_TO_POINTER (service_seq));
         }
@@ -370,8 +582,7 @@
                           build_packet_ (out, &end, true, FIN | ACK, 0, 0, 0));
     }
   else
-    send_from_backend_ (i, out,
-                        build_packet_ (out, &end, true, ACK, 0, 0, 200));
+    handle_request_ (i, &end);
 }
 
 static void
@@ -402,12 +613,12 @@
                             verb);
   body = g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"%s\","
-      "\"version\":\"v1\",\"concurrency\":4,\"state\":\"%s\","
+      "\"version\":\"v1\",\"concurrency\":%d,\"state\":\"%s\","
       "\"warmup_left_ms\":0,\"seq\":%" G_GUINT64_FORMAT
       ",\"born\":%" G_GINT64_FORMAT "}",
       i < SOAK_WORKSHOP_AGENTS ? "workshop" : "catalogue",
       rgy_ip_format (SOAK_AGENT_IP + (uint32_t)i, ip), SOAK_BACKEND_PORT,
-      i % 2 == 0 ? "domain-a" : "domain-b",
+      i % 2 == 0 ? "domain-a" : "domain-b", SOAK_SLOTS,
       backend->draining ? "draining" : "ready", ++backend->seq,
       backend->started_ms);
   rgy_http_client_call (backend->heartbeats, "POST", target,
@@ -433,6 +644,7 @@
   struct backend_ *backend = &soak_.backends[i];
 
   backend->alive = false;
+  soak_slots_clear (i);
   rgy_http_delete (backend->health);
   backend->health = NULL;
 }
@@ -443,6 +655,7 @@
   struct backend_ *backend = &soak_.backends[i];
 
   g_hash_table_remove_all (backend->flows);
+  soak_slots_clear (i);
   backend->alive = true;
   if (backend->health == NULL)
     backend->health = rgy_http_new (
@@ -465,14 +678,22 @@
 static void
 set_manifest_ (uint32_t catalogue_weight)
 {
+  char *split = g_strdup_printf (
+      "\"traffic_split\":[{\"service\":\"workshop\",\"weight\":10},"
+      "{\"service\":\"catalogue\",\"weight\":%u}]",
+      catalogue_weight);
   char *text = g_strdup_printf (
       "{\"version\":%" G_GUINT64_FORMAT
-      ",\"routes\":[{\"hostname\":\"198.18.0.1\",\"prefix\":\"/443/\","
-      "\"traffic_split\":[{\"service\":\"workshop\",\"weight\":10},"
-      "{\"service\":\"catalogue\",\"weight\":%u}]}],\"services\":[]}",
-      ++soak_.version, catalogue_weight);
+      ",\"routes\":[{\"hostname\":\"198.18.0.1\",\"prefix\":\"/443/\",%s},"
+      "{\"hostname\":\"198.18.0.1\",\"prefix\":\"/444/\",\"type\":\"unsafe\","
+      "\"priority\":1,\"latency_goal_ms\":500,\"timeout_ms\":3000,%s},"
+      "{\"hostname\":\"198.18.0.1\",\"prefix\":\"/445/\",\"type\":\"safe\","
+      "\"priority\":2,\"latency_goal_ms\":500,\"timeout_ms\":2000,%s}],"
+      "\"services\":[]}",
+      ++soak_.version, split, split, split);
 
   soak_store_put ("op/config", text);
+  g_free (split);
   g_free (text);
 }
 
@@ -632,6 +853,7 @@
   size_t i;
 
   soak_.faults_ended = true;
+  soak_.faults_end_us = soak_.now_us;
   soak_store_set_mode (SOAK_STORE_WORKS);
   soak_.store_fault_end_us = 0;
   soak_store_delete ("op/evacuate/domain-a");
@@ -709,6 +931,8 @@
       open_flow_ ();
       soak_.next_flow_us += RGY_US_PER_S / FLOWS_PER_S;
     }
+  soak_slots_tick (soak_.now_us);
+  begin_requests_ ();
   for (i = 0; i < soak_.callers->len; i++)
     update_caller_ (g_ptr_array_index (soak_.callers, i));
   if (soak_.now_us >= soak_.end_us)
@@ -810,6 +1034,11 @@
   soak_.callers = g_ptr_array_new_with_free_func (g_free);
   soak_.now_us = (int64_t)(uv_hrtime () / 1000);
   soak_.next_port = 10000;
+  soak_.load_rand = g_rand_new_with_seed ((guint32)seed + 1);
+  soak_.next_request_port = FIRST_REQUEST_PORT;
+  soak_.next_urgent_us = soak_.now_us + 2 * RGY_US_PER_S;
+  soak_.next_less_urgent_us = soak_.next_urgent_us;
+  soak_.burst_us = soak_.now_us + START_UP_US;
   if (!start_deployment_ ())
     {
       stop_deployment_ (false);
@@ -831,9 +1060,14 @@
   if (!served)
     report_violation_ ("after the faults only %u of %u new flows were opened",
                        soak_.fault_free_opened, soak_.fault_free_begun);
+  if (soak_.urgent_answered < MIN_URGENT_SHARE * soak_.urgent_begun)
+    report_violation_ ("after the faults only %u of %u urgent requests were "
+                       "answered",
+                       soak_.urgent_answered, soak_.urgent_begun);
   stop_deployment_ (soak_.violations > 0);
-  printf ("soak seed %d: %u flows opened, %u answers, %u resets, %u "
-          "violations\n",
-          seed, soak_.opened, soak_.answered, soak_.resets, soak_.violations);
+  printf ("soak seed %d: %u flows opened, %u answers, %u resets, %u requests "
+          "refused, %u of %u urgent ones answered, %u violations\n",
+          seed, soak_.opened, soak_.answered, soak_.resets, soak_.refused,
+          soak_.urgent_answered, soak_.urgent_begun, soak_.violations);
   return soak_.violations > 0;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -24,6 +24,8 @@
 /** Agents whose index is below this number serve "workshop", the others
     "catalogue".  */
 #define SOAK_WORKSHOP_AGENTS 4
+/** Requests that a backend server runs at a time, stated in its heartbeats. */
+#define SOAK_SLOTS 4
 /* Addresses of the first balancer, agent and so on; the others follow.  */
 #define SOAK_BALANCER_IP (0x7f0a0001U + (soak_run_number << 8))
 #define SOAK_AGENT_IP (0x7f140001U + (soak_run_number << 8))
@@ -85,6 +87,19 @@
 /** Close the port of the store.  */
 void soak_store_stop (void);
 
+/* Slots of the backend servers, for the requests of callers who send one
+   each.  */
+
+/** Run or queue a request.  @return false if it is rejected.  */
+bool soak_slots_take (size_t backend, uint16_t port, int64_t now_us);
+/** End the runs that are due and begin the next ones.  */
+void soak_slots_tick (int64_t now_us);
+/** Drop all requests of a backend server.  */
+void soak_slots_clear (size_t backend);
+/* Called by the functions above: a run begins; it ends.  */
+void soak_request_begins (uint16_t port);
+void soak_request_ends (size_t backend, uint16_t port);
+
 /* Another writer, which sends odd input.  */
 
 void soak_writer_start (uv_loop_t *loop, uint32_t seed);
