Keep the fields of struct sim_second, and tell by the backend server whether a flow opened

Change: in_time, late, rejected and failed stay in struct sim_second; callers and the count of refusals go by what has reached the backend server.

--- a/benchmarks/load_experiment.c
+++ b/benchmarks/load_experiment.c
@@ -299,7 +299,7 @@
 static unsigned
 count_requests_ (const struct sim_second *s)
 {
-  return s->all.in_time + s->all.late + s->all.refused + s->all.failed;
+  return s->in_time + s->late + s->rejected + s->failed;
 }
 
 static double
@@ -314,7 +314,7 @@
       const struct sim_second *s
           = &g_array_index (outcome->seconds, struct sim_second, i);
 
-      earned += s->all.in_time + LATE_SHARE * s->all.late;
+      earned += s->in_time + LATE_SHARE * s->late;
       owed += count_requests_ (s);
     }
   return owed > 0 ? earned / owed : 1;
@@ -358,10 +358,10 @@
           if ((guint)second >= o->seconds->len)
             continue;
           s = &g_array_index (o->seconds, struct sim_second, second);
-          sum.in_time += s->all.in_time;
-          sum.late += s->all.late;
-          sum.refused += s->all.refused;
-          sum.failed += s->all.failed;
+          sum.in_time += s->in_time;
+          sum.late += s->late;
+          sum.refused += s->rejected;
+          sum.failed += s->failed;
         }
       printf ("%6d %8.1f %8.1f %8.1f %8.1f\n", second,
               (double)sum.in_time / outcomes->len,
--- a/tests/simulation/simulation.c
+++ b/tests/simulation/simulation.c
@@ -159,7 +159,7 @@
       d.kind = RESET_TO_CALLER;
       d.packet.caller = get_caller_number_ (&action->u.reset.key);
       caller = sim_find_caller_ (sim, d.packet.caller);
-      if (caller != NULL && !caller->open && !caller->done)
+      if (caller != NULL && !caller->reached && !caller->done)
         sim_count_refusal_ (sim, caller, process->index % sim->n_domains);
       sim_queue_delivery_ (sim, d, false);
       return;
--- a/tests/simulation/simulation.h
+++ b/tests/simulation/simulation.h
@@ -110,7 +110,10 @@
 /** Outcomes of the requests that users began in one second.  */
 struct sim_second
 {
-  struct sim_tally all;
+  unsigned in_time;
+  unsigned late;
+  unsigned rejected; /**< Refused, of struct sim_tally.  */
+  unsigned failed;
   struct sim_tally of[SIM_MAX_KINDS][SIM_MAX_DOMAINS]; /**< By kind and failure
                                                             domain.  */
 };
--- a/tests/simulation/simulation_backend.c
+++ b/tests/simulation/simulation_backend.c
@@ -190,6 +190,7 @@
       return;
     }
   g_hash_table_add (backend->opened, number);
+  sim_find_caller_ (sim, d->packet.caller)->reached = true;
   if ((d->packet.flags & RGY_SEGMENT_FIN) != 0)
     {
       answer.flags |= RGY_SEGMENT_FIN;
--- a/tests/simulation/simulation_private.h
+++ b/tests/simulation/simulation_private.h
@@ -140,9 +140,11 @@
   size_t kind;
   size_t domain;
   size_t request_number; /* Of the last request that the flow carried.  */
-  bool ran;              /* A backend server began to run it.  */
-  bool refused;          /* The flow was reset before it opened, or the request
-                            rejected.  */
+  bool reached; /* A segment after the first one reached the backend server, so
+                   that the flow is open there.  */
+  bool ran;     /* A backend server began to run it.  */
+  bool refused; /* The flow was reset before it opened, or the request
+                   rejected.  */
   int64_t done_us;
 };
 
--- a/tests/simulation/simulation_users.c
+++ b/tests/simulation/simulation_users.c
@@ -92,21 +92,26 @@
 };
 
 static void
-add_to_tally_ (struct sim_tally *tally, enum outcome_ outcome)
+add_to_second_ (struct sim_second *second, struct sim_tally *of,
+                enum outcome_ outcome)
 {
   switch (outcome)
     {
     case OUTCOME_IN_TIME:
-      tally->in_time++;
+      second->in_time++;
+      of->in_time++;
       return;
     case OUTCOME_LATE:
-      tally->late++;
+      second->late++;
+      of->late++;
       return;
     case OUTCOME_REFUSED:
-      tally->refused++;
+      second->rejected++;
+      of->refused++;
       return;
     case OUTCOME_FAILED:
-      tally->failed++;
+      second->failed++;
+      of->failed++;
       return;
     }
 }
@@ -121,8 +126,8 @@
   if (i >= sim->seconds->len)
     g_array_set_size (sim->seconds, i + 1);
   second = &g_array_index (sim->seconds, struct sim_second, i);
-  add_to_tally_ (&second->all, outcome);
-  add_to_tally_ (&second->of[request->kind][request->domain], outcome);
+  add_to_second_ (second, &second->of[request->kind][request->domain],
+                  outcome);
   request->ended = true;
 }
 
@@ -338,16 +343,16 @@
   caller->request = NULL;
   if (request == NULL)
     return;
-  if (reset && !caller->open)
+  if (reset && !caller->reached)
     refuse_try_ (sim, caller);
-  if ((!caller->open || sim->load.kinds[request->kind].terms.repeatable)
+  if ((!caller->reached || sim->load.kinds[request->kind].terms.repeatable)
       && may_retry_ (sim, request))
     {
       try_request_ (sim, request);
       return;
     }
   end_request_ (sim, request,
-                reset && !caller->open ? OUTCOME_REFUSED : OUTCOME_FAILED);
+                reset && !caller->reached ? OUTCOME_REFUSED : OUTCOME_FAILED);
 }
 
 /* The user's time is over.  */
