--- a/tests/simulation/simulation_users.c
+++ b/tests/simulation/simulation_users.c
@@ -261,12 +261,26 @@
                 < sim->load.kinds[request->kind].terms.limit_us;
 }
 
+static void
+log_broken_promise_ (const struct simulation *sim, const char *what,
+                     const struct caller_ *caller)
+{
+  if (g_getenv ("WORLD_LOG") != NULL)
+    g_printerr ("%10.4f %s caller=%u request=%zu open=%d reached=%d ran=%d\n",
+                (double)sim->now_us / 1e6, what, caller->number,
+                caller->request_number, caller->open, caller->reached,
+                caller->ran);
+}
+
 /* Notes that a try was refused, so that its request must not run.  */
 static void
 refuse_try_ (struct simulation *sim, struct caller_ *caller)
 {
   caller->refused = true;
-  sim->counts.refused_and_ran += caller->ran;
+  if (!caller->ran)
+    return;
+  sim->counts.refused_and_ran++;
+  log_broken_promise_ (sim, "refused_and_ran", caller);
 }
 
 void
@@ -277,11 +291,18 @@
   if (!caller->of_user)
     return;
   caller->ran = true;
-  sim->counts.refused_and_ran += caller->refused;
+  if (caller->refused)
+    {
+      sim->counts.refused_and_ran++;
+      log_broken_promise_ (sim, "refused_and_ran", caller);
+    }
   sim->counts.ran_for_nobody
       += caller->done && sim->now_us - caller->done_us > NOTICE_US;
-  sim->counts.ran_twice
-      += ++*runs > 1 && !sim->load.kinds[caller->kind].terms.repeatable;
+  if (++*runs > 1 && !sim->load.kinds[caller->kind].terms.repeatable)
+    {
+      sim->counts.ran_twice++;
+      log_broken_promise_ (sim, "ran_twice", caller);
+    }
   if (caller->request != NULL)
     caller->request->ran_us = sim->now_us;
 }
