--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -12,6 +12,7 @@
 
 #include "ragwortyoke/outcome.h"
 #include "ragwortyoke/segment.h"
+#include "ragwortyoke/store_position.h"
 #include "ragwortyoke/str.h"
 #include "ragwortyoke/stream_manifest.h"
 
@@ -94,13 +95,25 @@
 /** Failure domains that operators have taken out of service.  */
 struct rgy_domain_view
 {
-  uint64_t revision; /**< Revision of the store at which the view was read.  */
+  uint32_t epoch; /**< Epoch and revision of the store at which the view was
+                       read.  */
+  uint64_t revision;
+  bool settled; /**< Operators have had the time to write again what a return
+                     of the store to this epoch has lost.  */
   size_t n_out;
+  size_t n_kept; /**< Number of names at the end of @c out that the store does
+                      not list in this epoch and that are kept until the view
+                      is settled.  */
   struct rgy_name out[RGY_STREAM_MAX_DOMAINS];
 };
 
+struct rgy_store_position
+rgy_domain_view_get_position (const struct rgy_domain_view *view);
 bool rgy_domain_view_is_out (const struct rgy_domain_view *view,
                              const struct rgy_name *domain);
+/** True if both views name the same failure domains, in any order.  */
+bool rgy_domain_view_has_same_names (const struct rgy_domain_view *a,
+                                     const struct rgy_domain_view *b);
 
 /** An agent's report on its backend server; sent periodically and at each
     change.  */
@@ -150,6 +163,9 @@
   uint32_t latency_us;
 };
 
+/** Bytes of a route's address: address and port.  */
+#define RGY_ROUTE_ADDRESS_BYTES 6
+
 /** Load of a backend server and of the requests that wait for it; sent in
    place of a brief report.  */
 struct rgy_stream_load_report
@@ -160,11 +176,22 @@
   uint32_t requests; /**< Requests that wait or run.  */
   uint32_t wait_us;  /**< Time for which a request of the lowest priority that
                           arrives now is expected to wait for a slot.  */
-  uint32_t requests_per_s; /**< Requests that arrived in the last second.  */
+  uint32_t requests_per_s;   /**< Requests that arrived in the last second.  */
+  uint32_t follow_ups_per_s; /**< Of these, requests that were not the first
+                                  ones of their flows.  */
+  uint32_t failed_permille;  /**< Share of the requests of late that the
+                                  backend server reset or did not answer, in
+                                  thousandths.  */
+  struct rgy_bytes runs;     /**< Entries of RGY_ROUTE_RUN_BYTES; empty if they
+                                  are about as last sent.  */
 };
 
-/** Bytes of a route's address in RGY_STREAM_TERMS_QUERY: address and port.  */
-#define RGY_ROUTE_ADDRESS_BYTES 6
+/** Bytes of a route's mean run time at one backend server: the route's address
+    and the time in microseconds in 4 bytes.  */
+#define RGY_ROUTE_RUN_BYTES (RGY_ROUTE_ADDRESS_BYTES + 4)
+/** Maximum number of routes whose run times an agent measures.  */
+#define RGY_STREAM_MAX_RUNS 4
+
 /** Bytes of a route in RGY_STREAM_TERMS: its address, a byte each with the
     priority and the bits of enum rgy_terms_flag, and latency goal and time
     limit in milliseconds in 4 bytes each.  */
@@ -270,6 +297,8 @@
 {
   uint64_t incarnation;
   uint64_t manifest_version;
+  uint32_t manifest_epoch; /**< Last epoch of the store in which the manifest
+                                is known to stand; 0 if none.  */
   bool wants_reply; /**< The receiver must answer with its own status; sent by
                          a starting balancer.  */
   bool settled;     /**< The sender knows all agents.  */
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -6,15 +6,19 @@
  * State of the balancer core for sequenced flows, and functions shared by its
  * source files: stream_balancer.c (configuration and state of agents),
  * stream_balancer_open.c (new flows), stream_balancer_lookup.c (lookups of
- * flows that this balancer has not cached), stream_balancer_query.c (queries
- * to agents), stream_balancer_packet.c (cached flows, segments and messages),
- * stream_balancer_member.c (agents and other balancers),
- * stream_balancer_keep.c (open flows of the own failure domain),
- * stream_balancer_terms.c (terms of routes).
+ * flows that this balancer has not cached), stream_balancer_place.c (choice of
+ * the agent for a new flow), stream_balancer_load.c (load of agents),
+ * stream_balancer_query.c (queries to agents), stream_balancer_packet.c
+ * (cached flows, segments and messages), stream_balancer_member.c (agents and
+ * other balancers), stream_balancer_keep.c (open flows of the own failure
+ * domain), stream_balancer_terms.c (terms of routes),
+ * stream_balancer_manifest.c (choice of the active manifest).
  */
 
 #include <glib.h>
+#include <inttypes.h>
 
+#include "private/domain_view.h"
 #include "private/stream_traffic.h"
 #include "ragwortyoke/placement.h"
 #include "ragwortyoke/stream_balancer.h"
@@ -164,6 +168,56 @@
 /* Maximum number of new flows being placed, and of lookups under way.  */
 #define MAX_PENDING_FLOWS 4096
 
+/** Age after which the load of an agent counts as unknown.  Agents report each
+    notable change at once and repeat their load every 4 s; one of these
+    reports may be lost.  */
+#define LOAD_EXPIRE_US INT64_C (9000000)
+
+/** Run time of the requests of one route at one backend server.  */
+struct rgy_known_run
+{
+  struct rgy_endpoint address;
+  uint32_t run_us;
+};
+
+/** Load of an agent's backend server as its last load report states it, and
+    what this balancer has placed since.  */
+struct rgy_known_load
+{
+  int64_t at_us; /**< Time of the report; 0 if none came.  */
+  uint32_t run_us;
+  uint32_t requests;
+  uint32_t requests_per_s;
+  uint32_t follow_ups_per_s;
+  uint32_t failed_permille;
+  size_t n_runs;
+  struct rgy_known_run runs[RGY_STREAM_MAX_RUNS];
+  double slowness;      /**< Run time relative to the median of the service's
+                             backend servers, compared by route; 0 if none is
+                             known.  */
+  bool is_slow;         /**< Logged as slow.  */
+  uint32_t placed;      /**< New flows placed here since the report.  */
+  int64_t confirmed_us; /**< Time of the last report that states this load, or
+                             by being brief that it has hardly changed.  */
+  uint32_t placed_since_confirmed;
+  double surge;     /**< Requests of these flows beyond what this balancer's
+                         share of the backend server works off.  */
+  int64_t surge_us; /**< Time at which @c surge was updated.  */
+  double own_flows; /**< New flows that this balancer has placed here of
+                         late, and those of all balancers.  */
+  double all_flows;
+};
+
+/** Losses of an agent's backend server, after which it gets new flows
+    gradually.  */
+struct rgy_known_losses
+{
+  unsigned n; /**< Losses, each within a short time of the one before.  */
+  bool is_lost;
+  int64_t lost_us;
+  int64_t returned_us;
+};
+
 /** An agent and its last report.  */
 struct rgy_known_agent
 {
@@ -182,8 +236,10 @@
   int64_t acked_config_us; /**< Value of rgy_stream_balancer.config_changed_us
                                 at the last acknowledgement.  */
   uint64_t changes_upto;
-  uint32_t placed;           /**< New flows placed on the agent since its last
-                                  report.  */
+  uint32_t placed; /**< New flows placed on the agent since its last
+                        report.  */
+  struct rgy_known_load load;
+  struct rgy_known_losses losses;
   GByteArray *queried;       /**< Ends of the flows in the next query.  */
   int64_t queried_us;        /**< Time of the last query sent.  */
   uint64_t fingerprint;      /**< rgy_stream_report_fingerprint() of the last
@@ -293,6 +349,13 @@
   size_t n_buffered;
 };
 
+/** Choice of an agent for a new flow.  */
+struct rgy_agent_choice
+{
+  struct rgy_known_agent *agent; /**< NULL if none is left.  */
+  struct rgy_placement placement;
+};
+
 struct rgy_stream_balancer
 {
   struct rgy_stream_balancer_settings settings;
@@ -301,13 +364,29 @@
                                                       routes that the active
                                                       manifest lacks count as
                                                       removed.  */
+  uint32_t manifest_epoch;  /**< Last epoch of the store in which the active
+                                 manifest is known to stand; 0 if none.  */
+  uint32_t read_epoch;      /**< Last epoch in which this balancer has read a
+                                 manifest from the store itself.  */
+  uint64_t highest_version; /**< Highest version that was active.  */
+  struct
+  {
+    struct rgy_stream_manifest *manifest; /**< NULL if none waits.  */
+    uint32_t epoch;
+    int64_t apply_us; /**< Time at which it becomes active.  */
+  } waiting; /**< Manifest that an operator has written after the return of the
+                  store and that is older than the active one.  */
   struct rgy_domain_view view;
+  struct rgy_domain_view_times view_times;
   struct rgy_flow_table *flows; /**< Sessions are struct rgy_cached_flow.  */
   GHashTable *agents;           /**< Address to struct rgy_known_agent,
                                      owned.  */
   GArray *peers;                /**< Entries are struct rgy_stream_peer.  */
   GHashTable *opens;            /**< Set of struct rgy_pending_open, owned.  */
   GHashTable *lookups;          /**< Set of struct rgy_lookup, owned.  */
+  GArray *candidates;           /**< Entries are struct rgy_candidate, of the
+                                     placement under way.  */
+  GPtrArray *candidate_agents;  /**< The agents of these candidates.  */
   int64_t config_changed_us;    /**< Time of the last change of the
                                      manifest or the view.  */
   double query_tokens;          /**< Flows that may be queried now.  */
@@ -351,6 +430,13 @@
   uint64_t *n_dropped;
   uint64_t *n_bad_messages;
   uint64_t *n_unknown_agents;
+  uint64_t *n_placed[RGY_PLACEMENT_REASON_COUNT];
+  uint64_t *n_other_service; /**< New flows placed on another service of their
+                                  route because the first one had no room.  */
+  uint64_t *n_slow_agents;   /**< Agents whose backend server counts as
+                                  slow.  */
+  int64_t runs_compared_us;  /**< Time of the last comparison of run times.  */
+  bool runs_changed;         /**< Run times were reported since.  */
 };
 
 /** Route of a flow in the active manifest, or NULL.  */
@@ -372,6 +458,16 @@
     balancer is probably partitioned from them.  */
 bool rgy_stream_balancer_is_partitioned_ (const struct rgy_stream_balancer *b,
                                           int64_t now_us);
+/** Activate the manifest that waits when that is due.  */
+void
+rgy_stream_balancer_apply_waiting_manifest_ (struct rgy_stream_balancer *b,
+                                             int64_t now_us);
+/** Compare the active manifest with that of another balancer.
+    @param epoch  last epoch in which the other one is known to stand.
+    @return true if the other one replaces the active one.  */
+bool rgy_stream_balancer_check_peer_manifest_ (struct rgy_stream_balancer *b,
+                                               uint32_t epoch,
+                                               uint64_t version);
 /** True if the balancer can be assumed to know all agents.  */
 bool rgy_stream_balancer_is_settled_ (const struct rgy_stream_balancer *b,
                                       int64_t now_us);
@@ -409,7 +505,8 @@
 /** Write the kept flows to the store when that is due.  */
 void rgy_stream_balancer_save_flows_ (struct rgy_stream_balancer *b,
                                       int64_t now_us);
-void rgy_stream_balancer_handle_brief_report_ (
+/** @return true if the report applies to the agent's last full one.  */
+bool rgy_stream_balancer_handle_brief_report_ (
     struct rgy_stream_balancer *b,
     const struct rgy_stream_brief_report *report, uint32_t ip, int64_t now_us);
 void
@@ -449,6 +546,57 @@
 void rgy_stream_balancer_open_flow_ (struct rgy_stream_balancer *b,
                                      const struct rgy_segment *segment,
                                      int64_t now_us);
+/** Choose the agent of one service that a new flow of a route is offered to,
+    of those that were not tried.  */
+struct rgy_agent_choice rgy_stream_balancer_choose_agent_of_service_ (
+    struct rgy_stream_balancer *b, const struct rgy_pending_open *open,
+    const struct rgy_route *route, uint32_t tag, int64_t now_us);
+/** True if the flow was offered to the agent at @p ip.  */
+bool rgy_pending_open_was_tried_ (const struct rgy_pending_open *open,
+                                  uint32_t ip);
+/** Choose the agent of the route's services with the least expected wait,
+    also among those that the flow was offered to.  @return NULL if none
+    accepts new flows.  */
+struct rgy_known_agent *rgy_stream_balancer_choose_least_loaded_agent_ (
+    struct rgy_stream_balancer *b, const struct rgy_pending_open *open,
+    const struct rgy_route *route, int64_t now_us);
+/** Take over the load that an agent reports.  */
+void rgy_stream_balancer_handle_load_report_ (
+    struct rgy_stream_balancer *b, const struct rgy_stream_load_report *report,
+    uint32_t ip, int64_t now_us);
+/** Count a new flow that is placed on an agent.  */
+void rgy_stream_balancer_note_placed_ (const struct rgy_stream_balancer *b,
+                                       struct rgy_known_agent *agent,
+                                       int64_t now_us);
+/** True if the agent's load is known and not too old.  */
+bool rgy_known_agent_has_load_ (const struct rgy_known_agent *agent,
+                                int64_t now_us);
+/** Record that the agent's load is about as last reported.  */
+void rgy_known_agent_confirm_load_ (struct rgy_known_agent *agent,
+                                    int64_t now_us);
+/** Requests expected to wait or run at the agent's backend server, those of
+    the new flows of all balancers included.  */
+double
+rgy_stream_balancer_expect_requests_ (const struct rgy_stream_balancer *b,
+                                      const struct rgy_known_agent *agent,
+                                      int64_t now_us);
+/** Compare the run times of the backend servers of each service, if some were
+    reported and the last comparison was not just now.  */
+void rgy_stream_balancer_compare_runs_ (struct rgy_stream_balancer *b,
+                                        int64_t now_us);
+/** Record a report's state of the backend server; must be called before the
+    report replaces the last one.  */
+void rgy_known_agent_note_state_ (struct rgy_known_agent *agent,
+                                  const struct rgy_stream_report *report,
+                                  int64_t now_us);
+/** True if the agent's next report is overdue.  */
+bool rgy_known_agent_is_silent_ (const struct rgy_known_agent *agent,
+                                 int64_t now_us);
+/** Share of its usual flows that a backend server gets after losses, 0 to
+    1.  */
+double rgy_known_agent_get_trust_ (const struct rgy_known_agent *agent,
+                                   int64_t now_us);
+
 /** Offer new flows to the next agent if the current one has not answered in
     time.  */
 void rgy_stream_balancer_retry_opens_ (struct rgy_stream_balancer *b,
--- a/src/libragwortyoke/request_queue.c
+++ b/src/libragwortyoke/request_queue.c
@@ -16,12 +16,15 @@
    runs with an exponential distribution, the widest that the users state, 96
    of 100 are shorter.  */
 #define RUN_DEVIATIONS 3
+/* Weight of the newest start in the part of the service that late requests
+   get, as a divisor: a few tenths of a second at a busy server, so that the
+   end of an excess shows soon.  */
+#define LATE_PART_SMOOTHING 32
+/* Lowest part that is assumed.  */
+#define MIN_LATE_PART 0.01
 /* Window in which demand is counted; as long as the shortest excess that the
    users' bounds tell apart from a wave.  */
 #define DEMAND_WINDOW_US INT64_C (1000000)
-/* Share of the service, in percent, above which the demand counts as leaving
-   no room for late requests.  */
-#define MAX_DEMAND_PERCENT 95
 
 /* Requests of one class.  Entries of the queues are struct
    rgy_waiting_request.  */
@@ -46,6 +49,8 @@
 {
   GPtrArray *shares;                /* Ascending by priority, owned.  */
   double virtual_us[UINT8_MAX + 1]; /* Virtual time of each priority.  */
+  double late_part[UINT8_MAX + 1];  /* Part of the service that late requests
+                                       of each priority get while some wait. */
   uint32_t length;
   uint32_t late;
   uint64_t demoted;
@@ -75,7 +80,10 @@
 rgy_request_queue_new (void)
 {
   struct rgy_request_queue *queue = g_new0 (struct rgy_request_queue, 1);
+  size_t i;
 
+  for (i = 0; i < G_N_ELEMENTS (queue->late_part); i++)
+    queue->late_part[i] = 1;
   queue->shares = g_ptr_array_new_with_free_func (g_free);
   return queue;
 }
@@ -309,6 +317,19 @@
     }
 }
 
+/* True if no share of a priority asks for more than its part.  */
+static bool
+are_within_ (const struct rgy_request_queue *queue, guint first)
+{
+  guint end = get_next_priority_ (queue, first);
+  guint i;
+
+  for (i = first; i < end; i++)
+    if (!get_share_ (queue, i)->within)
+      return false;
+  return true;
+}
+
 /* Finds out which shares ask for more than their part of the service.  */
 static void
 update_parts_ (struct rgy_request_queue *queue,
@@ -517,10 +538,11 @@
 starts_before_ (const struct rgy_waiting_request *a,
                 const struct rgy_waiting_request *b, bool in_order)
 {
+  if (in_order)
+    return a->goal_start_us < b->goal_start_us;
   if (a->share->within != b->share->within)
     return a->share->within;
-  return in_order ? a->goal_start_us < b->goal_start_us
-                  : a->share->service_us < b->share->service_us;
+  return a->share->service_us < b->share->service_us;
 }
 
 /* Chooses among the shares of one priority, from index FIRST on, that have
@@ -548,6 +570,31 @@
   return best;
 }
 
+/* Records for each priority whether its late requests got the service that
+   REQUEST gets.  One without late requests has room for them.  */
+static void
+note_start_ (struct rgy_request_queue *queue,
+             const struct rgy_waiting_request *request)
+{
+  guint first = 0;
+
+  while (first < queue->shares->len)
+    {
+      uint8_t priority = get_share_ (queue, first)->priority;
+      guint end = get_next_priority_ (queue, first);
+      bool has_late = false;
+      double part;
+
+      for (; first < end; first++)
+        has_late = has_late || get_share_ (queue, first)->late.length > 0;
+      part = !has_late
+             || (request->state == RGY_WAITING_LATE
+                 && request->share->priority == priority);
+      queue->late_part[priority]
+          += (part - queue->late_part[priority]) / LATE_PART_SMOOTHING;
+    }
+}
+
 struct rgy_waiting_request *
 rgy_request_queue_pop (struct rgy_request_queue *queue,
                        const struct rgy_queue_server *server, int64_t now_us)
@@ -566,7 +613,8 @@
       demote_excess_ (queue, get_share_ (queue, i), server, now_us);
   while (request == NULL && first < queue->shares->len)
     {
-      in_order = fits_in_order_ (queue, first, server, now_us);
+      in_order = are_within_ (queue, first)
+                 || fits_in_order_ (queue, first, server, now_us);
       request = choose_of_priority_ (queue, first, false, in_order, now_us);
       if (request == NULL)
         {
@@ -578,6 +626,7 @@
   if (request == NULL)
     return NULL;
   share = request->share;
+  note_start_ (queue, request);
   /* Service counts only while there is less than the shares ask for.  */
   if (!in_order)
     {
@@ -723,28 +772,25 @@
                        + get_fair_work_us_ (queue, own, n + 1, server))
                           / server->slots;
   int64_t level_us = 0;
-  double demand_us = 0;
-  double room;
+  int64_t late_us = 0;
   guint i;
 
   for (i = 0; i < queue->shares->len; i++)
     {
       const struct rgy_queue_share_ *share = get_share_ (queue, i);
 
-      if (share->priority > own->priority)
-        break;
-      demand_us += share->wanted_us;
-      if (share->priority == own->priority)
-        level_us += (count_waiting_ (share) + share->expected)
-                    * get_run_us_ (share, server);
+      if (share->priority != own->priority)
+        continue;
+      level_us += (count_waiting_ (share) + share->expected)
+                  * get_run_us_ (share, server);
+      late_us += share->late.length * get_run_us_ (share, server);
     }
-  room = 1 - demand_us / ((double)DEMAND_WINDOW_US * server->slots);
   return (struct rgy_start_prediction){
     .start_us = now_us + wait_us * ADMISSION_MARGIN_X10 / 10,
-    .late_start_us = room * 100 <= 100 - MAX_DEMAND_PERCENT
-                         ? RGY_START_NEVER
-                         : base_us
-                               + (int64_t)((double)(higher_us + level_us)
-                                           / server->slots / room)
+    .late_start_us
+    = base_us
+      + MAX ((higher_us + level_us) / server->slots,
+             (int64_t)((double)late_us / server->slots
+                       / MAX (queue->late_part[own->priority], MIN_LATE_PART)))
   };
 }
--- a/src/libragwortyoke/route_terms.c
+++ b/src/libragwortyoke/route_terms.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "ragwortyoke/clock.h"
+#include "ragwortyoke/store_position.h"
 #include "ragwortyoke/str.h"
 
 /* Age of an answer at which the route is queried again, and the part of it by
@@ -53,6 +54,7 @@
   int64_t ttl_us;
   uint64_t seed;
   uint64_t newest_version;
+  int64_t newest_us;     /* Time of the last answer from it.  */
   int64_t next_due_us;   /* No query is due before this time.  */
   int64_t next_query_us; /* End of QUERY_INTERVAL_US.  */
 };
@@ -321,6 +323,25 @@
   return RGY_TERMS_CHANGED;
 }
 
+/* Goes back to an earlier manifest that the balancers state since the store
+   has lost the newest one: no answer has come from the newest one for as long
+   as the store's entries may be written again.  */
+static void
+go_back_ (struct rgy_route_terms *table, uint64_t version)
+{
+  GHashTableIter iter;
+  void *key;
+
+  table->newest_version = version;
+  g_hash_table_iter_init (&iter, table->entries);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      struct entry_ *entry = key;
+
+      entry->version = MIN (entry->version, version);
+    }
+}
+
 enum rgy_terms_effect
 rgy_route_terms_apply (struct rgy_route_terms *table,
                        struct rgy_endpoint address,
@@ -332,6 +353,11 @@
   *age_us = 0;
   if (entry == NULL || !entry->is_asked)
     return RGY_TERMS_NOT_ASKED;
+  if (version < table->newest_version
+      && now_us - table->newest_us > RGY_STORE_REWRITE_US)
+    go_back_ (table, version);
+  if (version >= table->newest_version)
+    table->newest_us = now_us;
   if (entry->answered_us != 0 && version < entry->version)
     return RGY_TERMS_OLDER;
   *age_us = now_us
--- a/src/libragwortyoke/stream_agent.c
+++ b/src/libragwortyoke/stream_agent.c
@@ -44,6 +44,13 @@
       .label = "outcome=\"dropped\"",
       .help = "Waiting requests that could no longer be answered within the "
               "caller's time limit and were not run." },
+    { .value = &agent->n_unanswered,
+      .name = "stream_requests_unanswered_total",
+      .help = "Requests that the backend server did not answer within eight "
+              "times its longest mean run time, at least half a second." },
+    { .value = &agent->n_requests_reset,
+      .name = "stream_requests_reset_total",
+      .help = "Requests on which the backend server reset the flow." },
     { .value = &agent->n_stale_heartbeats,
       .name = "backend_heartbeats_stale_total",
       .help = "Heartbeats older than the last one processed." },
@@ -237,9 +244,11 @@
     }
   while ((expired = rgy_flow_table_get_expired (agent->flows, now_us)) != NULL)
     rgy_stream_agent_remove_flow_ (agent, expired, now_us);
+  rgy_stream_agent_watch_load_ (agent, now_us);
   rgy_stream_agent_advance_requests_ (agent, now_us);
   rgy_stream_agent_check_heartbeats_ (agent, now_us);
   rgy_stream_agent_send_due_reports_ (agent, now_us);
+  rgy_stream_agent_report_load_news_ (agent, now_us);
   rgy_stream_agent_send_open_flows_ (agent, now_us);
   rgy_stream_agent_send_terms_queries_ (agent, now_us);
 }
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -180,7 +180,6 @@
                   enum rgy_stream_refusal reason,
                   const struct rgy_admission_basis *basis, int64_t now_us)
 {
-  bool has_late_room = basis->start.late_start_us != RGY_START_NEVER;
   char text[RGY_FLOW_TEXT_BYTES];
 
   ++*agent->n_refused[reason];
@@ -195,8 +194,7 @@
       rgy_flow_key_format (&segment->key, text),
       rgy_stream_refusal_string[reason], basis->terms.priority,
       (basis->start.start_us - now_us) / RGY_US_PER_MS,
-      has_late_room ? (basis->start.late_start_us - now_us) / RGY_US_PER_MS
-                    : -1,
+      (basis->start.late_start_us - now_us) / RGY_US_PER_MS,
       basis->goal_left_us / RGY_US_PER_MS,
       basis->limit_left_us / RGY_US_PER_MS, basis->is_last_offer,
       rgy_request_queue_length (agent->waiting),
@@ -364,6 +362,7 @@
 {
   struct rgy_flow *flow = rgy_flow_table_find (agent->flows, &segment->key);
   struct rgy_agent_stream *stream = flow == NULL ? NULL : flow->session;
+  bool had_request;
 
   if (rgy_segment_is_opening (segment))
     {
@@ -427,7 +426,10 @@
     case FLOW_CLOSED:
       break;
     }
+  had_request = stream->request_us != 0;
   update_from_caller_ (stream, segment, now_us);
+  if (stream->request_us != 0 && !had_request)
+    rgy_stream_agent_note_arrival_ (agent, stream);
   if (stream->state == FLOW_OPEN
       && (rgy_stream_agent_hold_handshake_ (agent, flow, segment, ip, now_us)
           || rgy_stream_agent_queue_request_ (agent, flow, segment, ip,
@@ -590,7 +592,10 @@
         rgy_backend_state_string[agent->state],
         (now_us - flow->opened_us) / RGY_US_PER_MS, agent->n_open);
   if ((segment->flags & RGY_SEGMENT_RST) != 0)
-    rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_CLOSED, now_us);
+    {
+      rgy_stream_agent_note_reset_request_ (agent, stream, now_us);
+      rgy_stream_agent_set_flow_state_ (agent, flow, FLOW_CLOSED, now_us);
+    }
   else if ((segment->flags & RGY_SEGMENT_SYN) != 0)
     handle_first_answer_ (agent, flow, segment->seq, now_us);
   else if (stream->state == FLOW_PROBING || stream->state == FLOW_NOT_OWNED)
@@ -599,6 +604,7 @@
     {
       update_latency_ (agent, now_us - stream->request_us);
       rgy_stream_agent_note_run_time_ (agent, stream, now_us);
+      rgy_stream_agent_note_answer_ (agent, flow, now_us);
       stream->request_us = 0;
       rgy_stream_agent_end_request_ (agent, flow, now_us);
     }
