--- a/src/test_stream_scarcity/test_stream_scarcity.c
+++ b/src/test_stream_scarcity/test_stream_scarcity.c
@@ -481,8 +481,9 @@
   check_event_ (EVENT_DOMAIN_CUT);
 }
 
+/* Runs the test that the first argument names, or all.  */
 int
-main (void)
+main (int argc, char **argv)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (tripled_polls_leave_posts_in_time_),
@@ -506,5 +507,7 @@
     cmocka_unit_test (domain_is_cut_while_it_sheds_),
   };
 
+  if (argc > 1)
+    cmocka_set_test_filter (argv[1]);
   return cmocka_run_group_tests_name ("stream_scarcity", tests, NULL, NULL);
 }
