Take no repeated answer for that to a waiting request

Cause: a caller acknowledges an answer of one segment with its next request. While that request waited for a slot, its acknowledgement was held with it, the backend server repeated the earlier answer after 200 ms, and the agent took this for the answer to the waiting request: it dropped the held segments without a log line, and the caller's repetition queued anew.

Change: payload from the backend server ends a waiting request only if the backend server has acknowledged the request, and never an expired one.

Result: repeated_answer_leaves_the_next_request_waiting_ failed before (one payload delivered instead of two) and passes.

Not covered: a repeated answer still ends a request that was handed over meanwhile, so that its slot counts as free too early.

--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -508,6 +508,11 @@
                                       struct rgy_flow *flow,
                                       const struct rgy_segment *segment,
                                       uint32_t ip, int64_t now_us);
+/** True if payload from the backend server can be the answer to the flow's
+    request.  While the request waits, or after it has expired, the payload
+    repeats an earlier answer, whose acknowledgement is held with the
+    request.  */
+bool rgy_stream_agent_may_be_answered_ (const struct rgy_agent_stream *stream);
 /** End the request of a flow, because it was answered or its flow has ended,
     and start those that can run now.  */
 void rgy_stream_agent_end_request_ (struct rgy_stream_agent *agent,
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -600,7 +600,8 @@
     handle_first_answer_ (agent, flow, segment->seq, now_us);
   else if (stream->state == FLOW_PROBING || stream->state == FLOW_NOT_OWNED)
     rgy_stream_agent_adopt_flow_ (agent, flow, now_us);
-  if (segment->payload_len > 0 && stream->request_us != 0)
+  if (segment->payload_len > 0 && stream->request_us != 0
+      && rgy_stream_agent_may_be_answered_ (stream))
     {
       update_latency_ (agent, now_us - stream->request_us);
       rgy_stream_agent_note_run_time_ (agent, stream, now_us);
--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -255,16 +255,43 @@
   return n;
 }
 
+/* True if the backend server has acknowledged the payload of a segment.  */
+static bool
+is_acknowledged_ (const struct rgy_agent_stream *stream, uint32_t seq,
+                  uint16_t payload_len)
+{
+  return stream->backend_confirmed
+         && (int32_t)(seq + payload_len - stream->backend_ack) <= 0;
+}
+
 /* True if the backend server has acknowledged the segment, so that it repeats
    an earlier request.  */
 static bool
 is_repeated_ (const struct rgy_agent_stream *stream,
               const struct rgy_segment *segment)
 {
-  return stream->backend_confirmed
-         && (int32_t)(segment->seq + segment->payload_len
-                      - stream->backend_ack)
-                <= 0;
+  return is_acknowledged_ (stream, segment->seq, segment->payload_len);
+}
+
+bool
+rgy_stream_agent_may_be_answered_ (const struct rgy_agent_stream *stream)
+{
+  const struct held_segment_ *last;
+
+  switch (stream->request_state)
+    {
+    case REQUEST_NONE:
+    case REQUEST_RUNNING:
+      return true;
+    case REQUEST_EXPIRED:
+      return false;
+    case REQUEST_WAITING:
+      break;
+    }
+  /* The backend server may have got the segments earlier: the caller repeats a
+     request that no longer counts as running.  */
+  last = g_ptr_array_index (stream->held, stream->held->len - 1);
+  return is_acknowledged_ (stream, last->seq, last->payload_len);
 }
 
 void
--- a/src/test_stream_agent_overload/test_stream_agent_overload.c
+++ b/src/test_stream_agent_overload/test_stream_agent_overload.c
@@ -722,6 +722,31 @@
   assert_int_equal (f->n_started, AT_BACKEND);
 }
 
+/* The second request on a flow; it follows the answer to the first one.  */
+static void
+request_again_ (struct fixture_ *f, uint16_t port)
+{
+  send_from_caller_ (
+      f, make_segment_ (port, ROUTE_PORT, RGY_SEGMENT_ACK, 101, 1301, 100));
+}
+
+/* A waiting request carries the acknowledgement of the answer before, so the
+   backend server repeats that answer; it does not answer the request.  */
+static void
+repeated_answer_leaves_the_next_request_waiting_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  ask_ (f, 100, ROUTE_PORT);
+  answer_ (f, 100, ROUTE_PORT);
+  fill_ (f, 0);
+  request_again_ (f, 100);
+  answer_ (f, 100, ROUTE_PORT);
+  assert_int_equal (f->by_port[100].to_caller, 3);
+  answer_ (f, 1, ROUTE_PORT);
+  assert_int_equal (f->by_port[100].payloads, 2);
+}
+
 int
 main (void)
 {
@@ -746,6 +771,7 @@
     TEST (handshake_without_a_request_is_delivered_soon_),
     TEST (held_handshake_comes_with_the_request_),
     TEST (slow_backend_server_has_no_free_slots_),
+    TEST (repeated_answer_leaves_the_next_request_waiting_),
   };
 
   return cmocka_run_group_tests_name ("stream_agent_overload", tests, NULL,
