Begin no request with a segment that repeats an answered one

Cause: a caller that repeats its request while the answer is on its way set the time of the next request on the flow, which kept that time however long the flow was idle. While no slot was free, the next request then counted as late, or expired at once and was dropped silently.

Change: a segment that the backend server has acknowledged begins no request.

--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -508,6 +508,10 @@
                                       struct rgy_flow *flow,
                                       const struct rgy_segment *segment,
                                       uint32_t ip, int64_t now_us);
+/** True if the backend server has acknowledged the caller's segment, so that
+    it repeats an earlier request.  */
+bool rgy_stream_agent_is_repeated_ (const struct rgy_agent_stream *stream,
+                                    const struct rgy_segment *segment);
 /** True if payload from the backend server can be the answer to the flow's
     request.  While the request waits, or after it has expired, the payload
     repeats an earlier answer, whose acknowledgement is held with the
--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -330,7 +330,8 @@
     stream->caller_ack = segment->ack;
   if ((segment->flags & RGY_SEGMENT_FIN) != 0)
     stream->caller_sent_fin = true;
-  if (segment->payload_len > 0 && stream->request_us == 0)
+  if (segment->payload_len > 0 && stream->request_us == 0
+      && !rgy_stream_agent_is_repeated_ (stream, segment))
     stream->request_us = now_us;
 }
 
--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -264,11 +264,9 @@
          && (int32_t)(seq + payload_len - stream->backend_ack) <= 0;
 }
 
-/* True if the backend server has acknowledged the segment, so that it repeats
-   an earlier request.  */
-static bool
-is_repeated_ (const struct rgy_agent_stream *stream,
-              const struct rgy_segment *segment)
+bool
+rgy_stream_agent_is_repeated_ (const struct rgy_agent_stream *stream,
+                               const struct rgy_segment *segment)
 {
   return is_acknowledged_ (stream, segment->seq, segment->payload_len);
 }
@@ -449,7 +447,8 @@
     case REQUEST_NONE:
       break;
     }
-  if (segment->payload_len == 0 || is_repeated_ (stream, segment))
+  if (segment->payload_len == 0
+      || rgy_stream_agent_is_repeated_ (stream, segment))
     return false;
   expire_running_requests_ (agent, now_us);
   note_arrival_ (agent, now_us);
--- a/src/test_stream_agent_overload/test_stream_agent_overload.c
+++ b/src/test_stream_agent_overload/test_stream_agent_overload.c
@@ -747,6 +747,24 @@
   assert_int_equal (f->by_port[100].payloads, 2);
 }
 
+/* A caller's repetition of an answered request begins no new one, whose time
+   would run while the flow is idle.  */
+static void
+repeated_request_does_not_age_the_next_one_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  ask_ (f, 100, ROUTE_PORT);
+  answer_ (f, 100, ROUTE_PORT);
+  request_ (f, 100, ROUTE_PORT);
+  advance_time_ (f, 2 * LIMIT_US);
+  fill_ (f, 0);
+  request_again_ (f, 100);
+  advance_time_ (f, RUN_US);
+  answer_ (f, 1, ROUTE_PORT);
+  assert_int_equal (f->by_port[100].payloads, 3);
+}
+
 int
 main (void)
 {
@@ -772,6 +790,7 @@
     TEST (held_handshake_comes_with_the_request_),
     TEST (slow_backend_server_has_no_free_slots_),
     TEST (repeated_answer_leaves_the_next_request_waiting_),
+    TEST (repeated_request_does_not_age_the_next_one_),
   };
 
   return cmocka_run_group_tests_name ("stream_agent_overload", tests, NULL,
