Reset no later flow for one that was rejected

Change: a segment that acknowledges another backend server's first answer goes back to the balancer, as on flows that have been answered only.

Result: rejected_flow_resets_no_later_one_ failed before (two resets instead of one) and passes; repetitions of the rejected flow are still answered with resets (expired_request_is_reset_and_never_runs_).

--- a/src/libragwortyoke/stream_agent_flow.c
+++ b/src/libragwortyoke/stream_agent_flow.c
@@ -356,6 +356,16 @@
   stream->informed_domain = domain;
 }
 
+/* True if the caller has accepted the answer of another backend server.  */
+static bool
+acknowledges_other_answer_ (const struct rgy_agent_stream *stream,
+                            const struct rgy_segment *segment)
+{
+  return (segment->flags & RGY_SEGMENT_ACK) != 0
+         && (segment->flags & RGY_SEGMENT_RST) == 0
+         && segment->ack - stream->backend_seq > 1;
+}
+
 void
 rgy_stream_agent_from_balancer (struct rgy_stream_agent *agent,
                                 const struct rgy_segment *segment, uint32_t ip,
@@ -382,8 +392,11 @@
   rgy_flow_table_touch (agent->flows, flow, now_us);
   if (stream->rejected)
     {
-      /* The reset was lost.  */
-      rgy_stream_emit_reset (&agent->settings.out, &flow->key, segment->ack);
+      /* The reset was lost, or the caller uses the port for a new flow.  */
+      if (acknowledges_other_answer_ (stream, segment))
+        return_segment_ (agent, segment, ip, "other-answer");
+      else
+        rgy_stream_emit_reset (&agent->settings.out, &flow->key, segment->ack);
       return;
     }
   /* The balancer may have sent the segment as a probe.  */
@@ -411,11 +424,8 @@
       return_segment_ (agent, segment, ip, "not-answered");
       return;
     case FLOW_ANSWERED:
-      if ((segment->flags & RGY_SEGMENT_ACK) != 0
-          && (segment->flags & RGY_SEGMENT_RST) == 0
-          && segment->ack - stream->backend_seq > 1)
+      if (acknowledges_other_answer_ (stream, segment))
         {
-          /* The caller accepted the answer of another backend server.  */
           return_segment_ (agent, segment, ip, "other-answer");
           return;
         }
--- a/src/test_stream_agent_overload/test_stream_agent_overload.c
+++ b/src/test_stream_agent_overload/test_stream_agent_overload.c
@@ -765,6 +765,24 @@
   assert_int_equal (f->by_port[100].payloads, 3);
 }
 
+/* The caller uses the port of a rejected flow again, and another backend
+   server has accepted the new flow: a segment that strays here must not end
+   it.  */
+static void
+rejected_flow_resets_no_later_one_ (void **state)
+{
+  struct fixture_ *f = *state;
+  const uint16_t port = AT_BACKEND + 1;
+
+  fill_ (f, 1);
+  advance_time_ (f, LIMIT_US);
+  assert_int_equal (f->by_port[port].resets, 1);
+  send_from_caller_ (
+      f, make_segment_ (port, ROUTE_PORT, RGY_SEGMENT_ACK, 50001, 70001, 100));
+  assert_int_equal (f->by_port[port].resets, 1);
+  assert_int_equal (f->by_port[port].payloads, 0);
+}
+
 int
 main (void)
 {
@@ -791,6 +809,7 @@
     TEST (slow_backend_server_has_no_free_slots_),
     TEST (repeated_answer_leaves_the_next_request_waiting_),
     TEST (repeated_request_does_not_age_the_next_one_),
+    TEST (rejected_flow_resets_no_later_one_),
   };
 
   return cmocka_run_group_tests_name ("stream_agent_overload", tests, NULL,
