Hold no requests in an agent that stops

Cause: a stopping agent hands over all requests, but held those that arrived between its stop and its end, 30 ms later, and took them with it.

Change: a stopping agent delivers requests at once.

Result: stopping_agent_holds_nothing_ failed before (nothing delivered) and passes.

--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -461,7 +461,7 @@
       rgy_request_queue_note_demand (agent->waiting, &stream->class, now_us);
     }
   rgy_stream_agent_unexpect_request_ (agent, stream);
-  if (has_free_slot_ (agent)
+  if (has_free_slot_ (agent) || agent->stopping
       || (!stream->class.limited
           && (stream->goal_us == 0
               || agent->held_bytes + segment->raw.len > MAX_HELD_BYTES)))
--- a/src/test_stream_agent_overload/test_stream_agent_overload.c
+++ b/src/test_stream_agent_overload/test_stream_agent_overload.c
@@ -783,6 +783,19 @@
   assert_int_equal (f->by_port[port].payloads, 0);
 }
 
+/* Requests that arrive between the agent's stop and its end.  */
+static void
+stopping_agent_holds_nothing_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  open_flow_ (f, 100, ROUTE_PORT);
+  fill_ (f, 0);
+  rgy_stream_agent_stop (f->agent, f->now_us);
+  request_ (f, 100, ROUTE_PORT);
+  assert_int_equal (f->by_port[100].payloads, 1);
+}
+
 int
 main (void)
 {
@@ -810,6 +823,7 @@
     TEST (repeated_answer_leaves_the_next_request_waiting_),
     TEST (repeated_request_does_not_age_the_next_one_),
     TEST (rejected_flow_resets_no_later_one_),
+    TEST (stopping_agent_holds_nothing_),
   };
 
   return cmocka_run_group_tests_name ("stream_agent_overload", tests, NULL,
