Follow a route that loses its time limit while a flow opens

Cause: the first request of a flow kept the class of the flow's acceptance, but took the limit of the present terms. If a new manifest had dropped the limit meanwhile, the request was of a limited class with a limit of 0 and expired with its goal: its flow was reset.

Change: the class is made anew if the limit has come or gone.

Result: request_of_a_route_that_lost_its_limit_runs_ failed before (one reset) and passes.

--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -427,6 +427,7 @@
   struct rgy_agent_stream *stream = flow->session;
   bool is_ending = (segment->flags & (RGY_SEGMENT_FIN | RGY_SEGMENT_RST)) != 0;
   struct rgy_request_terms terms;
+  bool was_expected;
 
   switch (stream->request_state)
     {
@@ -455,12 +456,13 @@
   terms = rgy_stream_agent_get_terms_ (agent, segment, now_us);
   stream->goal_us = terms.goal_us;
   stream->limit_us = terms.limit_us;
-  if (!stream->is_expected)
-    {
-      stream->class = make_class_ (agent, segment, ip, &terms);
-      rgy_request_queue_note_demand (agent->waiting, &stream->class, now_us);
-    }
+  was_expected = stream->is_expected;
   rgy_stream_agent_unexpect_request_ (agent, stream);
+  /* The terms may have changed since the flow was accepted.  */
+  if (!was_expected || stream->class.limited != (terms.limit_us > 0))
+    stream->class = make_class_ (agent, segment, ip, &terms);
+  if (!was_expected)
+    rgy_request_queue_note_demand (agent->waiting, &stream->class, now_us);
   if (has_free_slot_ (agent) || agent->stopping
       || (!stream->class.limited
           && (stream->goal_us == 0
--- a/src/test_stream_agent_overload/test_stream_agent_overload.c
+++ b/src/test_stream_agent_overload/test_stream_agent_overload.c
@@ -26,6 +26,8 @@
 #define ROUTE_PORT 443
 /* A route of which nothing but the goal is known.  */
 #define UNKNOWN_PORT 444
+/* A route whose time limit a test drops.  */
+#define CHANGED_PORT 445
 #define MAX_PORTS 1024
 
 /* What was done with the flow of one caller's port.  */
@@ -51,6 +53,9 @@
   size_t n_started;
 };
 
+/* A later manifest states no limit for CHANGED_PORT.  */
+static bool limit_is_dropped;
+
 /* The linker's option --wrap defines the name.  */
 /* NOLINTBEGIN(readability-identifier-naming) */
 struct rgy_request_terms
@@ -67,7 +72,7 @@
 
   (void)agent;
   (void)now_us;
-  if (port == UNKNOWN_PORT)
+  if (port == UNKNOWN_PORT || (port == CHANGED_PORT && limit_is_dropped))
     return (struct rgy_request_terms){ .priority = RGY_PRIORITY_UNSTATED,
                                        .goal_us = GOAL_US };
   return (struct rgy_request_terms){ .priority = port == URGENT_PORT ? 1 : 2,
@@ -341,6 +346,7 @@
 {
   struct fixture_ *f = g_new0 (struct fixture_, 1);
 
+  limit_is_dropped = false;
   f->counters = rgy_counters_new ();
   f->now_us = 100 * RGY_US_PER_S;
   start_agent_ (f, true);
@@ -796,6 +802,23 @@
   assert_int_equal (f->by_port[100].payloads, 1);
 }
 
+/* A new manifest drops the route's time limit while a flow opens: the request
+   waits as one without a known limit.  */
+static void
+request_of_a_route_that_lost_its_limit_runs_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  fill_ (f, 0);
+  open_flow_ (f, 100, CHANGED_PORT);
+  limit_is_dropped = true;
+  request_ (f, 100, CHANGED_PORT);
+  advance_time_ (f, 2 * GOAL_US);
+  assert_int_equal (f->by_port[100].resets, 0);
+  answer_ (f, 1, ROUTE_PORT);
+  assert_int_equal (f->by_port[100].payloads, 1);
+}
+
 int
 main (void)
 {
@@ -824,6 +847,7 @@
     TEST (repeated_request_does_not_age_the_next_one_),
     TEST (rejected_flow_resets_no_later_one_),
     TEST (stopping_agent_holds_nothing_),
+    TEST (request_of_a_route_that_lost_its_limit_runs_),
   };
 
   return cmocka_run_group_tests_name ("stream_agent_overload", tests, NULL,
