End an expired request that the backend server answers after all

Change: the end of the held request is kept, so that an acknowledgement of it is recognised after the expiry too.

Result: answer_ends_an_expired_request_ failed before (no payload delivered instead of one) and passes.

--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -245,6 +245,7 @@
                                   that counted as failed.  */
   bool has_requested;    /* A request came on the flow.  */
   GPtrArray *held;       /* Segments of the waiting request, or NULL.  */
+  uint32_t held_end; /* Sequence number that follows the segment held last.  */
   GList running_link;
 };
 
@@ -513,9 +514,9 @@
 bool rgy_stream_agent_is_repeated_ (const struct rgy_agent_stream *stream,
                                     const struct rgy_segment *segment);
 /** True if payload from the backend server can be the answer to the flow's
-    request.  While the request waits, or after it has expired, the payload
-    repeats an earlier answer, whose acknowledgement is held with the
-    request.  */
+    request.  While the request waits, or after it has expired, payload that
+    does not acknowledge it repeats an earlier answer: the caller's
+    acknowledgement of that one is held with the request.  */
 bool rgy_stream_agent_may_be_answered_ (const struct rgy_agent_stream *stream);
 /** End the request of a flow, because it was answered or its flow has ended,
     and start those that can run now.  */
--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -59,6 +59,7 @@
   memcpy (held->data, segment->raw.data, segment->raw.len);
   agent->held_bytes += held->len;
   g_ptr_array_add (stream->held, held);
+  stream->held_end = segment->seq + segment->payload_len;
   return true;
 }
 
@@ -274,22 +275,19 @@
 bool
 rgy_stream_agent_may_be_answered_ (const struct rgy_agent_stream *stream)
 {
-  const struct held_segment_ *last;
-
   switch (stream->request_state)
     {
     case REQUEST_NONE:
     case REQUEST_RUNNING:
       return true;
-    case REQUEST_EXPIRED:
-      return false;
     case REQUEST_WAITING:
+    case REQUEST_EXPIRED:
       break;
     }
   /* The backend server may have got the segments earlier: the caller repeats a
-     request that no longer counts as running.  */
-  last = g_ptr_array_index (stream->held, stream->held->len - 1);
-  return is_acknowledged_ (stream, last->seq, last->payload_len);
+     request that no longer counts as running, or that the agent before has
+     handed over.  */
+  return is_acknowledged_ (stream, stream->held_end, 0);
 }
 
 void
--- a/src/test_stream_agent_overload/test_stream_agent_overload.c
+++ b/src/test_stream_agent_overload/test_stream_agent_overload.c
@@ -753,6 +753,25 @@
   assert_int_equal (f->by_port[100].payloads, 2);
 }
 
+/* The backend server got the request through the agent before, which has
+   restarted: its answer ends the request even if the repetition has expired
+   here, and the next request on the flow runs.  */
+static void
+answer_ends_an_expired_request_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  open_flow_ (f, 100, ROUTE_PORT);
+  fill_ (f, 0);
+  request_ (f, 100, ROUTE_PORT);
+  advance_time_ (f, LIMIT_US);
+  assert_int_equal (f->by_port[100].payloads, 0);
+  answer_ (f, 100, ROUTE_PORT);
+  advance_time_ (f, LIMIT_US);
+  request_again_ (f, 100);
+  assert_int_equal (f->by_port[100].payloads, 1);
+}
+
 /* A caller's repetition of an answered request begins no new one, whose time
    would run while the flow is idle.  */
 static void
@@ -844,6 +863,7 @@
     TEST (held_handshake_comes_with_the_request_),
     TEST (slow_backend_server_has_no_free_slots_),
     TEST (repeated_answer_leaves_the_next_request_waiting_),
+    TEST (answer_ends_an_expired_request_),
     TEST (repeated_request_does_not_age_the_next_one_),
     TEST (rejected_flow_resets_no_later_one_),
     TEST (stopping_agent_holds_nothing_),
