--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -137,7 +137,9 @@
    has at most this many unacknowledged.  */
 #define MAX_HELD_SEGMENTS 16
 /* Maximum number of bytes held for all waiting requests; a thirtieth of the
-   memory of the smallest machines.  Further requests are handed over.  */
+   memory of the smallest machines.  Further requests are handed over if their
+   route has no known time limit, and left to their callers' repetition if it
+   has one.  */
 #define MAX_HELD_BYTES 2500000
 /* Multiple of its latency goal after which a waiting request is handed over
    even if no slot is free: the backend server then runs or rejects it while
