--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -137,7 +137,9 @@
    has at most this many unacknowledged.  */
 #define MAX_HELD_SEGMENTS 16
 /* Maximum number of bytes held for all waiting requests; a thirtieth of the
-   memory of the smallest machines.  Further requests are handed over.  */
+   memory of the smallest machines.  Further requests are handed over if their
+   route has no known time limit, and left to their callers' repetition if it
+   has one.  */
 #define MAX_HELD_BYTES 2500000
 /* Multiple of its latency goal after which a waiting request is handed over
    even if no slot is free: the backend server then runs or rejects it while
@@ -245,6 +247,7 @@
                             counted as failed.  */
   bool has_requested;    /* A request came on the flow.  */
   GPtrArray *held;       /* Segments of the waiting request, or NULL.  */
+  uint32_t held_end; /* Sequence number that follows the segment held last.  */
   GList running_link;
 };
 
@@ -508,6 +511,15 @@
                                       struct rgy_flow *flow,
                                       const struct rgy_segment *segment,
                                       uint32_t ip, int64_t now_us);
+/** True if the backend server has acknowledged the caller's segment, so that
+    it repeats an earlier request.  */
+bool rgy_stream_agent_is_repeated_ (const struct rgy_agent_stream *stream,
+                                    const struct rgy_segment *segment);
+/** True if payload from the backend server can be the answer to the flow's
+    request.  While the request waits, or after it has expired, payload that
+    does not acknowledge it repeats an earlier answer: the caller's
+    acknowledgement of that one is held with the request.  */
+bool rgy_stream_agent_may_be_answered_ (const struct rgy_agent_stream *stream);
 /** End the request of a flow, because it was answered or its flow has ended,
     and start those that can run now.  */
 void rgy_stream_agent_end_request_ (struct rgy_stream_agent *agent,
--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -59,6 +59,7 @@
   memcpy (held->data, segment->raw.data, segment->raw.len);
   agent->held_bytes += held->len;
   g_ptr_array_add (stream->held, held);
+  stream->held_end = segment->seq + segment->payload_len;
   return true;
 }
 
@@ -255,16 +256,38 @@
   return n;
 }
 
-/* True if the backend server has acknowledged the segment, so that it repeats
-   an earlier request.  */
+/* True if the backend server has acknowledged the payload of a segment.  */
 static bool
-is_repeated_ (const struct rgy_agent_stream *stream,
-              const struct rgy_segment *segment)
+is_acknowledged_ (const struct rgy_agent_stream *stream, uint32_t seq,
+                  uint16_t payload_len)
 {
   return stream->backend_confirmed
-         && (int32_t)(segment->seq + segment->payload_len
-                      - stream->backend_ack)
-                <= 0;
+         && (int32_t)(seq + payload_len - stream->backend_ack) <= 0;
+}
+
+bool
+rgy_stream_agent_is_repeated_ (const struct rgy_agent_stream *stream,
+                               const struct rgy_segment *segment)
+{
+  return is_acknowledged_ (stream, segment->seq, segment->payload_len);
+}
+
+bool
+rgy_stream_agent_may_be_answered_ (const struct rgy_agent_stream *stream)
+{
+  switch (stream->request_state)
+    {
+    case REQUEST_NONE:
+    case REQUEST_RUNNING:
+      return true;
+    case REQUEST_WAITING:
+    case REQUEST_EXPIRED:
+      break;
+    }
+  /* The backend server may have got the segments earlier: the caller repeats a
+     request that no longer counts as running, or that the agent before has
+     handed over.  */
+  return is_acknowledged_ (stream, stream->held_end, 0);
 }
 
 void
@@ -402,6 +425,7 @@
   struct rgy_agent_stream *stream = flow->session;
   bool is_ending = (segment->flags & (RGY_SEGMENT_FIN | RGY_SEGMENT_RST)) != 0;
   struct rgy_request_terms terms;
+  bool was_expected;
 
   switch (stream->request_state)
     {
@@ -422,20 +446,22 @@
     case REQUEST_NONE:
       break;
     }
-  if (segment->payload_len == 0 || is_repeated_ (stream, segment))
+  if (segment->payload_len == 0
+      || rgy_stream_agent_is_repeated_ (stream, segment))
     return false;
   expire_running_requests_ (agent, now_us);
   note_arrival_ (agent, now_us);
   terms = rgy_stream_agent_get_terms_ (agent, segment, now_us);
   stream->goal_us = terms.goal_us;
   stream->limit_us = terms.limit_us;
-  if (!stream->is_expected)
-    {
-      stream->class = make_class_ (agent, segment, ip, &terms);
-      rgy_request_queue_note_demand (agent->waiting, &stream->class, now_us);
-    }
+  was_expected = stream->is_expected;
   rgy_stream_agent_unexpect_request_ (agent, stream);
-  if (has_free_slot_ (agent)
+  /* The terms may have changed since the flow was accepted.  */
+  if (!was_expected || stream->class.limited != (terms.limit_us > 0))
+    stream->class = make_class_ (agent, segment, ip, &terms);
+  if (!was_expected)
+    rgy_request_queue_note_demand (agent->waiting, &stream->class, now_us);
+  if (has_free_slot_ (agent) || agent->stopping
       || (!stream->class.limited
           && (stream->goal_us == 0
               || agent->held_bytes + segment->raw.len > MAX_HELD_BYTES)))
--- a/src/test_stream_agent_overload/test_stream_agent_overload.c
+++ b/src/test_stream_agent_overload/test_stream_agent_overload.c
@@ -26,6 +26,8 @@
 #define ROUTE_PORT 443
 /* A route of which nothing but the goal is known.  */
 #define UNKNOWN_PORT 444
+/* A route whose time limit a test drops.  */
+#define CHANGED_PORT 445
 #define MAX_PORTS 1024
 
 /* What was done with the flow of one caller's port.  */
@@ -51,6 +53,9 @@
   size_t n_started;
 };
 
+/* A later manifest states no limit for CHANGED_PORT.  */
+static bool limit_is_dropped;
+
 /* The linker's option --wrap defines the name.  */
 /* NOLINTBEGIN(readability-identifier-naming) */
 struct rgy_request_terms
@@ -67,7 +72,7 @@
 
   (void)agent;
   (void)now_us;
-  if (port == UNKNOWN_PORT)
+  if (port == UNKNOWN_PORT || (port == CHANGED_PORT && limit_is_dropped))
     return (struct rgy_request_terms){ .priority = RGY_PRIORITY_UNSTATED,
                                        .goal_us = GOAL_US };
   return (struct rgy_request_terms){ .priority = port == URGENT_PORT ? 1 : 2,
@@ -341,6 +346,7 @@
 {
   struct fixture_ *f = g_new0 (struct fixture_, 1);
 
+  limit_is_dropped = false;
   f->counters = rgy_counters_new ();
   f->now_us = 100 * RGY_US_PER_S;
   start_agent_ (f, true);
@@ -722,6 +728,116 @@
   assert_int_equal (f->n_started, AT_BACKEND);
 }
 
+/* The second request on a flow; it follows the answer to the first one.  */
+static void
+request_again_ (struct fixture_ *f, uint16_t port)
+{
+  send_from_caller_ (
+      f, make_segment_ (port, ROUTE_PORT, RGY_SEGMENT_ACK, 101, 1301, 100));
+}
+
+/* A waiting request carries the acknowledgement of the answer before, so the
+   backend server repeats that answer; it does not answer the request.  */
+static void
+repeated_answer_leaves_the_next_request_waiting_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  ask_ (f, 100, ROUTE_PORT);
+  answer_ (f, 100, ROUTE_PORT);
+  fill_ (f, 0);
+  request_again_ (f, 100);
+  answer_ (f, 100, ROUTE_PORT);
+  assert_int_equal (f->by_port[100].to_caller, 3);
+  answer_ (f, 1, ROUTE_PORT);
+  assert_int_equal (f->by_port[100].payloads, 2);
+}
+
+/* The backend server got the request through the agent before, which has
+   restarted: its answer ends the request even if the repetition has expired
+   here, and the next request on the flow runs.  */
+static void
+answer_ends_an_expired_request_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  open_flow_ (f, 100, ROUTE_PORT);
+  fill_ (f, 0);
+  request_ (f, 100, ROUTE_PORT);
+  advance_time_ (f, LIMIT_US);
+  assert_int_equal (f->by_port[100].payloads, 0);
+  answer_ (f, 100, ROUTE_PORT);
+  advance_time_ (f, LIMIT_US);
+  request_again_ (f, 100);
+  assert_int_equal (f->by_port[100].payloads, 1);
+}
+
+/* A caller's repetition of an answered request begins no new one, whose time
+   would run while the flow is idle.  */
+static void
+repeated_request_does_not_age_the_next_one_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  ask_ (f, 100, ROUTE_PORT);
+  answer_ (f, 100, ROUTE_PORT);
+  request_ (f, 100, ROUTE_PORT);
+  advance_time_ (f, 2 * LIMIT_US);
+  fill_ (f, 0);
+  request_again_ (f, 100);
+  advance_time_ (f, RUN_US);
+  answer_ (f, 1, ROUTE_PORT);
+  assert_int_equal (f->by_port[100].payloads, 3);
+}
+
+/* The caller uses the port of a rejected flow again, and another backend
+   server has accepted the new flow: a segment that strays here must not end
+   it.  */
+static void
+rejected_flow_resets_no_later_one_ (void **state)
+{
+  struct fixture_ *f = *state;
+  const uint16_t port = AT_BACKEND + 1;
+
+  fill_ (f, 1);
+  advance_time_ (f, LIMIT_US);
+  assert_int_equal (f->by_port[port].resets, 1);
+  send_from_caller_ (
+      f, make_segment_ (port, ROUTE_PORT, RGY_SEGMENT_ACK, 50001, 70001, 100));
+  assert_int_equal (f->by_port[port].resets, 1);
+  assert_int_equal (f->by_port[port].payloads, 0);
+}
+
+/* Requests that arrive between the agent's stop and its end.  */
+static void
+stopping_agent_holds_nothing_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  open_flow_ (f, 100, ROUTE_PORT);
+  fill_ (f, 0);
+  rgy_stream_agent_stop (f->agent, f->now_us);
+  request_ (f, 100, ROUTE_PORT);
+  assert_int_equal (f->by_port[100].payloads, 1);
+}
+
+/* A new manifest drops the route's time limit while a flow opens: the request
+   waits as one without a known limit.  */
+static void
+request_of_a_route_that_lost_its_limit_runs_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  fill_ (f, 0);
+  open_flow_ (f, 100, CHANGED_PORT);
+  limit_is_dropped = true;
+  request_ (f, 100, CHANGED_PORT);
+  advance_time_ (f, 2 * GOAL_US);
+  assert_int_equal (f->by_port[100].resets, 0);
+  answer_ (f, 1, ROUTE_PORT);
+  assert_int_equal (f->by_port[100].payloads, 1);
+}
+
 int
 main (void)
 {
@@ -746,6 +862,12 @@
     TEST (handshake_without_a_request_is_delivered_soon_),
     TEST (held_handshake_comes_with_the_request_),
     TEST (slow_backend_server_has_no_free_slots_),
+    TEST (repeated_answer_leaves_the_next_request_waiting_),
+    TEST (answer_ends_an_expired_request_),
+    TEST (repeated_request_does_not_age_the_next_one_),
+    TEST (rejected_flow_resets_no_later_one_),
+    TEST (stopping_agent_holds_nothing_),
+    TEST (request_of_a_route_that_lost_its_limit_runs_),
   };
 
   return cmocka_run_group_tests_name ("stream_agent_overload", tests, NULL,
