Run no request whose flow a balancer may have reset

Change: an agent knows when it sent the newest report that a balancer has acknowledged. A request on a flow that is not open at the backend server starts only if the flow's balancer cannot have declared the agent dead since the request came; otherwise the flow is reset, which is true.

The overload tests' balancer acknowledges the numbers of reports, as real ones do.

--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -41,6 +41,14 @@
    half of those in the own failure domain have restarted: others have probably
    restarted too and may not know this agent.  */
 #define MASS_RESTART_US (3 * RGY_US_PER_S)
+/* Time without contact after which a balancer of the own failure domain, or of
+   another one, may soon declare this agent dead and reset its flows: 100 ms
+   less than the balancers' 2 and 2.4 s.  */
+#define CONTACT_LOST_US (1900 * RGY_US_PER_MS)
+#define DISTANT_CONTACT_LOST_US (2300 * RGY_US_PER_MS)
+/* Reports to a balancer whose times are kept; an acknowledgement arrives
+   before as many more are sent.  */
+#define SENT_REPORTS 4
 /* Time since the last acknowledgement after which one is overdue.  Balancers
    acknowledge at least every second report to them.  */
 #define ACK_OVERDUE_US (2 * RGY_US_PER_S)
@@ -303,6 +311,13 @@
   int64_t failing_for_us;
 };
 
+/* A report that was sent to a balancer.  */
+struct rgy_sent_report
+{
+  uint64_t seq;
+  int64_t sent_us;
+};
+
 struct rgy_agent_balancer
 {
   uint32_t ip;
@@ -312,6 +327,12 @@
   int64_t added_us;
   int64_t last_ack_us; /* Time of the last acknowledgement; 0 if none.  */
   int64_t sent_us;
+  struct rgy_sent_report sent[SENT_REPORTS]; /* The last ones.  */
+  unsigned sent_next;
+  int64_t contact_us;   /* Time at which the newest report was sent that the
+                           balancer has certainly received; 0 if none.  */
+  int64_t gap_us;       /* End of the last time without contact for longer than
+                           CONTACT_LOST_US; 0 if none.  */
   int64_t requested_us; /* Time of its last request for a report; 0 if
                            none.  */
   int64_t restarted_us; /* Time at which its last restart was seen; 0 if
@@ -456,6 +477,15 @@
 /** True if the balancer has acknowledged lately and has stated a feature.  */
 bool rgy_agent_balancer_has_feature_ (const struct rgy_agent_balancer *b,
                                       uint32_t feature, int64_t now_us);
+/** Number the next report to a balancer and record its time.  */
+uint64_t rgy_stream_agent_number_report_ (struct rgy_stream_agent *agent,
+                                          struct rgy_agent_balancer *b,
+                                          int64_t now_us);
+/** True if the balancer at @p ip cannot have declared this agent dead since
+    @p since_us, so that it has reset no flow as lost.  */
+bool rgy_stream_agent_had_contact_ (const struct rgy_stream_agent *agent,
+                                    uint32_t ip, int64_t since_us,
+                                    int64_t now_us);
 /** True if the balancer is in the agent's failure domain.  */
 bool rgy_stream_agent_is_near_balancer_ (const struct rgy_stream_agent *agent,
                                          const struct rgy_agent_balancer *b);
--- a/src/libragwortyoke/stream_agent_load.c
+++ b/src/libragwortyoke/stream_agent_load.c
@@ -462,11 +462,12 @@
       = { .kind = RGY_STREAM_LOAD_REPORT, .u.load = *load };
   GByteArray *runs = g_byte_array_new ();
 
-  message.u.load.brief
-      = (struct rgy_stream_brief_report){ .seq = ++agent->seq,
-                                          .fingerprint = b->sent_fingerprint,
-                                          .open_flows = agent->n_open,
-                                          .latency_us = agent->latency_us };
+  message.u.load.brief = (struct rgy_stream_brief_report){
+    .seq = rgy_stream_agent_number_report_ (agent, b, now_us),
+    .fingerprint = b->sent_fingerprint,
+    .open_flows = agent->n_open,
+    .latency_us = agent->latency_us
+  };
   if (b->load_sent_us == 0 || b->sent_runs_version != agent->load.runs_version
       || now_us - b->runs_sent_us >= RUNS_INTERVAL_US)
     {
--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -153,12 +153,42 @@
          || agent->running.length < agent->slots + QUEUED_AT_BACKEND;
 }
 
+/* Resets a flow that may have been reset as lost by its balancer while this
+   process was paused or cut off.  Its request has not run, and its caller may
+   have sent it again.  */
+static void
+reject_uncertain_flow_ (struct rgy_stream_agent *agent, struct rgy_flow *flow,
+                        int64_t now_us)
+{
+  struct rgy_agent_stream *stream = flow->session;
+  char text[RGY_FLOW_TEXT_BYTES];
+
+  ++*agent->n_expired_reset;
+  rgy_stream_emit_flow_log (
+      &agent->settings.out,
+      "request_expired flow=%s outcome=reset reason=contact-lost priority=%u "
+      "waited_ms=%" G_GINT64_FORMAT,
+      rgy_flow_key_format (&flow->key, text), stream->class.priority,
+      (now_us - stream->request_us) / RGY_US_PER_MS);
+  dequeue_ (agent, stream);
+  stream->request_state = REQUEST_EXPIRED;
+  free_held_segments_ (agent, stream);
+  rgy_stream_agent_reject_unopened_flow_ (agent, flow, now_us);
+}
+
 static void
 start_request_ (struct rgy_stream_agent *agent, struct rgy_flow *flow,
                 int64_t now_us)
 {
   struct rgy_agent_stream *stream = flow->session;
 
+  if (stream->unopened && stream->class.limited
+      && !rgy_stream_agent_had_contact_ (agent, stream->balancer_ip,
+                                         stream->request_us, now_us))
+    {
+      reject_uncertain_flow_ (agent, flow, now_us);
+      return;
+    }
   if (stream->request_state != REQUEST_NONE)
     rgy_histogram_observe (agent->wait_time, now_us - stream->request_us);
   dequeue_ (agent, stream);
@@ -467,7 +497,7 @@
               || agent->held_bytes + segment->raw.len > MAX_HELD_BYTES)))
     {
       start_request_ (agent, flow, now_us);
-      return false;
+      return stream->rejected;
     }
   if (hold_segment_ (agent, stream, segment, ip))
     enqueue_request_ (agent, flow, now_us);
--- a/src/libragwortyoke/stream_agent_report.c
+++ b/src/libragwortyoke/stream_agent_report.c
@@ -127,6 +127,16 @@
   return rgy_stream_report_fingerprint (&report);
 }
 
+uint64_t
+rgy_stream_agent_number_report_ (struct rgy_stream_agent *agent,
+                                 struct rgy_agent_balancer *b, int64_t now_us)
+{
+  b->sent[b->sent_next]
+      = (struct rgy_sent_report){ .seq = ++agent->seq, .sent_us = now_us };
+  b->sent_next = (b->sent_next + 1) % SENT_REPORTS;
+  return agent->seq;
+}
+
 static void
 send_report_ (struct rgy_stream_agent *agent, struct rgy_agent_balancer *b,
               uint64_t from, struct rgy_bytes changes, int64_t now_us)
@@ -135,7 +145,7 @@
       = { .kind = RGY_STREAM_REPORT,
           .u.report = make_report_ (agent, now_us) };
 
-  message.u.report.seq = ++agent->seq;
+  message.u.report.seq = rgy_stream_agent_number_report_ (agent, b, now_us);
   message.u.report.changes_from = from;
   message.u.report.changes = changes;
   b->sent_us = now_us;
@@ -157,13 +167,13 @@
   b->sent_us = now_us;
   if (rgy_stream_agent_report_load_ (agent, b, now_us))
     return;
-  message
-      = (struct rgy_stream_message){ .kind = RGY_STREAM_BRIEF_REPORT,
-                                     .u.brief
-                                     = { .seq = ++agent->seq,
-                                         .fingerprint = b->sent_fingerprint,
-                                         .open_flows = agent->n_open,
-                                         .latency_us = agent->latency_us } };
+  message = (struct rgy_stream_message){
+    .kind = RGY_STREAM_BRIEF_REPORT,
+    .u.brief = { .seq = rgy_stream_agent_number_report_ (agent, b, now_us),
+                 .fingerprint = b->sent_fingerprint,
+                 .open_flows = agent->n_open,
+                 .latency_us = agent->latency_us }
+  };
   b->sent_flows = agent->n_open;
   rgy_stream_agent_send_message_ (agent, b->ip, &message);
 }
@@ -486,6 +496,44 @@
     agent->prompt_until_us = now_us + MASS_RESTART_US;
 }
 
+static bool
+is_contact_lost_ (const struct rgy_stream_agent *agent,
+                  const struct rgy_agent_balancer *b, int64_t now_us)
+{
+  return now_us - MAX (b->contact_us, b->added_us)
+         > (rgy_stream_agent_is_near_balancer_ (agent, b)
+                ? CONTACT_LOST_US
+                : DISTANT_CONTACT_LOST_US);
+}
+
+/* Records that the balancer has received the report of this number.  An
+   acknowledgement that has waited in the socket while this process was paused
+   tells only of a report from before.  */
+static void
+note_contact_ (const struct rgy_stream_agent *agent,
+               struct rgy_agent_balancer *b, uint64_t seq, int64_t now_us)
+{
+  size_t i;
+
+  for (i = 0; i < SENT_REPORTS; i++)
+    if (b->sent[i].seq == seq && b->sent[i].sent_us > b->contact_us)
+      {
+        if (is_contact_lost_ (agent, b, now_us))
+          b->gap_us = now_us;
+        b->contact_us = b->sent[i].sent_us;
+      }
+}
+
+bool
+rgy_stream_agent_had_contact_ (const struct rgy_stream_agent *agent,
+                               uint32_t ip, int64_t since_us, int64_t now_us)
+{
+  const struct rgy_agent_balancer *b = find_balancer_ (agent, ip);
+
+  return b == NULL
+         || (!is_contact_lost_ (agent, b, now_us) && since_us > b->gap_us);
+}
+
 static void
 handle_report_ack_ (struct rgy_stream_agent *agent,
                     const struct rgy_stream_report_ack *ack, uint32_t from_ip,
@@ -498,6 +546,7 @@
   if (b == NULL || ack->agent_incarnation != agent->settings.incarnation)
     return;
   b->last_ack_us = now_us;
+  note_contact_ (agent, b, ack->seq, now_us);
   was_out = rgy_domain_view_is_out (&agent->view, &agent->settings.domain);
   (void)rgy_domain_view_merge (&agent->view, &agent->view_times, &ack->view,
                                now_us);
--- a/src/libragwortyoke/stream_balancer_packet.c
+++ b/src/libragwortyoke/stream_balancer_packet.c
@@ -125,6 +125,9 @@
       rgy_stream_balancer_open_flow_ (b, segment, now_us);
       return;
     }
+  /* The caller has got the answer of an agent whose acceptance was lost.  */
+  if ((segment->flags & RGY_SEGMENT_ACK) != 0)
+    g_hash_table_remove (b->opens, &segment->key);
   flow = rgy_flow_table_find (b->flows, &segment->key);
   if (flow == NULL)
     {
--- a/src/test_stream_agent_overload/test_stream_agent_overload.c
+++ b/src/test_stream_agent_overload/test_stream_agent_overload.c
@@ -48,6 +48,8 @@
   struct rgy_stream_agent *agent;
   int64_t now_us;
   uint64_t heartbeats;
+  uint64_t last_seq; /* Of the reports to BALANCER_IP.  */
+  uint64_t old_last_seq;
   struct outcome_ by_port[MAX_PORTS];
   uint16_t started[MAX_PORTS]; /* Ports in the order of their payloads.  */
   size_t n_started;
@@ -133,6 +135,28 @@
     f->started[f->n_started++] = port;
 }
 
+static void
+record_report_ (struct fixture_ *f, const struct rgy_stream_message *message,
+                uint32_t ip)
+{
+  uint64_t *last = ip == BALANCER_IP ? &f->last_seq : &f->old_last_seq;
+
+  switch (message->kind)
+    {
+    case RGY_STREAM_REPORT:
+      *last = message->u.report.seq;
+      return;
+    case RGY_STREAM_BRIEF_REPORT:
+      *last = message->u.brief.seq;
+      return;
+    case RGY_STREAM_LOAD_REPORT:
+      *last = message->u.load.brief.seq;
+      return;
+    default:
+      return;
+    }
+}
+
 static void
 record_action_ (void *ctx, const struct rgy_stream_action *action)
 {
@@ -154,6 +178,7 @@
     case RGY_STREAM_MESSAGE:
       assert_int_equal (
           rgy_stream_message_decode (action->u.message, &message), RGY_OK);
+      record_report_ (f, &message, action->ip);
       if (message.kind != RGY_STREAM_REFUSED)
         return;
       outcome = &f->by_port[message.u.flow.key.u.segment.caller.port];
@@ -201,17 +226,19 @@
 acknowledge_ (struct fixture_ *f)
 {
   struct rgy_name domain = rgy_name_from_c ("poa-a");
-  const struct rgy_stream_message ack
+  struct rgy_stream_message ack
       = { .kind = RGY_STREAM_REPORT_ACK,
           .u.ack = { .balancer_incarnation = 1,
                      .balancer_domain = rgy_stream_hash_domain (&domain),
-                     .agent_incarnation = 1 } };
+                     .agent_incarnation = 1,
+                     .seq = f->last_seq } };
   const struct rgy_stream_message features
       = { .kind = RGY_STREAM_FEATURES,
           .u.features
           = { .balancer_incarnation = 1, .flags = RGY_STREAM_DECODES_LOAD } };
 
   send_message_ (f, &ack, BALANCER_IP);
+  ack.u.ack.seq = f->old_last_seq;
   send_message_ (f, &ack, OLD_BALANCER_IP);
   send_message_ (f, &features, BALANCER_IP);
 }
@@ -519,6 +546,27 @@
   assert_int_equal (f->by_port[101].reason, RGY_REFUSED_FULL);
 }
 
+/* The process is paused, or cut off from its balancers, for as long as these
+   need to declare it dead: they have reset its flows, and callers have sent
+   their requests again.  A waiting one must not run besides.  */
+static void
+request_does_not_run_after_a_loss_of_contact_ (void **state)
+{
+  struct fixture_ *f = *state;
+  size_t started;
+
+  fill_ (f, 3);
+  started = f->n_started;
+  f->now_us += 1950 * MS;
+  answer_ (f, f->started[0], ROUTE_PORT);
+  assert_int_equal (f->n_started, started);
+  assert_int_equal (f->by_port[AT_BACKEND + 1].resets, 1);
+  /* New requests run as soon as the balancers acknowledge reports again.  */
+  advance_time_ (f, 2 * RGY_US_PER_S);
+  ask_ (f, 100, ROUTE_PORT);
+  assert_int_equal (f->by_port[100].payloads, 1);
+}
+
 /* Routes whose terms no balancer has stated: as before, everything waits.  */
 static void
 flows_without_a_known_limit_are_accepted_ (void **state)
@@ -849,6 +897,7 @@
     TEST (last_offer_is_refused_without_room_for_late_requests_),
     TEST (refused_offers_leave_room_for_late_requests_),
     TEST (old_balancer_gets_no_new_refusal_),
+    TEST (request_does_not_run_after_a_loss_of_contact_),
     TEST (flows_without_a_known_limit_are_accepted_),
     TEST (restarted_agent_refuses_nothing_),
     TEST (expired_request_is_reset_and_never_runs_),
--- a/src/test_stream_balancer_overload/test_stream_balancer_overload.c
+++ b/src/test_stream_balancer_overload/test_stream_balancer_overload.c
@@ -293,6 +293,29 @@
   end_ (f);
 }
 
+/* The acceptance of the agent is lost.  The caller acknowledges its answer, so
+   that the flow is open: refusals of further agents must not reset it.  */
+static void
+acknowledged_answer_ends_the_placement_ (void **state)
+{
+  struct fixture_ *f = start_ (6);
+  struct rgy_segment acknowledgement
+      = { .key = get_key_ (), .flags = RGY_SEGMENT_ACK, .seq = 1, .ack = 7 };
+  unsigned i;
+
+  (void)state;
+  send_first_segment_ (f, 0);
+  advance_time_ (f, RETRY_US);
+  assert_int_equal (f->offers, 2);
+  rgy_stream_balancer_from_router (f->balancer, &acknowledgement, f->now_us);
+  f->offers = 0;
+  for (i = 0; i < 4; i++)
+    advance_time_ (f, RETRY_US);
+  assert_int_equal (f->offers, 0);
+  assert_int_equal (f->resets, 0);
+  end_ (f);
+}
+
 int
 main (void)
 {
@@ -303,6 +326,7 @@
     cmocka_unit_test (silent_agent_prevents_a_reset_),
     cmocka_unit_test (silent_agent_is_passed_over_),
     cmocka_unit_test (missed_copy_prevents_a_reset_),
+    cmocka_unit_test (acknowledged_answer_ends_the_placement_),
   };
 
   return cmocka_run_group_tests_name ("stream_balancer_overload", tests, NULL,
