Play the loads up to five times the capacity with four agents

Cause: the test program took 190 s with sanitizers beside other load, more than the two minutes that were allowed.

--- a/src/test_stream_scarcity/test_stream_scarcity.c
+++ b/src/test_stream_scarcity/test_stream_scarcity.c
@@ -20,6 +20,8 @@
 #define AGENTS 8
 #define BALANCERS 4
 #define DOMAINS 4
+/* Agents where several loads up to five times the capacity are played.  */
+#define FEW_AGENTS 4
 #define SEEDS 2
 
 /* Kinds of the deployments.  */
@@ -201,6 +203,7 @@
       struct sim_scarcity play = make_play_ (SIM_OVERLOAD, 1);
       struct simulation *sim;
 
+      play.agents = FEW_AGENTS;
       play.load = loads[i];
       sim = play_ (&play);
       if (i == 0)
@@ -223,6 +226,7 @@
   struct simulation *sim;
 
   (void)state;
+  play.agents = FEW_AGENTS;
   play.load = 5;
   sim = play_ (&play);
   check_at_least_ ("runs for callers who still wait",
