Choose servers of low rank by weight, as preferences do

Cause: the weighted choice took the least of -log (rank) / weight, so that servers of high rank were chosen, while a flow prefers the three of lowest rank. Without room anywhere the preferred servers got no flows in spite of their weight of 4, and a balancer that did not know such a flow asked them in vain. Change: the variate grows with the rank; the shares by weight stay. Tests of placement and overload pass.

--- a/src/libragwortyoke/placement.c
+++ b/src/libragwortyoke/placement.c
@@ -367,8 +367,9 @@
 }
 
 /* Chooses a candidate with a probability in proportion to its weight, by the
-   flow alone: the candidate with the least exponential variate of that
-   rate.  */
+   flow alone: the candidate with the least exponential variate of that rate.
+   The variate grows with the rank, so that of equal candidates those of low
+   rank are chosen, as for preferences.  */
 static size_t
 choose_weighted_ (const struct choice_ *choice, const double *weights)
 {
@@ -379,8 +380,8 @@
   for (i = 0; i < choice->count; i++)
     {
       double uniform
-          = ((double)(choice->candidates[i].tie_breaker >> 11) + 1) * 0x1p-53;
-      double variate = -log (uniform) / weights[i];
+          = (double)(choice->candidates[i].tie_breaker >> 11) * 0x1p-53;
+      double variate = -log1p (-uniform) / weights[i];
 
       if (weights[i] <= 0
           || (best != choice->count && variate >= best_variate))
--- a/src/test_placement/test_placement.c
+++ b/src/test_placement/test_placement.c
@@ -610,6 +610,31 @@
   assert_in_range (counts[0], FLOWS / N, FLOWS / N * 4);
 }
 
+/* Load pattern: no server has room, and all are equally full.  Other balancers
+   look for a flow at its preferred servers first, so these must get more flows
+   than others; 4 * 3 of 4 * 3 + 27 shares with thirty servers.  */
+static void
+preferred_servers_get_more_flows_without_room_ (void **state)
+{
+  enum
+  {
+    N = 30
+  };
+  struct rgy_candidate candidates[N];
+  unsigned preferred = 0;
+  uint64_t flow;
+  size_t i;
+
+  (void)state;
+  set_even_servers_ (candidates, N);
+  for (i = 0; i < N; i++)
+    candidates[i].requests = 20;
+  for (flow = 0; flow < FLOWS; flow++)
+    preferred
+        += candidates[choose_for_flow_ (candidates, N, flow).index].preferred;
+  assert_in_range (preferred, FLOWS * 12 / 39, FLOWS);
+}
+
 /* Load pattern: an upgrade.  Agents of the earlier version report no load and
    must keep their share of the flows.  */
 static void
@@ -680,6 +705,7 @@
     cmocka_unit_test (flow_stays_in_its_domain_while_slots_are_free_),
     cmocka_unit_test (saturated_preferred_servers_are_left_for_idle_ones_),
     cmocka_unit_test (full_servers_share_new_flows_),
+    cmocka_unit_test (preferred_servers_get_more_flows_without_room_),
     cmocka_unit_test (servers_without_a_known_load_keep_their_share_),
     cmocka_unit_test (least_loaded_server_answers_first_),
   };
