Let a slow server get flows again after its recovery

Cause: a server that was slow gets no flows while others have room, so that its agent measured no runs, and balancers kept its slowness without end. Change: balancers forget the slowness over 3 s without requests; an agent counts the mean of before a pause of 5 s as a single run. A route's first runs are averaged evenly. Conclusion: a recovered server is used again within some tens of seconds.

--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -279,6 +279,8 @@
   int64_t mean_us;
   int64_t announced_us; /* Mean at the last change of runs_version.  */
   uint32_t runs;
+  uint32_t recent_runs; /* Since the last pause; the mean before it counts as
+                           one run.  */
   int64_t used_us;
 };
 
--- a/src/libragwortyoke/include/private/stream_balancer_private.h
+++ b/src/libragwortyoke/include/private/stream_balancer_private.h
@@ -192,13 +192,15 @@
   uint32_t failed_permille;
   size_t n_runs;
   struct rgy_known_run runs[RGY_STREAM_MAX_RUNS];
-  double slowness;      /**< Run time relative to the median of the service's
-                             backend servers, compared by route; 0 if none is
-                             known.  */
-  bool is_slow;         /**< Logged as slow.  */
-  uint32_t placed;      /**< New flows placed here since the report.  */
-  int64_t confirmed_us; /**< Time of the last report that states this load, or
-                             by being brief that it has hardly changed.  */
+  double slowness;       /**< Run time relative to the median of the service's
+                              backend servers, compared by route; 0 if none is
+                              known.  */
+  bool is_slow;          /**< Logged as slow.  */
+  int64_t idle_since_us; /**< Time of the first report since which all state no
+                              requests; 0 if the last one states any.  */
+  uint32_t placed;       /**< New flows placed here since the report.  */
+  int64_t confirmed_us;  /**< Time of the last report that states this load, or
+                              by being brief that it has hardly changed.  */
   uint32_t placed_since_confirmed;
   double surge;     /**< Requests of these flows beyond what this balancer's
                          share of the backend server works off.  */
@@ -592,6 +594,10 @@
 /** True if the agent's next report is overdue.  */
 bool rgy_known_agent_is_silent_ (const struct rgy_known_agent *agent,
                                  int64_t now_us);
+/** Slowness of a backend server for placement; nearer to 1 the longer it has
+    had no requests.  0: unknown.  */
+double rgy_known_load_get_slowness_ (const struct rgy_known_load *load,
+                                     int64_t now_us);
 /** Share of its usual flows that a backend server gets after losses, 0 to
     1.  */
 double rgy_known_agent_get_trust_ (const struct rgy_known_agent *agent,
--- a/src/libragwortyoke/stream_agent_load.c
+++ b/src/libragwortyoke/stream_agent_load.c
@@ -4,7 +4,8 @@
 
 #include "ragwortyoke/bytes.h"
 
-/* Weight of the newest run in the mean run times, as a divisor.  */
+/* Weight of the newest run in the mean run times, as a divisor; that of a
+   route's first runs is higher.  */
 #define RUN_SMOOTHING 16
 /* Runs of a route from which on its mean is reported; the mean of fewer says
    little.  */
@@ -12,6 +13,10 @@
 /* Difference of a route's mean run time from the one last reported that is
    news, as a divisor of the latter.  */
 #define RUN_NEWS_DIVISOR 4
+/* Time without a run of a route after which its mean counts as a single run:
+   the speed of the backend server may have changed, and balancers send few
+   requests to a slow one.  */
+#define RUNS_PAUSE_US (5 * RGY_US_PER_S)
 /* Interval at which the run times are repeated, so that a lost report does not
    leave a balancer without them.  */
 #define RUNS_INTERVAL_US (5 * RGY_US_PER_S)
@@ -114,10 +119,9 @@
 }
 
 static void
-update_mean_ (int64_t *mean_us, int64_t run_us)
+update_mean_ (int64_t *mean_us, int64_t run_us, int64_t divisor)
 {
-  *mean_us = *mean_us == 0 ? run_us
-                           : *mean_us + (run_us - *mean_us) / RUN_SMOOTHING;
+  *mean_us = *mean_us == 0 ? run_us : *mean_us + (run_us - *mean_us) / divisor;
 }
 
 /* Finds the measure of a route; if there is none, the one that was used least
@@ -156,7 +160,11 @@
 {
   struct rgy_route_run *route = get_route_run_ (load, address);
 
-  update_mean_ (&route->mean_us, run_us);
+  if (now_us - route->used_us > RUNS_PAUSE_US)
+    route->recent_runs = MIN (route->runs, 1);
+  route->recent_runs++;
+  update_mean_ (&route->mean_us, run_us,
+                MIN (route->recent_runs, RUN_SMOOTHING));
   route->runs++;
   route->used_us = now_us;
   if (!is_run_news_ (route))
@@ -195,7 +203,7 @@
   note_free_slot_ (agent, now_us);
   run_us = MAX (now_us - MAX (stream->running_since_us, stream->slot_since_us),
                 1);
-  update_mean_ (&agent->load.run_us, run_us);
+  update_mean_ (&agent->load.run_us, run_us, RUN_SMOOTHING);
   if (agent->cold_until_us <= now_us)
     note_run_ (&agent->load, flow->key.u.segment.service, run_us, now_us);
 }
--- a/src/libragwortyoke/stream_balancer_load.c
+++ b/src/libragwortyoke/stream_balancer_load.c
@@ -34,6 +34,10 @@
    server all new flows or none.  */
 #define SLOWNESS_MIN 0.25
 #define SLOWNESS_MAX 20.0
+/* Time without requests over which the slowness of a backend server is
+   forgotten: it gets no flows while others have room, so that its recovery
+   would not show.  */
+#define SLOWNESS_WINDOW_US (3.0 * RGY_US_PER_S)
 /* Time between two losses of a backend server within which it counts as
    flapping.  */
 #define FLAP_WINDOW_US (30 * RGY_US_PER_S)
@@ -51,6 +55,18 @@
          && now_us - agent->load.at_us <= LOAD_EXPIRE_US;
 }
 
+double
+rgy_known_load_get_slowness_ (const struct rgy_known_load *load,
+                              int64_t now_us)
+{
+  if (load->slowness <= 1 || load->idle_since_us == 0)
+    return load->slowness;
+  return 1
+         + (load->slowness - 1)
+               * exp ((double)(load->idle_since_us - now_us)
+                      / SLOWNESS_WINDOW_US);
+}
+
 /* Number of balancers that place new flows on the agent as this one does, from
    their shares in its new flows; of an agent without many of them all known
    balancers.  */
@@ -193,6 +209,10 @@
   load = &rgy_stream_balancer_find_agent_ (b, ip)->load;
   if (load->at_us != 0)
     update_shares_ (load, report, now_us);
+  if (report->requests > 0 || report->requests_per_s > 0)
+    load->idle_since_us = 0;
+  else if (load->idle_since_us == 0)
+    load->idle_since_us = now_us;
   load->at_us = now_us;
   load->run_us = report->run_us;
   load->requests = report->requests;
--- a/src/libragwortyoke/stream_balancer_place.c
+++ b/src/libragwortyoke/stream_balancer_place.c
@@ -51,7 +51,7 @@
           .tie_breaker = rgy_preference_rank (preference, agent->ip),
           .silent = rgy_known_agent_is_silent_ (agent, now_us),
           .has_load = rgy_known_agent_has_load_ (agent, now_us),
-          .slowness = load->slowness,
+          .slowness = rgy_known_load_get_slowness_ (load, now_us),
           .distrust = 1 - rgy_known_agent_get_trust_ (agent, now_us) };
 
   if (candidate.has_load)
--- a/src/test_stream_agent_load/test_stream_agent_load.c
+++ b/src/test_stream_agent_load/test_stream_agent_load.c
@@ -424,6 +424,24 @@
   assert_true (f->short_us >= SHORT_US * 4);
 }
 
+/* Load pattern: a server is slow, then gets no requests for some seconds, and
+   is fast again with its next ones.  What was measured before the pause
+   counts as one run.  */
+static void
+runs_after_a_pause_are_measured_anew_ (void **state)
+{
+  struct fixture_ *f = *state;
+
+  f->slow_factor = 6;
+  send_requests_ (f, SHORT_PORT, 40, 4 * RGY_US_PER_S);
+  assert_true (f->short_us >= SHORT_US * 5);
+  advance_time_ (f, 7 * RGY_US_PER_S);
+  f->slow_factor = 1;
+  send_requests_ (f, SHORT_PORT, 10, RGY_US_PER_S);
+  advance_time_ (f, RGY_US_PER_S);
+  assert_in_range (f->short_us, SHORT_US * 9 / 10, SHORT_US * 2);
+}
+
 /* A cold server works longer on each request, which must not count as its
    speed.  */
 static void
@@ -633,6 +651,7 @@
     WITH_AGENT (run_times_are_measured_by_route_),
     WITH_AGENT (waiting_is_no_run_time_),
     WITH_AGENT (slow_server_is_reported_soon_),
+    WITH_AGENT (runs_after_a_pause_are_measured_anew_),
     WITH_AGENT (cold_runs_do_not_count_as_slow_),
     WITH_AGENT (forming_queue_is_news_),
     WITH_AGENT (requests_that_follow_on_a_flow_are_told_apart_),
--- a/src/test_stream_placement/test_stream_placement.c
+++ b/src/test_stream_placement/test_stream_placement.c
@@ -455,6 +455,38 @@
   assert_in_range (f->servers[1].chosen, 0, 200 / 6 / 2);
 }
 
+/* Load pattern: a server is six times slower for some seconds.  No flow goes
+   there while others have room, so its run times are measured no more; it must
+   get flows again after its recovery all the same, and few before.  */
+static void
+recovered_server_gets_flows_again_ (void **state)
+{
+  struct fixture_ *f = *state;
+  size_t i;
+
+  start_ (f, 2, 6, 0);
+  for (i = 0; i < f->n_servers; i++)
+    f->servers[i].route_run_us[0] = 20000;
+  f->servers[1].run_us *= 6;
+  f->servers[1].route_run_us[0] *= 6;
+  advance_time_ (f, RGY_US_PER_S);
+  f->servers[1].chosen = 0;
+  open_flows_ (f, 100, 20 * RGY_US_PER_S);
+  assert_in_range (f->servers[1].chosen, 0, 2000 / 6 / 4);
+  f->servers[1].run_us /= 6;
+  f->servers[1].chosen = 0;
+  for (i = 0; i < 25; i++)
+    {
+      open_flows_ (f, 100, RGY_US_PER_S);
+      /* The agent reports the mean of one run before and those since.  */
+      f->servers[1].route_run_us[0]
+          = 20000 + 100000 / (1 + f->servers[1].chosen);
+    }
+  f->servers[1].chosen = 0;
+  open_flows_ (f, 100, 5 * RGY_US_PER_S);
+  assert_true (f->servers[1].chosen > 500 / 6 / 2);
+}
+
 /* Load pattern: a server hangs while its heartbeats are good.  */
 static void
 failing_server_is_avoided_ (void **state)
@@ -663,6 +695,7 @@
     WITH_SERVERS (wave_moves_flows_before_a_queue_forms_),
     WITH_SERVERS (steady_share_leaves_a_full_domain_),
     WITH_SERVERS (slowness_is_compared_by_route_),
+    WITH_SERVERS (recovered_server_gets_flows_again_),
     WITH_SERVERS (failing_server_is_avoided_),
     WITH_SERVERS (flapping_server_gets_flows_gradually_),
     WITH_SERVERS (replaced_server_gets_its_share_at_once_),
