Take a full report without a load for no change of the load

Cause: only brief and load reports confirmed the load, but a busy agent sends full ones, after which it states its load only if that has changed. After 0.4 s a queue that stays was expected to be worked off. Change: a full report confirms the load like a brief one.

--- a/src/libragwortyoke/stream_balancer_member.c
+++ b/src/libragwortyoke/stream_balancer_member.c
@@ -574,6 +574,8 @@
   agent->last_seen_us = now_us;
   agent->from_store = false;
   agent->placed = 0;
+  /* The agent sends its load after this report if it has changed.  */
+  rgy_known_agent_confirm_load_ (agent, now_us);
   apply_flow_changes_ (b, agent, report, now_us);
   acknowledge_report_ (b, agent, is_needed, now_us);
   if (is_new_incarnation
--- a/src/test_stream_placement/test_stream_placement.c
+++ b/src/test_stream_placement/test_stream_placement.c
@@ -487,6 +487,28 @@
   assert_true (f->servers[1].chosen > 500 / 6 / 2);
 }
 
+/* Load pattern: flows open and end all the time, so that most reports are full
+   ones, while long flows keep a server's queue at the same length.  Without a
+   load report after it a full report, too, states that the load has hardly
+   changed.  */
+static void
+queue_is_expected_to_stay_after_a_full_report_ (void **state)
+{
+  struct fixture_ *f = *state;
+  size_t i;
+
+  start_ (f, 1, 4, 0);
+  f->servers[0].requests = 40;
+  report_ (f, &f->servers[0]);
+  f->servers[0].reports_load = false;
+  advance_time_ (f, 800 * MS);
+  report_ (f, &f->servers[0]);
+  f->servers[0].chosen = 0;
+  for (i = 0; i < 20; i++)
+    assert_non_null (open_flow_ (f, 0));
+  assert_int_equal (f->servers[0].chosen, 0);
+}
+
 /* Load pattern: a server hangs while its heartbeats are good.  */
 static void
 failing_server_is_avoided_ (void **state)
@@ -696,6 +718,7 @@
     WITH_SERVERS (steady_share_leaves_a_full_domain_),
     WITH_SERVERS (slowness_is_compared_by_route_),
     WITH_SERVERS (recovered_server_gets_flows_again_),
+    WITH_SERVERS (queue_is_expected_to_stay_after_a_full_report_),
     WITH_SERVERS (failing_server_is_avoided_),
     WITH_SERVERS (flapping_server_gets_flows_gradually_),
     WITH_SERVERS (replaced_server_gets_its_share_at_once_),
