Count the requests of the last second once

Cause: the queue counted arrivals for load reports in a ring of its own, and stream_agent_load.c then overwrote the count, and the run time, with its own. Change: the ring and the overwritten run time go; the queue states its length and wait.

--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -161,10 +161,6 @@
    copy.  */
 #define FIRST_COPY_AGE_US (200 * RGY_US_PER_MS)
 #define SECOND_COPY_AGE_US (600 * RGY_US_PER_MS)
-/* Parts of the window in which arrived requests are counted, and their length;
-   load reports state the requests of the last second.  */
-#define ARRIVAL_BUCKETS 10
-#define ARRIVAL_BUCKET_US (100 * RGY_US_PER_MS)
 /* Weight of the newest latency in the moving average, as a divisor.  */
 #define LATENCY_SMOOTHING 8
 
@@ -394,10 +390,8 @@
   GQueue expected; /* Flows whose first request is expected; entries are struct
                       rgy_flow.  */
   size_t held_bytes;
-  struct rgy_run_time run_time;      /* From the hand-over of a request to its
-                                        answer.  */
-  uint32_t arrived[ARRIVAL_BUCKETS]; /* Requests by time of arrival.  */
-  int64_t arrived_bucket; /* Newest bucket: the time in ARRIVAL_BUCKET_US.  */
+  struct rgy_run_time run_time; /* From the hand-over of a request to its
+                                   answer.  */
   struct rgy_agent_load load;
 
   struct rgy_domain_view view;
@@ -573,10 +567,9 @@
 rgy_stream_agent_balancer_has_feature_ (const struct rgy_stream_agent *agent,
                                         uint32_t ip, uint32_t feature,
                                         int64_t now_us);
-/** Set all of a load report but the part that a brief report has.  */
-void rgy_stream_agent_measure_load_ (const struct rgy_stream_agent *agent,
-                                     struct rgy_stream_load_report *load,
-                                     int64_t now_us);
+/** Set the numbers of the queue in a load report.  */
+void rgy_stream_agent_measure_queue_ (const struct rgy_stream_agent *agent,
+                                      struct rgy_stream_load_report *load);
 /** Count a request that has arrived on an open flow.  */
 void rgy_stream_agent_note_arrival_ (struct rgy_stream_agent *agent,
                                      struct rgy_agent_stream *stream);
--- a/src/libragwortyoke/stream_agent_load.c
+++ b/src/libragwortyoke/stream_agent_load.c
@@ -389,7 +389,7 @@
 {
   struct rgy_load_bucket sum = sum_buckets_ (&agent->load);
 
-  rgy_stream_agent_measure_load_ (agent, load, now_us);
+  rgy_stream_agent_measure_queue_ (agent, load);
   load->run_us
       = (uint32_t)MIN (get_run_us_ (agent, now_us), (int64_t)UINT32_MAX);
   load->requests_per_s = sum.arrived;
--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -230,31 +230,6 @@
   *agent->n_late = rgy_request_queue_demoted (agent->waiting);
 }
 
-/* Counts a request that arrived; buckets without any are emptied.  */
-static void
-note_arrival_ (struct rgy_stream_agent *agent, int64_t now_us)
-{
-  int64_t bucket = now_us / ARRIVAL_BUCKET_US;
-  int64_t i = MAX (agent->arrived_bucket + 1, bucket - ARRIVAL_BUCKETS + 1);
-
-  for (; i <= bucket; i++)
-    agent->arrived[i % ARRIVAL_BUCKETS] = 0;
-  agent->arrived_bucket = bucket;
-  agent->arrived[bucket % ARRIVAL_BUCKETS]++;
-}
-
-static uint32_t
-count_arrivals_ (const struct rgy_stream_agent *agent, int64_t now_us)
-{
-  int64_t oldest = now_us / ARRIVAL_BUCKET_US - ARRIVAL_BUCKETS + 1;
-  uint32_t n = 0;
-  int64_t i;
-
-  for (i = oldest; i <= agent->arrived_bucket; i++)
-    n += agent->arrived[i % ARRIVAL_BUCKETS];
-  return n;
-}
-
 /* True if the backend server has acknowledged the segment, so that it repeats
    an earlier request.  */
 static bool
@@ -425,7 +400,6 @@
   if (segment->payload_len == 0 || is_repeated_ (stream, segment))
     return false;
   expire_running_requests_ (agent, now_us);
-  note_arrival_ (agent, now_us);
   terms = rgy_stream_agent_get_terms_ (agent, segment, now_us);
   stream->goal_us = terms.goal_us;
   stream->limit_us = terms.limit_us;
@@ -587,20 +561,17 @@
 }
 
 void
-rgy_stream_agent_measure_load_ (const struct rgy_stream_agent *agent,
-                                struct rgy_stream_load_report *load,
-                                int64_t now_us)
+rgy_stream_agent_measure_queue_ (const struct rgy_stream_agent *agent,
+                                 struct rgy_stream_load_report *load)
 {
   uint32_t requests
       = rgy_request_queue_length (agent->waiting) + agent->running.length;
   int64_t ahead = (int64_t)requests - agent->slots + 1;
 
-  load->run_us = (uint32_t)MIN (agent->run_time.mean_us, UINT32_MAX);
   load->requests = requests;
   load->wait_us
       = ahead <= 0
             ? 0
             : (uint32_t)MIN (ahead * agent->run_time.mean_us / agent->slots,
                              UINT32_MAX);
-  load->requests_per_s = count_arrivals_ (agent, now_us);
 }
