Select medians instead of sorting, and skip logarithms of weight 0

Cause: each new flow sorted the latencies and the run times of all agents of the service, and took a logarithm for each agent. Change: the median is selected; agents of weight 0 are skipped first. A new test compares the medians with those of a sort. The walks over all agents in collect_candidates_() were not measured.

--- a/src/libragwortyoke/placement.c
+++ b/src/libragwortyoke/placement.c
@@ -70,24 +70,45 @@
   [RGY_PLACED_WITHOUT_ROOM] = "no-room",
 };
 
-static int
-compare_numbers_ (const void *a, const void *b)
-{
-  uint32_t x = *(const uint32_t *)a;
-  uint32_t y = *(const uint32_t *)b;
-
-  return (x > y) - (x < y);
-}
-
-/* Returns the lower median of @p samples, which are sorted; 0 if there are
-   none.  */
+/* Returns the lower median of @p samples, which are reordered; 0 if there are
+   none.  Each step leaves the median between @c low and @c high, with no
+   greater samples before and no smaller ones after, in a time that grows with
+   the number of samples: the median is taken at each new flow.  */
 static uint32_t
 get_median_ (uint32_t *samples, size_t n)
 {
+  size_t wanted = n == 0 ? 0 : (n - 1) / 2;
+  size_t low = 0;
+  size_t high = n == 0 ? 0 : n - 1;
+
   if (n == 0)
     return 0;
-  qsort (samples, n, sizeof samples[0], compare_numbers_);
-  return samples[(n - 1) / 2];
+  while (low < high)
+    {
+      uint32_t pivot = samples[low + (high - low) / 2];
+      size_t i = low;
+      size_t j = high;
+
+      for (;;)
+        {
+          uint32_t sample;
+
+          while (samples[i] < pivot)
+            i++;
+          while (samples[j] > pivot)
+            j--;
+          if (i >= j)
+            break;
+          sample = samples[i];
+          samples[i++] = samples[j];
+          samples[j--] = sample;
+        }
+      if (wanted <= j)
+        high = j;
+      else
+        low = j + 1;
+    }
+  return samples[wanted];
 }
 
 static uint32_t
@@ -379,12 +400,14 @@
 
   for (i = 0; i < choice->count; i++)
     {
-      double uniform
-          = (double)(choice->candidates[i].tie_breaker >> 11) * 0x1p-53;
-      double variate = -log1p (-uniform) / weights[i];
+      double uniform;
+      double variate;
 
-      if (weights[i] <= 0
-          || (best != choice->count && variate >= best_variate))
+      if (weights[i] <= 0)
+        continue;
+      uniform = (double)(choice->candidates[i].tie_breaker >> 11) * 0x1p-53;
+      variate = -log1p (-uniform) / weights[i];
+      if (best != choice->count && variate >= best_variate)
         continue;
       best = i;
       best_variate = variate;
--- a/src/test_placement/test_placement.c
+++ b/src/test_placement/test_placement.c
@@ -2,6 +2,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <cmocka.h>
@@ -662,6 +663,51 @@
   assert_in_range (unknown, FLOWS * 4 / 10, FLOWS * 6 / 10);
 }
 
+static int
+compare_numbers_ (const void *a, const void *b)
+{
+  uint32_t x = *(const uint32_t *)a;
+  uint32_t y = *(const uint32_t *)b;
+
+  return (x > y) - (x < y);
+}
+
+/* Guards the selection of the median, which is taken at each new flow.  All
+   servers work twice as long as a median one, so the expected delay is the
+   median of the run times.  */
+static void
+delay_follows_the_median_run_time_ (void **state)
+{
+  enum
+  {
+    MAX_N = 40
+  };
+  struct rgy_candidate candidates[MAX_N];
+  uint32_t runs[MAX_N];
+  uint64_t flow;
+
+  (void)state;
+  for (flow = 0; flow < FLOWS; flow++)
+    {
+      uint32_t n = 1 + (uint32_t)(flow % MAX_N);
+      uint32_t i;
+
+      set_even_servers_ (candidates, n);
+      for (i = 0; i < n; i++)
+        {
+          /* Few values in some rounds, so that many are equal.  */
+          runs[i] = 1
+                    + (uint32_t)(hash_flow_ (flow * MAX_N + i)
+                                 % (flow % 3 == 0 ? 4 : 90000));
+          candidates[i].run_us = runs[i];
+          candidates[i].slowness = 2;
+        }
+      qsort (runs, n, sizeof runs[0], compare_numbers_);
+      assert_int_equal (choose_for_flow_ (candidates, n, flow).delay_us,
+                        runs[(n - 1) / 2]);
+    }
+}
+
 /* A flow that was refused for overload is offered last to the server that is
    expected to answer first.  */
 static void
@@ -707,6 +753,7 @@
     cmocka_unit_test (full_servers_share_new_flows_),
     cmocka_unit_test (preferred_servers_get_more_flows_without_room_),
     cmocka_unit_test (servers_without_a_known_load_keep_their_share_),
+    cmocka_unit_test (delay_follows_the_median_run_time_),
     cmocka_unit_test (least_loaded_server_answers_first_),
   };
 
