Count agents of other domains as lost only when they are dead

Cause: a silence of 2 s counted as a loss for all agents, but those of other failure domains report each 800 ms and are declared dead after 2.4 s. Two lost reports cost such an agent its known load and nine tenths of its new flows. Change: the loss is the declaration of death. Result: after 2.3 s of silence one of eight distant servers gets more than 2 of 40 flows; the new test fails without the change.

--- a/src/libragwortyoke/stream_balancer_load.c
+++ b/src/libragwortyoke/stream_balancer_load.c
@@ -374,7 +374,7 @@
          || (report->backend_id != agent->report.backend_id
              && report->state == RGY_BACKEND_READY)
          || (!agent->report.restarting
-             && now_us - agent->last_seen_us > AGENT_DEAD_US);
+             && rgy_known_agent_is_dead_ (agent, now_us));
 }
 
 void
--- a/src/test_stream_placement/test_stream_placement.c
+++ b/src/test_stream_placement/test_stream_placement.c
@@ -557,6 +557,27 @@
   assert_true (f->servers[0].chosen > 200 / 4 / 2);
 }
 
+/* Failure: two reports in a row of an agent in another failure domain are
+   lost; they come each 800 ms.  It is not declared dead, and so has not
+   returned.  */
+static void
+distant_agent_is_not_lost_before_it_is_dead_ (void **state)
+{
+  struct fixture_ *f = *state;
+  size_t i;
+
+  start_ (f, 1, 0, 8);
+  report_ (f, &f->servers[0]);
+  f->servers[0].is_frozen = true;
+  advance_time_ (f, 2300 * MS);
+  f->servers[0].is_frozen = false;
+  report_ (f, &f->servers[0]);
+  f->servers[0].chosen = 0;
+  for (i = 0; i < 40; i++)
+    assert_non_null (open_flow_ (f, 0));
+  assert_true (f->servers[0].chosen > 40 / 8 / 2);
+}
+
 /* Load pattern: a release.  Each server is drained, ends and starts anew; that
    is no loss.  */
 static void
@@ -721,6 +742,7 @@
     WITH_SERVERS (queue_is_expected_to_stay_after_a_full_report_),
     WITH_SERVERS (failing_server_is_avoided_),
     WITH_SERVERS (flapping_server_gets_flows_gradually_),
+    WITH_SERVERS (distant_agent_is_not_lost_before_it_is_dead_),
     WITH_SERVERS (replaced_server_gets_its_share_at_once_),
     WITH_SERVERS (other_service_takes_flows_without_room_),
     WITH_SERVERS (agents_without_load_reports_are_placed_by_flows_),
