--- a/src/test_platform_store_return/test_platform_store_return.c
+++ b/src/test_platform_store_return/test_platform_store_return.c
@@ -321,6 +321,16 @@
   return rgy_counters_get (f->world.processes[0].counters, name, label);
 }
 
+/* Runs until the first client has begun N more reads of operators' keys.  */
+static void
+run_until_loads_ (struct fixture_ *f, uint64_t n)
+{
+  uint64_t end = count_ (f, "store_calls_total", "call=\"load\"") + n;
+
+  while (count_ (f, "store_calls_total", "call=\"load\"") < end)
+    (void)uv_run (&f->loop, UV_RUN_ONCE);
+}
+
 /* The client kept the highest revision that it had seen: each watch after the
    return was refused, and no change was read any more (review case 6).  */
 static void
@@ -560,6 +570,27 @@
   assert_true (is_out_ (w, 0, "poa-a"));
 }
 
+/* The store gives the revision of an order that was withdrawn to a new one for
+   the same failure domain.  */
+static void
+new_order_at_the_revision_of_a_withdrawn_one_is_an_order_ (void **state)
+{
+  struct fixture_ *f = *state;
+  struct world_ *w = &f->world;
+
+  standin_platform_store_put (w->standin, DOMAIN_A, "e30=");
+  run_ (f, 600);
+  standin_platform_store_put (w->standin, DOMAIN_A, NULL);
+  run_ (f, 600);
+  standin_platform_store_return (w->standin);
+  run_until_loads_ (f, 1);
+  /* Before anything else is written.  */
+  run_ (f, TICK_MS);
+  standin_platform_store_put (w->standin, DOMAIN_A, "e30=");
+  run_ (f, APPLY_MS);
+  assert_true (is_out_ (w, 0, "poa-a"));
+}
+
 /* A process that starts in the return reads the copy, and learns from the one
    that has run on what was lost.  */
 static void
@@ -1109,6 +1140,7 @@
     WITH_WORLD (lost_orders_stay_until_they_could_be_written_again_),
     WITH_WORLD (time_for_writing_again_does_not_pass_in_an_outage_),
     WITH_WORLD (withdrawn_order_of_the_copy_is_no_order_),
+    WITH_WORLD (new_order_at_the_revision_of_a_withdrawn_one_is_an_order_),
     WITH_WORLD (process_that_starts_in_a_return_learns_lost_orders_),
     WITH_WORLD (return_for_some_machines_only_ends_in_agreement_),
     WITH_WORLD (second_return_in_a_row_is_followed_),
