--- a/src/test_platform_store_return/test_platform_store_return.c
+++ b/src/test_platform_store_return/test_platform_store_return.c
@@ -591,6 +591,40 @@
   assert_true (is_out_ (w, 0, "poa-a"));
 }
 
+/* A change between two pages of the load with which the client settles comes
+   by the watch that has been waiting since before the load.  */
+static void
+change_during_the_settling_load_is_kept_ (void **state)
+{
+  struct fixture_ *f = *state;
+  struct world_ *w = &f->world;
+
+  standin_platform_store_put (w->standin, DOMAIN_A, "e30=");
+  standin_platform_store_put (w->standin, "op/evacuate/poa-c", "e30=");
+  standin_platform_store_put (w->standin, "op/evacuate/poa-d", "e30=");
+  standin_platform_store_put (w->standin, "op/evacuate/poa-e", "e30=");
+  standin_platform_store_put (w->standin, "op/evacuate/poa-f", "e30=");
+  run_ (f, 600);
+  standin_platform_store_copy (w->standin);
+  standin_platform_store_return (w->standin);
+  run_until_loads_ (f, 2);
+  /* The watches end every 2 s from here on, just before the client settles. */
+  run_ (f, 1800);
+  put_version_ (w, 6);
+  run_ (f, 2000);
+  /* The first page has been read, and the second one has been requested.  */
+  run_until_loads_ (f, 2);
+  standin_platform_store_put (w->standin, DOMAIN_A, NULL);
+  standin_platform_store_put (w->standin, DOMAIN_B, "e30=");
+  run_ (f, 600);
+  /* The core follows the view of a later position.  */
+  put_version_ (w, 7);
+  run_ (f, APPLY_MS);
+  assert_int_equal (get_version_ (w, 0), 7);
+  assert_false (is_out_ (w, 0, "poa-a"));
+  assert_true (is_out_ (w, 0, "poa-b"));
+}
+
 /* A process that starts in the return reads the copy, and learns from the one
    that has run on what was lost.  */
 static void
@@ -1141,6 +1175,7 @@
     WITH_WORLD (time_for_writing_again_does_not_pass_in_an_outage_),
     WITH_WORLD (withdrawn_order_of_the_copy_is_no_order_),
     WITH_WORLD (new_order_at_the_revision_of_a_withdrawn_one_is_an_order_),
+    WITH_WORLD (change_during_the_settling_load_is_kept_),
     WITH_WORLD (process_that_starts_in_a_return_learns_lost_orders_),
     WITH_WORLD (return_for_some_machines_only_ends_in_agreement_),
     WITH_WORLD (second_return_in_a_row_is_followed_),
