Leave out the spaces behind a recorded header

Cause: the parser of HTTP leaves out spaces before the value of a header only, so that "Store-Era: 4 " was rejected and a return of the store not noticed. Change: the client of HTTP trims the value. Result: header_is_that_of_the_response_ failed before ("17 \t" instead of "17") and passes.

--- a/src/libragwortyoke-io/http_client.c
+++ b/src/libragwortyoke-io/http_client.c
@@ -5,6 +5,7 @@
 #include <http_parser.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <string.h>
 #include <sys/socket.h>
 
 #include "private/read_buffer.h"
@@ -135,6 +136,15 @@
   return 0;
 }
 
+/* Removes the spaces behind a header's value, which are no part of it.  The
+   parser leaves out only those before it.  */
+static void
+trim_value_ (GString *value)
+{
+  while (value->len > 0 && strchr (" \t", value->str[value->len - 1]) != NULL)
+    g_string_truncate (value, value->len - 1);
+}
+
 static int
 on_message_complete_ (http_parser *parser)
 {
@@ -146,6 +156,7 @@
     return -1;
   c->body = g_byte_array_new ();
   g_string_assign (client->header_value, c->header_value->str);
+  trim_value_ (client->header_value);
   g_string_truncate (c->header_value, 0);
   if (!http_should_keep_alive (parser))
     close_connection_ (client);
--- a/src/test_http_client/test_http_client.c
+++ b/src/test_http_client/test_http_client.c
@@ -46,6 +46,8 @@
   else if (strcmp (request->path, "/ages") == 0)
     response->header = g_strdup ("Store-Age: 17\r\nStore-Ages: 9\r\n"
                                  "Store-Age: 18");
+  else if (strcmp (request->path, "/padded-age") == 0)
+    response->header = g_strdup ("Store-Age: \t17 \t");
   else if (strcmp (request->path, "/echo") == 0)
     response->body
         = g_strndup ((const char *)request->body.data, request->body.len);
@@ -174,6 +176,8 @@
   assert_string_equal (f->header, "");
   call_and_wait_ (f, "GET", "/ages", "");
   assert_string_equal (f->header, "17,18");
+  call_and_wait_ (f, "GET", "/padded-age", "");
+  assert_string_equal (f->header, "17");
   call_and_wait_ (f, "GET", "/absent", "");
   assert_string_equal (f->header, "");
 }
