--- a/src/test_platform_store_return/test_platform_store_return.c
+++ b/src/test_platform_store_return/test_platform_store_return.c
@@ -730,6 +730,7 @@
   put_version_ (w, 8);
   run_ (f, RECOVERY_MS + APPLY_MS);
   assert_true (count_ (f, "store_answers_late_total", NULL) > 0);
+  assert_true (count_ (f, "rejected_total", "source=\"store-answer\"") > 0);
   assert_int_equal (get_version_ (w, 0), 8);
   assert_false (is_out_ (w, 0, "poa-a"));
   assert_int_equal (count_ (f, "store_returns_total", NULL), 1);
