Run the tests of the return of the store in parts side by side

Cause: the program waits in real time for 187 s, and its seeded runs, a second entry of ctest, for 70 s.

--- a/src/test_platform_store_return/test_platform_store_return.c
+++ b/src/test_platform_store_return/test_platform_store_return.c
@@ -1161,12 +1161,14 @@
   assert_true (n_returns > N_RUNS);
 }
 
+/* Arguments: none for all tests, the name of one, or a part and the number of
+   parts.  */
 int
 main (int argc, char **argv)
 {
 #define WITH_WORLD(test)                                                      \
   cmocka_unit_test_setup_teardown (test, set_up_, tear_down_)
-  const struct CMUnitTest tests[] = {
+  static const struct CMUnitTest tests[] = {
     WITH_WORLD (changes_are_read_after_a_return_),
     WITH_WORLD (changes_are_read_after_a_return_without_era_),
     WITH_WORLD (lost_entries_are_written_again_),
@@ -1187,10 +1189,17 @@
     cmocka_unit_test (random_returns_keep_the_orders_),
   };
 
-  /* The seeded runs are a test of their own, since both take a while.  */
-  if (argc > 1)
+  struct CMUnitTest part[G_N_ELEMENTS (tests)];
+  size_t n = 0;
+  size_t i;
+
+  if (argc == 2)
     cmocka_set_test_filter (argv[1]);
-  else
-    cmocka_set_skip_filter ("random_*");
-  return cmocka_run_group_tests (tests, NULL, NULL);
+  if (argc != 3)
+    return cmocka_run_group_tests (tests, NULL, NULL);
+  for (i = 0; i < G_N_ELEMENTS (tests); i++)
+    if (i % g_ascii_strtoull (argv[2], NULL, 10)
+        == g_ascii_strtoull (argv[1], NULL, 10))
+      part[n++] = tests[i];
+  return _cmocka_run_group_tests ("part", part, n, NULL, NULL);
 }
