Go back to earlier terms only after earlier ones have been stated for 10 s

Cause: an agent went back to an earlier manifest if its last answer from the newest was older than 10 s. After 10 s without answers, when idle or cut off, one answer of a balancer that was behind overrode newer terms, also with a store that has never returned. Change: the 10 s count from the first earlier answer since the last newest one. The test of a lost manifest counted the time without any answer; it now counts the time with earlier ones, as the balancers of a store that has returned give them. Result: balancer_that_is_behind_overrides_nothing_after_a_pause_ failed before and passes, with the 17 others of test_route_terms.

--- a/src/libragwortyoke/route_terms.c
+++ b/src/libragwortyoke/route_terms.c
@@ -54,7 +54,8 @@
   int64_t ttl_us;
   uint64_t seed;
   uint64_t newest_version;
-  int64_t newest_us;     /* Time of the last answer from it.  */
+  int64_t older_us;      /* Time of the first answer from an earlier one since
+                            the last answer from the newest; 0 if none.  */
   int64_t next_due_us;   /* No query is due before this time.  */
   int64_t next_query_us; /* End of QUERY_INTERVAL_US.  */
 };
@@ -324,7 +325,7 @@
 }
 
 /* Goes back to an earlier manifest that the balancers state since the store
-   has lost the newest one: no answer has come from the newest one for as long
+   has lost the newest one: all answers have come from earlier ones for as long
    as the store's entries may be written again.  */
 static void
 go_back_ (struct rgy_route_terms *table, uint64_t version)
@@ -353,11 +354,13 @@
   *age_us = 0;
   if (entry == NULL || !entry->is_asked)
     return RGY_TERMS_NOT_ASKED;
+  if (version < table->newest_version && table->older_us == 0)
+    table->older_us = now_us;
   if (version < table->newest_version
-      && now_us - table->newest_us > RGY_STORE_REWRITE_US)
+      && now_us - table->older_us > RGY_STORE_REWRITE_US)
     go_back_ (table, version);
   if (version >= table->newest_version)
-    table->newest_us = now_us;
+    table->older_us = 0;
   if (entry->answered_us != 0 && version < entry->version)
     return RGY_TERMS_OLDER;
   *age_us = now_us
