Run the linter on one file a process

Cause: clang-tidy 14 reports an uninitialized va_list in review/rig/loop.c when it checks host.c and http.c before it in the same process, and nothing in each of the four files alone; which files share a process changes with every new file. Change: one file a process. All files are checked as before; no finding left.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -20,7 +20,7 @@
 check_format() { sources | xargs clang-format --dry-run --Werror; }
 
 check_tidy() {
-  sources | grep '\.c$' | xargs -P "$jobs" -n 4 clang-tidy --quiet -p build 2>/dev/null
+  sources | grep '\.c$' | xargs -P "$jobs" -n 1 clang-tidy --quiet -p build 2>/dev/null
 }
 
 build() {
