--- a/src/libragwortyoke/include/private/stream_agent_private.h
+++ b/src/libragwortyoke/include/private/stream_agent_private.h
@@ -41,6 +41,14 @@
    half of those in the own failure domain have restarted: others have probably
    restarted too and may not know this agent.  */
 #define MASS_RESTART_US (3 * RGY_US_PER_S)
+/* Time without contact after which a balancer of the own failure domain, or of
+   another one, may soon declare this agent dead and reset its flows: 100 ms
+   less than the balancers' 2 and 2.4 s.  */
+#define CONTACT_LOST_US (1900 * RGY_US_PER_MS)
+#define DISTANT_CONTACT_LOST_US (2300 * RGY_US_PER_MS)
+/* Reports to a balancer whose times are kept; an acknowledgement arrives
+   before as many more are sent.  */
+#define SENT_REPORTS 4
 /* Time since the last acknowledgement after which one is overdue.  Balancers
    acknowledge at least every second report to them.  */
 #define ACK_OVERDUE_US (2 * RGY_US_PER_S)
@@ -137,7 +145,9 @@
    has at most this many unacknowledged.  */
 #define MAX_HELD_SEGMENTS 16
 /* Maximum number of bytes held for all waiting requests; a thirtieth of the
-   memory of the smallest machines.  Further requests are handed over.  */
+   memory of the smallest machines.  Further requests are handed over if their
+   route has no known time limit, and left to their callers' repetition if it
+   has one.  */
 #define MAX_HELD_BYTES 2500000
 /* Multiple of its latency goal after which a waiting request is handed over
    even if no slot is free: the backend server then runs or rejects it while
@@ -161,10 +171,6 @@
    copy.  */
 #define FIRST_COPY_AGE_US (200 * RGY_US_PER_MS)
 #define SECOND_COPY_AGE_US (600 * RGY_US_PER_MS)
-/* Parts of the window in which arrived requests are counted, and their length;
-   load reports state the requests of the last second.  */
-#define ARRIVAL_BUCKETS 10
-#define ARRIVAL_BUCKET_US (100 * RGY_US_PER_MS)
 /* Weight of the newest latency in the moving average, as a divisor.  */
 #define LATENCY_SMOOTHING 8
 
@@ -241,10 +247,11 @@
   int64_t slot_since_us; /* Time at which the request got a slot of the
                             backend server, if it was handed over before one
                             was free.  */
-  int64_t failed_run_us; /* Value of running_since_us of the last request
-                                  that counted as failed.  */
+  int64_t failed_run_us; /* Value of running_since_us of the last request that
+                            counted as failed.  */
   bool has_requested;    /* A request came on the flow.  */
   GPtrArray *held;       /* Segments of the waiting request, or NULL.  */
+  uint32_t held_end; /* Sequence number that follows the segment held last.  */
   GList running_link;
 };
 
@@ -279,10 +286,12 @@
   int64_t mean_us;
   int64_t announced_us; /* Mean at the last change of runs_version.  */
   uint32_t runs;
+  uint32_t recent_runs; /* Since the last pause; the mean before it counts as
+                           one run.  */
   int64_t used_us;
 };
 
-/* What the agent has measured of its backend server.  */
+/* Measurements of the backend server.  */
 struct rgy_agent_load
 {
   unsigned generation; /* Value of rgy_stream_agent.generation.  */
@@ -300,6 +309,13 @@
   int64_t failing_for_us;
 };
 
+/* A report that was sent to a balancer.  */
+struct rgy_sent_report
+{
+  uint64_t seq;
+  int64_t sent_us;
+};
+
 struct rgy_agent_balancer
 {
   uint32_t ip;
@@ -309,6 +325,12 @@
   int64_t added_us;
   int64_t last_ack_us; /* Time of the last acknowledgement; 0 if none.  */
   int64_t sent_us;
+  struct rgy_sent_report sent[SENT_REPORTS]; /* The last ones.  */
+  unsigned sent_next;
+  int64_t contact_us;   /* Time at which the newest report was sent that the
+                           balancer has certainly received; 0 if none.  */
+  int64_t gap_us;       /* End of the last time without contact for longer than
+                           CONTACT_LOST_US; 0 if none.  */
   int64_t requested_us; /* Time of its last request for a report; 0 if
                            none.  */
   int64_t restarted_us; /* Time at which its last restart was seen; 0 if
@@ -392,10 +414,8 @@
   GQueue expected; /* Flows whose first request is expected; entries are struct
                       rgy_flow.  */
   size_t held_bytes;
-  struct rgy_run_time run_time;      /* From the hand-over of a request to its
-                                        answer.  */
-  uint32_t arrived[ARRIVAL_BUCKETS]; /* Requests by time of arrival.  */
-  int64_t arrived_bucket; /* Newest bucket: the time in ARRIVAL_BUCKET_US.  */
+  struct rgy_run_time run_time; /* From the hand-over of a request to its
+                                   answer.  */
   struct rgy_agent_load load;
 
   struct rgy_domain_view view;
@@ -453,6 +473,15 @@
 /** True if the balancer has acknowledged lately and has stated a feature.  */
 bool rgy_agent_balancer_has_feature_ (const struct rgy_agent_balancer *b,
                                       uint32_t feature, int64_t now_us);
+/** Number the next report to a balancer and record its time.  */
+uint64_t rgy_stream_agent_number_report_ (struct rgy_stream_agent *agent,
+                                          struct rgy_agent_balancer *b,
+                                          int64_t now_us);
+/** True if the balancer at @p ip cannot have declared this agent dead since
+    @p since_us, so that it has reset no flow as lost.  */
+bool rgy_stream_agent_had_contact_ (const struct rgy_stream_agent *agent,
+                                    uint32_t ip, int64_t since_us,
+                                    int64_t now_us);
 /** True if the balancer is in the agent's failure domain.  */
 bool rgy_stream_agent_is_near_balancer_ (const struct rgy_stream_agent *agent,
                                          const struct rgy_agent_balancer *b);
@@ -508,6 +537,15 @@
                                       struct rgy_flow *flow,
                                       const struct rgy_segment *segment,
                                       uint32_t ip, int64_t now_us);
+/** True if the backend server has acknowledged the caller's segment, so that
+    it repeats an earlier request.  */
+bool rgy_stream_agent_is_repeated_ (const struct rgy_agent_stream *stream,
+                                    const struct rgy_segment *segment);
+/** True if payload from the backend server can be the answer to the flow's
+    request.  While the request waits, or after it has expired, payload that
+    does not acknowledge it repeats an earlier answer: the caller's
+    acknowledgement of that one is held with the request.  */
+bool rgy_stream_agent_may_be_answered_ (const struct rgy_agent_stream *stream);
 /** End the request of a flow, because it was answered or its flow has ended,
     and start those that can run now.  */
 void rgy_stream_agent_end_request_ (struct rgy_stream_agent *agent,
@@ -571,10 +609,9 @@
 rgy_stream_agent_balancer_has_feature_ (const struct rgy_stream_agent *agent,
                                         uint32_t ip, uint32_t feature,
                                         int64_t now_us);
-/** Set all of a load report but the part that a brief report has.  */
-void rgy_stream_agent_measure_load_ (const struct rgy_stream_agent *agent,
-                                     struct rgy_stream_load_report *load,
-                                     int64_t now_us);
+/** Set the numbers of the queue in a load report.  */
+void rgy_stream_agent_measure_queue_ (const struct rgy_stream_agent *agent,
+                                      struct rgy_stream_load_report *load);
 /** Count a request that has arrived on an open flow.  */
 void rgy_stream_agent_note_arrival_ (struct rgy_stream_agent *agent,
                                      struct rgy_agent_stream *stream);
--- a/src/libragwortyoke/placement.c
+++ b/src/libragwortyoke/placement.c
@@ -26,7 +26,7 @@
 #define ROOM_GOAL_DIVISOR 8
 #define ROOM_MIN_US 10000.0
 #define ROOM_MAX_US 100000.0
-/* The same for a route without a latency goal.  */
+/* Limit of the delay on a route without a latency goal.  */
 #define ROOM_DEFAULT_US 25000.0
 /* Range of the limit by flow, relative to the above: flows move one after the
    other while a delay grows, and back while it falls.  */
@@ -35,7 +35,7 @@
 /* Delay by which another failure domain must be better than the own one: the
    round trip between domains of one region.  */
 #define DOMAIN_MARGIN_US 10000.0
-/* The same relative to the delay there when no server has room, since expected
+/* Factor besides the margin when no server has room, since expected
    delays vary by about a quarter.  */
 #define DOMAIN_MARGIN_FACTOR 1.25
 /* Run times by which occupied slots count before requests wait: of a share U
@@ -70,24 +70,45 @@
   [RGY_PLACED_WITHOUT_ROOM] = "no-room",
 };
 
-static int
-compare_numbers_ (const void *a, const void *b)
-{
-  uint32_t x = *(const uint32_t *)a;
-  uint32_t y = *(const uint32_t *)b;
-
-  return (x > y) - (x < y);
-}
-
-/* Returns the lower median of @p samples, which are sorted; 0 if there are
-   none.  */
+/* Returns the lower median of @p samples, which are reordered; 0 if there are
+   none.  Each step leaves the median between @c low and @c high, with no
+   greater samples before and no smaller ones after, in a time that grows with
+   the number of samples: the median is taken at each new flow.  */
 static uint32_t
 get_median_ (uint32_t *samples, size_t n)
 {
+  size_t wanted = n == 0 ? 0 : (n - 1) / 2;
+  size_t low = 0;
+  size_t high = n == 0 ? 0 : n - 1;
+
   if (n == 0)
     return 0;
-  qsort (samples, n, sizeof samples[0], compare_numbers_);
-  return samples[(n - 1) / 2];
+  while (low < high)
+    {
+      uint32_t pivot = samples[low + (high - low) / 2];
+      size_t i = low;
+      size_t j = high;
+
+      for (;;)
+        {
+          uint32_t sample;
+
+          while (samples[i] < pivot)
+            i++;
+          while (samples[j] > pivot)
+            j--;
+          if (i >= j)
+            break;
+          sample = samples[i];
+          samples[i++] = samples[j];
+          samples[j--] = sample;
+        }
+      if (wanted <= j)
+        high = j;
+      else
+        low = j + 1;
+    }
+  return samples[wanted];
 }
 
 static uint32_t
@@ -194,7 +215,7 @@
   return any.index;
 }
 
-/* What is expected of one candidate.  */
+/* Expectations of one candidate.  */
 struct estimate_
 {
   bool is_avoided;
@@ -207,7 +228,7 @@
   double share;    /* Part of its usual flows that it gets.  */
 };
 
-/* What candidates are compared with.  */
+/* Figures of all candidates, with which each one is compared.  */
 struct reference_
 {
   double run_us;
@@ -324,7 +345,7 @@
   return estimate;
 }
 
-/* Candidates and what is expected of them.  */
+/* Candidates and their estimates.  */
 struct choice_
 {
   const struct rgy_candidate *candidates;
@@ -367,8 +388,9 @@
 }
 
 /* Chooses a candidate with a probability in proportion to its weight, by the
-   flow alone: the candidate with the least exponential variate of that
-   rate.  */
+   flow alone: the candidate with the least exponential variate of that rate.
+   The variate grows with the rank, so that of equal candidates those of low
+   rank are chosen, as for preferences.  */
 static size_t
 choose_weighted_ (const struct choice_ *choice, const double *weights)
 {
@@ -378,12 +400,14 @@
 
   for (i = 0; i < choice->count; i++)
     {
-      double uniform
-          = ((double)(choice->candidates[i].tie_breaker >> 11) + 1) * 0x1p-53;
-      double variate = -log (uniform) / weights[i];
+      double uniform;
+      double variate;
 
-      if (weights[i] <= 0
-          || (best != choice->count && variate >= best_variate))
+      if (weights[i] <= 0)
+        continue;
+      uniform = (double)(choice->candidates[i].tie_breaker >> 11) * 0x1p-53;
+      variate = -log1p (-uniform) / weights[i];
+      if (best != choice->count && variate >= best_variate)
         continue;
       best = i;
       best_variate = variate;
--- a/src/libragwortyoke/stream_agent_load.c
+++ b/src/libragwortyoke/stream_agent_load.c
@@ -4,7 +4,8 @@
 
 #include "ragwortyoke/bytes.h"
 
-/* Weight of the newest run in the mean run times, as a divisor.  */
+/* Weight of the newest run in the mean run times, as a divisor; that of a
+   route's first runs is higher.  */
 #define RUN_SMOOTHING 16
 /* Runs of a route from which on its mean is reported; the mean of fewer says
    little.  */
@@ -12,6 +13,10 @@
 /* Difference of a route's mean run time from the one last reported that is
    news, as a divisor of the latter.  */
 #define RUN_NEWS_DIVISOR 4
+/* Time without a run of a route after which its mean counts as a single run:
+   the speed of the backend server may have changed, and balancers send few
+   requests to a slow one.  */
+#define RUNS_PAUSE_US (5 * RGY_US_PER_S)
 /* Interval at which the run times are repeated, so that a lost report does not
    leave a balancer without them.  */
 #define RUNS_INTERVAL_US (5 * RGY_US_PER_S)
@@ -44,24 +49,28 @@
    which on balancers avoid a backend server.  */
 #define PROBATION_PERMILLE 450
 /* Changes since the last load report after which a brief report is no longer
-   sufficient: a part of the slots, of the rate, or a wait that shows in a
-   latency goal.  */
+   sufficient: a part of the requests and of the slots, or of the rate.  For
+   balancers of other failure domains, to which bytes are charged for, several
+   requests for each slot.  */
 #define LOAD_CHANGE_DIVISOR 2
+#define DISTANT_LOAD_CHANGE_SLOTS 2
 #define RATE_CHANGE_DIVISOR 4
 #define RATE_CHANGE_MIN 8
-#define WAIT_CHANGE_US (10 * RGY_US_PER_MS)
 #define FAILED_CHANGE_PERMILLE 100
 /* Age of the last load report at which it is repeated although nothing has
    changed, in case it was lost.  Balancers forget a load after two such
    times.  */
 #define LOAD_REFRESH_US (4 * RGY_US_PER_S)
 /* Change of the expected wait that is reported at once, besides a factor of
-   two; a tenth of the shortest latency goals.  */
+   two: a tenth of the shortest latency goals, and as many run times, since a
+   queue of few requests comes and goes at random.  */
 #define LOAD_NEWS_WAIT_US (20 * RGY_US_PER_MS)
+#define LOAD_NEWS_RUNS 2
 /* Minimum time between two load reports that are news, to balancers of the
-   own failure domain and of others.  */
+   own failure domain and of others, to which bytes are charged for and which
+   place few flows here.  */
 #define LOAD_NEWS_INTERVAL_US (100 * RGY_US_PER_MS)
-#define DISTANT_LOAD_NEWS_INTERVAL_US (200 * RGY_US_PER_MS)
+#define DISTANT_LOAD_NEWS_INTERVAL_US (400 * RGY_US_PER_MS)
 
 static struct rgy_load_bucket *
 get_bucket_ (struct rgy_agent_load *load)
@@ -114,10 +123,9 @@
 }
 
 static void
-update_mean_ (int64_t *mean_us, int64_t run_us)
+update_mean_ (int64_t *mean_us, int64_t run_us, int64_t divisor)
 {
-  *mean_us = *mean_us == 0 ? run_us
-                           : *mean_us + (run_us - *mean_us) / RUN_SMOOTHING;
+  *mean_us = *mean_us == 0 ? run_us : *mean_us + (run_us - *mean_us) / divisor;
 }
 
 /* Finds the measure of a route; if there is none, the one that was used least
@@ -156,7 +164,11 @@
 {
   struct rgy_route_run *route = get_route_run_ (load, address);
 
-  update_mean_ (&route->mean_us, run_us);
+  if (now_us - route->used_us > RUNS_PAUSE_US)
+    route->recent_runs = MIN (route->runs, 1);
+  route->recent_runs++;
+  update_mean_ (&route->mean_us, run_us,
+                MIN (route->recent_runs, RUN_SMOOTHING));
   route->runs++;
   route->used_us = now_us;
   if (!is_run_news_ (route))
@@ -195,7 +207,7 @@
   note_free_slot_ (agent, now_us);
   run_us = MAX (now_us - MAX (stream->running_since_us, stream->slot_since_us),
                 1);
-  update_mean_ (&agent->load.run_us, run_us);
+  update_mean_ (&agent->load.run_us, run_us, RUN_SMOOTHING);
   if (agent->cold_until_us <= now_us)
     note_run_ (&agent->load, flow->key.u.segment.service, run_us, now_us);
 }
@@ -381,7 +393,7 @@
 {
   struct rgy_load_bucket sum = sum_buckets_ (&agent->load);
 
-  rgy_stream_agent_measure_load_ (agent, load, now_us);
+  rgy_stream_agent_measure_queue_ (agent, load);
   load->run_us
       = (uint32_t)MIN (get_run_us_ (agent, now_us), (int64_t)UINT32_MAX);
   load->requests_per_s = sum.arrived;
@@ -413,16 +425,16 @@
                   const struct rgy_stream_load_report *load)
 {
   const struct rgy_stream_load_report *sent = &b->sent_load;
+  uint32_t least_requests = rgy_stream_agent_is_near_balancer_ (agent, b)
+                                ? agent->slots / LOAD_CHANGE_DIVISOR
+                                : agent->slots * DISTANT_LOAD_CHANGE_SLOTS;
 
   return differs_by_part_ (load->requests, sent->requests, LOAD_CHANGE_DIVISOR,
-                           agent->slots / LOAD_CHANGE_DIVISOR)
+                           least_requests)
          || differs_by_part_ (load->requests_per_s, sent->requests_per_s,
                               RATE_CHANGE_DIVISOR, RATE_CHANGE_MIN)
          || differs_by_part_ (load->failed_permille, sent->failed_permille, 1,
                               FAILED_CHANGE_PERMILLE)
-         || ABS (get_wait_us_ (load, agent->slots)
-                 - get_wait_us_ (sent, agent->slots))
-                > WAIT_CHANGE_US
          || b->sent_runs_version != agent->load.runs_version;
 }
 
@@ -435,8 +447,10 @@
 {
   int64_t sent_us = get_wait_us_ (&b->sent_load, agent->slots);
   int64_t wait_us = get_wait_us_ (load, agent->slots);
+  int64_t least_us
+      = MAX (LOAD_NEWS_WAIT_US, agent->load.run_us * LOAD_NEWS_RUNS);
 
-  return (ABS (wait_us - sent_us) > LOAD_NEWS_WAIT_US
+  return (ABS (wait_us - sent_us) > least_us
           && (wait_us > 2 * sent_us || sent_us > 2 * wait_us))
          || (load->failed_permille > PROBATION_PERMILLE)
                 != (b->sent_load.failed_permille > PROBATION_PERMILLE);
@@ -456,11 +470,12 @@
       = { .kind = RGY_STREAM_LOAD_REPORT, .u.load = *load };
   GByteArray *runs = g_byte_array_new ();
 
-  message.u.load.brief
-      = (struct rgy_stream_brief_report){ .seq = ++agent->seq,
-                                          .fingerprint = b->sent_fingerprint,
-                                          .open_flows = agent->n_open,
-                                          .latency_us = agent->latency_us };
+  message.u.load.brief = (struct rgy_stream_brief_report){
+    .seq = rgy_stream_agent_number_report_ (agent, b, now_us),
+    .fingerprint = b->sent_fingerprint,
+    .open_flows = agent->n_open,
+    .latency_us = agent->latency_us
+  };
   if (b->load_sent_us == 0 || b->sent_runs_version != agent->load.runs_version
       || now_us - b->runs_sent_us >= RUNS_INTERVAL_US)
     {
--- a/src/libragwortyoke/stream_agent_queue.c
+++ b/src/libragwortyoke/stream_agent_queue.c
@@ -59,6 +59,7 @@
   memcpy (held->data, segment->raw.data, segment->raw.len);
   agent->held_bytes += held->len;
   g_ptr_array_add (stream->held, held);
+  stream->held_end = segment->seq + segment->payload_len;
   return true;
 }
 
@@ -152,12 +153,42 @@
          || agent->running.length < agent->slots + QUEUED_AT_BACKEND;
 }
 
+/* Resets a flow that may have been reset as lost by its balancer while this
+   process was paused or cut off.  Its request has not run, and its caller may
+   have sent it again.  */
+static void
+reject_uncertain_flow_ (struct rgy_stream_agent *agent, struct rgy_flow *flow,
+                        int64_t now_us)
+{
+  struct rgy_agent_stream *stream = flow->session;
+  char text[RGY_FLOW_TEXT_BYTES];
+
+  ++*agent->n_expired_reset;
+  rgy_stream_emit_flow_log (
+      &agent->settings.out,
+      "request_expired flow=%s outcome=reset reason=contact-lost priority=%u "
+      "waited_ms=%" G_GINT64_FORMAT,
+      rgy_flow_key_format (&flow->key, text), stream->class.priority,
+      (now_us - stream->request_us) / RGY_US_PER_MS);
+  dequeue_ (agent, stream);
+  stream->request_state = REQUEST_EXPIRED;
+  free_held_segments_ (agent, stream);
+  rgy_stream_agent_reject_unopened_flow_ (agent, flow, now_us);
+}
+
 static void
 start_request_ (struct rgy_stream_agent *agent, struct rgy_flow *flow,
                 int64_t now_us)
 {
   struct rgy_agent_stream *stream = flow->session;
 
+  if (stream->unopened && stream->class.limited
+      && !rgy_stream_agent_had_contact_ (agent, stream->balancer_ip,
+                                         stream->request_us, now_us))
+    {
+      reject_uncertain_flow_ (agent, flow, now_us);
+      return;
+    }
   if (stream->request_state != REQUEST_NONE)
     rgy_histogram_observe (agent->wait_time, now_us - stream->request_us);
   dequeue_ (agent, stream);
@@ -230,41 +261,38 @@
   *agent->n_late = rgy_request_queue_demoted (agent->waiting);
 }
 
-/* Counts a request that arrived; buckets without any are emptied.  */
-static void
-note_arrival_ (struct rgy_stream_agent *agent, int64_t now_us)
+/* True if the backend server has acknowledged the payload of a segment.  */
+static bool
+is_acknowledged_ (const struct rgy_agent_stream *stream, uint32_t seq,
+                  uint16_t payload_len)
 {
-  int64_t bucket = now_us / ARRIVAL_BUCKET_US;
-  int64_t i = MAX (agent->arrived_bucket + 1, bucket - ARRIVAL_BUCKETS + 1);
-
-  for (; i <= bucket; i++)
-    agent->arrived[i % ARRIVAL_BUCKETS] = 0;
-  agent->arrived_bucket = bucket;
-  agent->arrived[bucket % ARRIVAL_BUCKETS]++;
+  return stream->backend_confirmed
+         && (int32_t)(seq + payload_len - stream->backend_ack) <= 0;
 }
 
-static uint32_t
-count_arrivals_ (const struct rgy_stream_agent *agent, int64_t now_us)
+bool
+rgy_stream_agent_is_repeated_ (const struct rgy_agent_stream *stream,
+                               const struct rgy_segment *segment)
 {
-  int64_t oldest = now_us / ARRIVAL_BUCKET_US - ARRIVAL_BUCKETS + 1;
-  uint32_t n = 0;
-  int64_t i;
-
-  for (i = oldest; i <= agent->arrived_bucket; i++)
-    n += agent->arrived[i % ARRIVAL_BUCKETS];
-  return n;
+  return is_acknowledged_ (stream, segment->seq, segment->payload_len);
 }
 
-/* True if the backend server has acknowledged the segment, so that it repeats
-   an earlier request.  */
-static bool
-is_repeated_ (const struct rgy_agent_stream *stream,
-              const struct rgy_segment *segment)
+bool
+rgy_stream_agent_may_be_answered_ (const struct rgy_agent_stream *stream)
 {
-  return stream->backend_confirmed
-         && (int32_t)(segment->seq + segment->payload_len
-                      - stream->backend_ack)
-                <= 0;
+  switch (stream->request_state)
+    {
+    case REQUEST_NONE:
+    case REQUEST_RUNNING:
+      return true;
+    case REQUEST_WAITING:
+    case REQUEST_EXPIRED:
+      break;
+    }
+  /* The backend server may have got the segments earlier: the caller repeats a
+     request that no longer counts as running, or that the agent before has
+     handed over.  */
+  return is_acknowledged_ (stream, stream->held_end, 0);
 }
 
 void
@@ -402,6 +430,7 @@
   struct rgy_agent_stream *stream = flow->session;
   bool is_ending = (segment->flags & (RGY_SEGMENT_FIN | RGY_SEGMENT_RST)) != 0;
   struct rgy_request_terms terms;
+  bool was_expected;
 
   switch (stream->request_state)
     {
@@ -422,26 +451,27 @@
     case REQUEST_NONE:
       break;
     }
-  if (segment->payload_len == 0 || is_repeated_ (stream, segment))
+  if (segment->payload_len == 0
+      || rgy_stream_agent_is_repeated_ (stream, segment))
     return false;
   expire_running_requests_ (agent, now_us);
-  note_arrival_ (agent, now_us);
   terms = rgy_stream_agent_get_terms_ (agent, segment, now_us);
   stream->goal_us = terms.goal_us;
   stream->limit_us = terms.limit_us;
-  if (!stream->is_expected)
-    {
-      stream->class = make_class_ (agent, segment, ip, &terms);
-      rgy_request_queue_note_demand (agent->waiting, &stream->class, now_us);
-    }
+  was_expected = stream->is_expected;
   rgy_stream_agent_unexpect_request_ (agent, stream);
-  if (has_free_slot_ (agent)
+  /* The terms may have changed since the flow was accepted.  */
+  if (!was_expected || stream->class.limited != (terms.limit_us > 0))
+    stream->class = make_class_ (agent, segment, ip, &terms);
+  if (!was_expected)
+    rgy_request_queue_note_demand (agent->waiting, &stream->class, now_us);
+  if (has_free_slot_ (agent) || agent->stopping
       || (!stream->class.limited
           && (stream->goal_us == 0
               || agent->held_bytes + segment->raw.len > MAX_HELD_BYTES)))
     {
       start_request_ (agent, flow, now_us);
-      return false;
+      return stream->rejected;
     }
   if (hold_segment_ (agent, stream, segment, ip))
     enqueue_request_ (agent, flow, now_us);
@@ -587,20 +617,17 @@
 }
 
 void
-rgy_stream_agent_measure_load_ (const struct rgy_stream_agent *agent,
-                                struct rgy_stream_load_report *load,
-                                int64_t now_us)
+rgy_stream_agent_measure_queue_ (const struct rgy_stream_agent *agent,
+                                 struct rgy_stream_load_report *load)
 {
   uint32_t requests
       = rgy_request_queue_length (agent->waiting) + agent->running.length;
   int64_t ahead = (int64_t)requests - agent->slots + 1;
 
-  load->run_us = (uint32_t)MIN (agent->run_time.mean_us, UINT32_MAX);
   load->requests = requests;
   load->wait_us
       = ahead <= 0
             ? 0
             : (uint32_t)MIN (ahead * agent->run_time.mean_us / agent->slots,
                              UINT32_MAX);
-  load->requests_per_s = count_arrivals_ (agent, now_us);
 }
--- a/src/test_platform_store_return/test_platform_store_return.c
+++ b/src/test_platform_store_return/test_platform_store_return.c
@@ -321,6 +321,16 @@
   return rgy_counters_get (f->world.processes[0].counters, name, label);
 }
 
+/* Runs until the first client has begun N more reads of operators' keys.  */
+static void
+run_until_loads_ (struct fixture_ *f, uint64_t n)
+{
+  uint64_t end = count_ (f, "store_calls_total", "call=\"load\"") + n;
+
+  while (count_ (f, "store_calls_total", "call=\"load\"") < end)
+    (void)uv_run (&f->loop, UV_RUN_ONCE);
+}
+
 /* The client kept the highest revision that it had seen: each watch after the
    return was refused, and no change was read any more (review case 6).  */
 static void
@@ -560,6 +570,61 @@
   assert_true (is_out_ (w, 0, "poa-a"));
 }
 
+/* The store gives the revision of an order that was withdrawn to a new one for
+   the same failure domain.  */
+static void
+new_order_at_the_revision_of_a_withdrawn_one_is_an_order_ (void **state)
+{
+  struct fixture_ *f = *state;
+  struct world_ *w = &f->world;
+
+  standin_platform_store_put (w->standin, DOMAIN_A, "e30=");
+  run_ (f, 600);
+  standin_platform_store_put (w->standin, DOMAIN_A, NULL);
+  run_ (f, 600);
+  standin_platform_store_return (w->standin);
+  run_until_loads_ (f, 1);
+  /* Before anything else is written.  */
+  run_ (f, TICK_MS);
+  standin_platform_store_put (w->standin, DOMAIN_A, "e30=");
+  run_ (f, APPLY_MS);
+  assert_true (is_out_ (w, 0, "poa-a"));
+}
+
+/* A change between two pages of the load with which the client settles comes
+   by the watch that has been waiting since before the load.  */
+static void
+change_during_the_settling_load_is_kept_ (void **state)
+{
+  struct fixture_ *f = *state;
+  struct world_ *w = &f->world;
+
+  standin_platform_store_put (w->standin, DOMAIN_A, "e30=");
+  standin_platform_store_put (w->standin, "op/evacuate/poa-c", "e30=");
+  standin_platform_store_put (w->standin, "op/evacuate/poa-d", "e30=");
+  standin_platform_store_put (w->standin, "op/evacuate/poa-e", "e30=");
+  standin_platform_store_put (w->standin, "op/evacuate/poa-f", "e30=");
+  run_ (f, 600);
+  standin_platform_store_copy (w->standin);
+  standin_platform_store_return (w->standin);
+  run_until_loads_ (f, 2);
+  /* The watches end every 2 s from here on, just before the client settles. */
+  run_ (f, 1800);
+  put_version_ (w, 6);
+  run_ (f, 2000);
+  /* The first page has been read, and the second one has been requested.  */
+  run_until_loads_ (f, 2);
+  standin_platform_store_put (w->standin, DOMAIN_A, NULL);
+  standin_platform_store_put (w->standin, DOMAIN_B, "e30=");
+  run_ (f, 600);
+  /* The core follows the view of a later position.  */
+  put_version_ (w, 7);
+  run_ (f, APPLY_MS);
+  assert_int_equal (get_version_ (w, 0), 7);
+  assert_false (is_out_ (w, 0, "poa-a"));
+  assert_true (is_out_ (w, 0, "poa-b"));
+}
+
 /* A process that starts in the return reads the copy, and learns from the one
    that has run on what was lost.  */
 static void
@@ -665,6 +730,7 @@
   put_version_ (w, 8);
   run_ (f, RECOVERY_MS + APPLY_MS);
   assert_true (count_ (f, "store_answers_late_total", NULL) > 0);
+  assert_true (count_ (f, "rejected_total", "source=\"store-answer\"") > 0);
   assert_int_equal (get_version_ (w, 0), 8);
   assert_false (is_out_ (w, 0, "poa-a"));
   assert_int_equal (count_ (f, "store_returns_total", NULL), 1);
@@ -1095,12 +1161,14 @@
   assert_true (n_returns > N_RUNS);
 }
 
+/* Arguments: none for all tests, the name of one, or a part and the number of
+   parts.  */
 int
 main (int argc, char **argv)
 {
 #define WITH_WORLD(test)                                                      \
   cmocka_unit_test_setup_teardown (test, set_up_, tear_down_)
-  const struct CMUnitTest tests[] = {
+  static const struct CMUnitTest tests[] = {
     WITH_WORLD (changes_are_read_after_a_return_),
     WITH_WORLD (changes_are_read_after_a_return_without_era_),
     WITH_WORLD (lost_entries_are_written_again_),
@@ -1109,6 +1177,8 @@
     WITH_WORLD (lost_orders_stay_until_they_could_be_written_again_),
     WITH_WORLD (time_for_writing_again_does_not_pass_in_an_outage_),
     WITH_WORLD (withdrawn_order_of_the_copy_is_no_order_),
+    WITH_WORLD (new_order_at_the_revision_of_a_withdrawn_one_is_an_order_),
+    WITH_WORLD (change_during_the_settling_load_is_kept_),
     WITH_WORLD (process_that_starts_in_a_return_learns_lost_orders_),
     WITH_WORLD (return_for_some_machines_only_ends_in_agreement_),
     WITH_WORLD (second_return_in_a_row_is_followed_),
@@ -1116,13 +1186,21 @@
     WITH_WORLD (odd_eras_stop_nothing_),
     WITH_WORLD (open_flows_of_the_copy_are_not_read_),
     cmocka_unit_test (return_at_each_step_of_a_start_is_followed_),
+    /* The last one, which no part has.  */
     cmocka_unit_test (random_returns_keep_the_orders_),
   };
 
-  /* The seeded runs are a test of their own, since both take a while.  */
-  if (argc > 1)
+  struct CMUnitTest part[G_N_ELEMENTS (tests)];
+  size_t n = 0;
+  size_t i;
+
+  if (argc == 2)
     cmocka_set_test_filter (argv[1]);
-  else
-    cmocka_set_skip_filter ("random_*");
-  return cmocka_run_group_tests (tests, NULL, NULL);
+  if (argc != 3)
+    return cmocka_run_group_tests (tests, NULL, NULL);
+  for (i = 0; i + 1 < G_N_ELEMENTS (tests); i++)
+    if (i % g_ascii_strtoull (argv[2], NULL, 10)
+        == g_ascii_strtoull (argv[1], NULL, 10))
+      part[n++] = tests[i];
+  return _cmocka_run_group_tests ("part", part, n, NULL, NULL);
 }
--- a/src/test_stream_placement/test_stream_placement.c
+++ b/src/test_stream_placement/test_stream_placement.c
@@ -455,6 +455,60 @@
   assert_in_range (f->servers[1].chosen, 0, 200 / 6 / 2);
 }
 
+/* Load pattern: a server is six times slower for some seconds.  No flow goes
+   there while others have room, so its run times are measured no more; it must
+   get flows again after its recovery all the same, and few before.  */
+static void
+recovered_server_gets_flows_again_ (void **state)
+{
+  struct fixture_ *f = *state;
+  size_t i;
+
+  start_ (f, 2, 6, 0);
+  for (i = 0; i < f->n_servers; i++)
+    f->servers[i].route_run_us[0] = 20000;
+  f->servers[1].run_us *= 6;
+  f->servers[1].route_run_us[0] *= 6;
+  advance_time_ (f, RGY_US_PER_S);
+  f->servers[1].chosen = 0;
+  open_flows_ (f, 100, 20 * RGY_US_PER_S);
+  assert_in_range (f->servers[1].chosen, 0, 2000 / 6 / 4);
+  f->servers[1].run_us /= 6;
+  f->servers[1].chosen = 0;
+  for (i = 0; i < 25; i++)
+    {
+      open_flows_ (f, 100, RGY_US_PER_S);
+      /* The agent reports the mean of one run before and those since.  */
+      f->servers[1].route_run_us[0]
+          = 20000 + 100000 / (1 + f->servers[1].chosen);
+    }
+  f->servers[1].chosen = 0;
+  open_flows_ (f, 100, 5 * RGY_US_PER_S);
+  assert_true (f->servers[1].chosen > 500 / 6 / 2);
+}
+
+/* Load pattern: flows open and end all the time, so that most reports are full
+   ones, while long flows keep a server's queue at the same length.  Without a
+   load report after it a full report, too, states that the load has hardly
+   changed.  */
+static void
+queue_is_expected_to_stay_after_a_full_report_ (void **state)
+{
+  struct fixture_ *f = *state;
+  size_t i;
+
+  start_ (f, 1, 4, 0);
+  f->servers[0].requests = 40;
+  report_ (f, &f->servers[0]);
+  f->servers[0].reports_load = false;
+  advance_time_ (f, 800 * MS);
+  report_ (f, &f->servers[0]);
+  f->servers[0].chosen = 0;
+  for (i = 0; i < 20; i++)
+    assert_non_null (open_flow_ (f, 0));
+  assert_int_equal (f->servers[0].chosen, 0);
+}
+
 /* Load pattern: a server hangs while its heartbeats are good.  */
 static void
 failing_server_is_avoided_ (void **state)
@@ -503,6 +557,27 @@
   assert_true (f->servers[0].chosen > 200 / 4 / 2);
 }
 
+/* Failure: two reports in a row of an agent in another failure domain are
+   lost; they come each 800 ms.  It is not declared dead, and so has not
+   returned.  */
+static void
+distant_agent_is_not_lost_before_it_is_dead_ (void **state)
+{
+  struct fixture_ *f = *state;
+  size_t i;
+
+  start_ (f, 1, 0, 8);
+  report_ (f, &f->servers[0]);
+  f->servers[0].is_frozen = true;
+  advance_time_ (f, 2300 * MS);
+  f->servers[0].is_frozen = false;
+  report_ (f, &f->servers[0]);
+  f->servers[0].chosen = 0;
+  for (i = 0; i < 40; i++)
+    assert_non_null (open_flow_ (f, 0));
+  assert_true (f->servers[0].chosen > 40 / 8 / 2);
+}
+
 /* Load pattern: a release.  Each server is drained, ends and starts anew; that
    is no loss.  */
 static void
@@ -575,7 +650,7 @@
       f->servers[i].reports_load = false;
       f->servers[i].open_flows = i == 0 ? 100 : 2;
     }
-  /* What they reported before is too old by then.  */
+  /* Their last load reports are too old by then.  */
   advance_time_ (f, 10 * RGY_US_PER_S);
   for (i = 0; i < 30; i++)
     assert_true (open_flow_ (f, 0) != &f->servers[0]);
@@ -663,8 +738,11 @@
     WITH_SERVERS (wave_moves_flows_before_a_queue_forms_),
     WITH_SERVERS (steady_share_leaves_a_full_domain_),
     WITH_SERVERS (slowness_is_compared_by_route_),
+    WITH_SERVERS (recovered_server_gets_flows_again_),
+    WITH_SERVERS (queue_is_expected_to_stay_after_a_full_report_),
     WITH_SERVERS (failing_server_is_avoided_),
     WITH_SERVERS (flapping_server_gets_flows_gradually_),
+    WITH_SERVERS (distant_agent_is_not_lost_before_it_is_dead_),
     WITH_SERVERS (replaced_server_gets_its_share_at_once_),
     WITH_SERVERS (other_service_takes_flows_without_room_),
     WITH_SERVERS (agents_without_load_reports_are_placed_by_flows_),
