--- a/include/ragwortyoke/placement.h
+++ b/include/ragwortyoke/placement.h
@@ -21,7 +21,7 @@
   bool preferred;       /**< Result of rgy_preference_has().  */
   uint64_t tie_breaker; /**< At equal loads the lowest value is chosen; differs
                            by flow.  */
-  bool silent;          /**< Its agent's report is overdue.  */
+  bool silent;          /**< The report of the agent is overdue.  */
   bool has_load;        /**< The next members but @c slowness and @c distrust
                              are known.  */
   double requests;      /**< Requests expected to wait or run there, without
--- a/include/ragwortyoke/stream_balancer.h
+++ b/include/ragwortyoke/stream_balancer.h
@@ -57,7 +57,7 @@
   {
     RGY_MANIFEST_STORED,   /**< The store holds it; it may be of the copy from
                                 which the store has returned.  */
-    RGY_MANIFEST_WRITTEN,  /**< It was written to the store in this epoch.  */
+    RGY_MANIFEST_WRITTEN,  /**< Written to the store in this epoch.  */
     RGY_MANIFEST_STANDING, /**< The store holds it, and operators have had the
                                 time to write it again in this epoch.  */
     RGY_MANIFEST_PEER      /**< Active at another balancer, for which it was
--- a/include/ragwortyoke/stream_manifest.h
+++ b/include/ragwortyoke/stream_manifest.h
@@ -29,7 +29,7 @@
 /** Priority of a route that states none: below all stated ones.  */
 #define RGY_PRIORITY_UNSTATED 255
 
-/** What the manifest states of the requests that a route carries.  */
+/** Requests that a route carries, as the manifest states them.  */
 struct rgy_request_terms
 {
   uint8_t priority; /**< 0 is the most urgent; RGY_PRIORITY_UNSTATED if none is
--- a/include/ragwortyoke/stream_message.h
+++ b/include/ragwortyoke/stream_message.h
@@ -206,7 +206,7 @@
   RGY_TERMS_REPEATABLE = 1 << 1 /**< struct rgy_request_terms.repeatable.  */
 };
 
-/** What a balancer's manifest states of the requests of some routes.  */
+/** Terms of some routes in a balancer's manifest.  */
 struct rgy_stream_terms
 {
   uint64_t manifest_version;
--- a/src/libragwortyoke-io/http_client.c
+++ b/src/libragwortyoke-io/http_client.c
@@ -41,7 +41,7 @@
   uv_timer_t *timer;
   GString *request;
   const char *recorded_header; /* Name; NULL: none is recorded.  */
-  GString *header_value;       /* Its value in the last response.  */
+  GString *header_value;       /* Value in the last response.  */
   rgy_http_client_fn fn;       /* NULL: no call in progress.  */
   void *ctx;
 };
--- a/src/libragwortyoke/include/private/request_queue.h
+++ b/src/libragwortyoke/include/private/request_queue.h
@@ -40,7 +40,7 @@
                      given up or refused.  Others start by latest start.  */
 };
 
-/** What the backend server can do.  */
+/** Capacity of the backend server.  */
 struct rgy_queue_server
 {
   uint32_t slots;   /**< Requests that run concurrently; at least 1.  */
--- a/src/libragwortyoke/request_queue.c
+++ b/src/libragwortyoke/request_queue.c
@@ -40,7 +40,7 @@
   double service_us; /* Virtual time at which the next request starts.  */
   int64_t window;    /* Number of the present window of DEMAND_WINDOW_US.  */
   uint32_t demand;   /* Requests asked for in the present window.  */
-  uint32_t demand_before; /* The same in the window before.  */
+  uint32_t demand_before; /* Requests in the window before.  */
   double wanted_us; /* Service that callers asked for in the last second.  */
   bool within;      /* The demand is within the part that the share gets.  */
 };
--- a/src/test_domain_view/test_domain_view.c
+++ b/src/test_domain_view/test_domain_view.c
@@ -219,7 +219,7 @@
   uint32_t epoch;
   uint64_t revision;
   unsigned stored; /* Bit of each failure domain that the store has out.  */
-  unsigned wanted; /* The same of what operators want.  */
+  unsigned wanted; /* Number of what operators want.  */
   struct rgy_store_position ordered[N_DOMAINS]; /* Position of the order that
                                                    stands now.  */
   int returned_step;
--- a/src/test_platform_store_return/test_platform_store_return.c
+++ b/src/test_platform_store_return/test_platform_store_return.c
@@ -488,7 +488,7 @@
     }
 }
 
-/* What the operator wrote is gone for a moment: this was taken for a
+/* The operator's entries are gone for a moment: this was taken for a
    withdrawal, or the older manifest was refused for ever.  */
 static void
 lost_orders_stay_until_they_could_be_written_again_ (void **state)
@@ -888,7 +888,7 @@
   uint64_t next_ms;    /* Time of the next event.  */
   unsigned n_events;   /* Events left in the burst.  */
   unsigned n_bursts;   /* Bursts left.  */
-  bool copied;         /* There is a copy to return from.  */
+  bool copied;         /* A copy to return from exists.  */
   uint64_t rewrite_ms; /* Time at which the operator writes again; 0: all is
                           written.  */
   uint64_t restart_ms; /* Time at which the second process starts; 0: it
@@ -896,7 +896,7 @@
   uint64_t heal_ms;    /* End of the lost answers; 0: none are lost.  */
   uint64_t fault_ms;   /* Time of the last fault or return.  */
   uint64_t order_ms;   /* Time of the last change of an operator.  */
-  uint64_t version;    /* What operators want.  */
+  uint64_t version;    /* Version that operators want.  */
   bool wants_out;
   uint64_t followed[N_PROCESSES]; /* Version of each process.  */
   bool is_known_out[N_PROCESSES]; /* The process follows the order that
@@ -1080,7 +1080,7 @@
   r->next_ms = now_ms + CALM_MS;
 }
 
-/* What holds after the last burst, when all could be written again.  */
+/* Conditions after the last burst, when all could be written again.  */
 static void
 check_end_ (struct random_run_ *r)
 {
--- a/src/test_request_queue/test_request_queue.c
+++ b/src/test_request_queue/test_request_queue.c
@@ -238,7 +238,7 @@
     }
 }
 
-/* The same on flows that are open, where nothing can be refused.  */
+/* Pattern as before, on flows that are open, where nothing can be refused.  */
 static void
 goodput_on_open_flows_does_not_collapse_ (void **state)
 {
--- a/src/test_store_position/test_store_position.c
+++ b/src/test_store_position/test_store_position.c
@@ -54,7 +54,7 @@
                     RGY_STORE_ANSWER_OF_RETURN);
   assert_int_equal (rgy_store_classify_answer (0, 4, true),
                     RGY_STORE_ANSWER_FIRST);
-  /* What was read without an epoch may be of an earlier one.  */
+  /* Entries read without an epoch may be of an earlier one.  */
   assert_int_equal (rgy_store_classify_answer (0, 4, false),
                     RGY_STORE_ANSWER_OF_RETURN);
 }
--- a/src/test_stream_agent_overload/test_stream_agent_overload.c
+++ b/src/test_stream_agent_overload/test_stream_agent_overload.c
@@ -30,12 +30,12 @@
 #define CHANGED_PORT 445
 #define MAX_PORTS 1024
 
-/* What was done with the flow of one caller's port.  */
+/* Outcome of the flow of one caller's port.  */
 struct outcome_
 {
   unsigned opened;    /* First segments given to the backend server.  */
-  unsigned delivered; /* Other segments given to it.  */
-  unsigned payloads;  /* Those with payload among them.  */
+  unsigned delivered; /* Further segments given to it.  */
+  unsigned payloads;  /* Segments with payload among them.  */
   unsigned resets;
   unsigned to_caller;
   unsigned refused;
--- a/src/test_stream_balancer_manifest/test_stream_balancer_manifest.c
+++ b/src/test_stream_balancer_manifest/test_stream_balancer_manifest.c
@@ -212,7 +212,7 @@
   advance_time_ (f, 3 * RGY_US_PER_S);
   assert_int_equal (get_version_ (f, 0), 9);
   assert_int_equal (get_version_ (f, 1), 9);
-  /* What stands in the end goes to the one that does not reach the store, also
+  /* The last orders go to the process that does not reach the store, also
      downwards.  */
   receive_ (&f->processes[1], 7, 2, RGY_MANIFEST_STANDING);
   advance_time_ (f, 3 * RGY_US_PER_S);
@@ -277,7 +277,7 @@
                     RGY_OK);
 }
 
-/* Other balancers fetch the text of the manifest that is active, not of one
+/* Peers fetch the text of the manifest that is active, not of one
    that waits.  */
 static void
 text_is_that_of_the_active_manifest_ (void **state)
--- a/src/test_stream_placement/test_stream_placement.c
+++ b/src/test_stream_placement/test_stream_placement.c
@@ -31,7 +31,7 @@
   uint32_t slots;
   double run_us;
   uint32_t route_run_us[ROUTES]; /* Reported if not 0.  */
-  double requests;               /* That wait or run.  */
+  double requests;               /* Requests that wait or run.  */
   unsigned chosen;               /* New flows since the test reset this.  */
   double arrived_per_s;
   uint32_t open_flows;
@@ -650,7 +650,7 @@
       f->servers[i].reports_load = false;
       f->servers[i].open_flows = i == 0 ? 100 : 2;
     }
-  /* Their last load reports are too old by then.  */
+  /* The last load reports are too old by then.  */
   advance_time_ (f, 10 * RGY_US_PER_S);
   for (i = 0; i < 30; i++)
     assert_true (open_flow_ (f, 0) != &f->servers[0]);
--- a/src/test_stream_scarcity/test_stream_scarcity.c
+++ b/src/test_stream_scarcity/test_stream_scarcity.c
@@ -342,7 +342,7 @@
     }
 }
 
-/* What happens to a process or failure domain in the middle of an overload. */
+/* Event at a process or failure domain in the middle of an overload.  */
 enum event_
 {
   EVENT_AGENT_DIES,
--- a/tests/simulation/simulation_private.h
+++ b/tests/simulation/simulation_private.h
@@ -197,7 +197,7 @@
   struct process_ balancer_processes[SIM_MAX_BALANCERS];
   struct process_ agent_processes[SIM_MAX_AGENTS];
   GPtrArray *callers;
-  GPtrArray *active; /* Those that are not done, and some that are.  */
+  GPtrArray *active; /* Callers that are not done, and some that are.  */
   struct rgy_counters *counters;
   uint32_t weights[2];
   uint64_t version;
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -83,7 +83,7 @@
   bool refused;  /* The flow was reset before it opened, or the request
                     rejected.  */
   unsigned runs; /* Of the request of a caller who sends one.  */
-  bool reached;  /* It has reached the backend server, where the flow is open
+  bool reached;  /* The flow has reached the backend server, where it is open
                     since.  */
   bool taken;    /* A backend server has queued or run it.  */
   bool ended;    /* The run has ended.  */
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -15,7 +15,7 @@
   uint64_t lease; /* ID; 0: none.  */
 };
 
-/* What a return puts back.  */
+/* State that a return puts back.  */
 struct contents_
 {
   uint64_t revision;
--- a/tests/standins/platform_store/platform_store.c
+++ b/tests/standins/platform_store/platform_store.c
@@ -27,7 +27,7 @@
   json_int_t lease;
 };
 
-/* What a return of the store puts back.  */
+/* State that a return of the store puts back.  */
 struct contents_
 {
   json_int_t revision;
