Count no backend server as faster than the median

Change: the slowness by route is at least 1.

Such a server still gets more than its share, since its queue is short too.

--- a/src/libragwortyoke/stream_balancer_load.c
+++ b/src/libragwortyoke/stream_balancer_load.c
@@ -30,9 +30,11 @@
    no longer.  */
 #define SLOW_FROM 2.0
 #define SLOW_UNTIL 1.5
-/* Bounds of the slowness: a single odd measurement must not give a backend
-   server all new flows or none.  */
-#define SLOWNESS_MIN 0.25
+/* Bounds of the slowness.  No server counts as faster than the median: one
+   that answers part of its requests with an error at once looks fast, and
+   would draw the flows of others.  A single odd measurement must not leave a
+   server without any flows.  */
+#define SLOWNESS_MIN 1.0
 #define SLOWNESS_MAX 20.0
 /* Time without requests over which the slowness of a backend server is
    forgotten: it gets no flows while others have room, so that its recovery
--- a/src/test_stream_placement/test_stream_placement.c
+++ b/src/test_stream_placement/test_stream_placement.c
@@ -487,6 +487,25 @@
   assert_true (f->servers[1].chosen > 500 / 6 / 2);
 }
 
+/* Load pattern: a server answers part of its requests with an error at once,
+   which only its callers see, so that it looks faster than others.  Its share
+   of the flows must not grow by that beyond half as much again.  */
+static void
+fast_answers_draw_no_flows_ (void **state)
+{
+  struct fixture_ *f = *state;
+  size_t i;
+
+  start_ (f, 2, 6, 0);
+  for (i = 0; i < f->n_servers; i++)
+    f->servers[i].route_run_us[0] = 20000;
+  f->servers[1].route_run_us[0] = 6000;
+  advance_time_ (f, RGY_US_PER_S);
+  f->servers[1].chosen = 0;
+  open_flows_ (f, 100, 20 * RGY_US_PER_S);
+  assert_in_range (f->servers[1].chosen, 2000 / 6 / 2, 2000 / 6 * 3 / 2);
+}
+
 /* Load pattern: flows open and end all the time, so that most reports are full
    ones, while long flows keep a server's queue at the same length.  Without a
    load report after it a full report, too, states that the load has hardly
@@ -739,6 +758,7 @@
     WITH_SERVERS (steady_share_leaves_a_full_domain_),
     WITH_SERVERS (slowness_is_compared_by_route_),
     WITH_SERVERS (recovered_server_gets_flows_again_),
+    WITH_SERVERS (fast_answers_draw_no_flows_),
     WITH_SERVERS (queue_is_expected_to_stay_after_a_full_report_),
     WITH_SERVERS (failing_server_is_avoided_),
     WITH_SERVERS (flapping_server_gets_flows_gradually_),
