--- a/src/test_stream_load/test_stream_load.c
+++ b/src/test_stream_load/test_stream_load.c
@@ -77,7 +77,7 @@
 
 /* Pattern: a wave of demand at 0.9 of what the backend servers can do, with a
    flow for each other request.  Queues form and drain all the time, and the
-   reports of that must stay within four times the quiet budget.  */
+   reports of that must stay within the budget of a machine.  */
 static void
 control_traffic_under_load_is_bounded_ (void **state)
 {
@@ -117,8 +117,8 @@
                 get_bytes_per_s_ (before.between_domains,
                                   after->between_domains, measured_us, 1));
   sim_delete (sim);
-  assert_in_range (to_balancers, 1, 4 * CONTROL_BYTES_PER_S);
-  assert_in_range (from_agents, 1, 4 * CONTROL_BYTES_PER_S);
+  assert_in_range (to_balancers, 1, CONTROL_BYTES_PER_S);
+  assert_in_range (from_agents, 1, CONTROL_BYTES_PER_S);
 }
 
 /* Pattern: flapping bridge.  Two failure domains lose each other for 1.2 s
@@ -354,8 +354,10 @@
     }
 }
 
+/* Runs the test that the first argument names, or all but the one of control
+   traffic under load, which ctest runs by its name.  */
 int
-main (void)
+main (int argc, char **argv)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (quiet_control_traffic_fits_its_budget_),
@@ -367,5 +369,9 @@
     cmocka_unit_test (restarted_agents_know_their_flows_),
   };
 
+  if (argc > 1)
+    cmocka_set_test_filter (argv[1]);
+  else
+    cmocka_set_skip_filter ("control_traffic_under_load_is_bounded_");
   return cmocka_run_group_tests_name ("stream_load", tests, NULL, NULL);
 }
