--- /dev/null
+++ b/review/rig-2/caller.c
@@ -0,0 +1,302 @@
+#include "rig.h"
+
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* Callers, who open a flow for each request, and the router.  */
+
+#define FIRST_PORT 10000
+#define LAST_PORT 60000
+#define LIMIT_MS 1200
+#define OPENING_LIMIT_MS 1400
+#define FIRST_COPY_MS 200
+#define SECOND_COPY_MS 600
+#define RETRY_MS 200
+#define MAX_RETRY_MS 1600
+#define MAX_TRIES 3
+#define READY_INTERVAL_MS 500
+#define CLIENT_SEQ 1000U
+
+struct caller_
+{
+  enum
+  {
+    CALLER_NONE,
+    CALLER_OPENING,
+    CALLER_WAITING, /* The request is sent.  */
+    CALLER_DONE
+  } state;
+  int tries;
+  unsigned copies;
+  uint32_t seq;
+  uint32_t backend_seq;
+  int64_t first_try_ms;
+  int64_t sent_ms;
+  int64_t next_ms;
+  int64_t retry_ms;
+};
+
+static const char request_[] = "GET /board HTTP/1.1\r\nHost: board\r\n\r\n";
+
+static struct caller_ callers_[65536];
+static struct rig_source *udp_;
+static int per_s_;
+static int64_t next_open_us_;
+static uint16_t next_port_ = FIRST_PORT;
+static uint16_t oldest_port_ = FIRST_PORT;
+static int answered_;
+static int opened_;
+static int refused_;
+static int failed_;
+
+static int balancer_count_;
+static int missed_[RIG_MAX_BALANCERS];
+static int64_t next_ready_ms_;
+
+/* The router.  */
+
+static void
+on_ready_answer_ (int status, void *ctx)
+{
+  int *missed = ctx;
+
+  *missed = status == 200 ? 0 : *missed + 1;
+}
+
+void
+rig_router_tick (const struct rig_process *balancers, int count)
+{
+  int i;
+
+  balancer_count_ = count;
+  if (rig_now_ms < next_ready_ms_)
+    return;
+  next_ready_ms_ = rig_now_ms + READY_INTERVAL_MS;
+  for (i = 0; i < count; i++)
+    rig_call (RIG_BALANCER_IP (balancers[i].index), RIG_READINESS_PORT, "GET",
+              "/ready", "", READY_INTERVAL_MS - 20, on_ready_answer_,
+              &missed_[i]);
+}
+
+static int
+choose_balancer_ (uint16_t port)
+{
+  int ready[RIG_MAX_BALANCERS];
+  int n = 0;
+  int i;
+
+  for (i = 0; i < balancer_count_; i++)
+    if (missed_[i] < 2)
+      ready[n++] = i;
+  return n > 0 ? ready[(port * 2654435761U >> 8) % (unsigned)n]
+               : port % balancer_count_;
+}
+
+static void
+send_ (uint16_t port, uint8_t flags, uint32_t seq, uint32_t ack,
+       const char *data)
+{
+  struct rig_packet packet
+      = { .flags = flags,
+          .seq = seq,
+          .ack = ack,
+          .src = RIG_CALLER_IP,
+          .dst = RIG_ROUTE_IP,
+          .sport = port,
+          .dport = RIG_ROUTE_PORT,
+          .data = (const uint8_t *)data,
+          .len = (uint16_t)(data == NULL ? 0 : strlen (data)) };
+  uint8_t out[RIG_PACKET_BYTES];
+  size_t n = rig_packet_encode (&packet, out);
+
+  rig_udp_send (udp_->fd, RIG_BALANCER_IP (choose_balancer_ (port)),
+                RIG_PACKETS_PORT, out, n);
+}
+
+/* Callers.  */
+
+static void
+open_flow_ (int tries, int64_t first_try_ms)
+{
+  uint16_t port = next_port_++;
+  struct caller_ *caller = &callers_[port];
+
+  if (next_port_ == LAST_PORT)
+    {
+      fprintf (stderr, "too many flows\n");
+      exit (2);
+    }
+  *caller = (struct caller_){ .state = CALLER_OPENING,
+                              .tries = tries,
+                              .seq = CLIENT_SEQ + port,
+                              .first_try_ms = first_try_ms,
+                              .sent_ms = rig_now_ms,
+                              .next_ms = rig_now_ms + FIRST_COPY_MS };
+  opened_++;
+  rig_record ("sent port=%u try=%d", port, tries);
+  send_ (port, RIG_SYN, caller->seq, 0, NULL);
+}
+
+static void
+fail_ (uint16_t port, const char *why)
+{
+  struct caller_ *caller = &callers_[port];
+
+  rig_record ("failed port=%u why=%s", port, why);
+  caller->state = CALLER_DONE;
+  if (caller->tries < MAX_TRIES
+      && rig_now_ms - caller->first_try_ms < LIMIT_MS)
+    open_flow_ (caller->tries + 1, caller->first_try_ms);
+  else
+    failed_++;
+}
+
+static void
+send_request_ (uint16_t port)
+{
+  const struct caller_ *caller = &callers_[port];
+
+  send_ (port, RIG_ACK, caller->seq + 1, caller->backend_seq + 1, request_);
+}
+
+static void
+handle_packet_ (const struct rig_packet *packet)
+{
+  uint16_t port = packet->dport;
+  struct caller_ *caller = &callers_[port];
+
+  if ((packet->flags & RIG_RST) != 0)
+    {
+      refused_ += caller->state == CALLER_OPENING;
+      if (caller->state == CALLER_OPENING || caller->state == CALLER_WAITING)
+        fail_ (port, "reset");
+      return;
+    }
+  if (caller->state == CALLER_OPENING && (packet->flags & RIG_SYN) != 0)
+    {
+      caller->state = CALLER_WAITING;
+      caller->backend_seq = packet->seq;
+      caller->retry_ms = RETRY_MS;
+      caller->next_ms = rig_now_ms + RETRY_MS;
+      send_request_ (port);
+    }
+  else if (caller->state == CALLER_WAITING && packet->len > 0
+           && packet->seq == caller->backend_seq + 1)
+    {
+      caller->state = CALLER_DONE;
+      answered_++;
+      rig_record ("answered port=%u ms=%lld", port,
+                  (long long)(rig_now_ms - caller->first_try_ms));
+      send_ (port, RIG_FIN | RIG_ACK,
+             caller->seq + 1 + (uint32_t)strlen (request_),
+             packet->seq + packet->len, NULL);
+    }
+}
+
+static void
+on_packet_ (struct rig_source *source, short events)
+{
+  uint8_t in[RIG_PACKET_BYTES + 1];
+  struct rig_packet packet;
+  ssize_t n;
+
+  (void)events;
+  while ((n = recv (source->fd, in, sizeof in, 0)) > 0)
+    if (rig_packet_decode (in, (size_t)n, &packet))
+      handle_packet_ (&packet);
+}
+
+static void
+advance_ (uint16_t port)
+{
+  struct caller_ *caller = &callers_[port];
+
+  if (caller->state == CALLER_NONE || caller->state == CALLER_DONE)
+    return;
+  if (rig_now_ms - caller->first_try_ms >= LIMIT_MS)
+    {
+      fail_ (port, "limit");
+      return;
+    }
+  if (caller->state == CALLER_OPENING
+      && rig_now_ms - caller->sent_ms >= OPENING_LIMIT_MS)
+    {
+      fail_ (port, "no-answer");
+      return;
+    }
+  if (rig_now_ms < caller->next_ms)
+    return;
+  if (caller->state == CALLER_WAITING)
+    {
+      caller->retry_ms = caller->retry_ms * 2 < MAX_RETRY_MS
+                             ? caller->retry_ms * 2
+                             : MAX_RETRY_MS;
+      caller->next_ms = rig_now_ms + caller->retry_ms;
+      send_request_ (port);
+    }
+  else if (caller->copies < 2)
+    {
+      caller->copies++;
+      caller->next_ms
+          = caller->sent_ms
+            + (caller->copies == 1 ? SECOND_COPY_MS : OPENING_LIMIT_MS);
+      send_ (port, RIG_SYN, caller->seq, caller->copies, NULL);
+    }
+}
+
+void
+rig_callers_set_rate (int per_s)
+{
+  per_s_ = per_s;
+  next_open_us_ = rig_now_ms * 1000;
+}
+
+void
+rig_callers_start (int per_s)
+{
+  if (udp_ == NULL)
+    udp_ = rig_source_add (rig_udp_bind (RIG_CALLER_IP, RIG_PACKETS_PORT),
+                           POLLIN, on_packet_, NULL);
+  rig_callers_set_rate (per_s);
+}
+
+void
+rig_callers_tick (void)
+{
+  uint16_t port;
+
+  if (udp_ == NULL)
+    return;
+  while (oldest_port_ < next_port_
+         && callers_[oldest_port_].state == CALLER_DONE)
+    oldest_port_++;
+  for (port = oldest_port_; port < next_port_; port++)
+    advance_ (port);
+  while (per_s_ > 0 && next_open_us_ <= rig_now_ms * 1000)
+    {
+      next_open_us_ += 1000000 / per_s_;
+      open_flow_ (1, rig_now_ms);
+    }
+}
+
+int64_t
+rig_caller_get_sent_ms (uint16_t port)
+{
+  return callers_[port].sent_ms;
+}
+
+int
+rig_callers_get_answered (void)
+{
+  return answered_;
+}
+
+void
+rig_callers_print_totals (void)
+{
+  rig_record ("flows=%d answered=%d refused=%d failed=%d", opened_, answered_,
+              refused_, failed_);
+}
