--- a/review/rig-2/host.c
+++ b/review/rig-2/host.c
@@ -248,7 +248,7 @@
     }
   host->alive = true;
   host->boot++;
-  host->born_ms = get_unix_ms_ ();
+  host->born_ms = get_unix_ms_ () + host->clock_ahead_ms;
   host->seq = 0;
   host->drain_acked_ms = -1;
   host->cold_from_ms = -1;
@@ -261,6 +261,36 @@
     rig_host_cool (host, cold_ms);
 }
 
+void
+rig_host_crash (struct rig_host *host)
+{
+  rig_record ("host %d crashes", host->index);
+  host->alive = false;
+  rig_source_close (host->udp);
+  rig_source_close (host->tcp);
+  memset (host->flow_state, 0, sizeof host->flow_state);
+}
+
+void
+rig_host_drain (struct rig_host *host)
+{
+  rig_record ("host %d leaves", host->index);
+  host->draining = true;
+  host->next_heartbeat_ms = rig_now_ms;
+}
+
+int
+rig_host_count_late (const struct rig_host *host, int64_t ms)
+{
+  int n = 0;
+  int i;
+
+  for (i = 0; i < host->n_runs; i++)
+    n += host->drain_acked_ms >= 0
+         && host->runs[i].arrived_ms > host->drain_acked_ms + ms;
+  return n;
+}
+
 void
 rig_host_tick (struct rig_host *host)
 {
--- a/review/rig-2/main.c
+++ b/review/rig-2/main.c
@@ -15,6 +15,7 @@
 #define BALANCERS 2
 #define AGENTS 6
 #define FLOWS_PER_S 300
+#define LIGHT_FLOWS_PER_S 80
 /* Warm-up rate of the service, and the limit that follows from it: the rate
    times warmup_overshoot, and warmup_slack.  */
 #define WARMUP_PER_S 5
@@ -25,6 +26,12 @@
 #define AGENT_START_MS 500
 #define CONNECT_MS 1
 #define ADD_GAP_MS 75
+#define CLOCK_STEP_MS 2400
+#define CLOCK_STEP_FOR_MS 6000
+#define CONTACT_MS 4000
+#define HOST_RESTART_MS 100
+#define WARMUP_MS 2000
+#define DRAIN_BOUND_MS 3000
 /* Sixty times the usual 4 ms.  */
 #define USUAL_STORE_MS 4
 #define SLOW_STORE_MS 240
@@ -161,6 +168,7 @@
       hosts_[i].index = i;
       hosts_[i].zone = agents_[i].zone;
       hosts_[i].cold_from_ms = -1;
+      hosts_[i].drain_acked_ms = -1;
       if (i < agents)
         start_machine_ (i, true, 0);
     }
@@ -192,7 +200,7 @@
 
 /* Adds machines, whose hosts are cold, one after the other.  */
 static void
-add_machines_ (int first)
+add_machines_ (int first, int64_t wait_ms)
 {
   int i;
 
@@ -202,7 +210,7 @@
       start_machine_ (i, false, COLD_MS);
       run_until_ (rig_now_ms + ADD_GAP_MS);
     }
-  run_until_ (TRAFFIC_MS + 4500);
+  run_until_ (TRAFFIC_MS + 2000 + wait_ms);
 }
 
 /* The agent beside a cold host that was added is killed and restarted.  */
@@ -212,7 +220,7 @@
   int index = AGENTS - 1;
 
   start_ (AGENTS / 2);
-  add_machines_ (index);
+  add_machines_ (index, 2500);
   if (trouble_)
     {
       rig_process_kill (&agents_[index], SIGKILL);
@@ -230,7 +238,7 @@
   int i;
 
   start_ (AGENTS / 2);
-  add_machines_ (AGENTS / 2);
+  add_machines_ (AGENTS / 2, 2500);
   if (trouble_)
     {
       rig_store_set_delay (SLOW_STORE_MS);
@@ -245,13 +253,42 @@
   run_until_ (TRAFFIC_MS + 2000 + COLD_MS);
 }
 
+/* The clock of a machine that was just added jumps back for a while; its host
+   ends meanwhile and is started again at once, and leaves much later.  */
+static void
+run_clock_ (void)
+{
+  struct rig_host *host = &hosts_[AGENTS - 1];
+  int64_t jump_ms;
+
+  start_ (AGENTS / 2);
+  rig_callers_set_rate (LIGHT_FLOWS_PER_S);
+  add_machines_ (AGENTS - 1, 500);
+  jump_ms = rig_now_ms;
+  if (trouble_)
+    {
+      rig_record ("the clock of host %d jumps back", host->index);
+      host->clock_ahead_ms = -CLOCK_STEP_MS;
+      run_until_ (jump_ms + 500);
+      rig_host_crash (host);
+      run_until_ (rig_now_ms + HOST_RESTART_MS);
+      rig_host_start (host, WARMUP_MS);
+    }
+  run_until_ (jump_ms + CLOCK_STEP_FOR_MS);
+  host->clock_ahead_ms = 0;
+  run_until_ (rig_now_ms + CONTACT_MS + 1000);
+  rig_host_drain (host);
+  run_until_ (rig_now_ms + DRAIN_BOUND_MS + 4000);
+}
+
 static const struct
 {
   const char *name;
   void (*run) (void);
 } cases_[] = { { "return", run_return_ },
                { "agent", run_agent_ },
-               { "balancers", run_balancers_ } };
+               { "balancers", run_balancers_ },
+               { "clock", run_clock_ } };
 
 /* True if a cold host got more requests in a second than it bears.  */
 static bool
@@ -277,6 +314,29 @@
   return is_broken;
 }
 
+/* True if a host got requests too long after its draining was
+   acknowledged.  */
+static bool
+check_drain_ (void)
+{
+  bool is_broken = false;
+  int i;
+
+  for (i = 0; i < AGENTS; i++)
+    {
+      int late = rig_host_count_late (&hosts_[i], DRAIN_BOUND_MS);
+
+      if (hosts_[i].drain_acked_ms < 0)
+        continue;
+      rig_record ("host %d left, acknowledged at %.3f: %d requests later than "
+                  "%d ms after that",
+                  i, (double)hosts_[i].drain_acked_ms / 1000, late,
+                  DRAIN_BOUND_MS);
+      is_broken = is_broken || late > 0;
+    }
+  return is_broken;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -295,7 +355,8 @@
   if (i == sizeof cases_ / sizeof *cases_)
     return 2;
   cases_[i].run ();
-  is_broken = check_cold_ ();
+  is_broken
+      = strcmp (argv[1], "clock") == 0 ? check_drain_ () : check_cold_ ();
   rig_callers_print_totals ();
   for (i = 0; i < BALANCERS; i++)
     rig_process_end (&balancers_[i]);
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -155,7 +155,8 @@
   bool alive;
   bool draining;
   unsigned boot;
-  int64_t born_ms; /**< Unix time.  */
+  int64_t clock_ahead_ms; /**< Of the time of day on its machine.  */
+  int64_t born_ms;        /**< Unix time by the clock of its machine.  */
   uint64_t seq;
   int64_t cold_from_ms; /**< -1: was never cold.  */
   int64_t cold_until_ms;
@@ -174,6 +175,13 @@
 
 /** Start a backend server; it is cold until @p cold_ms from now.  */
 void rig_host_start (struct rig_host *host, int64_t cold_ms);
+/** End a backend server without notice; all of its flows are lost.  */
+void rig_host_crash (struct rig_host *host);
+/** Let a backend server say that it leaves, from now on.  */
+void rig_host_drain (struct rig_host *host);
+/** Count the requests that arrived later than @p ms after the agent
+    acknowledged the draining.  */
+int rig_host_count_late (const struct rig_host *host, int64_t ms);
 /** Make a running backend server cold.  */
 void rig_host_cool (struct rig_host *host, int64_t cold_ms);
 void rig_host_tick (struct rig_host *host);
