Review: an agent denies its host's flows after a jump of the clock

An agent that is restarted as planned takes a host that started up to 2.4 s before it for one that started with it, if the time of day jumped back between them, and denies the flows of its predecessor: all open flows of the host, 5 or 6, are reset.

--- a/review/rig-2/caller.c
+++ b/review/rig-2/caller.c
@@ -27,8 +27,13 @@
     CALLER_NONE,
     CALLER_OPENING,
     CALLER_WAITING, /* The request is sent.  */
+    CALLER_IDLE,    /* Keeps the flow after the answer.  */
     CALLER_DONE
   } state;
+  bool keeps;
+  bool was_reset; /* After its first answer.  */
+  uint32_t asked; /* Bytes of answered requests.  */
+  uint32_t got;   /* Bytes of answers.  */
   int tries;
   unsigned copies;
   uint32_t seq;
@@ -44,6 +49,7 @@
 static struct caller_ callers_[65536];
 static struct rig_source *udp_;
 static int per_s_;
+static bool keep_;
 static int64_t next_open_us_;
 static uint16_t next_port_ = FIRST_PORT;
 static uint16_t oldest_port_ = FIRST_PORT;
@@ -130,6 +136,7 @@
       exit (2);
     }
   *caller = (struct caller_){ .state = CALLER_OPENING,
+                              .keeps = keep_,
                               .tries = tries,
                               .seq = CLIENT_SEQ + port,
                               .first_try_ms = first_try_ms,
@@ -159,7 +166,42 @@
 {
   const struct caller_ *caller = &callers_[port];
 
-  send_ (port, RIG_ACK, caller->seq + 1, caller->backend_seq + 1, request_);
+  send_ (port, RIG_ACK, caller->seq + 1 + caller->asked,
+         caller->backend_seq + 1 + caller->got, request_);
+}
+
+static void
+handle_reset_ (uint16_t port)
+{
+  struct caller_ *caller = &callers_[port];
+
+  if (caller->state == CALLER_NONE || caller->state == CALLER_DONE)
+    return;
+  refused_ += caller->state == CALLER_OPENING;
+  caller->was_reset = caller->got > 0;
+  if (caller->was_reset)
+    {
+      rig_record ("reset port=%u", port);
+      caller->state = CALLER_DONE;
+    }
+  else
+    fail_ (port, "reset");
+}
+
+static void
+handle_answer_ (uint16_t port, uint16_t len)
+{
+  struct caller_ *caller = &callers_[port];
+
+  answered_++;
+  caller->asked += (uint32_t)strlen (request_);
+  caller->got += len;
+  rig_record ("answered port=%u ms=%lld", port,
+              (long long)(rig_now_ms - caller->first_try_ms));
+  caller->state = caller->keeps ? CALLER_IDLE : CALLER_DONE;
+  if (!caller->keeps)
+    send_ (port, RIG_FIN | RIG_ACK, caller->seq + 1 + caller->asked,
+           caller->backend_seq + 1 + caller->got, NULL);
 }
 
 static void
@@ -169,13 +211,8 @@
   struct caller_ *caller = &callers_[port];
 
   if ((packet->flags & RIG_RST) != 0)
-    {
-      refused_ += caller->state == CALLER_OPENING;
-      if (caller->state == CALLER_OPENING || caller->state == CALLER_WAITING)
-        fail_ (port, "reset");
-      return;
-    }
-  if (caller->state == CALLER_OPENING && (packet->flags & RIG_SYN) != 0)
+    handle_reset_ (port);
+  else if (caller->state == CALLER_OPENING && (packet->flags & RIG_SYN) != 0)
     {
       caller->state = CALLER_WAITING;
       caller->backend_seq = packet->seq;
@@ -184,16 +221,8 @@
       send_request_ (port);
     }
   else if (caller->state == CALLER_WAITING && packet->len > 0
-           && packet->seq == caller->backend_seq + 1)
-    {
-      caller->state = CALLER_DONE;
-      answered_++;
-      rig_record ("answered port=%u ms=%lld", port,
-                  (long long)(rig_now_ms - caller->first_try_ms));
-      send_ (port, RIG_FIN | RIG_ACK,
-             caller->seq + 1 + (uint32_t)strlen (request_),
-             packet->seq + packet->len, NULL);
-    }
+           && packet->seq == caller->backend_seq + 1 + caller->got)
+    handle_answer_ (port, packet->len);
 }
 
 static void
@@ -214,7 +243,8 @@
 {
   struct caller_ *caller = &callers_[port];
 
-  if (caller->state == CALLER_NONE || caller->state == CALLER_DONE)
+  if (caller->state == CALLER_NONE || caller->state == CALLER_DONE
+      || caller->state == CALLER_IDLE)
     return;
   if (rig_now_ms - caller->first_try_ms >= LIMIT_MS)
     {
@@ -282,6 +312,48 @@
     }
 }
 
+void
+rig_callers_keep_flows (bool keep)
+{
+  keep_ = keep;
+}
+
+void
+rig_callers_ask_again (void)
+{
+  uint16_t port;
+
+  for (port = FIRST_PORT; port < next_port_; port++)
+    {
+      struct caller_ *caller = &callers_[port];
+
+      if (caller->state != CALLER_IDLE)
+        continue;
+      rig_record ("sent port=%u again", port);
+      caller->state = CALLER_WAITING;
+      caller->tries = MAX_TRIES;
+      caller->first_try_ms = rig_now_ms;
+      caller->retry_ms = RETRY_MS;
+      caller->next_ms = rig_now_ms + RETRY_MS;
+      if (port < oldest_port_)
+        oldest_port_ = port;
+      send_request_ (port);
+    }
+}
+
+int
+rig_callers_count_broken (const struct rig_host *hosts, int count)
+{
+  uint16_t port;
+  int n = 0;
+  int i;
+
+  for (port = FIRST_PORT; port < next_port_; port++)
+    for (i = 0; callers_[port].was_reset && i < count; i++)
+      n += rig_host_holds_flow (&hosts[i], port);
+  return n;
+}
+
 int64_t
 rig_caller_get_sent_ms (uint16_t port)
 {
--- a/review/rig-2/host.c
+++ b/review/rig-2/host.c
@@ -91,6 +91,7 @@
       || host->flow_state[port] == FLOW_CLOSED)
     {
       host->flow_state[port] = FLOW_HALF_OPEN;
+      host->flow_sent[port] = 0;
       host->flow_seq[port] = (port + host->boot) * SEQ_STEP
                              + (uint32_t)host->index * 65537U + 1;
     }
@@ -113,15 +114,21 @@
     }
   if (packet->len > 0)
     {
+      /* A request that was answered is answered again.  */
+      if (packet->seq == host->flow_next[port])
+        host->flow_sent[port] += (uint32_t)strlen (answer_);
       host->flow_next[port] = packet->seq + packet->len;
-      send_to_caller_ (host, port, RIG_ACK, seq, answer_, strlen (answer_));
+      send_to_caller_ (host, port, RIG_ACK,
+                       seq + host->flow_sent[port]
+                           - (uint32_t)strlen (answer_),
+                       answer_, strlen (answer_));
     }
   if ((packet->flags & RIG_FIN) == 0)
     return;
   host->flow_next[port] = packet->seq + 1;
   host->flow_state[port] = FLOW_CLOSED;
-  send_to_caller_ (host, port, RIG_FIN | RIG_ACK,
-                   seq + (uint32_t)strlen (answer_), NULL, 0);
+  send_to_caller_ (host, port, RIG_FIN | RIG_ACK, seq + host->flow_sent[port],
+                   NULL, 0);
 }
 
 static void
@@ -279,6 +286,12 @@
   host->next_heartbeat_ms = rig_now_ms;
 }
 
+bool
+rig_host_holds_flow (const struct rig_host *host, uint16_t port)
+{
+  return host->alive && host->flow_state[port] == FLOW_OPEN;
+}
+
 int
 rig_host_count_late (const struct rig_host *host, int64_t ms)
 {
--- a/review/rig-2/main.c
+++ b/review/rig-2/main.c
@@ -27,6 +27,7 @@
 #define CONNECT_MS 1
 #define ADD_GAP_MS 75
 #define CLOCK_STEP_MS 2400
+#define SMALL_CLOCK_STEP_MS 2300
 #define CLOCK_STEP_FOR_MS 6000
 #define CONTACT_MS 4000
 #define HOST_RESTART_MS 100
@@ -281,6 +282,32 @@
   run_until_ (rig_now_ms + DRAIN_BOUND_MS + 4000);
 }
 
+/* The clock of a machine that was just added returns to the right time, and
+   its agent is stopped and started as planned.  The callers' flows stay idle
+   meanwhile.  */
+static void
+run_flows_ (void)
+{
+  struct rig_host *host = &hosts_[AGENTS - 1];
+
+  start_ (AGENTS / 2);
+  rig_callers_set_rate (LIGHT_FLOWS_PER_S);
+  host->clock_ahead_ms = trouble_ ? SMALL_CLOCK_STEP_MS : 0;
+  add_machines_ (AGENTS - 1, 200);
+  rig_callers_keep_flows (true);
+  run_until_ (TRAFFIC_MS + 3000);
+  if (trouble_)
+    rig_record ("the clock of host %d returns", host->index);
+  rig_callers_keep_flows (false);
+  run_until_ (TRAFFIC_MS + 3500);
+  rig_process_stop (&agents_[host->index]);
+  run_until_ (TRAFFIC_MS + 4000);
+  rig_process_start (&agents_[host->index], false);
+  run_until_ (TRAFFIC_MS + 10000);
+  rig_callers_ask_again ();
+  run_until_ (TRAFFIC_MS + 12000);
+}
+
 static const struct
 {
   const char *name;
@@ -288,7 +315,8 @@
 } cases_[] = { { "return", run_return_ },
                { "agent", run_agent_ },
                { "balancers", run_balancers_ },
-               { "clock", run_clock_ } };
+               { "clock", run_clock_ },
+               { "flows", run_flows_ } };
 
 /* True if a cold host got more requests in a second than it bears.  */
 static bool
@@ -337,6 +365,24 @@
   return is_broken;
 }
 
+/* True if an open flow was reset that its host did not reset.  */
+static bool
+check_flows_ (void)
+{
+  int broken = rig_callers_count_broken (hosts_, AGENTS);
+
+  rig_record ("%d open flows were reset", broken);
+  return broken > 0;
+}
+
+static bool
+check_ (const char *name)
+{
+  if (strcmp (name, "clock") == 0)
+    return check_drain_ ();
+  return strcmp (name, "flows") == 0 ? check_flows_ () : check_cold_ ();
+}
+
 int
 main (int argc, char **argv)
 {
@@ -355,8 +401,7 @@
   if (i == sizeof cases_ / sizeof *cases_)
     return 2;
   cases_[i].run ();
-  is_broken
-      = strcmp (argv[1], "clock") == 0 ? check_drain_ () : check_cold_ ();
+  is_broken = check_ (argv[1]);
   rig_callers_print_totals ();
   for (i = 0; i < BALANCERS; i++)
     rig_process_end (&balancers_[i]);
--- a/review/rig-2/node.c
+++ b/review/rig-2/node.c
@@ -103,6 +103,14 @@
   process->pid = 0;
 }
 
+void
+rig_process_stop (struct rig_process *process)
+{
+  rig_process_kill (process, SIGTERM);
+  waitpid (process->pid, NULL, 0);
+  process->pid = 0;
+}
+
 void
 rig_process_end (struct rig_process *process)
 {
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -132,6 +132,8 @@
 
 void rig_process_start (struct rig_process *process, bool bootstrap);
 void rig_process_kill (struct rig_process *process, int signal);
+/** Send SIGTERM and wait for the end.  */
+void rig_process_stop (struct rig_process *process);
 /** Send a signal, SIGKILL at the end, and wait for the end.  */
 void rig_process_end (struct rig_process *process);
 /** @return true if a process that should run has ended by itself.  */
@@ -169,6 +171,7 @@
   uint32_t flow_seq[65536]; /**< By the caller's port; 0: no flow.  */
   uint8_t flow_state[65536];
   uint32_t flow_next[65536]; /**< Next number expected of the caller.  */
+  uint32_t flow_sent[65536]; /**< Bytes of answers.  */
   struct rig_run runs[RIG_MAX_RUNS];
   int n_runs;
 };
@@ -179,6 +182,8 @@
 void rig_host_crash (struct rig_host *host);
 /** Let a backend server say that it leaves, from now on.  */
 void rig_host_drain (struct rig_host *host);
+/** True if the backend server holds the flow of the caller's port.  */
+bool rig_host_holds_flow (const struct rig_host *host, uint16_t port);
 /** Count the requests that arrived later than @p ms after the agent
     acknowledged the draining.  */
 int rig_host_count_late (const struct rig_host *host, int64_t ms);
@@ -194,6 +199,13 @@
 void rig_callers_start (int per_s);
 void rig_callers_set_rate (int per_s);
 void rig_callers_tick (void);
+/** Let callers who open a flow from now on keep it after the answer.  */
+void rig_callers_keep_flows (bool keep);
+/** Send a further request on each kept flow.  */
+void rig_callers_ask_again (void);
+/** Number of kept flows that were reset while their backend server held
+    them.  */
+int rig_callers_count_broken (const struct rig_host *hosts, int count);
 /** Time at which the caller with this port sent its first segment.  */
 int64_t rig_caller_get_sent_ms (uint16_t port);
 void rig_callers_print_totals (void);
