Review: a planned stop of the agent floods its cold host

Case 7 stops the agent with SIGTERM, as planned work does, in place of SIGKILL.

Run: review/7/run.sh, six times: failed six times, 102 to 105 requests in a second instead of 12. TROUBLE=0 review/7/run.sh: passed.

--- a/review/rig-2/main.c
+++ b/review/rig-2/main.c
@@ -214,7 +214,8 @@
   run_until_ (TRAFFIC_MS + 2000 + wait_ms);
 }
 
-/* The agent beside a cold host that was added is killed and restarted.  */
+/* The agent beside a cold host that was added is stopped and started as
+   planned.  */
 static void
 run_agent_ (void)
 {
@@ -224,7 +225,7 @@
   add_machines_ (index, 2500);
   if (trouble_)
     {
-      rig_process_kill (&agents_[index], SIGKILL);
+      rig_process_stop (&agents_[index]);
       run_until_ (rig_now_ms + RESTART_DELAY_MS);
       rig_process_start (&agents_[index], false);
     }
