--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-2.sh" 6 return
+exec "$(dirname "$0")/../run-2.sh" 6 ports
--- a/review/9/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-exec "$(dirname "$0")/../run-2.sh" 9 clock
--- a/review/rig-2/caller.c
+++ b/review/rig-2/caller.c
@@ -10,7 +10,9 @@
 
 #define FIRST_PORT 10000
 #define LAST_PORT 60000
-#define LIMIT_MS 1200
+#define LIMIT_MS RIG_LIMIT_MS
+#define RESET_WINDOW 76800
+#define REOPEN_MS 200
 #define OPENING_LIMIT_MS 1400
 #define FIRST_COPY_MS 200
 #define SECOND_COPY_MS 600
@@ -19,6 +21,8 @@
 #define MAX_TRIES 3
 #define READY_INTERVAL_MS 500
 #define CLIENT_SEQ 1000U
+/* Distance of the numbers of two flows from one port.  */
+#define SEQ_STEP 1000000U
 
 struct caller_
 {
@@ -28,6 +32,7 @@
     CALLER_OPENING,
     CALLER_WAITING, /* The request is sent.  */
     CALLER_IDLE,    /* Keeps the flow after the answer.  */
+    CALLER_CLOSING, /* Opens a new flow from the port soon.  */
     CALLER_DONE
   } state;
   bool keeps;
@@ -50,6 +55,7 @@
 static struct rig_source *udp_;
 static int per_s_;
 static bool keep_;
+static bool reuse_;
 static int64_t next_open_us_;
 static uint16_t next_port_ = FIRST_PORT;
 static uint16_t oldest_port_ = FIRST_PORT;
@@ -57,6 +63,7 @@
 static int opened_;
 static int refused_;
 static int failed_;
+static int lost_; /* Of these on flows that had been answered.  */
 
 static int balancer_count_;
 static int missed_[RIG_MAX_BALANCERS];
@@ -125,20 +132,16 @@
 /* Callers.  */
 
 static void
-open_flow_ (int tries, int64_t first_try_ms)
+open_flow_at_ (uint16_t port, int tries, int64_t first_try_ms)
 {
-  uint16_t port = next_port_++;
   struct caller_ *caller = &callers_[port];
+  uint32_t seq = caller->state == CALLER_NONE ? CLIENT_SEQ + port
+                                              : caller->seq + SEQ_STEP;
 
-  if (next_port_ == LAST_PORT)
-    {
-      fprintf (stderr, "too many flows\n");
-      exit (2);
-    }
   *caller = (struct caller_){ .state = CALLER_OPENING,
                               .keeps = keep_,
                               .tries = tries,
-                              .seq = CLIENT_SEQ + port,
+                              .seq = seq,
                               .first_try_ms = first_try_ms,
                               .sent_ms = rig_now_ms,
                               .next_ms = rig_now_ms + FIRST_COPY_MS };
@@ -147,14 +150,30 @@
   send_ (port, RIG_SYN, caller->seq, 0, NULL);
 }
 
+static void
+open_flow_ (int tries, int64_t first_try_ms)
+{
+  uint16_t port = next_port_++;
+
+  if (next_port_ == LAST_PORT)
+    {
+      fprintf (stderr, "too many flows\n");
+      exit (2);
+    }
+  open_flow_at_ (port, tries, first_try_ms);
+}
+
 static void
 fail_ (uint16_t port, const char *why)
 {
   struct caller_ *caller = &callers_[port];
+  bool was_open = caller->state != CALLER_OPENING;
 
   rig_record ("failed port=%u why=%s", port, why);
   caller->state = CALLER_DONE;
-  if (caller->tries < MAX_TRIES
+  /* The request is unsafe, and may have run if its flow has opened.  */
+  lost_ += was_open;
+  if (!was_open && caller->tries < MAX_TRIES
       && rig_now_ms - caller->first_try_ms < LIMIT_MS)
     open_flow_ (caller->tries + 1, caller->first_try_ms);
   else
@@ -170,13 +189,30 @@
          caller->backend_seq + 1 + caller->got, request_);
 }
 
+/* A reset counts on an open flow if its number is near the last one that the
+   caller has acknowledged.  */
+static bool
+is_valid_reset_ (const struct caller_ *caller, uint32_t seq)
+{
+  int32_t distance = (int32_t)(seq - caller->backend_seq - 1 - caller->got);
+
+  return caller->state == CALLER_OPENING
+         || (distance <= RESET_WINDOW && distance >= -RESET_WINDOW);
+}
+
 static void
-handle_reset_ (uint16_t port)
+handle_reset_ (uint16_t port, uint32_t seq)
 {
   struct caller_ *caller = &callers_[port];
 
-  if (caller->state == CALLER_NONE || caller->state == CALLER_DONE)
+  if (caller->state == CALLER_NONE || caller->state == CALLER_CLOSING
+      || caller->state == CALLER_DONE)
     return;
+  if (!is_valid_reset_ (caller, seq))
+    {
+      rig_record ("reset ignored port=%u", port);
+      return;
+    }
   refused_ += caller->state == CALLER_OPENING;
   caller->was_reset = caller->got > 0;
   if (caller->was_reset)
@@ -204,6 +240,30 @@
            caller->backend_seq + 1 + caller->got, NULL);
 }
 
+/* Ends a kept flow that the backend server closes.  */
+static void
+handle_end_ (uint16_t port)
+{
+  struct caller_ *caller = &callers_[port];
+
+  send_ (port, RIG_FIN | RIG_ACK, caller->seq + 1 + caller->asked,
+         caller->backend_seq + 2 + caller->got, NULL);
+  rig_record ("closed port=%u", port);
+  caller->state = reuse_ ? CALLER_CLOSING : CALLER_DONE;
+  caller->next_ms = rig_now_ms + REOPEN_MS;
+  if (reuse_ && port < oldest_port_)
+    oldest_port_ = port;
+}
+
+/* Opens a new flow from a port whose flow both ends have closed.  */
+static void
+reopen_ (uint16_t port)
+{
+  keep_ = true;
+  open_flow_at_ (port, 1, rig_now_ms);
+  keep_ = false;
+}
+
 static void
 handle_packet_ (const struct rig_packet *packet)
 {
@@ -211,7 +271,7 @@
   struct caller_ *caller = &callers_[port];
 
   if ((packet->flags & RIG_RST) != 0)
-    handle_reset_ (port);
+    handle_reset_ (port, packet->seq);
   else if (caller->state == CALLER_OPENING && (packet->flags & RIG_SYN) != 0)
     {
       caller->state = CALLER_WAITING;
@@ -223,6 +283,9 @@
   else if (caller->state == CALLER_WAITING && packet->len > 0
            && packet->seq == caller->backend_seq + 1 + caller->got)
     handle_answer_ (port, packet->len);
+  else if (caller->state == CALLER_IDLE && (packet->flags & RIG_FIN) != 0
+           && packet->seq == caller->backend_seq + 1 + caller->got)
+    handle_end_ (port);
 }
 
 static void
@@ -246,6 +309,12 @@
   if (caller->state == CALLER_NONE || caller->state == CALLER_DONE
       || caller->state == CALLER_IDLE)
     return;
+  if (caller->state == CALLER_CLOSING)
+    {
+      if (rig_now_ms >= caller->next_ms)
+        reopen_ (port);
+      return;
+    }
   if (rig_now_ms - caller->first_try_ms >= LIMIT_MS)
     {
       fail_ (port, "limit");
@@ -318,6 +387,12 @@
   keep_ = keep;
 }
 
+void
+rig_callers_reuse_ports (bool reuse)
+{
+  reuse_ = reuse;
+}
+
 void
 rig_callers_ask_again (void)
 {
@@ -369,6 +444,6 @@
 void
 rig_callers_print_totals (void)
 {
-  rig_record ("flows=%d answered=%d refused=%d failed=%d", opened_, answered_,
-              refused_, failed_);
+  rig_record ("flows=%d answered=%d refused=%d failed=%d lost=%d", opened_,
+              answered_, refused_, failed_, lost_);
 }
--- a/review/rig-2/host.c
+++ b/review/rig-2/host.c
@@ -11,10 +11,15 @@
 /* Backend servers.  */
 
 #define CALL_TIMEOUT_MS 1000
-#define SLOTS 4
+#define COLD_WORK_X10 16
+#define RESTART_AFTER_FALL_MS 1000
 #define WINDOW_MS 1000
-/* Numbers that a flow at another backend server does not use.  */
+/* Packets that must not stray for FLOW_GRACE_MS.  */
+#define MIN_STRAYED 3
+#define FLOW_GRACE_MS 2000
+/* Spread the first numbers of flows.  */
 #define SEQ_STEP 104729U
+#define SEQ_FACTOR 2654435761U
 
 enum
 {
@@ -26,6 +31,16 @@
 
 static const char answer_[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+int rig_work_ms;
+double rig_cold_limit;
+
+static struct rig_host *started_[RIG_MAX_AGENTS];
+/* Packets of a flow that reached hosts which do not hold it while another one
+   does, since the holder got the last one.  By the caller's port.  */
+static int strayed_[65536];
+static int64_t first_strayed_ms_[65536];
+static bool was_lost_[65536];
+
 static int64_t
 get_unix_ms_ (void)
 {
@@ -92,43 +107,133 @@
     {
       host->flow_state[port] = FLOW_HALF_OPEN;
       host->flow_sent[port] = 0;
-      host->flow_seq[port] = (port + host->boot) * SEQ_STEP
-                             + (uint32_t)host->index * 65537U + 1;
+      host->flow_seq[port] = ((port * SEQ_STEP) ^ (host->boot << 24)
+                              ^ ((uint32_t)host->index << 20))
+                             * SEQ_FACTOR;
     }
   host->flow_next[port] = packet->seq + 1;
   send_to_caller_ (host, port, RIG_SYN | RIG_ACK, host->flow_seq[port], NULL,
                    0);
 }
 
+/* Answers the request of a flow, again if it was answered before.  */
+static void
+answer_request_ (const struct rig_host *host, uint16_t port)
+{
+  uint32_t seq = host->flow_seq[port] + 1;
+  uint32_t len = (uint32_t)strlen (answer_);
+
+  send_to_caller_ (host, port, RIG_ACK, seq + host->flow_sent[port] - len,
+                   answer_, len);
+  /* A host that leaves closes each flow after its next answer.  */
+  if (host->draining)
+    send_to_caller_ (host, port, RIG_FIN | RIG_ACK,
+                     seq + host->flow_sent[port], NULL, 0);
+}
+
+static void
+end_request_ (struct rig_host *host, uint16_t port)
+{
+  host->flow_due_ms[port] = 0;
+  host->n_running--;
+  host->flow_sent[port] += (uint32_t)strlen (answer_);
+  answer_request_ (host, port);
+}
+
+/* Runs a request on the slot that is free first.  */
+static void
+begin_request_ (struct rig_host *host, uint16_t port)
+{
+  bool is_cold = rig_now_ms < host->cold_until_ms;
+  int64_t work_ms = is_cold ? rig_work_ms * COLD_WORK_X10 / 10 : rig_work_ms;
+  int64_t *slot = &host->slot_free_ms[0];
+  int i;
+
+  for (i = 1; i < RIG_SLOTS; i++)
+    if (host->slot_free_ms[i] < *slot)
+      slot = &host->slot_free_ms[i];
+  *slot = (*slot > rig_now_ms ? *slot : rig_now_ms) + work_ms;
+  host->flow_due_ms[port] = *slot;
+  host->n_running++;
+  if (work_ms == 0)
+    end_request_ (host, port);
+}
+
 /* Handles a packet of an open flow.  */
 static void
 handle_packet_ (struct rig_host *host, const struct rig_packet *packet)
 {
   uint16_t port = packet->sport;
-  uint32_t seq = host->flow_seq[port] + 1;
 
   if ((packet->flags & RIG_RST) != 0)
     {
       host->flow_state[port] = FLOW_CLOSED;
       return;
     }
-  if (packet->len > 0)
+  if (packet->len > 0 && packet->seq == host->flow_next[port])
     {
-      /* A request that was answered is answered again.  */
-      if (packet->seq == host->flow_next[port])
-        host->flow_sent[port] += (uint32_t)strlen (answer_);
       host->flow_next[port] = packet->seq + packet->len;
-      send_to_caller_ (host, port, RIG_ACK,
-                       seq + host->flow_sent[port]
-                           - (uint32_t)strlen (answer_),
-                       answer_, strlen (answer_));
+      begin_request_ (host, port);
     }
+  else if (packet->len > 0 && host->flow_due_ms[port] == 0)
+    answer_request_ (host, port);
   if ((packet->flags & RIG_FIN) == 0)
     return;
   host->flow_next[port] = packet->seq + 1;
   host->flow_state[port] = FLOW_CLOSED;
-  send_to_caller_ (host, port, RIG_FIN | RIG_ACK, seq + host->flow_sent[port],
-                   NULL, 0);
+  send_to_caller_ (host, port, RIG_FIN | RIG_ACK,
+                   host->flow_seq[port] + 1 + host->flow_sent[port], NULL, 0);
+}
+
+static bool
+is_held_elsewhere_ (const struct rig_host *host, uint16_t port)
+{
+  int i;
+
+  for (i = 0; i < RIG_MAX_AGENTS; i++)
+    if (started_[i] != NULL && started_[i] != host
+        && rig_host_holds_flow (started_[i], port))
+      return true;
+  return false;
+}
+
+static void
+check_strayed_ (uint16_t port)
+{
+  if (strayed_[port] >= MIN_STRAYED
+      && rig_now_ms - first_strayed_ms_[port] >= FLOW_GRACE_MS)
+    was_lost_[port] = true;
+}
+
+/* Notes which host a packet of an open flow has reached.  */
+static void
+note_packet_ (const struct rig_host *host, uint16_t port)
+{
+  if (rig_host_holds_flow (host, port))
+    {
+      check_strayed_ (port);
+      strayed_[port] = 0;
+    }
+  else if (is_held_elsewhere_ (host, port))
+    {
+      if (strayed_[port]++ == 0)
+        first_strayed_ms_[port] = rig_now_ms;
+      rig_record ("strayed port=%u host=%d", port, host->index);
+    }
+}
+
+int
+rig_hosts_count_lost_flows (void)
+{
+  int n = 0;
+  int port;
+
+  for (port = 0; port < 65536; port++)
+    {
+      check_strayed_ ((uint16_t)port);
+      n += was_lost_[port];
+    }
+  return n;
 }
 
 static void
@@ -158,6 +263,7 @@
           host->flow_state[port] = FLOW_OPEN;
           record_run_ (host, port);
         }
+      note_packet_ (host, port);
       if (host->flow_state[port] == FLOW_OPEN)
         handle_packet_ (host, &packet);
       else if (host->flow_state[port] != FLOW_CLOSED)
@@ -223,7 +329,7 @@
             "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"%s\","
             "\"version\":\"v1\",\"concurrency\":%d,\"state\":\"%s\","
             "\"warmup_left_ms\":%lld,\"seq\":%llu,\"born\":%lld}",
-            RIG_SERVICE, ip, RIG_APP_PORT, host->zone, SLOTS,
+            RIG_SERVICE, ip, RIG_APP_PORT, host->zone, RIG_SLOTS,
             host->draining ? "draining" : "ready",
             (long long)(left_ms > 0 ? left_ms : 0),
             (unsigned long long)++host->seq, (long long)host->born_ms);
@@ -239,6 +345,7 @@
 {
   host->cold_from_ms = rig_now_ms;
   host->cold_until_ms = rig_now_ms + cold_ms;
+  host->fall_cold_ms = cold_ms;
   rig_record ("host %d is cold for %lld ms", host->index, (long long)cold_ms);
 }
 
@@ -253,6 +360,7 @@
       fprintf (stderr, "the address of host %d is in use\n", host->index);
       exit (2);
     }
+  started_[host->index] = host;
   host->alive = true;
   host->boot++;
   host->born_ms = get_unix_ms_ () + host->clock_ahead_ms;
@@ -271,7 +379,10 @@
 void
 rig_host_crash (struct rig_host *host)
 {
-  rig_record ("host %d crashes", host->index);
+  rig_record ("host %d ends, %d requests run", host->index, host->n_running);
+  host->n_lost += host->n_running;
+  host->n_running = 0;
+  memset (host->flow_due_ms, 0, sizeof host->flow_due_ms);
   host->alive = false;
   rig_source_close (host->udp);
   rig_source_close (host->tcp);
@@ -292,6 +403,26 @@
   return host->alive && host->flow_state[port] == FLOW_OPEN;
 }
 
+static void
+on_leave_answer_ (int status, void *ctx)
+{
+  struct rig_host *host = ctx;
+
+  rig_record ("deregistered host=%d status=%d", host->index, status);
+  rig_host_crash (host);
+}
+
+void
+rig_host_leave (struct rig_host *host)
+{
+  char target[64];
+
+  snprintf (target, sizeof target, "/instances/i-%d-%u/deregister",
+            host->index, host->boot);
+  rig_call (RIG_AGENT_IP (host->index), RIG_CONTROL_PORT, "POST", target, "",
+            CALL_TIMEOUT_MS, on_leave_answer_, host);
+}
+
 int
 rig_host_count_late (const struct rig_host *host, int64_t ms)
 {
@@ -304,9 +435,46 @@
   return n;
 }
 
+/* True if a cold host got more in the last second than it bears.  */
+static bool
+is_overrun_ (const struct rig_host *host)
+{
+  int n = 0;
+  int i;
+
+  if (rig_cold_limit <= 0 || rig_now_ms >= host->cold_until_ms)
+    return false;
+  for (i = host->n_runs - 1;
+       i >= 0 && rig_now_ms - host->runs[i].arrived_ms < WINDOW_MS
+       && host->runs[i].arrived_ms >= host->cold_from_ms;
+       i--)
+    n++;
+  return n > rig_cold_limit;
+}
+
 void
 rig_host_tick (struct rig_host *host)
 {
+  int port;
+
+  for (port = 0; host->n_running > 0 && port < 65536; port++)
+    if (host->flow_due_ms[port] != 0 && rig_now_ms >= host->flow_due_ms[port])
+      end_request_ (host, (uint16_t)port);
+  if (host->alive && is_overrun_ (host))
+    {
+      host->n_falls++;
+      rig_record ("host %d falls over", host->index);
+      rig_host_crash (host);
+      host->restart_ms = rig_now_ms + RESTART_AFTER_FALL_MS;
+    }
+  if (!host->alive && host->restart_ms != 0 && rig_now_ms >= host->restart_ms)
+    {
+      int64_t from_ms = host->cold_from_ms;
+
+      host->restart_ms = 0;
+      rig_host_start (host, host->fall_cold_ms);
+      host->cold_from_ms = from_ms;
+    }
   if (host->alive && !host->heartbeat_running
       && rig_now_ms >= host->next_heartbeat_ms)
     send_heartbeat_ (host);
--- a/review/rig-2/main.c
+++ b/review/rig-2/main.c
@@ -14,13 +14,19 @@
 #define POLL_MS 5
 #define BALANCERS 2
 #define AGENTS 6
+/* Agents, and those of hosts that replace others.  */
+#define MACHINES 8
 #define FLOWS_PER_S 300
 #define LIGHT_FLOWS_PER_S 80
+#define FEW_FLOWS_PER_S 20
+#define KEPT_FLOWS_PER_S 120
 /* Warm-up rate of the service, and the limit that follows from it: the rate
    times warmup_overshoot, and warmup_slack.  */
 #define WARMUP_PER_S 5
 #define COLD_LIMIT (WARMUP_PER_S * 1.5 + 5)
 #define COLD_MS 8000
+#define WORK_MS 20
+#define LONG_WORK_MS 30
 #define TRAFFIC_MS 5000
 #define RESTART_DELAY_MS 500
 #define AGENT_START_MS 500
@@ -38,15 +44,15 @@
 #define SLOW_STORE_MS 240
 
 static struct rig_process balancers_[BALANCERS];
-static struct rig_process agents_[AGENTS];
-static struct rig_host hosts_[AGENTS];
+static struct rig_process agents_[MACHINES];
+static struct rig_host hosts_[MACHINES];
 static bool trouble_;
 static bool has_failed_;
 static int n_balancers_;
 
 static const char manifest_[]
     = "{\"version\":7,\"routes\":[{\"name\":\"r-board\",\"hostname\":\"%s\","
-      "\"prefix\":\"/%d/\",\"type\":\"safe\",\"timeout_ms\":1200,"
+      "\"prefix\":\"/%d/\",\"type\":\"unsafe\",\"timeout_ms\":%d,"
       "\"latency_goal_ms\":150,\"priority\":2,\"service\":\"%s\","
       "\"attempts\":2}],\"services\":[{\"name\":\"%s\","
       "\"health_path\":\"/health\",\"max_conns\":2000,\"protocol\":\"h1\","
@@ -57,6 +63,8 @@
 static const char *
 get_zone_ (int index, int count)
 {
+  if (index >= count)
+    return index % 2 == 0 ? "poa-a" : "poa-b";
   return index < (count + 1) / 2 ? "poa-a" : "poa-b";
 }
 
@@ -92,11 +100,11 @@
   rig_calls_tick ();
   rig_router_tick (balancers_, n_balancers_);
   rig_callers_tick ();
-  for (i = 0; i < AGENTS; i++)
+  for (i = 0; i < MACHINES; i++)
     rig_host_tick (&hosts_[i]);
   for (i = 0; i < BALANCERS; i++)
     has_failed_ = rig_process_check (&balancers_[i]) || has_failed_;
-  for (i = 0; i < AGENTS; i++)
+  for (i = 0; i < MACHINES; i++)
     has_failed_ = rig_process_check (&agents_[i]) || has_failed_;
 }
 
@@ -152,7 +160,8 @@
   rig_store_start ();
   rig_format_ip (RIG_ROUTE_IP, ip, sizeof ip);
   snprintf (manifest, sizeof manifest, manifest_, ip, RIG_ROUTE_PORT,
-            RIG_SERVICE, RIG_SERVICE, COLD_MS / 1000, WARMUP_PER_S);
+            RIG_LIMIT_MS, RIG_SERVICE, RIG_SERVICE, COLD_MS / 1000,
+            WARMUP_PER_S);
   rig_store_put ("op/config", manifest);
   n_balancers_ = BALANCERS;
   for (i = 0; i < BALANCERS; i++)
@@ -161,7 +170,7 @@
                                             .zone = get_zone_ (i, BALANCERS) };
       rig_process_start (&balancers_[i], true);
     }
-  for (i = 0; i < AGENTS; i++)
+  for (i = 0; i < MACHINES; i++)
     {
       agents_[i] = (struct rig_process){ .is_agent = true,
                                          .index = i,
@@ -179,6 +188,14 @@
 
 /* Cases.  */
 
+/* Lets cold hosts fall over when they get more than the rule allows.  */
+static void
+set_cold_hosts_ (void)
+{
+  rig_work_ms = WORK_MS;
+  rig_cold_limit = COLD_LIMIT;
+}
+
 /* The hosts of a failure domain are cold when it is put back into service:
    shortly before, or with TROUBLE=0 long enough before that their next
    heartbeats say so.  */
@@ -188,6 +205,7 @@
   int64_t back_ms = TRAFFIC_MS + 8000;
   int i;
 
+  set_cold_hosts_ ();
   start_ (AGENTS);
   run_until_ (TRAFFIC_MS + 2000);
   rig_store_put ("op/evacuate/poa-b", "{}");
@@ -221,6 +239,7 @@
 {
   int index = AGENTS - 1;
 
+  set_cold_hosts_ ();
   start_ (AGENTS / 2);
   add_machines_ (index, 2500);
   if (trouble_)
@@ -239,6 +258,7 @@
 {
   int i;
 
+  set_cold_hosts_ ();
   start_ (AGENTS / 2);
   add_machines_ (AGENTS / 2, 2500);
   if (trouble_)
@@ -263,6 +283,7 @@
   struct rig_host *host = &hosts_[AGENTS - 1];
   int64_t jump_ms;
 
+  rig_work_ms = LONG_WORK_MS;
   start_ (AGENTS / 2);
   rig_callers_set_rate (LIGHT_FLOWS_PER_S);
   add_machines_ (AGENTS - 1, 500);
@@ -281,6 +302,8 @@
   run_until_ (rig_now_ms + CONTACT_MS + 1000);
   rig_host_drain (host);
   run_until_ (rig_now_ms + DRAIN_BOUND_MS + 4000);
+  rig_host_leave (host);
+  run_until_ (rig_now_ms + RIG_LIMIT_MS + 500);
 }
 
 /* The clock of a machine that was just added returns to the right time, and
@@ -309,15 +332,42 @@
   run_until_ (TRAFFIC_MS + 12000);
 }
 
+/* Two hosts are replaced one after the other and close their flows; the
+   callers open new ones from the same ports, at other hosts.  A balancer is
+   stopped as planned, so that the next request on a flow reaches the other
+   one.  */
+static void
+run_ports_ (void)
+{
+  start_ (AGENTS);
+  rig_callers_set_rate (KEPT_FLOWS_PER_S);
+  rig_callers_keep_flows (true);
+  run_until_ (TRAFFIC_MS + 3000);
+  rig_callers_keep_flows (false);
+  rig_callers_set_rate (FEW_FLOWS_PER_S);
+  rig_callers_reuse_ports (true);
+  start_machine_ (AGENTS, false, WARMUP_MS);
+  run_until_ (TRAFFIC_MS + 4000);
+  rig_host_drain (&hosts_[AGENTS - 1]);
+  start_machine_ (AGENTS + 1, false, WARMUP_MS);
+  run_until_ (TRAFFIC_MS + 5000);
+  rig_host_drain (&hosts_[0]);
+  run_until_ (TRAFFIC_MS + 5500);
+  if (trouble_)
+    rig_process_kill (&balancers_[1], SIGTERM);
+  rig_callers_ask_again ();
+  run_until_ (TRAFFIC_MS + 7000);
+  rig_callers_ask_again ();
+  run_until_ (TRAFFIC_MS + 10500);
+}
+
 static const struct
 {
   const char *name;
   void (*run) (void);
-} cases_[] = { { "return", run_return_ },
-               { "agent", run_agent_ },
-               { "balancers", run_balancers_ },
-               { "clock", run_clock_ },
-               { "flows", run_flows_ } };
+} cases_[] = { { "return", run_return_ },       { "agent", run_agent_ },
+               { "balancers", run_balancers_ }, { "clock", run_clock_ },
+               { "flows", run_flows_ },         { "ports", run_ports_ } };
 
 /* True if a cold host got more requests in a second than it bears.  */
 static bool
@@ -326,7 +376,7 @@
   bool is_broken = false;
   int i;
 
-  for (i = 0; i < AGENTS; i++)
+  for (i = 0; i < MACHINES; i++)
     {
       int64_t from_ms = 0;
       int peak = hosts_[i].cold_from_ms < 0
@@ -336,8 +386,9 @@
       if (hosts_[i].cold_from_ms < 0)
         continue;
       rig_record ("cold host %d: at most %d requests in a second, from %.3f; "
-                  "allowed %.1f",
-                  i, peak, (double)from_ms / 1000, COLD_LIMIT);
+                  "allowed %.1f; fell over %d times, with %d requests",
+                  i, peak, (double)from_ms / 1000, COLD_LIMIT,
+                  hosts_[i].n_falls, hosts_[i].n_lost);
       is_broken = is_broken || peak > COLD_LIMIT;
     }
   return is_broken;
@@ -351,16 +402,16 @@
   bool is_broken = false;
   int i;
 
-  for (i = 0; i < AGENTS; i++)
+  for (i = 0; i < MACHINES; i++)
     {
       int late = rig_host_count_late (&hosts_[i], DRAIN_BOUND_MS);
 
       if (hosts_[i].drain_acked_ms < 0)
         continue;
       rig_record ("host %d left, acknowledged at %.3f: %d requests later than "
-                  "%d ms after that",
+                  "%d ms after that; ended with %d requests",
                   i, (double)hosts_[i].drain_acked_ms / 1000, late,
-                  DRAIN_BOUND_MS);
+                  DRAIN_BOUND_MS, hosts_[i].n_lost);
       is_broken = is_broken || late > 0;
     }
   return is_broken;
@@ -370,10 +421,13 @@
 static bool
 check_flows_ (void)
 {
-  int broken = rig_callers_count_broken (hosts_, AGENTS);
+  int broken = rig_callers_count_broken (hosts_, MACHINES);
+  int lost = rig_hosts_count_lost_flows ();
 
   rig_record ("%d open flows were reset", broken);
-  return broken > 0;
+  rig_record ("packets of %d open flows reached only other hosts for 2 s",
+              lost);
+  return broken > 0 || lost > 0;
 }
 
 static bool
@@ -381,7 +435,9 @@
 {
   if (strcmp (name, "clock") == 0)
     return check_drain_ ();
-  return strcmp (name, "flows") == 0 ? check_flows_ () : check_cold_ ();
+  if (strcmp (name, "flows") == 0 || strcmp (name, "ports") == 0)
+    return check_flows_ ();
+  return check_cold_ ();
 }
 
 int
@@ -406,7 +462,7 @@
   rig_callers_print_totals ();
   for (i = 0; i < BALANCERS; i++)
     rig_process_end (&balancers_[i]);
-  for (i = 0; i < AGENTS; i++)
+  for (i = 0; i < MACHINES; i++)
     rig_process_end (&agents_[i]);
   if (has_failed_ || rig_callers_get_answered () < 100)
     {
--- a/review/rig-2/node.c
+++ b/review/rig-2/node.c
@@ -73,6 +73,7 @@
   snprintf (log, sizeof log, "%s.log", path);
   write_settings_ (process, bootstrap, path);
   rig_record ("start %s %d", role, process->index);
+  process->is_stopping = false;
   fflush (stdout);
   process->pid = fork ();
   if (process->pid != 0)
@@ -97,6 +98,7 @@
   rig_record ("signal %d to %s %d", signal,
               process->is_agent ? "agent" : "balancer", process->index);
   kill (process->pid, signal);
+  process->is_stopping = signal == SIGTERM;
   if (signal != SIGKILL)
     return;
   waitpid (process->pid, NULL, 0);
@@ -127,5 +129,5 @@
   if (process->pid == 0 || waitpid (process->pid, NULL, WNOHANG) == 0)
     return false;
   process->pid = 0;
-  return true;
+  return !process->is_stopping;
 }
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -23,6 +23,8 @@
 #define RIG_STORE_PORT 8169
 #define RIG_ROUTE_PORT 8443
 #define RIG_HEARTBEAT_MS 1200
+/** Time limit of the requests.  */
+#define RIG_LIMIT_MS 3000
 #define RIG_CALLER_IP (rig_net + 100U)
 #define RIG_STORE_IP (rig_net + 200U)
 #define RIG_ROUTE_IP (rig_net + 250U)
@@ -127,7 +129,8 @@
   bool is_agent;
   int index;
   const char *zone;
-  pid_t pid; /**< 0: does not run.  */
+  pid_t pid;        /**< 0: does not run.  */
+  bool is_stopping; /**< It got SIGTERM.  */
 };
 
 void rig_process_start (struct rig_process *process, bool bootstrap);
@@ -149,6 +152,7 @@
 };
 
 #define RIG_MAX_RUNS 32768
+#define RIG_SLOTS 4
 
 struct rig_host
 {
@@ -162,6 +166,8 @@
   uint64_t seq;
   int64_t cold_from_ms; /**< -1: was never cold.  */
   int64_t cold_until_ms;
+  int64_t fall_cold_ms; /**< Warm-up after a start that follows a fall.  */
+  int64_t restart_ms;   /**< 0: no start is due.  */
   int64_t next_heartbeat_ms;
   bool heartbeat_running;
   bool heartbeat_drains;  /**< The call under way says draining.  */
@@ -170,20 +176,36 @@
   struct rig_source *tcp;
   uint32_t flow_seq[65536]; /**< By the caller's port; 0: no flow.  */
   uint8_t flow_state[65536];
-  uint32_t flow_next[65536]; /**< Next number expected of the caller.  */
-  uint32_t flow_sent[65536]; /**< Bytes of answers.  */
+  uint32_t flow_next[65536];  /**< Next number expected of the caller.  */
+  uint32_t flow_sent[65536];  /**< Bytes of answers.  */
+  int64_t flow_due_ms[65536]; /**< End of the run of its request; 0: none.  */
+  int n_running;              /**< Requests that wait or run.  */
+  int64_t slot_free_ms[RIG_SLOTS];
+  int n_falls; /**< Times that it got more than it bears.  */
+  int n_lost;  /**< Requests that ended with it.  */
   struct rig_run runs[RIG_MAX_RUNS];
   int n_runs;
 };
 
+/** Time that a request takes; more at a cold server.  */
+extern int rig_work_ms;
+/** Requests in a second at which a cold server falls over: it ends with all of
+    its flows, and starts again, cold, after a second.  0: it bears any.  */
+extern double rig_cold_limit;
+
 /** Start a backend server; it is cold until @p cold_ms from now.  */
 void rig_host_start (struct rig_host *host, int64_t cold_ms);
 /** End a backend server without notice; all of its flows are lost.  */
 void rig_host_crash (struct rig_host *host);
 /** Let a backend server say that it leaves, from now on.  */
 void rig_host_drain (struct rig_host *host);
+/** Number of flows of which three or more packets reached other backend
+   servers for two seconds and none the one that holds the flow.  */
+int rig_hosts_count_lost_flows (void);
 /** True if the backend server holds the flow of the caller's port.  */
 bool rig_host_holds_flow (const struct rig_host *host, uint16_t port);
+/** Deregister a backend server, which then ends.  */
+void rig_host_leave (struct rig_host *host);
 /** Count the requests that arrived later than @p ms after the agent
     acknowledged the draining.  */
 int rig_host_count_late (const struct rig_host *host, int64_t ms);
@@ -201,6 +223,9 @@
 void rig_callers_tick (void);
 /** Let callers who open a flow from now on keep it after the answer.  */
 void rig_callers_keep_flows (bool keep);
+/** Let callers whose kept flow the backend server closes open a new flow from
+    the same port at once.  */
+void rig_callers_reuse_ports (bool reuse);
 /** Send a further request on each kept flow.  */
 void rig_callers_ask_again (void);
 /** Number of kept flows that were reset while their backend server held
