--- a/review/rig-2/host.c
+++ b/review/rig-2/host.c
@@ -107,6 +107,7 @@
     {
       host->flow_state[port] = FLOW_HALF_OPEN;
       host->flow_sent[port] = 0;
+      host->flow_has_fin[port] = false;
       host->flow_seq[port] = ((port * SEQ_STEP) ^ (host->boot << 24)
                               ^ ((uint32_t)host->index << 20))
                              * SEQ_FACTOR;
@@ -118,7 +119,7 @@
 
 /* Answers the request of a flow, again if it was answered before.  */
 static void
-answer_request_ (const struct rig_host *host, uint16_t port)
+answer_request_ (struct rig_host *host, uint16_t port)
 {
   uint32_t seq = host->flow_seq[port] + 1;
   uint32_t len = (uint32_t)strlen (answer_);
@@ -126,9 +127,11 @@
   send_to_caller_ (host, port, RIG_ACK, seq + host->flow_sent[port] - len,
                    answer_, len);
   /* A host that leaves closes each flow after its next answer.  */
-  if (host->draining)
-    send_to_caller_ (host, port, RIG_FIN | RIG_ACK,
-                     seq + host->flow_sent[port], NULL, 0);
+  if (!host->draining)
+    return;
+  host->flow_has_fin[port] = true;
+  send_to_caller_ (host, port, RIG_FIN | RIG_ACK, seq + host->flow_sent[port],
+                   NULL, 0);
 }
 
 static void
@@ -181,8 +184,14 @@
     return;
   host->flow_next[port] = packet->seq + 1;
   host->flow_state[port] = FLOW_CLOSED;
-  send_to_caller_ (host, port, RIG_FIN | RIG_ACK,
-                   host->flow_seq[port] + 1 + host->flow_sent[port], NULL, 0);
+  if (host->flow_has_fin[port])
+    send_to_caller_ (host, port, RIG_ACK,
+                     host->flow_seq[port] + 2 + host->flow_sent[port], NULL,
+                     0);
+  else
+    send_to_caller_ (host, port, RIG_FIN | RIG_ACK,
+                     host->flow_seq[port] + 1 + host->flow_sent[port], NULL,
+                     0);
 }
 
 static bool
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -178,6 +178,7 @@
   uint8_t flow_state[65536];
   uint32_t flow_next[65536];  /**< Next number expected of the caller.  */
   uint32_t flow_sent[65536];  /**< Bytes of answers.  */
+  bool flow_has_fin[65536];   /**< It has sent the end of the flow.  */
   int64_t flow_due_ms[65536]; /**< End of the run of its request; 0: none.  */
   int n_running;              /**< Requests that wait or run.  */
   int64_t slot_free_ms[RIG_SLOTS];
